--- /dev/null
+++ b/Hibiscus/src/Dispatch/Coordinator.cpp
@@ -0,0 +1,745 @@
+#include "Hibiscus/src/Dispatch/Coordinator.h"
+
+#include <algorithm>
+
+namespace Hibiscus {
+
+namespace internal {
+
+constexpr Duration longestProbePause = 20s;
+constexpr double secondsOfRateBurst = 1.0;
+
+/** \brief Turns what only the journal could vouch for into "may have run". */
+static JobAnswer withoutProof(JobAnswer answer)
+{
+    for (TaskOutcome &task : answer.tasks)
+        if (task.fate == TaskFate::NotRun)
+            task.fate = TaskFate::MayHaveRun;
+    return answer;
+}
+
+static TaskIndices firstTasks(std::uint32_t count)
+{
+    TaskIndices indices;
+    for (std::uint32_t i = 0; i < count; ++i)
+        indices.push_back(i);
+    return indices;
+}
+
+} // namespace internal
+
+Coordinator::Coordinator(const CoordinatorOptions &options, const JournalClientOptions &journals)
+    : options(options), journal(journals, options.self), retries(options.retryShare)
+{ }
+
+void Coordinator::submit(const Submission &submission, std::uint32_t visibleSlots, TimePoint now,
+                         DispatchOutbox &out)
+{
+    ++this->counts.submitted;
+    const JobRequest &request = submission.request;
+    const std::uint64_t contentHash = request.contentHash();
+    const auto refuseContent = [&] {
+        ++this->counts.refused;
+        out.answers.push_back(
+            { .token = submission.token,
+              .job = request.id,
+              .answer = JobAnswer::uniform(JobState::Refused, JobReason::ContentDiffers,
+                                           request.taskCount(), TaskFate::MayHaveRun) });
+    };
+    const auto known = this->jobs.find(request.id);
+    if (known != this->jobs.end()) {
+        if (known->second.contentHash != contentHash)
+            refuseContent();
+        else
+            known->second.callers.push_back(submission.token);
+        return;
+    }
+    const auto kept = this->keptAnswers.find(request.id);
+    if (kept != this->keptAnswers.end()) {
+        if (kept->second.contentHash != contentHash)
+            refuseContent();
+        else
+            out.answers.push_back(
+                { .token = submission.token, .job = request.id, .answer = kept->second.answer });
+        return;
+    }
+    // A question left over from an earlier coordination must not speak for this one.
+    this->journal.forget(request.id);
+    CoordinatedJob &job = this->jobs[request.id];
+    job.request = request;
+    job.contentHash = contentHash;
+    job.callers = { submission.token };
+    job.arrivedAt = now;
+    job.trace = submission.trace;
+    job.tasks.resize(request.taskCount());
+    job.unfinished = static_cast<std::uint32_t>(request.taskCount());
+    this->waitingTasks += job.tasks.size();
+    const JobReason reason = this->admissionOf(request, now);
+    if (reason != JobReason::None)
+        this->refuse(job, reason, now, out);
+    else
+        this->open(job, visibleSlots, now, out);
+}
+
+void Coordinator::cancel(const JobId &id, TimePoint now, DispatchOutbox &out)
+{
+    const auto found = this->jobs.find(id);
+    if (found == this->jobs.end() || found->second.phase != JobPhase::Running)
+        return;
+    this->end(found->second, JobReason::Cancelled, now, out);
+}
+
+void Coordinator::lookUp(std::uint64_t token, const JobId &id, TimePoint now, DispatchOutbox &out)
+{
+    const auto kept = this->keptAnswers.find(id);
+    if (kept != this->keptAnswers.end()) {
+        out.statuses.push_back({ .token = token,
+                                 .job = id,
+                                 .verdict = JournalVerdict::Finished,
+                                 .answer = kept->second.answer });
+        return;
+    }
+    if (this->jobs.contains(id) || !this->journal.knows(id.home())) {
+        const bool isHere = this->jobs.contains(id);
+        out.statuses.push_back(
+            { .token = token,
+              .job = id,
+              .verdict = isHere ? JournalVerdict::OpenElsewhere : JournalVerdict::NotFound });
+        return;
+    }
+    std::vector<std::uint64_t> &tokens = this->lookUps[id];
+    tokens.push_back(token);
+    if (tokens.size() == 1)
+        this->journal.ask(id, LookUpJob { .id = id }, now, out);
+}
+
+void Coordinator::answerLookUps(const JobId &id, const JournalReply &reply, DispatchOutbox &out)
+{
+    const auto found = this->lookUps.find(id);
+    if (found == this->lookUps.end())
+        return;
+    for (const std::uint64_t token : found->second)
+        out.statuses.push_back(
+            { .token = token, .job = id, .verdict = reply.verdict, .answer = reply.answer });
+    this->lookUps.erase(found);
+}
+
+void Coordinator::receive(const JournalAnswer &answer, TimePoint now, DispatchOutbox &out)
+{
+    std::vector<JobJournalReply> replies;
+    this->journal.receive(answer, now, replies, out);
+    for (const JobJournalReply &item : replies) {
+        this->answerLookUps(item.job, item.reply, out);
+        const auto found = this->jobs.find(item.job);
+        if (found != this->jobs.end())
+            this->handle(found->second, item.reply, now, out);
+    }
+}
+
+void Coordinator::finishAttempt(const TaskReport &report, TimePoint now, DispatchOutbox &out)
+{
+    const auto found = this->jobs.find(report.attempt.job);
+    const bool isKnown
+        = found != this->jobs.end() && report.attempt.task < found->second.tasks.size();
+    if (!isKnown) {
+        ++this->counts.lateReports;
+        return;
+    }
+    CoordinatedJob &job = found->second;
+    CoordinatedTask &task = job.tasks[report.attempt.task];
+    // A report of a former attempt reaches nobody.
+    if (task.phase != TaskPhase::Placed || task.attempt != report.attempt) {
+        ++this->counts.lateReports;
+        return;
+    }
+    this->unplace(job, task);
+    if (report.verdict == AttemptVerdict::Succeeded)
+        this->endTask(job, report.attempt.task,
+                      { .fate = TaskFate::Ran, .succeeded = true, .result = report.result });
+    else
+        this->retryOrEnd(job, report.attempt.task, report, now, out);
+    if (job.unfinished == 0 && job.phase == JobPhase::Running)
+        this->end(job, JobReason::None, now, out);
+}
+
+void Coordinator::loseOwner(const NodeName &owner, std::optional<std::uint64_t> presentIncarnation,
+                            TimePoint now, DispatchOutbox &out)
+{
+    std::vector<TaskReport> lost;
+    for (const auto &[id, job] : this->jobs) {
+        for (const CoordinatedTask &task : job.tasks) {
+            const bool isThere = task.phase == TaskPhase::Placed && task.owner == owner
+                && task.ownerIncarnation != presentIncarnation;
+            if (isThere)
+                lost.push_back({ .attempt = task.attempt,
+                                 .verdict = AttemptVerdict::Lost,
+                                 .result = "owner lost" });
+        }
+    }
+    for (const TaskReport &report : lost)
+        this->finishAttempt(report, now, out);
+}
+
+void Coordinator::probeSoon(const NodeName &owner, TimePoint now)
+{
+    for (auto &[id, job] : this->jobs)
+        for (CoordinatedTask &task : job.tasks)
+            if (task.phase == TaskPhase::Placed && task.owner == owner)
+                task.probeAt = std::min(task.probeAt, now);
+}
+
+void Coordinator::tick(TimePoint now, DispatchOutbox &out)
+{
+    this->journal.tick(now, out);
+    std::vector<JobId> late;
+    std::vector<JobId> abandoned;
+    std::set<DomainName> homes;
+    for (auto &[id, job] : this->jobs) {
+        const bool waitsForJournal
+            = job.phase == JobPhase::Finishing || job.phase == JobPhase::Refusing;
+        if (!waitsForJournal && now >= job.request.deadline)
+            (job.phase == JobPhase::Running ? late : abandoned).push_back(id);
+        else if (waitsForJournal && now >= job.giveUpAt)
+            abandoned.push_back(id);
+        if (!job.isRepeatable() && job.phase == JobPhase::Running)
+            homes.insert(id.home());
+        if (job.phase == JobPhase::Watching && now >= job.askAgainAt) {
+            job.askAgainAt = now + this->options.watchInterval;
+            this->ask(job, LookUpJob { .id = id }, now, out);
+        }
+    }
+    for (const JobId &id : late)
+        this->end(this->jobs.at(id), JobReason::DeadlinePassed, now, out);
+    for (const JobId &id : abandoned)
+        this->giveUp(this->jobs.at(id), now, out);
+    for (const DomainName &home : homes)
+        this->journal.keepAlive(home, now, out);
+    std::erase_if(this->keptAnswers, [&](const auto &item) { return now > item.second.until; });
+}
+
+void Coordinator::place(const JobId &id, const NodeName &owner, std::uint64_t ownerIncarnation,
+                        TimePoint now, std::vector<TaskStart> &starts, DispatchOutbox &out)
+{
+    CoordinatedJob &job = this->jobs.at(id);
+    const std::uint32_t index = job.ready.front();
+    job.ready.pop_front();
+    CoordinatedTask &task = job.tasks[index];
+    HIBISCUS_INVARIANT(job.phase == JobPhase::Running && task.phase == TaskPhase::Waiting,
+                       "only a waiting task of a running job is placed");
+    HIBISCUS_INVARIANT(job.isRepeatable() || task.isRecorded,
+                       "a task that is not repeatable starts only after its start is on record");
+    const Urgency urgency = this->queue.urgencyOf(id);
+    task.phase = TaskPhase::Placed;
+    task.attempt = { .job = id,
+                     .task = index,
+                     .ordinal = task.attempts,
+                     .incarnation = this->options.self.incarnation };
+    ++task.attempts;
+    task.owner = owner;
+    task.ownerIncarnation = ownerIncarnation;
+    task.validUntil = now + this->options.startLifetime;
+    task.probeAt = now + this->options.firstProbe;
+    --this->waitingTasks;
+    ++this->placedByTeam[job.request.team];
+    ++this->placedByService[job.request.service];
+    ++this->counts.placed;
+    if (task.attempts == 1)
+        this->retries.noteFirstAttempt();
+    starts.push_back({ .attempt = task.attempt,
+                       .service = job.request.service,
+                       .deadline = job.request.deadline,
+                       .validUntil = task.validUntil,
+                       .urgency = urgency,
+                       .payload = job.request.payloads[index],
+                       .trace = job.trace });
+    this->requeue(job);
+    this->recordAhead(job, now, out);
+}
+
+void Coordinator::applyRules(const RuleSet &newRules)
+{
+    this->rules = newRules;
+}
+
+void Coordinator::noteWidestTarget(const ServiceName &service, std::uint32_t slots)
+{
+    std::uint32_t &widest = this->widestTargets[service];
+    widest = std::max(widest, slots);
+}
+
+std::vector<DueProbe> Coordinator::takeDueProbes(TimePoint now)
+{
+    std::vector<DueProbe> due;
+    for (auto &[id, job] : this->jobs) {
+        for (CoordinatedTask &task : job.tasks) {
+            if (task.phase != TaskPhase::Placed || now < task.probeAt)
+                continue;
+            const Duration age = now + this->options.startLifetime - task.validUntil;
+            task.probeAt = now
+                + std::clamp(age, Duration(this->options.firstProbe), internal::longestProbePause);
+            due.push_back({ .owner = task.owner,
+                            .probe = { .attempt = task.attempt, .validUntil = task.validUntil } });
+        }
+    }
+    return due;
+}
+
+std::vector<DueCancellation> Coordinator::takeCancellations()
+{
+    return std::exchange(this->cancellations, {});
+}
+
+std::optional<JobId> Coordinator::head(const ServiceName &service) const
+{
+    return this->queue.first(service, [&](const JobId &id) { return this->isEligible(id); });
+}
+
+Demand Coordinator::demand() const
+{
+    Demand demand;
+    for (const ServiceName &service : this->queue.services()) {
+        const std::optional<JobId> job = this->head(service);
+        if (!job)
+            continue;
+        const Urgency urgency = this->queue.urgencyOf(*job);
+        if (demand.waitingTasks > 0 && demand.urgency <= urgency)
+            continue;
+        demand.service = service;
+        demand.urgency = urgency;
+        demand.waitingTasks = static_cast<std::uint32_t>(this->jobs.at(*job).ready.size());
+    }
+    return demand;
+}
+
+const CoordinatedJob *Coordinator::find(const JobId &job) const
+{
+    const auto found = this->jobs.find(job);
+    return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+std::uint32_t Coordinator::placedOf(const TeamName &team) const
+{
+    const auto found = this->placedByTeam.find(team);
+    return found == this->placedByTeam.end() ? 0 : found->second;
+}
+
+JobReason Coordinator::admissionOf(const JobRequest &request, TimePoint now)
+{
+    const NodeName &self = this->options.self.node;
+    if (this->draining || this->rules.isDrained(self))
+        return JobReason::Draining;
+    if (!this->journal.knows(request.id.home()))
+        return JobReason::HomeUnreachable;
+    if (request.id.isExpired(now) || request.id.isFromFuture(now))
+        return JobReason::IdExpired;
+    if (this->rules.isRefused(request.service))
+        return JobReason::ServiceRefused;
+    const auto widest = this->widestTargets.find(request.service);
+    const std::uint32_t most = widest == this->widestTargets.end() ? 0 : widest->second;
+    if (most > 0 && request.declaredSlots > most)
+        return JobReason::CannotRun;
+    const auto rate = this->rules.find<ServiceRate>(
+        [&](const ServiceRate &rule) { return rule.service == request.service; });
+    if (rate && !this->takeRateToken(request.service, rate->jobsPerSecond, now))
+        return JobReason::QuotaExceeded;
+    // The tasks of this job are counted already; a job alone in the queue is never too large.
+    const bool isAlone = this->waitingTasks == request.taskCount();
+    if (!isAlone && this->waitingTasks > this->options.mostWaitingTasks)
+        return JobReason::Overloaded;
+    return JobReason::None;
+}
+
+bool Coordinator::takeRateToken(const ServiceName &service, std::uint32_t jobsPerSecond,
+                                TimePoint now)
+{
+    const double rate
+        = static_cast<double>(jobsPerSecond) / static_cast<double>(this->options.entryCount);
+    RateBucket &bucket = this->rates[service];
+    const double filled = bucket.tokens + rate * toSeconds(now - bucket.filledAt);
+    bucket.tokens = std::min(filled, std::max(1.0, rate * internal::secondsOfRateBurst));
+    bucket.filledAt = now;
+    if (bucket.tokens < 1.0)
+        return false;
+    bucket.tokens -= 1.0;
+    return true;
+}
+
+// "Not run" needs the journal's word: the same job may be on its way through another entry node.
+// A draining node leaves the id free, so that the caller can use it elsewhere.
+void Coordinator::refuse(CoordinatedJob &job, JobReason reason, TimePoint now, DispatchOutbox &out)
+{
+    this->dropWaiting(job);
+    const bool isIdUnusable
+        = reason == JobReason::HomeUnreachable || reason == JobReason::IdExpired;
+    const bool needsProof = !job.isRepeatable() && reason != JobReason::Draining && !isIdUnusable;
+    if (!needsProof || this->refusing >= this->options.mostRefusing) {
+        const JobState state = needsProof ? JobState::Unknown : JobState::Refused;
+        this->answer(job, JobAnswer::uniform(state, reason, job.tasks.size(), TaskFate::MayHaveRun),
+                     out);
+        return;
+    }
+    ++this->refusing;
+    job.phase = JobPhase::Refusing;
+    job.endReason = reason;
+    job.giveUpAt = now + this->options.refusalPatience;
+    this->ask(job,
+              JournalCommand(RefuseJob { .id = job.request.id,
+                                         .contentHash = job.contentHash,
+                                         .taskCount = job.unfinished,
+                                         .reason = reason }),
+              now, out);
+}
+
+void Coordinator::open(CoordinatedJob &job, std::uint32_t visibleSlots, TimePoint now,
+                       DispatchOutbox &out)
+{
+    if (job.isRepeatable()) {
+        job.phase = JobPhase::Running;
+        const TaskIndices all = internal::firstTasks(job.unfinished);
+        job.ready.assign(all.begin(), all.end());
+        this->requeue(job);
+        return;
+    }
+    this->claims[job.request.id] = this->nextClaim++;
+    const std::uint32_t ahead = std::max(this->options.recordAhead, visibleSlots);
+    this->ask(job,
+              JournalCommand(
+                  OpenJob { .id = job.request.id,
+                            .contentHash = job.contentHash,
+                            .taskCount = job.unfinished,
+                            .claim = this->claimOf(job),
+                            .firstStarts = internal::firstTasks(std::min(job.unfinished, ahead)) }),
+              now, out);
+}
+
+void Coordinator::handle(CoordinatedJob &job, const JournalReply &reply, TimePoint now,
+                         DispatchOutbox &out)
+{
+    const std::size_t taskCount = job.tasks.size();
+    const auto refuse = [&](JobState state, JobReason reason) {
+        this->answer(job, JobAnswer::uniform(state, reason, taskCount, TaskFate::MayHaveRun), out);
+    };
+    switch (reply.verdict) {
+    case JournalVerdict::Opened:
+        if (job.phase == JobPhase::Opening || job.phase == JobPhase::TakingOver)
+            this->beginRunning(job, reply, now, out);
+        break;
+    case JournalVerdict::Recorded:
+        this->takeRecorded(job, reply, now, out);
+        break;
+    case JournalVerdict::OpenElsewhere:
+    case JournalVerdict::Fenced:
+        this->watch(job, reply, now, out);
+        break;
+    case JournalVerdict::Finished:
+        this->answer(job, *reply.answer, out);
+        break;
+    case JournalVerdict::ContentDiffers:
+        refuse(JobState::Refused, JobReason::ContentDiffers);
+        break;
+    case JournalVerdict::Expired:
+        refuse(JobState::Refused, JobReason::IdExpired);
+        break;
+    case JournalVerdict::UnknownPast:
+        refuse(JobState::Unknown, JobReason::IdFromUnknownPast);
+        break;
+    case JournalVerdict::NotFound:
+        this->giveUp(job, now, out);
+        break;
+    case JournalVerdict::Done:
+        break;
+    }
+}
+
+// A job that was taken over continues with the tasks that have no start on record; the others
+// may have run under the former coordinator.
+void Coordinator::beginRunning(CoordinatedJob &job, const JournalReply &reply, TimePoint now,
+                               DispatchOutbox &out)
+{
+    const bool isTakenOver = job.phase == JobPhase::TakingOver;
+    job.phase = JobPhase::Running;
+    job.epoch = reply.epoch;
+    if (isTakenOver) {
+        ++this->counts.takenOver;
+        for (const std::uint32_t index : reply.recorded)
+            this->endTask(job, index, { .fate = TaskFate::MayHaveRun, .result = "taken over" });
+        if (job.unfinished == 0) {
+            this->end(job, JobReason::CoordinatorLost, now, out);
+            return;
+        }
+    }
+    this->takeRecorded(job, reply, now, out);
+}
+
+void Coordinator::takeRecorded(CoordinatedJob &job, const JournalReply &reply, TimePoint now,
+                               DispatchOutbox &out)
+{
+    job.isRecording = false;
+    if (job.phase != JobPhase::Running || reply.epoch != job.epoch)
+        return;
+    for (const std::uint32_t index : reply.recorded) {
+        CoordinatedTask &task = job.tasks.at(index);
+        if (task.phase != TaskPhase::Waiting || task.isRecorded)
+            continue;
+        task.isRecorded = true;
+        job.ready.push_back(index);
+    }
+    this->requeue(job);
+    this->recordAhead(job, now, out);
+}
+
+void Coordinator::watch(CoordinatedJob &job, const JournalReply &reply, TimePoint now,
+                        DispatchOutbox &out)
+{
+    if (job.phase == JobPhase::Refusing)
+        --this->refusing;
+    this->dropPlaced(job);
+    this->dropWaiting(job);
+    const bool isOwnFormerClaim
+        = reply.claim.coordinator == this->options.self && reply.claim != this->claimOf(job);
+    if (!reply.coordinatorIsSilent && !isOwnFormerClaim) {
+        job.phase = JobPhase::Watching;
+        job.askAgainAt = now + this->options.watchInterval;
+        return;
+    }
+    job.phase = JobPhase::TakingOver;
+    this->claims[job.request.id] = this->nextClaim++;
+    for (CoordinatedTask &task : job.tasks)
+        task = CoordinatedTask();
+    job.unfinished = static_cast<std::uint32_t>(job.tasks.size());
+    this->waitingTasks += job.tasks.size();
+    this->ask(job,
+              JournalCommand(TakeOverJob { .id = job.request.id,
+                                           .contentHash = job.contentHash,
+                                           .former = reply.claim,
+                                           .claim = this->claimOf(job) }),
+              now, out);
+}
+
+void Coordinator::recordAhead(CoordinatedJob &job, TimePoint now, DispatchOutbox &out)
+{
+    const bool isWanted = !job.isRepeatable() && job.phase == JobPhase::Running && !job.isRecording
+        && job.ready.size() < this->options.recordAhead;
+    if (!isWanted)
+        return;
+    TaskIndices starts;
+    for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+        const CoordinatedTask &task = job.tasks[i];
+        const bool isNext = task.phase == TaskPhase::Waiting && !task.isRecorded;
+        if (isNext && starts.size() < this->options.startsPerRecord)
+            starts.push_back(i);
+    }
+    if (starts.empty())
+        return;
+    job.isRecording = true;
+    this->ask(
+        job,
+        JournalCommand(RecordStarts { .id = job.request.id, .epoch = job.epoch, .starts = starts }),
+        now, out);
+}
+
+// A job's turn comes by its arrival and by how many of its tasks still wait: few tasks first,
+// while the arrival keeps a wide job from waiting for ever.
+void Coordinator::requeue(CoordinatedJob &job)
+{
+    if (job.ready.empty()) {
+        this->queue.remove(job.request.id);
+        return;
+    }
+    const double arrival = toSeconds(job.arrivedAt.time_since_epoch());
+    const double width = this->options.secondsPerWaitingTask * job.waitingTasks();
+    const double priority
+        = this->options.secondsPerPriorityLevel * this->rules.priorityOf(job.request.team);
+    this->queue.put(job.request.id, job.request.service, arrival + width - priority);
+}
+
+void Coordinator::retryOrEnd(CoordinatedJob &job, std::uint32_t index, const TaskReport &report,
+                             TimePoint now, DispatchOutbox &)
+{
+    CoordinatedTask &task = job.tasks[index];
+    const bool neverStarted = report.verdict == AttemptVerdict::NotStarted;
+    const bool hasTime = now < job.request.deadline && job.phase == JobPhase::Running;
+    const bool mayRetry = neverStarted || (job.isRepeatable() && this->retries.allowsRetry());
+    if (mayRetry && hasTime && task.attempts < this->options.mostAttempts) {
+        if (!neverStarted)
+            this->retries.spend();
+        ++this->counts.retried;
+        job.ready.push_front(index);
+        this->requeue(job);
+        return;
+    }
+    TaskOutcome outcome;
+    outcome.result = report.result;
+    if (neverStarted)
+        outcome.fate = TaskFate::NotRun;
+    else if (report.verdict == AttemptVerdict::Failed)
+        outcome.fate = TaskFate::Ran;
+    this->endTask(job, index, outcome);
+}
+
+void Coordinator::endTask(CoordinatedJob &job, std::uint32_t index, const TaskOutcome &outcome)
+{
+    CoordinatedTask &task = job.tasks.at(index);
+    HIBISCUS_INVARIANT(task.phase != TaskPhase::Done, "a task ends once");
+    if (task.phase == TaskPhase::Waiting)
+        --this->waitingTasks;
+    task.phase = TaskPhase::Done;
+    task.outcome = outcome;
+    --job.unfinished;
+}
+
+void Coordinator::unplace(CoordinatedJob &job, CoordinatedTask &task)
+{
+    --this->placedByTeam[job.request.team];
+    --this->placedByService[job.request.service];
+    // Between two places the task counts as waiting; whoever ends it takes it off again.
+    task.phase = TaskPhase::Waiting;
+    ++this->waitingTasks;
+}
+
+void Coordinator::end(CoordinatedJob &job, JobReason reason, TimePoint now, DispatchOutbox &out)
+{
+    job.endReason = reason;
+    job.answer = job.currentAnswer();
+    this->dropPlaced(job);
+    this->dropWaiting(job);
+    if (job.isRepeatable()) {
+        const JobAnswer final = *job.answer;
+        this->answer(job, final, out);
+        return;
+    }
+    job.phase = JobPhase::Finishing;
+    job.giveUpAt = now + this->options.journalPatience;
+    this->ask(job,
+              JournalCommand(
+                  FinishJob { .id = job.request.id, .epoch = job.epoch, .answer = *job.answer }),
+              now, out);
+}
+
+// Without the journal nothing is told that the journal would have to vouch for. The journal is
+// still told that this coordination is over, so that the record does not stay open.
+void Coordinator::giveUp(CoordinatedJob &job, TimePoint now, DispatchOutbox &out)
+{
+    const JobId id = job.request.id;
+    const JournalCommand farewell = this->farewellOf(job);
+    this->answerWithoutProof(job, out);
+    this->journal.ask(id, farewell, now, out);
+}
+
+JournalCommand Coordinator::farewellOf(const CoordinatedJob &job) const
+{
+    if (job.phase == JobPhase::Finishing)
+        return FinishJob { .id = job.request.id, .epoch = job.epoch, .answer = *job.answer };
+    return AbandonJob { .id = job.request.id,
+                        .claim = this->claimOf(job),
+                        .contentHash = job.contentHash,
+                        .taskCount = static_cast<std::uint32_t>(job.tasks.size()) };
+}
+
+void Coordinator::answerWithoutProof(CoordinatedJob &job, DispatchOutbox &out)
+{
+    const std::size_t count = job.tasks.size();
+    if (job.phase == JobPhase::Finishing || job.phase == JobPhase::Running) {
+        const JobAnswer known = job.answer ? *job.answer : job.currentAnswer();
+        this->answer(job, internal::withoutProof(known), out);
+        return;
+    }
+    const JobReason reason
+        = job.endReason == JobReason::None ? JobReason::HomeUnreachable : job.endReason;
+    this->answer(job, JobAnswer::uniform(JobState::Unknown, reason, count, TaskFate::MayHaveRun),
+                 out);
+}
+
+void Coordinator::answer(CoordinatedJob &job, const JobAnswer &answer, DispatchOutbox &out)
+{
+    HIBISCUS_INVARIANT(answer.tasks.size() == job.tasks.size(),
+                       "an answer has an outcome for each task");
+    const bool isComplete
+        = std::ranges::all_of(answer.tasks, [](const TaskOutcome &task) { return task.succeeded; });
+    HIBISCUS_INVARIANT((answer.state == JobState::Complete) == isComplete,
+                       "an answer is whole or marked as failed");
+    if (answer.state == JobState::Complete)
+        ++this->counts.completed;
+    else if (answer.state == JobState::Failed)
+        ++this->counts.failed;
+    else if (answer.state == JobState::Refused)
+        ++this->counts.refused;
+    else
+        ++this->counts.unknown;
+    for (const std::uint64_t token : job.callers)
+        out.answers.push_back({ .token = token, .job = job.request.id, .answer = answer });
+    if (job.phase == JobPhase::Refusing)
+        --this->refusing;
+    this->dropPlaced(job);
+    this->dropWaiting(job);
+    const bool isKept = job.isRepeatable() && answer.state == JobState::Complete
+        && this->keptAnswers.size() < this->options.mostKeptAnswers;
+    const JobId id = job.request.id;
+    if (isKept)
+        this->keptAnswers[id] = { .contentHash = job.contentHash,
+                                  .answer = answer,
+                                  .until = job.arrivedAt + this->options.answerLifetime };
+    this->journal.forget(id);
+    this->claims.erase(id);
+    this->jobs.erase(id);
+}
+
+void Coordinator::dropPlaced(CoordinatedJob &job)
+{
+    for (CoordinatedTask &task : job.tasks) {
+        if (task.phase != TaskPhase::Placed)
+            continue;
+        this->cancellations.push_back({ .owner = task.owner, .attempt = task.attempt });
+        this->unplace(job, task);
+        this->endTask(job, task.attempt.task, {});
+    }
+}
+
+void Coordinator::dropWaiting(CoordinatedJob &job)
+{
+    this->queue.remove(job.request.id);
+    job.ready.clear();
+    for (CoordinatedTask &task : job.tasks) {
+        if (task.phase != TaskPhase::Waiting)
+            continue;
+        task.phase = TaskPhase::Done;
+        --this->waitingTasks;
+    }
+}
+
+void Coordinator::ask(const CoordinatedJob &job, const JournalQuestion &question, TimePoint now,
+                      DispatchOutbox &out)
+{
+    this->journal.ask(job.request.id, question, now, out);
+}
+
+JobClaim Coordinator::claimOf(const CoordinatedJob &job) const
+{
+    const auto found = this->claims.find(job.request.id);
+    return { .coordinator = this->options.self,
+             .number = found == this->claims.end() ? 0 : found->second };
+}
+
+// Entry nodes divide a total exactly, without talking about it.
+std::uint32_t Coordinator::shareOf(std::uint32_t total) const
+{
+    const std::uint64_t index = this->options.entryIndex;
+    const std::uint64_t before = index * total / this->options.entryCount;
+    const std::uint64_t after = (index + 1) * total / this->options.entryCount;
+    return static_cast<std::uint32_t>(after - before);
+}
+
+bool Coordinator::isEligible(const JobId &id) const
+{
+    const CoordinatedJob &job = this->jobs.at(id);
+    const std::optional<std::uint32_t> quota = this->rules.quotaOf(job.request.team);
+    if (quota && this->placedOf(job.request.team) >= this->shareOf(*quota))
+        return false;
+    const auto limit = this->rules.find<ServiceLimit>(
+        [&](const ServiceLimit &rule) { return rule.service == job.request.service; });
+    const auto placed = this->placedByService.find(job.request.service);
+    const std::uint32_t count = placed == this->placedByService.end() ? 0 : placed->second;
+    return !limit || count < this->shareOf(limit->tasks);
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Dispatch/DispatchMessage.h
@@ -0,0 +1,216 @@
+#pragma once
+
+#include <Hibiscus/Jobs>
+#include <Hibiscus/Journal>
+
+#include <vector>
+
+namespace Hibiscus {
+
+/** \brief One attempt to run one task; never used again for another attempt. */
+struct AttemptId
+{
+    JobId job;
+    std::uint32_t task = 0;
+    std::uint32_t ordinal = 0; ///< counts the attempts of one coordinator at the task
+    std::uint64_t incarnation = 0; ///< of the coordinator
+
+    auto operator<=>(const AttemptId &other) const = default;
+    HIBISCUS_FIELDS(job, task, ordinal, incarnation)
+
+    /** \returns the id as targets see it. */
+    std::string str() const;
+    /** \returns the id written in \a text, or Errc::MalformedMessage. */
+    static Result<AttemptId> parse(std::string_view text);
+};
+
+/** \brief Where a task stands in a queue, in seconds: the lowest goes first. */
+using Urgency = double;
+
+/** \brief A task on its way to a slot. */
+struct TaskStart
+{
+    AttemptId attempt;
+    ServiceName service;
+    TimePoint deadline;
+    TimePoint validUntil; ///< a copy that arrives later is not started
+    Urgency urgency = 0;
+    std::string payload;
+    std::string trace; ///< W3C traceparent of the coordinator's span
+
+    auto operator<=>(const TaskStart &other) const = default;
+    HIBISCUS_FIELDS(attempt, service, deadline, validUntil, urgency, payload, trace)
+};
+
+/** \brief How an attempt ended. */
+enum class AttemptVerdict : std::uint8_t {
+    Succeeded,
+    Failed, ///< it ran and failed
+    NotStarted, ///< it was never started and never will be
+    Lost ///< it may have run; nobody can tell
+};
+
+/** \brief The end of an attempt. */
+struct TaskReport
+{
+    AttemptId attempt;
+    AttemptVerdict verdict = AttemptVerdict::Lost;
+    std::string result;
+
+    auto operator<=>(const TaskReport &other) const = default;
+    HIBISCUS_FIELDS(attempt, verdict, result)
+};
+
+/** \brief Asks an owner what became of an attempt. */
+struct AttemptProbe
+{
+    AttemptId attempt;
+    TimePoint validUntil; ///< as in the TaskStart
+
+    auto operator<=>(const AttemptProbe &other) const = default;
+    HIBISCUS_FIELDS(attempt, validUntil)
+};
+
+/** \brief Speeds of the free slots of one service, the fastest first. */
+struct ServiceSlots
+{
+    ServiceName service;
+    std::vector<float> speeds; ///< tasks a second, one a slot
+
+    auto operator<=>(const ServiceSlots &other) const = default;
+    HIBISCUS_FIELDS(service, speeds)
+};
+
+/** \brief The free slots of an owner, as it tells one peer. */
+struct SlotReport
+{
+    std::uint64_t startsSeen = 0; ///< starts received from that peer so far
+    std::vector<ServiceSlots> services;
+
+    auto operator<=>(const SlotReport &other) const = default;
+    HIBISCUS_FIELDS(startsSeen, services)
+};
+
+/** \brief What a coordinator has waiting, as it tells its peers. */
+struct Demand
+{
+    std::uint32_t waitingTasks = 0;
+    ServiceName service; ///< of the first task
+    Urgency urgency = 0; ///< of the first task
+
+    auto operator<=>(const Demand &other) const = default;
+    HIBISCUS_FIELDS(waitingTasks, service, urgency)
+};
+
+/** \brief What entry nodes say to each other. Every message carries free slots and demand. */
+struct PeerMessage
+{
+    NodeName from;
+    std::uint64_t incarnation = 0;
+    std::uint64_t toIncarnation = 0; ///< 0 when the sender does not know it
+    SlotReport slots;
+    Demand demand;
+    std::vector<TaskStart> starts;
+    std::vector<TaskReport> reports;
+    std::vector<AttemptProbe> probes;
+    std::vector<AttemptId> cancelled; ///< do not start these any more
+    bool wantsReply = false;
+    bool isOffer = false; ///< a slot is kept for the receiver for a short time
+
+    auto operator<=>(const PeerMessage &other) const = default;
+    HIBISCUS_FIELDS(from, incarnation, toIncarnation, slots, demand, starts, reports, probes,
+                    cancelled, wantsReply, isOffer)
+};
+
+/** \brief A target's announcement of itself, or the renewal of its lease. */
+struct TargetAnnouncement
+{
+    TargetName target;
+    std::string address; ///< IP address and port
+    ServiceName service;
+    std::uint32_t slots = 0;
+    std::uint64_t lease = 0; ///< drawn by the target each time it turns to another owner
+    bool isLeaving = false;
+    std::vector<AttemptId> running;
+
+    auto operator<=>(const TargetAnnouncement &other) const = default;
+    HIBISCUS_FIELDS(target, address, service, slots, lease, isLeaving, running)
+};
+
+/** \brief Sends a task to a target. */
+struct StartOnTarget
+{
+    TargetName target;
+    std::string address;
+    std::uint64_t lease = 0;
+    TaskStart start;
+
+    auto operator<=>(const StartOnTarget &other) const = default;
+};
+
+/** \brief Asks a target, over a new connection, what became of an attempt.
+ *
+ * A target that answers "not started" must refuse the attempt from then on.
+ */
+struct AskTarget
+{
+    TargetName target;
+    std::string address;
+    AttemptId attempt;
+
+    auto operator<=>(const AskTarget &other) const = default;
+};
+
+/** \brief A message to a target. */
+using TargetCommand = std::variant<StartOnTarget, AskTarget>;
+
+/** \brief A message to another entry node. */
+struct AddressedPeerMessage
+{
+    NodeName to;
+    PeerMessage message;
+
+    auto operator<=>(const AddressedPeerMessage &other) const = default;
+};
+
+/** \brief A request to a member of a journal group. */
+struct AddressedJournalRequest
+{
+    NodeName to;
+    JournalRequest request;
+
+    auto operator<=>(const AddressedJournalRequest &other) const = default;
+};
+
+/** \brief The answer to a caller; \a token names the caller's request in this process. */
+struct CallerAnswer
+{
+    std::uint64_t token = 0;
+    JobId job;
+    JobAnswer answer;
+
+    auto operator<=>(const CallerAnswer &other) const = default;
+};
+
+/** \brief The answer to a caller's question about a job. */
+struct StatusAnswer
+{
+    std::uint64_t token = 0;
+    JobId job;
+    JournalVerdict verdict = JournalVerdict::NotFound; ///< OpenElsewhere while it is in progress
+    std::optional<JobAnswer> answer;
+
+    auto operator<=>(const StatusAnswer &other) const = default;
+};
+
+/** \brief What a step of the Dispatcher asks its process to send. */
+struct DispatchOutbox
+{
+    std::vector<TargetCommand> toTargets;
+    std::vector<AddressedPeerMessage> toPeers;
+    std::vector<AddressedJournalRequest> toJournals;
+    std::vector<CallerAnswer> answers;
+    std::vector<StatusAnswer> statuses;
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Dispatch/JobQueue.cpp
@@ -0,0 +1,32 @@
+#include "Hibiscus/src/Dispatch/JobQueue.h"
+
+namespace Hibiscus {
+
+void JobQueue::put(const JobId &job, const ServiceName &service, Urgency urgency)
+{
+    this->remove(job);
+    this->places[job] = { .service = service, .urgency = urgency };
+    this->queues[service].insert({ .urgency = urgency, .job = job });
+}
+
+void JobQueue::remove(const JobId &job)
+{
+    const auto place = this->places.find(job);
+    if (place == this->places.end())
+        return;
+    const auto queue = this->queues.find(place->second.service);
+    queue->second.erase({ .urgency = place->second.urgency, .job = job });
+    if (queue->second.empty())
+        this->queues.erase(queue);
+    this->places.erase(place);
+}
+
+std::vector<ServiceName> JobQueue::services() const
+{
+    std::vector<ServiceName> services;
+    for (const auto &[service, queue] : this->queues)
+        services.push_back(service);
+    return services;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Dispatch/SlotOwner.cpp
@@ -0,0 +1,229 @@
+#include "Hibiscus/src/Dispatch/SlotOwner.h"
+
+#include <algorithm>
+
+namespace Hibiscus {
+
+namespace internal {
+
+constexpr std::size_t mostAdvertisedSlots = 16;
+constexpr std::size_t allSlots = 1U << 20;
+constexpr Duration sweepInterval = 200ms;
+
+} // namespace internal
+
+void SlotOwner::announce(const TargetAnnouncement &announcement, TimePoint now, DispatchOutbox &out)
+{
+    this->pool.announce(announcement, now);
+    // The connection that carried these starts may have gone silent, so a new one asks.
+    for (const AttemptId &attempt : this->pool.missingAttempts(announcement.target, now))
+        out.toTargets.emplace_back(AskTarget {
+            .target = announcement.target, .address = announcement.address, .attempt = attempt });
+}
+
+void SlotOwner::accept(const NodeName &coordinator, const TaskStart &start, TimePoint now,
+                       std::vector<OwnedReport> &reports)
+{
+    // Copies are refused by time once they are forgotten, both by this node's clock alone.
+    const TimePoint forgetAt = start.validUntil + clockSkewBound;
+    const auto [item, isNew] = this->seen.try_emplace(start.attempt);
+    if (!isNew)
+        return;
+    item->second.forgetAt = std::max(forgetAt, now + this->options.reportLifetime);
+    if (now > forgetAt) {
+        this->report(coordinator,
+                     { .attempt = start.attempt,
+                       .verdict = AttemptVerdict::NotStarted,
+                       .result = "arrived too late" },
+                     now, reports);
+        return;
+    }
+    std::erase_if(this->offers, [taken = false, &coordinator](const Offer &offer) mutable {
+        const bool isFirst = !taken && offer.peer == coordinator;
+        taken = taken || isFirst;
+        return isFirst;
+    });
+    this->held[{ start.urgency, start.attempt }] = { .coordinator = coordinator, .start = start };
+}
+
+void SlotOwner::startHeld(const ServiceName &service, TimePoint now, DispatchOutbox &out)
+{
+    std::vector<FreeSlot> slots = this->pool.freeSlots(service, internal::allSlots, now);
+    auto slot = slots.begin();
+    for (auto item = this->held.begin(); item != this->held.end() && slot != slots.end();) {
+        if (item->second.start.service != service) {
+            ++item;
+            continue;
+        }
+        this->start(item->second, slot->target, now, out);
+        item = this->held.erase(item);
+        ++slot;
+    }
+}
+
+void SlotOwner::start(const HeldStart &held, const TargetName &target, TimePoint now,
+                      DispatchOutbox &out)
+{
+    const AttemptId &attempt = held.start.attempt;
+    this->pool.occupy(target, attempt, now);
+    const bool isNew
+        = this->running
+              .try_emplace(attempt,
+                           RunningAttempt { .coordinator = held.coordinator, .target = target })
+              .second;
+    HIBISCUS_INVARIANT(isNew, "an attempt is started once");
+    const TargetAnnouncement &announcement = this->pool.find(target)->announcement;
+    out.toTargets.emplace_back(StartOnTarget { .target = target,
+                                               .address = announcement.address,
+                                               .lease = announcement.lease,
+                                               .start = held.start });
+}
+
+void SlotOwner::finish(const TaskReport &report, TimePoint now, std::vector<OwnedReport> &reports)
+{
+    const auto found = this->running.find(report.attempt);
+    if (found == this->running.end())
+        return;
+    const RunningAttempt attempt = found->second;
+    this->running.erase(found);
+    this->pool.release(attempt.target, report.attempt, report.verdict, now);
+    this->report(attempt.coordinator, report, now, reports);
+}
+
+void SlotOwner::answer(const NodeName &coordinator, const AttemptProbe &probe, TimePoint now,
+                       std::vector<OwnedReport> &reports)
+{
+    const TimePoint forgetAt = probe.validUntil + clockSkewBound;
+    const bool isForgotten = now > forgetAt && !this->seen.contains(probe.attempt);
+    // What was seen is remembered until forgetAt, so until then "not seen" is proof.
+    if (isForgotten) {
+        reports.push_back({ .coordinator = coordinator,
+                            .report = { .attempt = probe.attempt,
+                                        .verdict = AttemptVerdict::Lost,
+                                        .result = "forgotten" } });
+        return;
+    }
+    const auto [item, isNew] = this->seen.try_emplace(probe.attempt);
+    if (isNew) {
+        item->second.forgetAt = forgetAt;
+        this->report(coordinator,
+                     { .attempt = probe.attempt,
+                       .verdict = AttemptVerdict::NotStarted,
+                       .result = "never arrived" },
+                     now, reports);
+    } else if (item->second.report) {
+        reports.push_back({ .coordinator = coordinator, .report = *item->second.report });
+    }
+}
+
+void SlotOwner::cancel(const AttemptId &attempt, TimePoint now, std::vector<OwnedReport> &reports)
+{
+    const auto found = std::ranges::find_if(
+        this->held, [&](const auto &item) { return item.first.second == attempt; });
+    if (found == this->held.end())
+        return;
+    const NodeName coordinator = found->second.coordinator;
+    this->held.erase(found);
+    this->report(
+        coordinator,
+        { .attempt = attempt, .verdict = AttemptVerdict::NotStarted, .result = "cancelled" }, now,
+        reports);
+}
+
+void SlotOwner::offer(const NodeName &peer, const ServiceName &service, TimePoint now)
+{
+    this->offers.push_back(
+        { .peer = peer, .service = service, .until = now + this->options.offerLifetime });
+}
+
+void SlotOwner::tick(TimePoint now, DispatchOutbox &, std::vector<OwnedReport> &reports)
+{
+    this->dropOffers(now);
+    if (now < this->sweptAt + internal::sweepInterval)
+        return;
+    this->sweptAt = now;
+    std::vector<HeldStart> late;
+    for (const auto &[key, held] : this->held)
+        if (now > held.start.deadline)
+            late.push_back(held);
+    for (const HeldStart &held : late)
+        this->cancel(held.start.attempt, now, reports);
+    // An attempt whose target lost its lease may still be running there, or not.
+    std::vector<AttemptId> lost;
+    for (const auto &[attempt, item] : this->running) {
+        const Target *target = this->pool.find(item.target);
+        const bool isGone
+            = target == nullptr || now > target->leasedUntil + this->options.pool.lease;
+        if (isGone)
+            lost.push_back(attempt);
+    }
+    for (const AttemptId &attempt : lost)
+        this->finish(
+            { .attempt = attempt, .verdict = AttemptVerdict::Lost, .result = "target lost" }, now,
+            reports);
+    this->pool.forgetGone(now);
+    std::erase_if(this->seen, [&](const auto &item) {
+        return now > item.second.forgetAt && item.second.report.has_value();
+    });
+}
+
+std::vector<FreeSlot> SlotOwner::freeSlots(const ServiceName &service, std::size_t most,
+                                           TimePoint now) const
+{
+    const auto offered = std::ranges::count_if(this->offers, [&](const Offer &offer) {
+        return offer.service == service && now <= offer.until;
+    });
+    const auto wanted = std::ranges::count_if(
+        this->held, [&](const auto &item) { return item.second.start.service == service; });
+    const auto taken = static_cast<std::size_t>(offered + wanted);
+    std::vector<FreeSlot> slots
+        = this->pool.freeSlots(service, most >= internal::allSlots ? most : most + taken, now);
+    const std::size_t dropped = std::min(taken, slots.size());
+    slots.erase(slots.begin(), slots.begin() + static_cast<std::ptrdiff_t>(dropped));
+    return slots;
+}
+
+std::vector<ServiceSlots> SlotOwner::slotsFor(const NodeName &peer, TimePoint now) const
+{
+    std::vector<ServiceSlots> report;
+    for (const ServiceName &service : this->pool.services()) {
+        ServiceSlots slots;
+        slots.service = service;
+        const auto kept = std::ranges::count_if(this->offers, [&](const Offer &offer) {
+            return offer.peer == peer && offer.service == service && now <= offer.until;
+        });
+        std::vector<FreeSlot> free = this->freeSlots(service, internal::mostAdvertisedSlots, now);
+        if (kept > 0) {
+            const auto offered = static_cast<std::size_t>(kept);
+            free = this->pool.freeSlots(service, free.size() + offered, now);
+        }
+        for (const FreeSlot &slot : free)
+            slots.speeds.push_back(static_cast<float>(slot.speed));
+        report.push_back(std::move(slots));
+    }
+    return report;
+}
+
+std::optional<Urgency> SlotOwner::heldUrgency(const ServiceName &service) const
+{
+    for (const auto &[key, held] : this->held)
+        if (held.start.service == service)
+            return key.first;
+    return std::nullopt;
+}
+
+void SlotOwner::report(const NodeName &coordinator, const TaskReport &report, TimePoint now,
+                       std::vector<OwnedReport> &reports)
+{
+    SeenAttempt &seen = this->seen[report.attempt];
+    seen.report = report;
+    seen.forgetAt = std::max(seen.forgetAt, now + this->options.reportLifetime);
+    reports.push_back({ .coordinator = coordinator, .report = report });
+}
+
+void SlotOwner::dropOffers(TimePoint now)
+{
+    std::erase_if(this->offers, [&](const Offer &offer) { return now > offer.until; });
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Jobs/JobRequest.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <Hibiscus/Core>
+
+#include <string>
+#include <vector>
+
+namespace Hibiscus {
+
+/** \brief The most tasks that a job may have. */
+inline constexpr std::size_t mostTasksPerJob = 120;
+
+/** \brief Whether a task may be started more than once. */
+enum class Repeatability : std::uint8_t { NotRepeatable, Repeatable };
+
+/** \brief A job as its caller submitted it. */
+struct JobRequest
+{
+    JobId id;
+    ServiceName service;
+    TeamName team;
+    Repeatability repeatability = Repeatability::NotRepeatable;
+    TimePoint deadline;
+    std::uint32_t declaredSlots = 1; ///< slots a task claims to need
+    std::vector<std::string> payloads; ///< one a task
+
+    std::size_t taskCount() const { return this->payloads.size(); }
+    bool isRepeatable() const { return this->repeatability == Repeatability::Repeatable; }
+    /** \returns a hash of what the job does; the deadline does not count. */
+    std::uint64_t contentHash() const;
+
+    auto operator<=>(const JobRequest &other) const = default;
+    HIBISCUS_FIELDS(id, service, team, repeatability, deadline, declaredSlots, payloads)
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Journal/JournalMessage.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Hibiscus/src/Journal/JournalCommand.h"
+
+namespace Hibiscus {
+
+/** \brief Asks what is known of a job, confirmed by a quorum. */
+struct LookUpJob
+{
+    JobId id;
+
+    auto operator<=>(const LookUpJob &other) const = default;
+    HIBISCUS_FIELDS(id)
+};
+
+/** \brief Says that a coordinator with open jobs is alive. */
+struct CoordinatorHeartbeat
+{
+    auto operator<=>(const CoordinatorHeartbeat &other) const = default;
+    template<typename Archive>
+    void serialize(Archive &)
+    { }
+};
+
+/** \brief What an entry process asks of a journal. */
+using JournalQuestion = std::variant<JournalCommand, LookUpJob, CoordinatorHeartbeat>;
+
+/** \brief A question with its asker; the answer carries the same RequestId. */
+struct JournalRequest
+{
+    RequestId request;
+    CoordinatorId coordinator;
+    JournalQuestion question;
+
+    auto operator<=>(const JournalRequest &other) const = default;
+    HIBISCUS_FIELDS(request, coordinator, question)
+};
+
+/** \brief The answer of a journal's leader, or a redirection by another member. */
+using JournalAnswer = ReplicatedAnswer<JournalReply>;
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Net/HttpClient.cpp
@@ -0,0 +1,154 @@
+#include "Hibiscus/src/Net/HttpClient.h"
+
+namespace Hibiscus {
+
+namespace internal {
+
+static std::string requestBytes(const HttpCall &call)
+{
+    std::string bytes = call.method + " " + call.path + " HTTP/1.1\r\n";
+    bytes += "host: " + call.address.host + ":" + std::to_string(call.address.port) + "\r\n";
+    bytes += "content-length: " + std::to_string(call.body.size()) + "\r\n";
+    if (call.usesNewConnection)
+        bytes += "connection: close\r\n";
+    for (const HttpHeader &header : call.headers)
+        bytes += header.name + ": " + header.value + "\r\n";
+    return bytes + "\r\n" + call.body;
+}
+
+static std::uint64_t toMilliseconds(Duration span)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+} // namespace internal
+
+HttpClient::HttpClient(EventLoop &loop, const Options &options)
+    : loop(loop), options(options), queue(h2o_multithread_create_queue(loop.native()))
+{
+    const std::uint64_t idle = internal::toMilliseconds(options.idleTimeout);
+    h2o_timeout_init(loop.native(), &this->timeout, idle);
+    h2o_multithread_register_receiver(this->queue, &this->receiver, h2o_hostinfo_getaddr_receiver);
+    this->context = {};
+    this->context.loop = loop.native();
+    this->context.getaddr_receiver = &this->receiver;
+    this->context.io_timeout = &this->timeout;
+}
+
+HttpClient::~HttpClient()
+{
+    for (const auto &[number, exchange] : this->exchanges)
+        if (exchange->native != nullptr)
+            h2o_http1client_cancel(exchange->native);
+}
+
+std::uint64_t HttpClient::send(const HttpCall &call, Done done)
+{
+    const std::uint64_t number = this->nextNumber++;
+    auto owned = std::make_unique<Exchange>();
+    Exchange *exchange = owned.get();
+    exchange->owner = this;
+    exchange->number = number;
+    exchange->bytes = internal::requestBytes(call);
+    exchange->buffer = h2o_iovec_init(exchange->bytes.data(), exchange->bytes.size());
+    exchange->done = std::move(done);
+    this->exchanges[number] = std::move(owned);
+    if (call.usesNewConnection) {
+        const h2o_iovec_t host = h2o_iovec_init(call.address.host.data(), call.address.host.size());
+        h2o_http1client_connect(&exchange->native, exchange, &this->context, host,
+                                call.address.port, 0, onConnect);
+    } else {
+        h2o_http1client_connect_with_pool(&exchange->native, exchange, &this->context,
+                                          this->poolFor(call.address), onConnect);
+    }
+    return number;
+}
+
+void HttpClient::cancel(std::uint64_t number)
+{
+    const auto found = this->exchanges.find(number);
+    if (found == this->exchanges.end())
+        return;
+    if (found->second->native != nullptr)
+        h2o_http1client_cancel(found->second->native);
+    this->exchanges.erase(found);
+}
+
+h2o_http1client_head_cb HttpClient::onConnect(h2o_http1client_t *client, const char *error,
+                                              h2o_iovec_t **buffers, std::size_t *bufferCount,
+                                              int *methodIsHead)
+{
+    auto *exchange = static_cast<Exchange *>(client->data);
+    if (error != nullptr) {
+        finish(exchange, HttpCallState::NotSent);
+        return nullptr;
+    }
+    exchange->wasSent = true;
+    *buffers = &exchange->buffer;
+    *bufferCount = 1;
+    *methodIsHead = 0;
+    return onHead;
+}
+
+h2o_http1client_body_cb HttpClient::onHead(h2o_http1client_t *client, const char *error, int,
+                                           int status, h2o_iovec_t, h2o_header_t *, std::size_t,
+                                           int)
+{
+    auto *exchange = static_cast<Exchange *>(client->data);
+    const bool hasEnded = error == h2o_http1client_error_is_eos;
+    if (error != nullptr && !hasEnded) {
+        finish(exchange, HttpCallState::Broken);
+        return nullptr;
+    }
+    exchange->result.status = status;
+    if (hasEnded) {
+        finish(exchange, HttpCallState::Answered);
+        return nullptr;
+    }
+    return onBody;
+}
+
+int HttpClient::onBody(h2o_http1client_t *client, const char *error)
+{
+    auto *exchange = static_cast<Exchange *>(client->data);
+    const bool hasEnded = error == h2o_http1client_error_is_eos;
+    if (error != nullptr && !hasEnded) {
+        finish(exchange, HttpCallState::Broken);
+        return -1;
+    }
+    h2o_buffer_t *&input = client->sock->input;
+    exchange->result.body.append(input->bytes, input->size);
+    h2o_buffer_consume(&input, input->size);
+    if (hasEnded)
+        finish(exchange, HttpCallState::Answered);
+    return 0;
+}
+
+// The library frees its client when these callbacks return, so only our own part ends here.
+void HttpClient::finish(Exchange *exchange, HttpCallState state)
+{
+    HttpClient *owner = exchange->owner;
+    HttpCallResult result = std::move(exchange->result);
+    result.state = state;
+    const Done done = std::move(exchange->done);
+    owner->exchanges.erase(exchange->number);
+    // The caller may start another call, so it is told outside the library's callback.
+    owner->loop.post([done, result] { done(result); });
+}
+
+h2o_socketpool_t *HttpClient::poolFor(const Address &address)
+{
+    std::unique_ptr<h2o_socketpool_t> &pool = this->pools[address];
+    if (pool)
+        return pool.get();
+    pool = std::make_unique<h2o_socketpool_t>();
+    sockaddr_in native = address.native();
+    h2o_socketpool_init_by_address(pool.get(), reinterpret_cast<sockaddr *>(&native),
+                                   sizeof(native), 0, this->options.connectionsPerServer);
+    h2o_socketpool_set_timeout(pool.get(), this->loop.native(),
+                               internal::toMilliseconds(this->options.idleTimeout));
+    return pool.get();
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -0,0 +1,140 @@
+#include "Hibiscus/src/Net/HttpServer.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Hibiscus {
+
+namespace internal {
+
+constexpr int listenBacklog = 1024;
+
+static std::string headerOf(const h2o_req_t *request, std::string_view name)
+{
+    const ssize_t found = h2o_find_header_by_str(&request->headers, name.data(), name.size(), -1);
+    if (found < 0)
+        return {};
+    const h2o_iovec_t &value = request->headers.entries[found].value;
+    return { value.base, value.len };
+}
+
+static std::string textOf(const h2o_iovec_t &text)
+{
+    return { text.base, text.len };
+}
+
+} // namespace internal
+
+HttpServer::HttpServer(EventLoop &loop, const Options &options, Handler handler)
+    : loop(loop), options(options), handler(std::move(handler))
+{
+    h2o_config_init(&this->config);
+    this->config.max_request_entity_size = options.mostBodyBytes;
+    this->config.server_name = h2o_iovec_init(H2O_STRLIT("hibiscusstream"));
+    h2o_hostconf_t *host
+        = h2o_config_register_host(&this->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
+    h2o_handler_t *native = h2o_create_handler(path, sizeof(RequestHandler));
+    native->on_req = onRequest;
+    reinterpret_cast<RequestHandler *>(native)->owner = this;
+    h2o_context_init(&this->context, loop.native(), &this->config);
+    this->acceptor = {};
+    this->acceptor.ctx = &this->context;
+    this->acceptor.hosts = this->config.hosts;
+}
+
+HttpServer::~HttpServer()
+{
+    this->stopListening();
+}
+
+Result<void> HttpServer::listen()
+{
+    const sockaddr_in address = this->options.address.native();
+    const int file = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    const bool listening = file >= 0
+        && ::setsockopt(file, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0
+        && ::bind(file, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0
+        && ::listen(file, internal::listenBacklog) == 0;
+    if (!listening) {
+        if (file >= 0)
+            ::close(file);
+        return failure(Errc::InvalidAddress);
+    }
+    this->listener = h2o_evloop_socket_create(this->loop.native(), file, H2O_SOCKET_FLAG_DONT_READ);
+    this->listener->data = this;
+    h2o_socket_read_start(this->listener, onAccept);
+    return {};
+}
+
+void HttpServer::respond(std::uint64_t token, const HttpResponse &response)
+{
+    const auto found = this->requests.find(token);
+    if (found == this->requests.end())
+        return;
+    h2o_req_t *request = found->second;
+    this->requests.erase(found);
+    request->res.status = response.status;
+    request->res.reason = response.status < 400 ? "OK" : "Error";
+    const h2o_iovec_t type
+        = h2o_strdup(&request->pool, response.contentType.data(), response.contentType.size());
+    h2o_add_header(&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr,
+                   type.base, type.len);
+    h2o_send_inline(request, response.body.data(), response.body.size());
+}
+
+void HttpServer::stopListening()
+{
+    if (this->listener == nullptr)
+        return;
+    h2o_socket_close(this->listener);
+    this->listener = nullptr;
+    h2o_context_request_shutdown(&this->context);
+}
+
+int HttpServer::onRequest(h2o_handler_t *handler, h2o_req_t *request)
+{
+    reinterpret_cast<RequestHandler *>(handler)->owner->handle(request);
+    return 0;
+}
+
+void HttpServer::onRequestGone(void *guard)
+{
+    const auto *gone = static_cast<RequestGuard *>(guard);
+    gone->owner->requests.erase(gone->token);
+}
+
+void HttpServer::onAccept(h2o_socket_t *listener, const char *error)
+{
+    if (error != nullptr)
+        return;
+    auto *server = static_cast<HttpServer *>(listener->data);
+    // Each turn takes a bounded number of connections, so that a burst cannot starve the rest.
+    constexpr int mostAccepts = 64;
+    for (int i = 0; i < mostAccepts; ++i) {
+        h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
+        if (socket == nullptr)
+            return;
+        h2o_accept(&server->acceptor, socket);
+    }
+}
+
+void HttpServer::handle(h2o_req_t *request)
+{
+    HttpRequest message;
+    message.token = this->nextToken++;
+    message.method = internal::textOf(request->method);
+    message.path = internal::textOf(request->path_normalized);
+    message.body = request->entity.base == nullptr ? "" : internal::textOf(request->entity);
+    message.traceparent = internal::headerOf(request, "traceparent");
+    message.attempt = internal::headerOf(request, "hibiscus-attempt");
+    message.lease = internal::headerOf(request, "hibiscus-lease");
+    auto *guard = static_cast<RequestGuard *>(
+        h2o_mem_alloc_shared(&request->pool, sizeof(RequestGuard), onRequestGone));
+    *guard = { .owner = this, .token = message.token };
+    this->requests[message.token] = request;
+    this->handler(message);
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Net/Relay.cpp
@@ -0,0 +1,186 @@
+#include "Hibiscus/src/Net/Relay.h"
+
+#include "relay.grpc.pb.h"
+
+#include <deque>
+#include <grpcpp/grpcpp.h>
+
+namespace Hibiscus {
+
+namespace internal {
+
+constexpr std::size_t mostMessagesPerBatch = 512;
+constexpr int mostMessageBytes = 512 * 1024 * 1024; // a snapshot travels as one message
+
+static grpc::ChannelArguments channelArguments()
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 500);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 500);
+    // A connection that went silent is noticed and replaced even when nothing else would.
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, 10'000);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, 2'000);
+    arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetMaxReceiveMessageSize(mostMessageBytes);
+    arguments.SetMaxSendMessageSize(mostMessageBytes);
+    return arguments;
+}
+
+} // namespace internal
+
+/** \brief The receiving side: its calls end at once, and the messages go to the loop. */
+class Relay::Service final : public ::hibiscus::Relay::CallbackService
+{
+public:
+    explicit Service(Relay &owner) : owner(owner) { }
+
+    Result<void> listen(const Address &address)
+    {
+        grpc::ServerBuilder builder;
+        const std::string target = address.host + ":" + std::to_string(address.port);
+        int port = 0;
+        builder.AddListeningPort(target, grpc::InsecureServerCredentials(), &port);
+        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+        builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, 1'000);
+        builder.SetMaxReceiveMessageSize(internal::mostMessageBytes);
+        builder.RegisterService(this);
+        this->server = builder.BuildAndStart();
+        return this->server && port != 0 ? Result<void>() : failure(Errc::InvalidAddress);
+    }
+
+    void shutDown()
+    {
+        if (this->server)
+            this->server->Shutdown(std::chrono::system_clock::now() + 200ms);
+    }
+
+    grpc::ServerUnaryReactor *Deliver(grpc::CallbackServerContext *context,
+                                      const ::hibiscus::Parcel *parcel,
+                                      ::hibiscus::Receipt *) override
+    {
+        grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        if (parcel->protocol_version() != wireProtocolVersion) {
+            reactor->Finish(grpc::Status(grpc::StatusCode::FAILED_PRECONDITION,
+                                         "another version of the protocol"));
+            return reactor;
+        }
+        std::vector<WireMessage> messages;
+        for (const std::string &bytes : parcel->messages())
+            if (Result<WireMessage> message = decode<WireMessage>(bytes))
+                messages.push_back(std::move(*message));
+        this->owner.loop.post([this, messages = std::move(messages)] {
+            for (const WireMessage &message : messages) {
+                ++this->owner.counts.receivedMessages;
+                this->owner.receive(message);
+            }
+        });
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+private:
+    Relay &owner;
+    std::unique_ptr<grpc::Server> server;
+};
+
+/** \brief The sending side to one node. */
+struct Relay::Link
+{
+    NodeName node;
+    std::unique_ptr<::hibiscus::Relay::Stub> stub;
+    std::deque<Bytes> queue;
+    bool isSending = false;
+};
+
+Relay::Relay(EventLoop &loop, const Options &options, Receive receive, Broken broken)
+    : loop(loop), options(options), receive(std::move(receive)), broken(std::move(broken)),
+      service(std::make_unique<Service>(*this))
+{
+    for (const auto &[node, address] : options.nodes) {
+        const std::string target = "ipv4:" + address.host + ":" + std::to_string(address.port);
+        auto link = std::make_unique<Link>();
+        link->node = node;
+        link->stub = ::hibiscus::Relay::NewStub(grpc::CreateCustomChannel(
+            target, grpc::InsecureChannelCredentials(), internal::channelArguments()));
+        this->links[node] = std::move(link);
+    }
+}
+
+Relay::~Relay() = default;
+
+Result<void> Relay::listen()
+{
+    return this->service->listen(this->options.address);
+}
+
+void Relay::send(const NodeName &to, const WireMessage &message)
+{
+    const auto found = this->links.find(to);
+    if (found == this->links.end())
+        return;
+    Link &link = *found->second;
+    if (link.queue.size() >= this->options.mostQueued) {
+        ++this->counts.droppedMessages;
+        return;
+    }
+    link.queue.push_back(encode(message));
+    this->pump(link);
+}
+
+void Relay::shutDown()
+{
+    this->service->shutDown();
+}
+
+namespace internal {
+
+/** \brief A batch on its way; it lives until gRPC has called back. */
+struct Batch
+{
+    grpc::ClientContext context;
+    ::hibiscus::Parcel parcel;
+    ::hibiscus::Receipt receipt;
+};
+
+} // namespace internal
+
+void Relay::pump(Link &link)
+{
+    if (link.isSending || link.queue.empty())
+        return;
+    link.isSending = true;
+    const auto batch = std::make_shared<internal::Batch>();
+    batch->context.set_deadline(std::chrono::system_clock::now() + this->options.batchTimeout);
+    batch->parcel.set_from(this->options.self.str());
+    batch->parcel.set_protocol_version(wireProtocolVersion);
+    while (!link.queue.empty()
+           && batch->parcel.messages_size() < static_cast<int>(internal::mostMessagesPerBatch)) {
+        this->counts.sentBytes += link.queue.front().size();
+        batch->parcel.add_messages(std::move(link.queue.front()));
+        link.queue.pop_front();
+    }
+    const auto count = static_cast<std::size_t>(batch->parcel.messages_size());
+    this->counts.sentMessages += count;
+    ++this->counts.sentBatches;
+    link.stub->async()->Deliver(
+        &batch->context, &batch->parcel, &batch->receipt,
+        [this, batch, &link](const grpc::Status &status) {
+            const bool arrived = status.ok();
+            this->loop.post([this, &link, arrived] { this->finishBatch(link, arrived); });
+        });
+}
+
+void Relay::finishBatch(Link &link, bool arrived)
+{
+    link.isSending = false;
+    if (!arrived) {
+        ++this->counts.brokenBatches;
+        this->broken(link.node);
+    }
+    this->pump(link);
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Net/Relay.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Hibiscus/src/Net/Address.h"
+#include "Hibiscus/src/Net/EventLoop.h"
+#include "Hibiscus/src/Net/WireMessage.h"
+
+#include <map>
+#include <memory>
+
+namespace Hibiscus {
+
+/** \brief Messages of a process to and from the other processes, in numbers. */
+struct RelayCounters
+{
+    std::uint64_t sentMessages = 0;
+    std::uint64_t sentBytes = 0;
+    std::uint64_t sentBatches = 0;
+    std::uint64_t receivedMessages = 0;
+    std::uint64_t droppedMessages = 0; ///< the queue was full
+    std::uint64_t brokenBatches = 0; ///< may have arrived or not
+};
+
+/** \brief Carries messages between the processes of the system, over gRPC.
+ *
+ * To each node at most one batch is on its way, and what comes up meanwhile joins the next one.
+ * Messages to a node arrive in order or not at all; nothing is sent twice.
+ */
+class Relay
+{
+public:
+    using Receive = std::function<void(const WireMessage &)>;
+    using Broken = std::function<void(const NodeName &)>;
+
+    struct Options
+    {
+        NodeName self;
+        Address address;
+        std::map<NodeName, Address> nodes;
+        Duration batchTimeout = 2s;
+        std::size_t mostQueued = 100'000; ///< messages a node
+    };
+
+    Relay(EventLoop &loop, const Options &options, Receive receive, Broken broken);
+    ~Relay();
+
+    // Commands.
+    /** \returns Errc::InvalidAddress if the address cannot be listened on. */
+    Result<void> listen();
+    void send(const NodeName &to, const WireMessage &message);
+    void shutDown();
+
+    // Queries.
+    const RelayCounters &counters() const { return this->counts; }
+
+private:
+    class Service;
+    struct Link;
+
+    void pump(Link &link);
+    void finishBatch(Link &link, bool arrived);
+
+    EventLoop &loop;
+    Options options;
+    Receive receive;
+    Broken broken;
+    RelayCounters counts;
+    std::unique_ptr<Service> service;
+    std::map<NodeName, std::unique_ptr<Link>> links;
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Net/WireMessage.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <Hibiscus/Dispatch>
+#include <Hibiscus/Journal>
+#include <Hibiscus/Replication>
+#include <Hibiscus/Rules>
+
+namespace Hibiscus {
+
+/** \brief What the processes of the system send to each other. New kinds go to the end. */
+using WireMessage = std::variant<ReplicaEnvelope, PeerMessage, JournalRequest, JournalAnswer,
+                                 RulesUpdate, RulesAcknowledged, FetchRules>;
+
+/** \brief Raised when a change of the messages is not readable by earlier processes. */
+inline constexpr std::uint32_t wireProtocolVersion = 1;
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Process/ControlProcess.cpp
@@ -0,0 +1,236 @@
+#include "Hibiscus/src/Process/ControlProcess.h"
+
+#include "Hibiscus/src/Process/ReplicaStatus.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus {
+
+namespace internal {
+
+using Json = nlohmann::json;
+using OrderedJson = nlohmann::ordered_json;
+
+constexpr Duration controlTick = 10ms;
+constexpr Duration controlJoinInterval = 500ms;
+constexpr Duration controlHandOverTime = 1s;
+
+static ControlOptions controlOptions(const ProcessContext &context)
+{
+    ControlOptions options;
+    options.replicated.replica.heartbeatInterval = context.deployment.timing.heartbeat;
+    options.replicated.replica.electionTimeout = context.deployment.timing.electionTimeout;
+    for (const NodeSettings &entry : context.deployment.withRole(NodeRole::Entry))
+        options.entries.push_back({ .node = entry.name, .domain = entry.domain });
+    return options;
+}
+
+static OrderedJson namesOf(const std::vector<ControlledEntry> &entries)
+{
+    OrderedJson names = OrderedJson::array();
+    for (const ControlledEntry &entry : entries)
+        names.push_back({ { "node", entry.node.str() }, { "domain", entry.domain.str() } });
+    return names;
+}
+
+} // namespace internal
+
+ControlProcess::ControlProcess(const ProcessContext &context, ReplicaDisk openedDisk)
+    : context(context), disk(std::move(openedDisk)),
+      node(internal::controlOptions(context), this->disk.state(), context.incarnation,
+           this->loop.now()),
+      relay(
+          this->loop, context.relayOptions(),
+          [this](const WireMessage &message) { this->onMessage(message); },
+          [](const NodeName &) {}),
+      http(this->loop, { .address = context.httpAddress() },
+           [this](const HttpRequest &request) { this->onHttp(request); }),
+      metrics(context.self.name.str())
+{ }
+
+int ControlProcess::run()
+{
+    if (!this->relay.listen() || !this->http.listen()) {
+        logProblem("cannot-listen",
+                   { { "rpc", this->context.self.rpc }, { "http", this->context.self.http } });
+        return 1;
+    }
+    logChange("started");
+    this->loop.run(
+        internal::controlTick, [this] { this->onTick(); }, [this] { this->carryOut(); });
+    logChange("stopped");
+    this->relay.shutDown();
+    return 0;
+}
+
+void ControlProcess::onHttp(const HttpRequest &request)
+{
+    const TimePoint now = this->loop.now();
+    const RequestId id = { .node = this->context.self.name, .number = request.token };
+    if (request.path == "/v1/rules" && request.method == "POST")
+        this->onApply(request);
+    else if (request.path == "/v1/rules")
+        this->node.read(id, now, this->out);
+    else if (request.path == "/v1/history")
+        this->http.respond(request.token, { .body = this->historyJson() });
+    else if (request.path == "/metrics") {
+        this->updateMetrics();
+        this->http.respond(
+            request.token,
+            { .contentType = "text/plain; version=0.0.4", .body = this->metrics.text() });
+    } else
+        this->http.respond(
+            request.token,
+            answerReplicaQuery(request.path, this->node.replica(), this->statusJson()));
+}
+
+void ControlProcess::onApply(const HttpRequest &request)
+{
+    const internal::Json json = internal::Json::parse(request.body, nullptr, false);
+    const auto isString
+        = [&](const char *key) { return json.contains(key) && json[key].is_string(); };
+    const bool isValid = json.is_object() && isString("apply_id") && isString("author")
+        && isString("text") && json.contains("expected_version")
+        && json["expected_version"].is_number_unsigned();
+    if (!isValid) {
+        this->http.respond(request.token,
+                           { .status = 400,
+                             .body = "{\"error\":\"bad-request\",\"reason\":\"apply_id, author, "
+                                     "text and expected_version are required\"}\n" });
+        return;
+    }
+    ApplyRules command;
+    command.applyId = json["apply_id"].get<std::string>();
+    command.author = json["author"].get<std::string>();
+    command.text = json["text"].get<std::string>();
+    command.expectedVersion = json["expected_version"].get<std::uint64_t>();
+    this->node.apply({ .node = this->context.self.name, .number = request.token }, command,
+                     this->loop.now(), this->out);
+}
+
+void ControlProcess::onMessage(const WireMessage &message)
+{
+    const TimePoint now = this->loop.now();
+    if (const auto *envelope = std::get_if<ReplicaEnvelope>(&message))
+        this->node.receive(*envelope, now, this->out);
+    if (const auto *acknowledged = std::get_if<RulesAcknowledged>(&message))
+        this->node.receive(*acknowledged, now, this->out);
+    if (const auto *fetch = std::get_if<FetchRules>(&message))
+        this->node.receive(*fetch, now, this->out);
+}
+
+void ControlProcess::onTick()
+{
+    const TimePoint now = this->loop.now();
+    this->node.tick(now, this->out);
+    if (!this->node.replica().isMember() && now >= this->joinAt) {
+        this->joinAt = now + internal::controlJoinInterval;
+        this->node.requestJoin(groupOf(this->context), this->out);
+    }
+    if (stopRequests() > 0 && this->stopAt == TimePoint()) {
+        logChange("stopping");
+        this->node.stepDown(now);
+        this->stopAt = now + internal::controlHandOverTime;
+    }
+    if (stopRequests() > 1 || (stopRequests() > 0 && now >= this->stopAt))
+        this->loop.stop();
+    const bool isLeader = this->node.replica().isLeader();
+    if (isLeader != this->wasLeader)
+        logChange(isLeader ? "became-leader" : "lost-leadership",
+                  { { "term", std::to_string(this->node.replica().term()) } });
+    this->wasLeader = isLeader;
+    if (this->node.state().version() != this->loggedVersion)
+        logChange("rules-accepted",
+                  { { "version", std::to_string(this->node.state().version()) } });
+    this->loggedVersion = this->node.state().version();
+}
+
+void ControlProcess::carryOut()
+{
+    this->disk.carryOut(this->out.log.replica, this->relay);
+    const ControlNode::Outbox done = std::exchange(this->out, {});
+    for (const AddressedUpdate &item : done.updates)
+        this->relay.send(item.to, item.update);
+    for (const ApplyReport &report : done.applied)
+        this->respond(report);
+    for (const RulesReport &report : done.read)
+        this->respond(report);
+}
+
+void ControlProcess::respond(const ApplyReport &report)
+{
+    if (!report.reply) {
+        this->redirect(report.request.number, report.leader);
+        return;
+    }
+    const ApplyReply &reply = *report.reply;
+    internal::OrderedJson json;
+    json["version"] = reply.version;
+    int status = 200;
+    if (reply.verdict == ApplyVerdict::Accepted) {
+        json["outcome"] = "accepted";
+        json["in_force_at"] = internal::namesOf(report.confirmed);
+        json["not_confirmed_at"] = internal::namesOf(report.unconfirmed);
+    } else if (reply.verdict == ApplyVerdict::Conflict) {
+        status = 409;
+        json["outcome"] = "conflict";
+        json["winner"] = reply.winner;
+        json["winner_lines"] = reply.winnerLines;
+    } else {
+        status = 422;
+        json["outcome"] = "invalid";
+        json["line"] = reply.error.line;
+        json["column"] = reply.error.column;
+        json["reason"] = reply.error.reason;
+    }
+    this->http.respond(report.request.number, { .status = status, .body = json.dump() + "\n" });
+}
+
+void ControlProcess::respond(const RulesReport &report)
+{
+    if (!report.file) {
+        this->redirect(report.request.number, report.leader);
+        return;
+    }
+    internal::OrderedJson json;
+    json["version"] = report.file->version;
+    json["text"] = report.file->text;
+    this->http.respond(report.request.number, { .body = json.dump() + "\n" });
+}
+
+void ControlProcess::redirect(std::uint64_t token, const std::optional<NodeName> &leader)
+{
+    internal::OrderedJson json;
+    json["error"] = "not-the-leader";
+    const NodeSettings *node = leader ? this->context.deployment.find(*leader) : nullptr;
+    json["leader"] = node == nullptr ? "" : node->http;
+    this->http.respond(token, { .status = 503, .body = json.dump() + "\n" });
+}
+
+std::string ControlProcess::historyJson() const
+{
+    internal::OrderedJson json = internal::OrderedJson::array();
+    for (const RulesChange &change : this->node.state().history())
+        json.push_back({ { "version", change.version },
+                         { "author", change.author },
+                         { "at_us", change.at.time_since_epoch().count() },
+                         { "lines", change.lines } });
+    return json.dump() + "\n";
+}
+
+std::string ControlProcess::statusJson() const
+{
+    return describeReplica(this->node.replica(),
+                           { { "role", "control" },
+                             { "rules_version", std::to_string(this->node.state().version()) } });
+}
+
+void ControlProcess::updateMetrics()
+{
+    updateReplicaMetrics(this->metrics, this->node.replica(), this->disk.syncs());
+    updateRelayMetrics(this->metrics, this->relay.counters());
+    this->metrics.setGauge("hibiscus_rules_version", "Version of the rules this member holds.",
+                           static_cast<double>(this->node.state().version()));
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Process/EntryProcess.cpp
@@ -0,0 +1,578 @@
+#include "Hibiscus/src/Process/EntryProcess.h"
+
+#include "Hibiscus/src/Process/ReplicaStatus.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus {
+
+namespace internal {
+
+using Json = nlohmann::json;
+using OrderedJson = nlohmann::ordered_json;
+
+constexpr Duration entryTick = 10ms;
+constexpr Duration fetchInterval = 500ms;
+/** \brief How long a starting entry node looks for confirmed rules before it takes older ones. */
+constexpr Duration confirmationPatience = 3s;
+constexpr const char *rulesFileName = "rules.json";
+
+static DispatcherOptions dispatcherOptions(const ProcessContext &context)
+{
+    const Deployment &deployment = context.deployment;
+    DispatcherOptions options;
+    options.coordinator.self = { .node = context.self.name, .incarnation = context.incarnation };
+    options.coordinator.mostWaitingTasks = deployment.limits.waitingTasks;
+    options.owner.pool.lease = deployment.timing.targetLease;
+    options.peers.ownDomain = context.self.domain;
+    const std::vector<NodeSettings> entries = deployment.withRole(NodeRole::Entry);
+    options.coordinator.entryCount = static_cast<std::uint32_t>(entries.size());
+    for (std::uint32_t i = 0; i < entries.size(); ++i) {
+        if (entries[i].name == context.self.name)
+            options.coordinator.entryIndex = i;
+        else
+            options.peers.peers.push_back({ .node = entries[i].name, .domain = entries[i].domain });
+    }
+    for (const DomainName &domain : deployment.domains) {
+        JournalGroup group = { .domain = domain };
+        for (const NodeSettings &node : deployment.journalOf(domain))
+            group.members.push_back(node.name);
+        options.journals.groups.push_back(group);
+    }
+    return options;
+}
+
+static HttpClient::Options clientOptions(const ProcessContext &context)
+{
+    HttpClient::Options options;
+    options.connectionsPerServer = context.deployment.services.front().connections;
+    options.idleTimeout = context.deployment.timing.longestDeadline;
+    return options;
+}
+
+static std::optional<RulesFile> readRulesFile(const std::filesystem::path &folder)
+{
+    if (folder.empty())
+        return std::nullopt;
+    std::ifstream stream(folder / rulesFileName);
+    const Json json = Json::parse(stream, nullptr, false);
+    const bool isValid = json.is_object() && json.contains("version") && json.contains("text");
+    if (!isValid)
+        return std::nullopt;
+    return RulesFile { .version = json["version"].get<std::uint64_t>(),
+                       .text = json["text"].get<std::string>() };
+}
+
+static void writeRulesFile(const std::filesystem::path &folder, const RulesFile &file)
+{
+    if (folder.empty())
+        return;
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    const std::filesystem::path next = folder / "rules.json.next";
+    std::ofstream(next) << Json({ { "version", file.version }, { "text", file.text } }).dump();
+    std::filesystem::rename(next, folder / rulesFileName, error);
+}
+
+static bool startsWith(const std::string &text, const std::string &prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+} // namespace internal
+
+EntryProcess::EntryProcess(const ProcessContext &context)
+    : context(context), dispatcher(internal::dispatcherOptions(context)), rules(context.self.name),
+      relay(
+          this->loop, context.relayOptions(),
+          [this](const WireMessage &message) { this->onMessage(message); },
+          [this](const NodeName &node) {
+              DispatchOutbox out;
+              this->dispatcher.noteBrokenLink(node, this->loop.now(), out);
+              this->carryOut(out);
+          }),
+      http(this->loop,
+           { .address = context.httpAddress(),
+             .mostBodyBytes = context.deployment.limits.bodyBytes },
+           [this](const HttpRequest &request) { this->onHttp(request); }),
+      client(this->loop, internal::clientOptions(context)), metrics(context.self.name.str()),
+      spans(context.self.name.str(), context.spanFile, context.incarnation),
+      startedAt(this->loop.now())
+{ }
+
+int EntryProcess::run()
+{
+    if (!this->relay.listen() || !this->http.listen()) {
+        logProblem("cannot-listen",
+                   { { "rpc", this->context.self.rpc }, { "http", this->context.self.http } });
+        return 1;
+    }
+    logChange("started", { { "domain", this->context.self.domain.str() } });
+    this->loop.run(
+        internal::entryTick, [this] { this->onTick(); }, [] {});
+    logChange("stopped",
+              { { "cut-jobs", std::to_string(this->dispatcher.coordinator().jobCount()) } });
+    this->relay.shutDown();
+    return 0;
+}
+
+void EntryProcess::onHttp(const HttpRequest &request)
+{
+    const std::string &path = request.path;
+    if (path == "/v1/jobs" && request.method == "POST")
+        this->onSubmit(request, true);
+    else if (path == "/v1/jobs/async" && request.method == "POST")
+        this->onSubmit(request, false);
+    else if (path == "/v1/jobs/cancel" && request.method == "POST")
+        this->onCancelWave(request);
+    else if (path == "/v1/ids" && request.method == "POST")
+        this->onIssueId(request);
+    else if (internal::startsWith(path, "/v1/jobs/"))
+        this->onJob(request);
+    else if (path == "/v1/targets" && request.method == "POST")
+        this->onAnnouncement(request);
+    else if (path == "/healthz")
+        this->http.respond(request.token, { .body = "{\"alive\":true}\n" });
+    else if (path == "/readyz")
+        this->http.respond(
+            request.token,
+            { .status = this->isReady() ? 200 : 503,
+              .body = this->isReady() ? "{\"ready\":true}\n" : "{\"ready\":false}\n" });
+    else if (path == "/status")
+        this->http.respond(request.token, { .body = this->statusJson() });
+    else if (path == "/metrics") {
+        this->updateMetrics();
+        this->http.respond(
+            request.token,
+            { .contentType = "text/plain; version=0.0.4", .body = this->metrics.text() });
+    } else
+        this->http.respond(
+            request.token,
+            { .status = 404, .body = "{\"error\":\"not-found\",\"reason\":\"no such path\"}\n" });
+}
+
+void EntryProcess::onSubmit(const HttpRequest &request, bool waits)
+{
+    const TimePoint now = this->loop.now();
+    const auto job = parseJob(request.body, this->context.deployment, now);
+    if (!job) {
+        const ApiReply reply = renderError(job.error());
+        this->http.respond(request.token, { .status = reply.status, .body = reply.body });
+        return;
+    }
+    if (!this->isReady() && stopRequests() == 0) {
+        const ApiReply reply
+            = renderAnswer(job->id,
+                           JobAnswer::uniform(JobState::Unknown, JobReason::HomeUnreachable,
+                                              job->taskCount(), TaskFate::MayHaveRun));
+        this->http.respond(request.token, { .status = reply.status, .body = reply.body });
+        return;
+    }
+    const Span span = this->spans.start("job", job->id.str(), request.traceparent, now);
+    this->callers[request.token] = { .span = span, .arrivedAt = now };
+    if (!waits)
+        this->http.respond(
+            request.token,
+            { .status = 202,
+              .body = "{\"id\":\"" + job->id.str() + "\",\"state\":\"accepted\"}\n" });
+    DispatchOutbox out;
+    this->dispatcher.submit(
+        { .token = request.token, .request = *job, .trace = span.context.traceparent() }, now, out);
+    this->carryOut(out);
+}
+
+void EntryProcess::onJob(const HttpRequest &request)
+{
+    const std::string text = request.path.substr(std::string("/v1/jobs/").size());
+    const Result<JobId> id = JobId::parse(text);
+    if (!id) {
+        const ApiReply reply = renderError(
+            { .status = 400, .code = "bad-request", .reason = "malformed job id", .path = "/id" });
+        this->http.respond(request.token, { .status = reply.status, .body = reply.body });
+        return;
+    }
+    DispatchOutbox out;
+    if (request.method == "DELETE") {
+        this->dispatcher.cancel(*id, this->loop.now(), out);
+        this->http.respond(request.token, { .status = 202, .body = "{}\n" });
+    } else {
+        this->dispatcher.lookUp(request.token, *id, this->loop.now(), out);
+    }
+    this->carryOut(out);
+}
+
+void EntryProcess::onCancelWave(const HttpRequest &request)
+{
+    const internal::Json json = internal::Json::parse(request.body, nullptr, false);
+    const bool isValid = json.is_object() && json.contains("ids") && json["ids"].is_array();
+    if (!isValid) {
+        const ApiReply reply = renderError({ .status = 400,
+                                             .code = "bad-request",
+                                             .reason = "expected an array of job ids",
+                                             .path = "/ids" });
+        this->http.respond(request.token, { .status = reply.status, .body = reply.body });
+        return;
+    }
+    DispatchOutbox out;
+    std::size_t cancelled = 0;
+    for (const internal::Json &item : json["ids"]) {
+        const Result<JobId> id = item.is_string() ? JobId::parse(item.get<std::string>())
+                                                  : Result<JobId>(failure(Errc::MalformedJobId));
+        if (!id || this->dispatcher.coordinator().find(*id) == nullptr)
+            continue;
+        this->dispatcher.cancel(*id, this->loop.now(), out);
+        ++cancelled;
+    }
+    this->http.respond(
+        request.token,
+        { .status = 202, .body = "{\"cancelled\":" + std::to_string(cancelled) + "}\n" });
+    this->carryOut(out);
+}
+
+void EntryProcess::onIssueId(const HttpRequest &request)
+{
+    const JobId id(this->context.self.domain, this->loop.now(),
+                   this->context.self.name.str() + "-" + std::to_string(this->context.incarnation)
+                       + "-" + std::to_string(++this->issuedIds));
+    this->http.respond(request.token, { .status = 201, .body = "{\"id\":\"" + id.str() + "\"}\n" });
+}
+
+void EntryProcess::onAnnouncement(const HttpRequest &request)
+{
+    const auto parsed = parseAnnouncement(request.body, this->context.deployment);
+    const bool hasAddress = parsed && Address::parse(parsed->announcement.address);
+    if (!hasAddress) {
+        const ApiError error = parsed ? ApiError { .code = "bad-announcement",
+                                                   .reason = "expected IP:port",
+                                                   .path = "/address" }
+                                      : parsed.error();
+        const ApiReply reply = renderError(error);
+        this->http.respond(request.token, { .status = reply.status, .body = reply.body });
+        return;
+    }
+    if (const std::optional<NodeName> owner = this->betterOwner(*parsed)) {
+        const NodeSettings *node = this->context.deployment.find(*owner);
+        this->http.respond(request.token,
+                           { .status = 200,
+                             .body = "{\"owner\":\"" + node->name.str() + "\",\"address\":\""
+                                 + node->http + "\"}\n" });
+        return;
+    }
+    const TargetAnnouncement &announcement = parsed->announcement;
+    if (this->dispatcher.owner().targets().find(announcement.target) == nullptr)
+        logChange("target-leased",
+                  { { "target", announcement.target.str() }, { "address", announcement.address } });
+    const auto lease = std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->context.deployment.timing.targetLease);
+    this->http.respond(request.token,
+                       { .body = "{\"lease_ms\":" + std::to_string(lease.count()) + "}\n" });
+    DispatchOutbox out;
+    this->dispatcher.announce(announcement, this->loop.now(), out);
+    this->carryOut(out);
+}
+
+void EntryProcess::onMessage(const WireMessage &message)
+{
+    const TimePoint now = this->loop.now();
+    DispatchOutbox out;
+    std::visit(Overloaded {
+                   [&](const PeerMessage &peer) { this->dispatcher.receive(peer, now, out); },
+                   [&](const JournalAnswer &answer) { this->dispatcher.receive(answer, now, out); },
+                   [&](const RulesUpdate &update) { this->takeRules(update); },
+                   [&](const FetchRules &fetch) {
+                       if (this->rules.standing() != RulesStanding::None)
+                           this->relay.send(fetch.node,
+                                            RulesUpdate { .content = this->rules.file() });
+                   },
+                   [](const auto &) {},
+               },
+               message);
+    this->carryOut(out);
+}
+
+void EntryProcess::onTick()
+{
+    const TimePoint now = this->loop.now();
+    DispatchOutbox out;
+    this->dispatcher.tick(now, out);
+    this->carryOut(out);
+    if (this->rules.standing() != RulesStanding::Confirmed && now >= this->fetchAt)
+        this->followRules(now);
+    if (stopRequests() > 0)
+        this->continueStop(now);
+}
+
+// Rules that a quorum confirms come first. When none can be reached for a while, what the disk or
+// a neighbour of the same domain last knew is better than not serving.
+void EntryProcess::followRules(TimePoint now)
+{
+    this->fetchAt = now + internal::fetchInterval;
+    for (const NodeSettings &control : this->context.deployment.withRole(NodeRole::Control))
+        this->relay.send(control.name, FetchRules { .node = this->context.self.name });
+    const bool isPatient = now < this->startedAt + internal::confirmationPatience;
+    if (isPatient || this->rules.standing() != RulesStanding::None)
+        return;
+    for (const NodeSettings &entry : this->context.deployment.withRole(NodeRole::Entry))
+        if (entry.domain == this->context.self.domain && entry.name != this->context.self.name)
+            this->relay.send(entry.name, FetchRules { .node = this->context.self.name });
+    if (const auto file = internal::readRulesFile(this->context.dataFolder)) {
+        this->rules.adoptLastKnown(*file);
+        logChange("rules-last-known", { { "version", std::to_string(file->version) } });
+        DispatchOutbox out;
+        this->dispatcher.applyRules(this->rules.rules(), now, out);
+        this->carryOut(out);
+    }
+}
+
+void EntryProcess::takeRules(const RulesUpdate &update)
+{
+    const std::uint64_t former = this->rules.file().version;
+    const RulesStanding formerStanding = this->rules.standing();
+    const auto acknowledged = this->rules.receive(update);
+    const bool isNews
+        = this->rules.file().version != former || this->rules.standing() != formerStanding;
+    if (isNews) {
+        logChange("rules-in-force", { { "version", std::to_string(this->rules.file().version) } });
+        internal::writeRulesFile(this->context.dataFolder, this->rules.file());
+        DispatchOutbox out;
+        this->dispatcher.applyRules(this->rules.rules(), this->loop.now(), out);
+        this->carryOut(out);
+    }
+    if (!acknowledged)
+        return;
+    for (const NodeSettings &control : this->context.deployment.withRole(NodeRole::Control))
+        this->relay.send(control.name, *acknowledged);
+}
+
+void EntryProcess::continueStop(TimePoint now)
+{
+    if (this->stopAt == TimePoint()) {
+        logChange("stopping");
+        this->dispatcher.drain();
+        this->stopAt = now + this->context.deployment.timing.stopBound;
+    }
+    const bool isDone = this->dispatcher.isIdle() && this->callers.empty();
+    // The platform's balancer needs a moment to see that this node is not ready any more.
+    constexpr Duration balancerTime = 1s;
+    const bool balancerKnows
+        = now >= this->stopAt - this->context.deployment.timing.stopBound + balancerTime;
+    if ((isDone && balancerKnows) || stopRequests() > 1 || now >= this->stopAt)
+        this->loop.stop();
+}
+
+void EntryProcess::carryOut(const DispatchOutbox &out)
+{
+    for (const TargetCommand &command : out.toTargets)
+        std::visit([this](const auto &c) { this->carryOut(c); }, command);
+    for (const AddressedPeerMessage &item : out.toPeers)
+        this->relay.send(item.to, item.message);
+    for (const AddressedJournalRequest &item : out.toJournals)
+        this->relay.send(item.to, item.request);
+    for (const CallerAnswer &item : out.answers)
+        this->answer(item);
+    for (const StatusAnswer &item : out.statuses)
+        this->answer(item);
+}
+
+void EntryProcess::carryOut(const StartOnTarget &command)
+{
+    const AttemptId attempt = command.start.attempt;
+    OpenStart &open = this->openStarts[attempt];
+    open.span = this->spans.start("attempt", attempt.str(), command.start.trace, this->loop.now());
+    HttpCall call;
+    call.method = "POST";
+    call.address = *Address::parse(command.address);
+    call.path = "/v1/tasks";
+    call.headers = { { "hibiscus-attempt", attempt.str() },
+                     { "hibiscus-lease", std::to_string(command.lease) },
+                     { "traceparent", open.span.context.traceparent() } };
+    call.body = command.start.payload;
+    open.call = this->client.send(
+        call, [this, attempt](const HttpCallResult &result) { this->endStart(attempt, result); });
+}
+
+void EntryProcess::carryOut(const AskTarget &command)
+{
+    HttpCall call;
+    call.address = *Address::parse(command.address);
+    call.path = "/v1/tasks/" + command.attempt.str();
+    call.usesNewConnection = true;
+    this->client.send(call, [this, command](const HttpCallResult &result) {
+        this->endQuestion(command, result);
+    });
+}
+
+void EntryProcess::endStart(const AttemptId &attempt, const HttpCallResult &result)
+{
+    if (!this->openStarts.contains(attempt))
+        return;
+    TaskReport report = { .attempt = attempt, .result = result.body };
+    if (result.state == HttpCallState::NotSent)
+        report.verdict = AttemptVerdict::NotStarted;
+    else if (result.state == HttpCallState::Broken)
+        // The announcements of the target will miss the attempt, and then it is asked for.
+        return;
+    else if (result.status == 200)
+        report.verdict = AttemptVerdict::Succeeded;
+    else
+        report.verdict = result.status == 409 ? AttemptVerdict::NotStarted : AttemptVerdict::Failed;
+    this->report(report);
+}
+
+void EntryProcess::endQuestion(const AskTarget &question, const HttpCallResult &result)
+{
+    if (result.state != HttpCallState::Answered || result.status != 200)
+        return;
+    const internal::Json json = internal::Json::parse(result.body, nullptr, false);
+    const bool isValid = json.is_object() && json.contains("state") && json["state"].is_string();
+    if (!isValid)
+        return;
+    const auto state = json["state"].get<std::string>();
+    TaskReport report = { .attempt = question.attempt, .result = json.value("result", "") };
+    if (state == "succeeded")
+        report.verdict = AttemptVerdict::Succeeded;
+    else if (state == "failed")
+        report.verdict = AttemptVerdict::Failed;
+    else if (state == "not-started")
+        report.verdict = AttemptVerdict::NotStarted;
+    else
+        return;
+    // The connection that carried the start is of no more use.
+    if (const auto open = this->openStarts.find(question.attempt); open != this->openStarts.end())
+        this->client.cancel(open->second.call);
+    this->report(report);
+}
+
+void EntryProcess::report(const TaskReport &report)
+{
+    const TimePoint now = this->loop.now();
+    if (const auto open = this->openStarts.find(report.attempt); open != this->openStarts.end()) {
+        const bool succeeded = report.verdict == AttemptVerdict::Succeeded;
+        this->spans.finish(open->second.span, succeeded ? "succeeded" : "not-succeeded", now);
+        this->openStarts.erase(open);
+    }
+    DispatchOutbox out;
+    this->dispatcher.finishAttempt(report, now, out);
+    this->carryOut(out);
+}
+
+void EntryProcess::answer(const CallerAnswer &answer)
+{
+    const auto caller = this->callers.find(answer.token);
+    if (caller == this->callers.end())
+        return;
+    const TimePoint now = this->loop.now();
+    this->spans.finish(caller->second.span, toString(answer.answer.state), now);
+    this->metrics.observeSeconds("hibiscus_job_seconds",
+                                 "Time from a job's arrival to its answer, in seconds.",
+                                 toSeconds(now - caller->second.arrivedAt));
+    this->callers.erase(caller);
+    const ApiReply reply = renderAnswer(answer.job, answer.answer);
+    this->http.respond(answer.token, { .status = reply.status, .body = reply.body });
+}
+
+void EntryProcess::answer(const StatusAnswer &answer)
+{
+    if (answer.answer) {
+        const ApiReply reply = renderAnswer(answer.job, *answer.answer);
+        this->http.respond(answer.token, { .status = reply.status, .body = reply.body });
+        return;
+    }
+    const bool isOpen = answer.verdict == JournalVerdict::OpenElsewhere;
+    internal::OrderedJson json;
+    json["id"] = answer.job.str();
+    json["state"] = isOpen ? "in-progress" : "unknown";
+    json["retry"] = "retry-with-same-id";
+    this->http.respond(answer.token, { .status = isOpen ? 202 : 404, .body = json.dump() + "\n" });
+}
+
+bool EntryProcess::isReady() const
+{
+    const bool hasWaited = this->loop.now() >= this->startedAt + internal::confirmationPatience;
+    const bool hasRules = this->rules.standing() == RulesStanding::Confirmed
+        || (hasWaited && this->rules.standing() == RulesStanding::LastKnown);
+    return hasRules && stopRequests() == 0;
+}
+
+// Only a target without an owner is sent elsewhere, so that leases do not move to and fro.
+std::optional<NodeName> EntryProcess::betterOwner(const AnnouncementRequest &request) const
+{
+    const bool isStopping = stopRequests() > 0;
+    if ((!request.isUnowned && !isStopping) || request.announcement.isLeaving)
+        return std::nullopt;
+    std::vector<OwnerCandidate> candidates;
+    const TimePoint now = this->loop.now();
+    for (const NodeSettings &entry : this->context.deployment.withRole(NodeRole::Entry)) {
+        const bool isSelf = entry.name == this->context.self.name;
+        const bool isCandidate = entry.domain == this->context.self.domain
+            && !request.avoided.contains(entry.name)
+            && (isSelf ? !isStopping
+                       : this->dispatcher.peers().view(entry.name).incarnation != 0
+                        && !this->dispatcher.peers().isDead(entry.name, now));
+        if (isCandidate)
+            candidates.push_back({ .node = entry.name, .weight = entry.weight });
+    }
+    const auto owner = chooseOwner(request.announcement.target, candidates);
+    return owner == this->context.self.name ? std::nullopt : owner;
+}
+
+std::string EntryProcess::statusJson() const
+{
+    internal::OrderedJson json;
+    json["node"] = this->context.self.name.str();
+    json["role"] = "entry";
+    json["domain"] = this->context.self.domain.str();
+    json["ready"] = this->isReady();
+    json["stopping"] = stopRequests() > 0;
+    json["rules_version"] = this->rules.file().version;
+    json["rules_confirmed"] = this->rules.standing() == RulesStanding::Confirmed;
+    json["jobs"] = this->dispatcher.coordinator().jobCount();
+    json["waiting_tasks"] = this->dispatcher.coordinator().waitingCount();
+    json["running_attempts"] = this->dispatcher.owner().runningCount();
+    json["targets"] = internal::OrderedJson::array();
+    const TimePoint now = this->loop.now();
+    for (const auto &[name, target] : this->dispatcher.owner().targets().targets())
+        json["targets"].push_back({ { "target", name.str() },
+                                    { "service", target.announcement.service.str() },
+                                    { "slots", target.announcement.slots },
+                                    { "running", target.running.size() },
+                                    { "leased", now <= target.leasedUntil },
+                                    { "ejected", now < target.ejectedUntil } });
+    return json.dump() + "\n";
+}
+
+void EntryProcess::updateMetrics()
+{
+    const CoordinatorCounters &jobs = this->dispatcher.coordinator().counters();
+    const PeerCounters &peers = this->dispatcher.counters();
+    const auto count = [&](const char *name, const char *help, std::uint64_t value) {
+        this->metrics.setCounter(name, help, static_cast<double>(value));
+    };
+    const auto gauge = [&](const char *name, const char *help, std::size_t value) {
+        this->metrics.setGauge(name, help, static_cast<double>(value));
+    };
+    count("hibiscus_jobs_submitted_total", "Jobs submitted.", jobs.submitted);
+    count("hibiscus_jobs_completed_total", "Jobs answered as complete.", jobs.completed);
+    count("hibiscus_jobs_failed_total", "Jobs answered as failed.", jobs.failed);
+    count("hibiscus_jobs_refused_total", "Jobs refused.", jobs.refused);
+    count("hibiscus_jobs_unknown_total", "Jobs answered as unknown.", jobs.unknown);
+    count("hibiscus_jobs_taken_over_total", "Jobs taken over.", jobs.takenOver);
+    count("hibiscus_tasks_placed_total", "Attempts placed.", jobs.placed);
+    count("hibiscus_tasks_retried_total", "Attempts after the first.", jobs.retried);
+    count("hibiscus_late_reports_total", "Reports for nobody any more.", jobs.lateReports);
+    count("hibiscus_peer_start_messages_total", "Messages with starts.", peers.startMessages);
+    count("hibiscus_peer_report_messages_total", "Messages with reports.", peers.reportMessages);
+    count("hibiscus_peer_offers_total", "Offers of a slot.", peers.offers);
+    count("hibiscus_peer_probes_total", "Probes and their answers.", peers.probes);
+    count("hibiscus_peer_cancellations_total", "Cancellations.", peers.cancellations);
+    gauge("hibiscus_jobs", "Jobs in progress.", this->dispatcher.coordinator().jobCount());
+    gauge("hibiscus_waiting_tasks", "Tasks that wait for a slot.",
+          this->dispatcher.coordinator().waitingCount());
+    gauge("hibiscus_targets", "Targets with a lease of this node.",
+          this->dispatcher.owner().targets().targets().size());
+    gauge("hibiscus_rules_version", "Version of the rules in force.", this->rules.file().version);
+    updateRelayMetrics(this->metrics, this->relay.counters());
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Process/EntryProcess.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Hibiscus/src/Process/ProcessContext.h"
+
+#include <Hibiscus/Api>
+#include <Hibiscus/Dispatch>
+#include <Hibiscus/Rules>
+#include <Hibiscus/Telemetry>
+
+namespace Hibiscus {
+
+/** \brief The process around a Dispatcher: callers, targets, peers, journals and rules. */
+class EntryProcess
+{
+public:
+    explicit EntryProcess(const ProcessContext &context);
+
+    /** \brief Runs until a stop is asked for and nothing is in progress. \returns the exit code. */
+    int run();
+
+private:
+    struct WaitingCaller
+    {
+        Span span;
+        TimePoint arrivedAt;
+    };
+
+    /** \brief A start that was sent to a target and has no outcome yet. */
+    struct OpenStart
+    {
+        std::uint64_t call = 0;
+        Span span;
+    };
+
+    void onHttp(const HttpRequest &request);
+    void onSubmit(const HttpRequest &request, bool waits);
+    void onJob(const HttpRequest &request);
+    void onCancelWave(const HttpRequest &request);
+    void onIssueId(const HttpRequest &request);
+    void onAnnouncement(const HttpRequest &request);
+    void onMessage(const WireMessage &message);
+    void onTick();
+    void followRules(TimePoint now);
+    void takeRules(const RulesUpdate &update);
+    void continueStop(TimePoint now);
+
+    void carryOut(const DispatchOutbox &out);
+    void carryOut(const StartOnTarget &command);
+    void carryOut(const AskTarget &command);
+    void endStart(const AttemptId &attempt, const HttpCallResult &result);
+    void endQuestion(const AskTarget &question, const HttpCallResult &result);
+    void report(const TaskReport &report);
+    void answer(const CallerAnswer &answer);
+    void answer(const StatusAnswer &answer);
+
+    bool isReady() const;
+    std::optional<NodeName> betterOwner(const AnnouncementRequest &request) const;
+    std::string statusJson() const;
+    void updateMetrics();
+
+    ProcessContext context;
+    EventLoop loop;
+    Dispatcher dispatcher;
+    RulesFollower rules;
+    Relay relay;
+    HttpServer http;
+    HttpClient client;
+    Metrics metrics;
+    SpanLog spans;
+    std::map<std::uint64_t, WaitingCaller> callers;
+    std::map<AttemptId, OpenStart> openStarts;
+    TimePoint startedAt;
+    TimePoint fetchAt;
+    TimePoint stopAt;
+    std::uint64_t issuedIds = 0;
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Process/JournalProcess.cpp
@@ -0,0 +1,131 @@
+#include "Hibiscus/src/Process/JournalProcess.h"
+
+#include "Hibiscus/src/Process/ReplicaStatus.h"
+
+namespace Hibiscus {
+
+namespace internal {
+
+constexpr Duration journalTick = 10ms;
+constexpr Duration joinInterval = 500ms;
+/** \brief After stepping down, time for the others to elect a leader while this one still votes. */
+constexpr Duration handOverTime = 1s;
+
+static JournalOptions journalOptions(const ProcessContext &context)
+{
+    JournalOptions options;
+    options.replicated.replica.heartbeatInterval = context.deployment.timing.heartbeat;
+    options.replicated.replica.electionTimeout = context.deployment.timing.electionTimeout;
+    return options;
+}
+
+} // namespace internal
+
+JournalProcess::JournalProcess(const ProcessContext &context, ReplicaDisk openedDisk)
+    : context(context), disk(std::move(openedDisk)),
+      node(internal::journalOptions(context), this->disk.state(), context.incarnation,
+           this->loop.now()),
+      relay(
+          this->loop, context.relayOptions(),
+          [this](const WireMessage &message) { this->onMessage(message); },
+          [](const NodeName &) {}),
+      http(this->loop, { .address = context.httpAddress() },
+           [this](const HttpRequest &request) { this->onHttp(request); }),
+      metrics(context.self.name.str())
+{ }
+
+int JournalProcess::run()
+{
+    if (!this->relay.listen() || !this->http.listen()) {
+        logProblem("cannot-listen",
+                   { { "rpc", this->context.self.rpc }, { "http", this->context.self.http } });
+        return 1;
+    }
+    logChange("started", { { "serves", this->context.self.serves.str() } });
+    this->loop.run(
+        internal::journalTick, [this] { this->onTick(); }, [this] { this->carryOut(); });
+    logChange("stopped");
+    this->relay.shutDown();
+    return 0;
+}
+
+void JournalProcess::onHttp(const HttpRequest &request)
+{
+    if (request.path == "/metrics") {
+        this->updateMetrics();
+        this->http.respond(
+            request.token,
+            { .contentType = "text/plain; version=0.0.4", .body = this->metrics.text() });
+        return;
+    }
+    this->http.respond(request.token,
+                       answerReplicaQuery(request.path, this->node.replica(), this->statusJson()));
+}
+
+void JournalProcess::onMessage(const WireMessage &message)
+{
+    const TimePoint now = this->loop.now();
+    if (const auto *envelope = std::get_if<ReplicaEnvelope>(&message))
+        this->node.receive(*envelope, now, this->out);
+    if (const auto *request = std::get_if<JournalRequest>(&message))
+        this->node.ask(*request, now, this->out);
+}
+
+void JournalProcess::onTick()
+{
+    const TimePoint now = this->loop.now();
+    this->node.tick(now, this->out);
+    if (!this->node.replica().isMember() && now >= this->joinAt) {
+        this->joinAt = now + internal::joinInterval;
+        this->node.requestJoin(groupOf(this->context), this->out);
+    }
+    if (stopRequests() > 0 && this->stopAt == TimePoint()) {
+        logChange("stopping");
+        this->node.stepDown(now);
+        this->stopAt = now + internal::handOverTime;
+    }
+    if (stopRequests() > 1 || (stopRequests() > 0 && now >= this->stopAt))
+        this->loop.stop();
+    this->logRole();
+}
+
+void JournalProcess::carryOut()
+{
+    this->disk.carryOut(this->out.replica, this->relay);
+    for (const JournalAnswer &answer : std::exchange(this->out.answers, {})) {
+        ++this->answered;
+        if (!answer.request.node.isEmpty())
+            this->relay.send(answer.request.node, answer);
+    }
+}
+
+void JournalProcess::logRole()
+{
+    const ReplicaRole role = this->node.replica().role();
+    const bool matters = role != this->loggedRole
+        && (role == ReplicaRole::Leader || this->loggedRole == ReplicaRole::Leader);
+    this->loggedRole = role;
+    if (matters)
+        logChange(role == ReplicaRole::Leader ? "became-leader" : "lost-leadership",
+                  { { "term", std::to_string(this->node.replica().term()) } });
+}
+
+std::string JournalProcess::statusJson() const
+{
+    return describeReplica(this->node.replica(),
+                           { { "role", "journal" },
+                             { "serves", this->context.self.serves.str() },
+                             { "jobs", std::to_string(this->node.state().size()) } });
+}
+
+void JournalProcess::updateMetrics()
+{
+    updateReplicaMetrics(this->metrics, this->node.replica(), this->disk.syncs());
+    updateRelayMetrics(this->metrics, this->relay.counters());
+    this->metrics.setGauge("hibiscus_journal_jobs", "Jobs on record.",
+                           static_cast<double>(this->node.state().size()));
+    this->metrics.setCounter("hibiscus_journal_answers_total", "Questions answered.",
+                             static_cast<double>(this->answered));
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Process/ProcessContext.cpp
@@ -0,0 +1,130 @@
+#include "Hibiscus/src/Process/ProcessContext.h"
+
+#include "Hibiscus/src/Process/ReplicaDisk.h"
+
+#include <Hibiscus/Telemetry>
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <gflags/gflags.h>
+
+DEFINE_string(settings, "", "the settings file of the deployment (JSON)");
+DEFINE_string(node, "", "the name of this node in the settings file");
+DEFINE_string(data, "", "the data folder of this process");
+DEFINE_string(spans, "", "a file for the spans of traces (JSON lines); none when empty");
+DEFINE_bool(check_settings, false, "check the settings file and exit");
+DEFINE_bool(format, false, "create the empty log in the data folder, once a member, and exit");
+DEFINE_bool(first_deployment, false,
+            "with --format: no log of this group ever existed, so no earlier job ids do");
+
+namespace Hibiscus {
+
+namespace internal {
+
+static std::atomic<int> stopSignals = 0;
+
+static void onStopSignal(int)
+{
+    ++stopSignals;
+}
+
+static void installSignals()
+{
+    struct sigaction action = {};
+    action.sa_handler = onStopSignal;
+    ::sigaction(SIGTERM, &action, nullptr);
+    ::sigaction(SIGINT, &action, nullptr);
+    action.sa_handler = SIG_IGN;
+    ::sigaction(SIGPIPE, &action, nullptr);
+}
+
+static StartDecision failed(const std::string &reason)
+{
+    std::fprintf(stderr, "%s\n", reason.c_str());
+    constexpr int usageError = 2;
+    return { .exitCode = usageError };
+}
+
+static StartDecision formatLog(const ProcessContext &context)
+{
+    const TimePoint now = std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+    const TimePoint birth = FLAGS_first_deployment ? TimePoint() : now;
+    const auto formatted = DiskLog::format(context.dataFolder, foundingState(context, birth));
+    if (!formatted)
+        return failed("cannot format " + context.dataFolder.string() + ": it holds a log already, "
+                      + "or cannot be written");
+    return {};
+}
+
+} // namespace internal
+
+Address ProcessContext::httpAddress() const
+{
+    return *Address::parse(this->self.http);
+}
+
+Address ProcessContext::rpcAddress() const
+{
+    return *Address::parse(this->self.rpc);
+}
+
+Relay::Options ProcessContext::relayOptions() const
+{
+    Relay::Options options;
+    options.self = this->self.name;
+    options.address = this->rpcAddress();
+    for (const NodeSettings &node : this->deployment.nodes)
+        if (node.name != this->self.name)
+            options.nodes[node.name] = *Address::parse(node.rpc);
+    return options;
+}
+
+StartDecision startProcess(int *argc, char ***argv, NodeRole role)
+{
+    gflags::SetUsageMessage("--settings=FILE --node=NAME [--data=FOLDER]");
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(argc, argv, true);
+    const auto deployment = readDeployment(FLAGS_settings);
+    if (!deployment) {
+        std::string reasons;
+        for (const SettingsError &error : deployment.error())
+            reasons += FLAGS_settings + ": " + error.path + ": " + error.reason + "\n";
+        return internal::failed(reasons);
+    }
+    for (const NodeSettings &node : deployment->nodes)
+        if (!Address::parse(node.rpc) || !Address::parse(node.http))
+            return internal::failed(node.name.str() + ": an address is not IP:port");
+    if (FLAGS_check_settings) {
+        std::printf("%s: %zu nodes, valid\n", FLAGS_settings.c_str(), deployment->nodes.size());
+        return {};
+    }
+    const NodeSettings *self = deployment->find(NodeName(FLAGS_node));
+    if (self == nullptr || self->role != role)
+        return internal::failed("--node must name a node of this program's role");
+    const bool needsData = role != NodeRole::Entry;
+    if (needsData && FLAGS_data.empty())
+        return internal::failed("--data is required");
+    const auto start = std::chrono::system_clock::now().time_since_epoch();
+    StartDecision decision;
+    decision.context = { .deployment = *deployment,
+                         .self = *self,
+                         .dataFolder = FLAGS_data,
+                         .spanFile = FLAGS_spans,
+                         .incarnation = static_cast<std::uint64_t>(
+                             std::chrono::duration_cast<Duration>(start).count()) };
+    if (FLAGS_format)
+        return needsData ? internal::formatLog(decision.context)
+                         : internal::failed("an entry node has no log to format");
+    internal::installSignals();
+    initializeLog(self->name.str());
+    decision.shouldRun = true;
+    return decision;
+}
+
+int stopRequests()
+{
+    return internal::stopSignals;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Process/ReplicaDisk.cpp
@@ -0,0 +1,80 @@
+#include "Hibiscus/src/Process/ReplicaDisk.h"
+
+#include <Hibiscus/Telemetry>
+
+#include <random>
+
+namespace Hibiscus {
+
+namespace internal {
+
+/** \brief The incarnation of every member that was there when its group began. */
+constexpr std::uint64_t foundingIncarnation = 1;
+
+static std::vector<NodeSettings> groupNodes(const ProcessContext &context)
+{
+    if (context.self.role == NodeRole::Control)
+        return context.deployment.withRole(NodeRole::Control);
+    return context.deployment.journalOf(context.self.serves);
+}
+
+} // namespace internal
+
+std::vector<NodeName> groupOf(const ProcessContext &context)
+{
+    std::vector<NodeName> names;
+    for (const NodeSettings &node : internal::groupNodes(context))
+        names.push_back(node.name);
+    return names;
+}
+
+// The first state stands in a snapshot at index 1, so that a member which joins later receives it
+// like any other snapshot.
+DurableState foundingState(const ProcessContext &context, TimePoint birth)
+{
+    DurableState state;
+    state.self = { .node = context.self.name, .incarnation = internal::foundingIncarnation };
+    state.hard.term = 1;
+    state.snapshot.index = 1;
+    state.snapshot.term = 1;
+    for (const NodeName &node : groupOf(context)) {
+        const MemberId id = { .node = node, .incarnation = internal::foundingIncarnation };
+        state.snapshot.membership = state.snapshot.membership.with({ .id = id });
+    }
+    const bool isControl = context.self.role == NodeRole::Control;
+    state.snapshot.state = isControl ? RulesState().save() : JournalState(birth).save();
+    return state;
+}
+
+Result<ReplicaDisk> ReplicaDisk::open(const ProcessContext &context)
+{
+    if (!DiskLog::exists(context.dataFolder)) {
+        DurableState empty;
+        empty.self = { .node = context.self.name, .incarnation = std::random_device {}() + 2ULL };
+        logChange("joining-as-new-member",
+                  { { "incarnation", std::to_string(empty.self.incarnation) } });
+        if (const auto formatted = DiskLog::format(context.dataFolder, empty); !formatted)
+            return tl::unexpected<std::error_code>(formatted.error());
+    }
+    Result<DiskLog> log = DiskLog::open(context.dataFolder);
+    if (!log)
+        return tl::unexpected<std::error_code>(log.error());
+    return ReplicaDisk(std::move(*log));
+}
+
+void ReplicaDisk::carryOut(ReplicaOutbox &out, Relay &relay)
+{
+    for (const ReplicaEnvelope &envelope : out.beforeSync)
+        relay.send(envelope.to, envelope);
+    const bool written = this->log.write(out.writes).has_value();
+    if (this->log.isDirty())
+        ++this->syncCount;
+    const bool synced = written && this->log.sync().has_value();
+    // A replica that cannot keep its promises must not go on making them.
+    HIBISCUS_INVARIANT(synced, "what a replica promises is on its disk");
+    for (const ReplicaEnvelope &envelope : out.afterSync)
+        relay.send(envelope.to, envelope);
+    out = ReplicaOutbox();
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -0,0 +1,566 @@
+#include "Hibiscus/src/Replication/Replica.h"
+
+#include <algorithm>
+
+namespace Hibiscus {
+
+Replica::Replica(const ReplicaOptions &options, DurableState durable, std::uint64_t seed,
+                 TimePoint now)
+    : options(options), durable(std::move(durable)), random(seed)
+{
+    this->committedIndex = this->durable.snapshot.index;
+    this->adoptMembershipFromLog();
+    this->resetElectionTimer(now);
+}
+
+void Replica::receive(const ReplicaEnvelope &envelope, TimePoint now, ReplicaOutbox &out)
+{
+    // A message for an earlier life of this node must not reach the present one: it may rest on
+    // votes or entries that were lost with the disk.
+    const bool forThisLife = envelope.toIncarnation == this->self().incarnation
+        || std::holds_alternative<JoinRequest>(envelope.message);
+    if (envelope.to != this->self().node || !forThisLife)
+        return;
+    std::visit([&](const auto &message) { this->handle(message, envelope.from, now, out); },
+               envelope.message);
+}
+
+void Replica::tick(TimePoint now, ReplicaOutbox &out)
+{
+    if (this->isLeader()) {
+        if (!this->hearsQuorum(now)) {
+            this->becomeFollower(now);
+            return;
+        }
+        this->changeMembers(now, out);
+        if (now >= this->heartbeatAt)
+            this->sendAppends(now, out);
+        return;
+    }
+    if (now < this->electionAt)
+        return;
+    this->resetElectionTimer(now);
+    if (this->activeMembership.isVoter(this->self()))
+        this->startElection(VoteKind::PreVote, now, out);
+}
+
+void Replica::propose(std::vector<Bytes> commands, TimePoint now, ReplicaOutbox &out)
+{
+    HIBISCUS_INVARIANT(this->isLeader(), "only a leader appends commands");
+    for (Bytes &command : commands)
+        this->append(Command { .bytes = std::move(command) }, out);
+    this->sendAppends(now, out);
+    this->advanceCommit(out);
+}
+
+void Replica::requestRead(std::uint64_t token, TimePoint now, ReplicaOutbox &out)
+{
+    HIBISCUS_INVARIANT(this->isLeader(), "only a leader serves reads");
+    this->sendAppends(now, out);
+    this->pendingReads.push_back({ .token = token, .round = this->round });
+    this->confirmReads(out);
+}
+
+void Replica::compact(std::uint64_t index, Bytes state, ReplicaOutbox &out)
+{
+    HIBISCUS_INVARIANT(index <= this->committedIndex, "only committed entries are compacted");
+    if (index <= this->durable.snapshot.index)
+        return;
+    Snapshot snapshot;
+    snapshot.index = index;
+    snapshot.term = *this->termAt(index);
+    snapshot.membership = this->durable.snapshot.membership;
+    for (const LogEntry &entry : this->durable.entries) {
+        const auto *membership = std::get_if<Membership>(&entry.body);
+        if (entry.index <= index && membership != nullptr)
+            snapshot.membership = *membership;
+    }
+    snapshot.state = std::move(state);
+    out.writes.emplace_back(SaveSnapshot { .snapshot = std::move(snapshot) });
+    applyWrite(out.writes.back(), this->durable);
+}
+
+void Replica::requestJoin(const std::vector<NodeName> &nodes, ReplicaOutbox &out) const
+{
+    if (this->isMember())
+        return;
+    for (const NodeName &node : nodes)
+        if (node != this->self().node)
+            this->send({ .node = node, .incarnation = 0 }, JoinRequest {}, out.beforeSync);
+}
+
+void Replica::stepDown(TimePoint now)
+{
+    if (this->isLeader())
+        this->becomeFollower(now);
+    this->electionAt = now + 4 * this->options.electionTimeout;
+}
+
+bool Replica::isLeaderReady() const
+{
+    return this->isLeader() && this->committedIndex >= this->termStartIndex;
+}
+
+std::uint64_t Replica::lastIndex() const
+{
+    return this->durable.entries.empty() ? this->durable.snapshot.index
+                                         : this->durable.entries.back().index;
+}
+
+void Replica::handle(const VoteRequest &request, const MemberId &from, TimePoint now,
+                     ReplicaOutbox &out)
+{
+    // A member that hears from a leader does not help to unseat it, so a member that was cut off
+    // or removed cannot disturb the group.
+    const bool leaderIsAlive = this->isLeader()
+        || (this->knownLeader && now < this->heardLeaderAt + this->options.electionTimeout);
+    const bool logSuffices = this->isUpToDate(request.lastIndex, request.lastTerm);
+    if (request.kind == VoteKind::PreVote) {
+        const bool granted = !leaderIsAlive && logSuffices && request.term > this->term();
+        this->reply(from,
+                    VoteReply { .kind = VoteKind::PreVote,
+                                .term = this->term(),
+                                .requestTerm = request.term,
+                                .granted = granted },
+                    out);
+        return;
+    }
+    if (leaderIsAlive && request.term > this->term())
+        return;
+    this->adoptTerm(request.term, now, out);
+    const bool voteIsFree = !this->durable.hard.votedFor || *this->durable.hard.votedFor == from;
+    const bool granted = request.term == this->term() && logSuffices && voteIsFree
+        && this->replicaRole != ReplicaRole::Leader;
+    if (granted && !this->durable.hard.votedFor) {
+        this->durable.hard.votedFor = from;
+        out.writes.emplace_back(SaveHardState { .hard = this->durable.hard });
+    }
+    if (granted)
+        this->resetElectionTimer(now);
+    this->reply(from,
+                VoteReply { .kind = VoteKind::Vote,
+                            .term = this->term(),
+                            .requestTerm = request.term,
+                            .granted = granted },
+                out);
+}
+
+void Replica::handle(const VoteReply &reply, const MemberId &from, TimePoint now,
+                     ReplicaOutbox &out)
+{
+    this->adoptTerm(reply.term, now, out);
+    const std::uint64_t expected
+        = this->electionKind == VoteKind::PreVote ? this->term() + 1 : this->term();
+    const bool current = this->replicaRole == ReplicaRole::Candidate
+        && reply.kind == this->electionKind && reply.requestTerm == expected;
+    if (!current || !reply.granted)
+        return;
+    this->votes.insert(from);
+    this->countVotes(now, out);
+}
+
+void Replica::handle(const AppendRequest &request, const MemberId &from, TimePoint now,
+                     ReplicaOutbox &out)
+{
+    AppendReply answer;
+    answer.round = request.round;
+    if (request.term < this->term()) {
+        answer.term = this->term();
+        this->reply(from, answer, out);
+        return;
+    }
+    this->adoptTerm(request.term, now, out);
+    this->followLeader(from, now);
+    answer.term = this->term();
+    const bool known = request.previousIndex <= this->durable.snapshot.index
+        || this->termAt(request.previousIndex) == request.previousTerm;
+    if (!known) {
+        const bool isShort = this->lastIndex() < request.previousIndex;
+        answer.lastIndex = isShort ? this->lastIndex() : this->committedIndex;
+        this->reply(from, answer, out);
+        return;
+    }
+    SaveEntries added;
+    for (const LogEntry &entry : request.entries) {
+        const bool held = entry.index <= this->durable.snapshot.index
+            || this->termAt(entry.index) == entry.term;
+        if (!added.entries.empty() || !held)
+            added.entries.push_back(entry);
+    }
+    if (!added.entries.empty()) {
+        HIBISCUS_INVARIANT(added.entries.front().index > this->committedIndex,
+                           "a committed entry is never replaced");
+        const bool truncates = added.entries.front().index <= this->lastIndex();
+        const bool changesMembers = std::ranges::any_of(added.entries, [](const LogEntry &e) {
+            return std::holds_alternative<Membership>(e.body);
+        });
+        out.writes.emplace_back(std::move(added));
+        applyWrite(out.writes.back(), this->durable);
+        if (truncates || changesMembers)
+            this->adoptMembershipFromLog();
+    }
+    answer.matched = true;
+    answer.lastIndex = request.previousIndex + request.entries.size();
+    this->commitUpTo(std::min(request.commitIndex, answer.lastIndex), out);
+    this->reply(from, answer, out);
+}
+
+void Replica::handle(const SnapshotRequest &request, const MemberId &from, TimePoint now,
+                     ReplicaOutbox &out)
+{
+    if (request.term < this->term())
+        return;
+    this->adoptTerm(request.term, now, out);
+    this->followLeader(from, now);
+    if (request.snapshot.index > this->committedIndex) {
+        out.writes.emplace_back(SaveSnapshot { .snapshot = request.snapshot });
+        applyWrite(out.writes.back(), this->durable);
+        this->committedIndex = request.snapshot.index;
+        this->adoptMembershipFromLog();
+        out.committed.clear();
+        out.restored = request.snapshot;
+    }
+    this->reply(from,
+                AppendReply { .term = this->term(),
+                              .round = request.round,
+                              .matched = true,
+                              .lastIndex = request.snapshot.index },
+                out);
+}
+
+void Replica::handle(const AppendReply &reply, const MemberId &from, TimePoint now,
+                     ReplicaOutbox &out)
+{
+    this->adoptTerm(reply.term, now, out);
+    const auto found = this->progress.find(from);
+    if (!this->isLeader() || reply.term != this->term() || found == this->progress.end())
+        return;
+    Progress &member = found->second;
+    member.heardAt = now;
+    member.acknowledgedRound = std::max(member.acknowledgedRound, reply.round);
+    if (reply.matched) {
+        member.matchIndex = std::max(member.matchIndex, reply.lastIndex);
+        member.nextIndex = std::max(member.nextIndex, member.matchIndex + 1);
+        member.probing = false;
+        this->advanceCommit(out);
+        if (member.nextIndex <= this->lastIndex())
+            this->sendAppend(from, now, out);
+    } else if (reply.lastIndex + 1 < member.nextIndex) {
+        member.nextIndex = std::max(member.matchIndex + 1, reply.lastIndex + 1);
+        member.probing = true;
+        this->sendAppend(from, now, out);
+    }
+    this->confirmReads(out);
+}
+
+void Replica::handle(const JoinRequest &, const MemberId &from, TimePoint now, ReplicaOutbox &)
+{
+    if (this->isLeader() && !this->activeMembership.contains(from))
+        this->joining[from] = now;
+}
+
+void Replica::adoptTerm(std::uint64_t term, TimePoint now, ReplicaOutbox &out)
+{
+    if (term <= this->term())
+        return;
+    this->durable.hard = { .term = term, .votedFor = std::nullopt };
+    out.writes.emplace_back(SaveHardState { .hard = this->durable.hard });
+    this->becomeFollower(now);
+}
+
+void Replica::followLeader(const MemberId &leader, TimePoint now)
+{
+    HIBISCUS_INVARIANT(!this->isLeader(), "a term has one leader");
+    this->replicaRole = ReplicaRole::Follower;
+    this->knownLeader = leader;
+    this->heardLeaderAt = now;
+    this->resetElectionTimer(now);
+}
+
+void Replica::becomeFollower(TimePoint now)
+{
+    this->replicaRole = ReplicaRole::Follower;
+    this->knownLeader.reset();
+    this->votes.clear();
+    this->pendingReads.clear();
+    this->joining.clear();
+    this->resetElectionTimer(now);
+}
+
+void Replica::startElection(VoteKind kind, TimePoint now, ReplicaOutbox &out)
+{
+    this->replicaRole = ReplicaRole::Candidate;
+    this->knownLeader.reset();
+    this->electionKind = kind;
+    this->votes = { this->self() };
+    std::uint64_t requestTerm = this->term() + 1;
+    if (kind == VoteKind::Vote) {
+        this->durable.hard = { .term = requestTerm, .votedFor = this->self() };
+        out.writes.emplace_back(SaveHardState { .hard = this->durable.hard });
+    }
+    const VoteRequest request = { .kind = kind,
+                                  .term = requestTerm,
+                                  .lastIndex = this->lastIndex(),
+                                  .lastTerm = this->lastTerm() };
+    for (const Member &member : this->activeMembership.members)
+        if (member.role == MemberRole::Voter && member.id != this->self())
+            this->reply(member.id, request, out);
+    this->countVotes(now, out);
+}
+
+void Replica::countVotes(TimePoint now, ReplicaOutbox &out)
+{
+    const auto counted = std::ranges::count_if(
+        this->votes, [&](const MemberId &id) { return this->activeMembership.isVoter(id); });
+    if (static_cast<std::size_t>(counted) < this->activeMembership.quorum())
+        return;
+    if (this->electionKind == VoteKind::PreVote)
+        this->startElection(VoteKind::Vote, now, out);
+    else
+        this->becomeLeader(now, out);
+}
+
+void Replica::becomeLeader(TimePoint now, ReplicaOutbox &out)
+{
+    this->replicaRole = ReplicaRole::Leader;
+    this->knownLeader = this->self();
+    this->progress.clear();
+    this->trackMembers(now);
+    this->append(Noop {}, out);
+    this->termStartIndex = this->lastIndex();
+    this->sendAppends(now, out);
+    this->advanceCommit(out);
+}
+
+void Replica::resetElectionTimer(TimePoint now)
+{
+    const auto shortest = this->options.electionTimeout.count();
+    std::uniform_int_distribution<Duration::rep> delay(shortest, 2 * shortest);
+    this->electionAt = now + Duration(delay(this->random));
+}
+
+void Replica::append(EntryBody body, ReplicaOutbox &out)
+{
+    LogEntry entry
+        = { .index = this->lastIndex() + 1, .term = this->term(), .body = std::move(body) };
+    out.writes.emplace_back(SaveEntries { .entries = { std::move(entry) } });
+    applyWrite(out.writes.back(), this->durable);
+}
+
+void Replica::sendAppends(TimePoint now, ReplicaOutbox &out)
+{
+    ++this->round;
+    this->heartbeatAt = now + this->options.heartbeatInterval;
+    for (const Member &member : this->activeMembership.members)
+        if (member.id != this->self())
+            this->sendAppend(member.id, now, out);
+}
+
+void Replica::sendAppend(const MemberId &to, TimePoint now, ReplicaOutbox &out)
+{
+    Progress &member = this->progress.at(to);
+    member.sentAt = now;
+    if (member.nextIndex <= this->durable.snapshot.index) {
+        this->send(to,
+                   SnapshotRequest { .term = this->term(),
+                                     .round = this->round,
+                                     .snapshot = this->durable.snapshot },
+                   out.beforeSync);
+        member.nextIndex = this->durable.snapshot.index + 1;
+        member.probing = true;
+        return;
+    }
+    AppendRequest request;
+    request.term = this->term();
+    request.previousIndex = member.nextIndex - 1;
+    request.previousTerm = *this->termAt(request.previousIndex);
+    request.commitIndex = this->committedIndex;
+    request.round = this->round;
+    const std::uint64_t wanted = this->lastIndex() + 1 - member.nextIndex;
+    const std::uint64_t count = std::min<std::uint64_t>(wanted, this->options.entriesPerAppend);
+    for (std::uint64_t offset = 0; offset < count; ++offset)
+        request.entries.push_back(this->entryAt(member.nextIndex + offset));
+    // While the logs are known to match, the next append need not wait for this one's reply.
+    if (!member.probing)
+        member.nextIndex += count;
+    this->send(to, std::move(request), out.beforeSync);
+}
+
+void Replica::advanceCommit(ReplicaOutbox &out)
+{
+    const std::uint64_t index = this->quorumIndex();
+    // An entry of an earlier term is only committed by one of this term behind it.
+    if (index > this->committedIndex && this->termAt(index) == this->term())
+        this->commitUpTo(index, out);
+    this->confirmReads(out);
+}
+
+void Replica::commitUpTo(std::uint64_t index, ReplicaOutbox &out)
+{
+    while (this->committedIndex < index) {
+        ++this->committedIndex;
+        out.committed.push_back(this->entryAt(this->committedIndex));
+    }
+}
+
+void Replica::confirmReads(ReplicaOutbox &out)
+{
+    if (!this->isLeaderReady())
+        return;
+    std::erase_if(this->pendingReads, [&](const PendingRead &read) {
+        std::size_t acknowledged = 0;
+        for (const Member &member : this->activeMembership.members) {
+            const bool agrees = member.id == this->self()
+                || this->progress.at(member.id).acknowledgedRound >= read.round;
+            if (member.role == MemberRole::Voter && agrees)
+                ++acknowledged;
+        }
+        const bool confirmed = acknowledged >= this->activeMembership.quorum();
+        if (confirmed)
+            out.confirmedReads.push_back(read.token);
+        return confirmed;
+    });
+}
+
+// A node with a lost disk is taken in as a learner, and only when that learner holds all that is
+// committed does it replace the voter it used to be. One change is under way at a time.
+void Replica::changeMembers(TimePoint now, ReplicaOutbox &out)
+{
+    if (!this->isLeaderReady() || !this->membershipIsCommitted())
+        return;
+    const auto change = [&](const Membership &membership) {
+        this->append(membership, out);
+        this->adoptMembershipFromLog();
+        this->trackMembers(now);
+        this->sendAppends(now, out);
+        this->advanceCommit(out);
+    };
+    for (const auto &[id, askedAt] : this->joining) {
+        Membership changed = this->activeMembership;
+        for (const Member &member : this->activeMembership.members)
+            if (member.id.node == id.node && member.role == MemberRole::Learner)
+                changed = changed.without(member.id);
+        const bool replacesLearner = changed != this->activeMembership;
+        const bool wanted = now < askedAt + 4 * this->options.electionTimeout;
+        if (!wanted || this->activeMembership.contains(id))
+            continue;
+        change(replacesLearner ? changed : changed.with({ .id = id, .role = MemberRole::Learner }));
+        return;
+    }
+    for (const Member &learner : this->activeMembership.members) {
+        if (learner.role != MemberRole::Learner)
+            continue;
+        const Progress &seen = this->progress.at(learner.id);
+        const bool isAlive = now < seen.heardAt + this->options.electionTimeout;
+        if (!isAlive || seen.matchIndex < this->committedIndex)
+            continue;
+        for (const Member &former : this->activeMembership.members) {
+            const bool sameNode = former.id.node == learner.id.node && former.id != learner.id;
+            if (sameNode && former.role == MemberRole::Voter) {
+                change(this->activeMembership.without(former.id));
+                return;
+            }
+        }
+        change(this->activeMembership.with({ .id = learner.id, .role = MemberRole::Voter }));
+        return;
+    }
+}
+
+void Replica::adoptMembershipFromLog()
+{
+    this->activeMembership = this->durable.snapshot.membership;
+    this->membershipIndex = this->durable.snapshot.index;
+    for (const LogEntry &entry : this->durable.entries) {
+        if (const auto *membership = std::get_if<Membership>(&entry.body)) {
+            this->activeMembership = *membership;
+            this->membershipIndex = entry.index;
+        }
+    }
+}
+
+void Replica::trackMembers(TimePoint now)
+{
+    for (const Member &member : this->activeMembership.members) {
+        Progress fresh;
+        fresh.nextIndex = this->lastIndex() + 1;
+        fresh.heardAt = now;
+        if (member.id != this->self())
+            this->progress.try_emplace(member.id, fresh);
+    }
+    std::erase_if(this->progress,
+                  [&](const auto &item) { return !this->activeMembership.contains(item.first); });
+}
+
+void Replica::send(const MemberId &to, ReplicaMessage message,
+                   std::vector<ReplicaEnvelope> &messages) const
+{
+    messages.push_back({ .from = this->self(),
+                         .to = to.node,
+                         .toIncarnation = to.incarnation,
+                         .message = std::move(message) });
+}
+
+void Replica::reply(const MemberId &to, ReplicaMessage message, ReplicaOutbox &out) const
+{
+    this->send(to, std::move(message), out.afterSync);
+}
+
+std::optional<std::uint64_t> Replica::termAt(std::uint64_t index) const
+{
+    if (index == this->durable.snapshot.index)
+        return this->durable.snapshot.term;
+    if (index < this->durable.snapshot.index || index > this->lastIndex())
+        return std::nullopt;
+    return this->entryAt(index).term;
+}
+
+std::uint64_t Replica::lastTerm() const
+{
+    return *this->termAt(this->lastIndex());
+}
+
+bool Replica::isUpToDate(std::uint64_t lastIndex, std::uint64_t lastTerm) const
+{
+    if (lastTerm != this->lastTerm())
+        return lastTerm > this->lastTerm();
+    return lastIndex >= this->lastIndex();
+}
+
+bool Replica::hearsQuorum(TimePoint now) const
+{
+    std::size_t heard = 0;
+    for (const Member &member : this->activeMembership.members) {
+        if (member.role != MemberRole::Voter)
+            continue;
+        const bool isSelf = member.id == this->self();
+        const Duration patience = 2 * this->options.electionTimeout;
+        if (isSelf || now < this->progress.at(member.id).heardAt + patience)
+            ++heard;
+    }
+    return heard >= this->activeMembership.quorum();
+}
+
+bool Replica::membershipIsCommitted() const
+{
+    return this->membershipIndex <= this->committedIndex;
+}
+
+std::uint64_t Replica::quorumIndex() const
+{
+    std::vector<std::uint64_t> indices;
+    for (const Member &member : this->activeMembership.members) {
+        if (member.role != MemberRole::Voter)
+            continue;
+        const bool isSelf = member.id == this->self();
+        indices.push_back(isSelf ? this->lastIndex() : this->progress.at(member.id).matchIndex);
+    }
+    std::ranges::sort(indices, std::greater<> {});
+    return indices.at(this->activeMembership.quorum() - 1);
+}
+
+const LogEntry &Replica::entryAt(std::uint64_t index) const
+{
+    return this->durable.entries.at(index - this->durable.snapshot.index - 1);
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -0,0 +1,203 @@
+#include "Hibiscus/src/Rules/ControlNode.h"
+
+namespace Hibiscus {
+
+namespace internal {
+
+constexpr std::size_t mostRecentFiles = 32;
+
+} // namespace internal
+
+ControlNode::ControlNode(const ControlOptions &options, const DurableState &durable,
+                         std::uint64_t seed, TimePoint now)
+    : options(options), replicated(options.replicated, durable, seed, now)
+{ }
+
+void ControlNode::receive(const ReplicaEnvelope &envelope, TimePoint now, Outbox &out)
+{
+    this->replicated.receive(envelope, now, out.log);
+    this->settle(now, out);
+}
+
+void ControlNode::receive(const RulesAcknowledged &acknowledged, TimePoint now, Outbox &out)
+{
+    if (!this->replica().isLeader())
+        return;
+    EntryView &view = this->views[acknowledged.node];
+    const bool differs = view.acknowledged != acknowledged;
+    view.acknowledged = acknowledged;
+    // An answer with another version than the one sent: the base was missing, so send at once.
+    if (differs && view.sentVersion != acknowledged.version)
+        view.sentVersion.reset();
+    this->settle(now, out);
+}
+
+void ControlNode::receive(const FetchRules &fetch, TimePoint now, Outbox &out)
+{
+    if (!this->replica().isLeader())
+        return;
+    const std::uint64_t token = this->nextToken++;
+    this->pendingFetches[token] = fetch.node;
+    this->replicated.read(token, now, out.log);
+    this->settle(now, out);
+}
+
+void ControlNode::apply(const RequestId &request, ApplyRules command, TimePoint now, Outbox &out)
+{
+    command.at = now;
+    this->replicated.submit(request, command, now, out.log);
+    this->settle(now, out);
+}
+
+void ControlNode::read(const RequestId &request, TimePoint now, Outbox &out)
+{
+    if (!this->replica().isLeader()) {
+        out.read.push_back(
+            { .request = request, .leader = this->replicated.redirect(request).leader });
+        return;
+    }
+    const std::uint64_t token = this->nextToken++;
+    this->pendingReads[token] = request;
+    this->replicated.read(token, now, out.log);
+    this->settle(now, out);
+}
+
+void ControlNode::tick(TimePoint now, Outbox &out)
+{
+    this->replicated.tick(now, out.log);
+    this->settle(now, out);
+}
+
+void ControlNode::requestJoin(const std::vector<NodeName> &nodes, Outbox &out) const
+{
+    this->replicated.requestJoin(nodes, out.log);
+}
+
+void ControlNode::settle(TimePoint now, Outbox &out)
+{
+    for (const auto &answer : out.log.answers) {
+        ApplyReport report;
+        report.request = answer.request;
+        report.reply = answer.reply;
+        report.leader = answer.leader;
+        const bool accepted = answer.reply && answer.reply->verdict == ApplyVerdict::Accepted;
+        if (accepted)
+            this->pendingApplies.push_back(
+                { .report = report, .giveUpAt = now + this->options.confirmationWait });
+        else
+            out.applied.push_back(report);
+    }
+    out.log.answers.clear();
+    if (!this->replica().isLeader()) {
+        this->dropRequests(out);
+        return;
+    }
+    this->rememberText();
+    this->answerReads(out);
+    if (this->replica().isLeaderReady())
+        this->spread(now, out);
+    this->answerApplies(now, out);
+}
+
+// What was accepted stays accepted, but a former leader cannot say where it is in force.
+void ControlNode::dropRequests(Outbox &out)
+{
+    const std::optional<NodeName> leader = this->replicated.redirect({}).leader;
+    for (const auto &[token, request] : this->pendingReads)
+        out.read.push_back({ .request = request, .leader = leader });
+    for (const PendingApply &pending : this->pendingApplies)
+        out.applied.push_back({ .request = pending.report.request, .leader = leader });
+    this->pendingReads.clear();
+    this->pendingApplies.clear();
+    this->pendingFetches.clear();
+    this->views.clear();
+}
+
+void ControlNode::spread(TimePoint now, Outbox &out)
+{
+    const std::uint64_t version = this->state().version();
+    for (const ControlledEntry &entry : this->options.entries) {
+        EntryView &view = this->views[entry.node];
+        const bool isCurrent = view.acknowledged && view.acknowledged->version >= version;
+        const bool isResendDue = now >= view.sentAt + this->options.resendInterval;
+        const bool isNew = view.sentVersion != version;
+        if (isCurrent || (!isNew && !isResendDue))
+            continue;
+        out.updates.push_back({ .to = entry.node, .update = this->updateFor(view) });
+        view.sentVersion = version;
+        view.sentAt = now;
+    }
+}
+
+void ControlNode::answerReads(Outbox &out)
+{
+    for (const std::uint64_t token : out.log.replica.confirmedReads) {
+        if (const auto found = this->pendingReads.find(token); found != this->pendingReads.end()) {
+            const RulesFile file
+                = { .version = this->state().version(), .text = this->state().text() };
+            out.read.push_back({ .request = found->second, .file = file });
+            this->pendingReads.erase(found);
+        }
+        if (const auto found = this->pendingFetches.find(token);
+            found != this->pendingFetches.end()) {
+            out.updates.push_back({ .to = found->second, .update = this->wholeFile(true) });
+            this->pendingFetches.erase(found);
+        }
+    }
+    out.log.replica.confirmedReads.clear();
+}
+
+void ControlNode::answerApplies(TimePoint now, Outbox &out)
+{
+    std::erase_if(this->pendingApplies, [&](PendingApply &pending) {
+        ApplyReport &report = pending.report;
+        report.confirmed.clear();
+        report.unconfirmed.clear();
+        for (const ControlledEntry &entry : this->options.entries) {
+            const bool inForce = this->isInForceAt(entry.node, report.reply->version);
+            (inForce ? report.confirmed : report.unconfirmed).push_back(entry);
+        }
+        const bool isDue = report.unconfirmed.empty() || now >= pending.giveUpAt;
+        if (isDue)
+            out.applied.push_back(report);
+        return isDue;
+    });
+}
+
+void ControlNode::rememberText()
+{
+    const std::uint64_t version = this->state().version();
+    if (this->recentFiles.contains(version))
+        return;
+    this->recentFiles[version] = { .version = version, .text = this->state().text() };
+    if (this->recentFiles.size() > internal::mostRecentFiles)
+        this->recentFiles.erase(this->recentFiles.begin());
+}
+
+RulesUpdate ControlNode::updateFor(const EntryView &view) const
+{
+    if (!view.acknowledged)
+        return this->wholeFile(false);
+    const auto base = this->recentFiles.find(view.acknowledged->version);
+    const bool hasBase = base != this->recentFiles.end()
+        && digestOf(base->second.text) == view.acknowledged->digest;
+    if (!hasBase)
+        return this->wholeFile(false);
+    const RulesDelta delta = RulesDelta::between(base->second.text, this->state().text());
+    return { .content = RulesChanged { .version = this->state().version(), .delta = delta } };
+}
+
+RulesUpdate ControlNode::wholeFile(bool isConfirmed) const
+{
+    const RulesFile file = { .version = this->state().version(), .text = this->state().text() };
+    return { .content = file, .isConfirmed = isConfirmed };
+}
+
+bool ControlNode::isInForceAt(const NodeName &node, std::uint64_t version) const
+{
+    const auto found = this->views.find(node);
+    return found != this->views.end() && found->second.acknowledged
+        && found->second.acknowledged->version >= version;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Rules/ControlNode.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "Hibiscus/src/Rules/RulesMessage.h"
+
+#include <Hibiscus/Replication>
+
+namespace Hibiscus {
+
+/** \brief An entry node that the control group serves. */
+struct ControlledEntry
+{
+    NodeName node;
+    DomainName domain;
+
+    auto operator<=>(const ControlledEntry &other) const = default;
+};
+
+/** \brief The timing of the control group. */
+struct ControlOptions
+{
+    Replicated<RulesState>::Options replicated;
+    std::vector<ControlledEntry> entries;
+    Duration resendInterval = 400ms;
+    Duration confirmationWait = 3s; ///< an apply is answered at the latest after this
+};
+
+/** \brief The answer to an apply, with where the version is in force. */
+struct ApplyReport
+{
+    RequestId request;
+    std::optional<ApplyReply> reply; ///< empty when this member is not the leader
+    std::optional<NodeName> leader;
+    std::vector<ControlledEntry> confirmed;
+    std::vector<ControlledEntry> unconfirmed;
+
+    auto operator<=>(const ApplyReport &other) const = default;
+};
+
+/** \brief The rules as a quorum confirms them, for a reader. */
+struct RulesReport
+{
+    RequestId request;
+    std::optional<RulesFile> file; ///< empty when this member is not the leader
+    std::optional<NodeName> leader;
+
+    auto operator<=>(const RulesReport &other) const = default;
+};
+
+/** \brief An update for one entry node. */
+struct AddressedUpdate
+{
+    NodeName to;
+    RulesUpdate update;
+
+    auto operator<=>(const AddressedUpdate &other) const = default;
+};
+
+/** \brief A member of the control group: the replicated rules file, and on its leader the spread
+ * of each version to every entry node.
+ */
+class ControlNode
+{
+public:
+    struct Outbox
+    {
+        Replicated<RulesState>::Outbox log;
+        std::vector<AddressedUpdate> updates; ///< leave after the sync
+        std::vector<ApplyReport> applied; ///< leave after the sync
+        std::vector<RulesReport> read; ///< leave after the sync
+    };
+
+    ControlNode(const ControlOptions &options, const DurableState &durable, std::uint64_t seed,
+                TimePoint now);
+
+    // Commands.
+    void receive(const ReplicaEnvelope &envelope, TimePoint now, Outbox &out);
+    void receive(const RulesAcknowledged &acknowledged, TimePoint now, Outbox &out);
+    void receive(const FetchRules &fetch, TimePoint now, Outbox &out);
+    void apply(const RequestId &request, ApplyRules command, TimePoint now, Outbox &out);
+    void read(const RequestId &request, TimePoint now, Outbox &out);
+    void tick(TimePoint now, Outbox &out);
+    void requestJoin(const std::vector<NodeName> &nodes, Outbox &out) const;
+    void stepDown(TimePoint now) { this->replicated.stepDown(now); }
+
+    // Queries.
+    const Replica &replica() const { return this->replicated.replica(); }
+    const RulesState &state() const { return this->replicated.machine(); }
+
+private:
+    /** \brief What the leader knows of an entry node; forgotten with the leadership. */
+    struct EntryView
+    {
+        std::optional<RulesAcknowledged> acknowledged;
+        std::optional<std::uint64_t> sentVersion;
+        TimePoint sentAt;
+    };
+
+    struct PendingApply
+    {
+        ApplyReport report;
+        TimePoint giveUpAt;
+    };
+
+    void settle(TimePoint now, Outbox &out);
+    void dropRequests(Outbox &out);
+    void spread(TimePoint now, Outbox &out);
+    void answerReads(Outbox &out);
+    void answerApplies(TimePoint now, Outbox &out);
+    void rememberText();
+    RulesUpdate updateFor(const EntryView &view) const;
+    RulesUpdate wholeFile(bool isConfirmed) const;
+    bool isInForceAt(const NodeName &node, std::uint64_t version) const;
+
+    ControlOptions options;
+    Replicated<RulesState> replicated;
+    std::map<NodeName, EntryView> views;
+    std::vector<PendingApply> pendingApplies;
+    std::map<std::uint64_t, RequestId> pendingReads;
+    std::map<std::uint64_t, NodeName> pendingFetches;
+    std::map<std::uint64_t, RulesFile> recentFiles; ///< bases for deltas
+    std::uint64_t nextToken = 1;
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Rules/RuleSet.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "Hibiscus/src/Rules/Rule.h"
+
+#include <string_view>
+
+namespace Hibiscus {
+
+/** \brief Where and why a rules file is wrong; lines and columns count from 1. */
+struct RuleError
+{
+    std::uint32_t line = 0;
+    std::uint32_t column = 0;
+    std::string reason;
+
+    auto operator<=>(const RuleError &other) const = default;
+    HIBISCUS_FIELDS(line, column, reason)
+};
+
+/** \brief The rules of one file, in its order. */
+class RuleSet
+{
+public:
+    RuleSet() = default;
+
+    /** \returns the rules in \a text, or the first error; then nothing of the text is taken. */
+    static tl::expected<RuleSet, RuleError> parse(std::string_view text);
+
+    const std::vector<RuleLine> &lines() const { return this->ruleLines; }
+
+    /** \returns the last rule of type \a RuleType for which \a matches, or nothing. */
+    template<typename RuleType, typename Matches>
+    std::optional<RuleType> find(Matches matches) const
+    {
+        std::optional<RuleType> found;
+        for (const RuleLine &line : this->ruleLines)
+            if (const auto *rule = std::get_if<RuleType>(&line.rule); rule && matches(*rule))
+                found = *rule;
+        return found;
+    }
+
+    /** \returns the limit of tasks that \a team runs at once, if there is one. */
+    std::optional<std::uint32_t> quotaOf(const TeamName &team) const;
+    /** \returns the priority level of \a team; 0 when no rule names it. */
+    std::uint32_t priorityOf(const TeamName &team) const;
+    bool isDrained(const TargetName &target) const;
+    bool isDrained(const NodeName &entry) const;
+    bool isRefused(const ServiceName &service) const;
+
+    auto operator<=>(const RuleSet &other) const = default;
+
+private:
+    std::vector<RuleLine> ruleLines;
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Rules/RulesState.cpp
@@ -0,0 +1,81 @@
+#include "Hibiscus/src/Rules/RulesState.h"
+
+#include <algorithm>
+#include <cereal/types/deque.hpp>
+
+namespace Hibiscus {
+
+namespace internal {
+
+/** \brief Changes remembered, for the history and to recognise an apply that is sent again. */
+constexpr std::size_t mostChanges = 20'000;
+/** \brief Lines of a change kept in the history. */
+constexpr std::size_t mostLinesPerChange = 20;
+
+static std::vector<std::string> linesBrought(std::string_view base, std::string_view next)
+{
+    std::vector<std::string> lines = RulesDelta::between(base, next).inserted;
+    if (lines.size() > mostLinesPerChange)
+        lines.resize(mostLinesPerChange);
+    return lines;
+}
+
+} // namespace internal
+
+ApplyReply RulesState::apply(const ApplyRules &command)
+{
+    const auto isResend = [&](const RulesChange &c) { return c.applyId == command.applyId; };
+    const auto first = std::ranges::find_if(this->changes, isResend);
+    if (first != this->changes.end())
+        return { .verdict = ApplyVerdict::Accepted, .version = first->version };
+    if (command.expectedVersion != this->currentVersion)
+        return this->conflict();
+    const auto rules = RuleSet::parse(command.text);
+    if (!rules)
+        return { .verdict = ApplyVerdict::Invalid,
+                 .version = this->currentVersion,
+                 .error = rules.error() };
+    ++this->currentVersion;
+    this->changes.push_back({ .version = this->currentVersion,
+                              .applyId = command.applyId,
+                              .author = command.author,
+                              .at = command.at,
+                              .lines = internal::linesBrought(this->currentText, command.text) });
+    this->currentText = command.text;
+    if (this->changes.size() > internal::mostChanges)
+        this->changes.pop_front();
+    return { .verdict = ApplyVerdict::Accepted, .version = this->currentVersion };
+}
+
+ApplyReply RulesState::conflict() const
+{
+    ApplyReply reply;
+    reply.verdict = ApplyVerdict::Conflict;
+    reply.version = this->currentVersion;
+    if (!this->changes.empty()) {
+        reply.winner = this->changes.back().author;
+        reply.winnerLines = this->changes.back().lines;
+    }
+    return reply;
+}
+
+Bytes RulesState::save() const
+{
+    std::ostringstream stream(std::ios::binary);
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(this->currentVersion, this->currentText, this->changes);
+    }
+    return std::move(stream).str();
+}
+
+void RulesState::restore(const Bytes &bytes)
+{
+    std::istringstream stream(bytes, std::ios::binary);
+    cereal::PortableBinaryInputArchive archive(stream);
+    const std::uint64_t former = this->currentVersion;
+    archive(this->currentVersion, this->currentText, this->changes);
+    HIBISCUS_INVARIANT(this->currentVersion >= former, "an accepted rule never reverts");
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Rules/RulesState.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Hibiscus/src/Rules/RuleSet.h"
+#include "Hibiscus/src/Rules/RulesDelta.h"
+
+#include <deque>
+
+namespace Hibiscus {
+
+/** \brief Replaces the rules file, if it still has the version that the author has seen. */
+struct ApplyRules
+{
+    std::string applyId; ///< the same for each resend of one apply
+    std::uint64_t expectedVersion = 0;
+    std::string author;
+    std::string text;
+    TimePoint at; ///< set by the control group's leader
+
+    auto operator<=>(const ApplyRules &other) const = default;
+    HIBISCUS_FIELDS(applyId, expectedVersion, author, text, at)
+};
+
+/** \brief What became of an ApplyRules. */
+enum class ApplyVerdict : std::uint8_t {
+    Accepted, ///< in force from ApplyReply::version on
+    Conflict, ///< another version came first; see ApplyReply::winner
+    Invalid ///< the file has an error; nothing of it was taken
+};
+
+/** \brief The answer to an ApplyRules. */
+struct ApplyReply
+{
+    ApplyVerdict verdict = ApplyVerdict::Invalid;
+    std::uint64_t version = 0;
+    RuleError error;
+    std::string winner; ///< on a conflict: who made the present version
+    std::vector<std::string> winnerLines; ///< on a conflict: the lines which that change brought
+
+    auto operator<=>(const ApplyReply &other) const = default;
+    HIBISCUS_FIELDS(verdict, version, error, winner, winnerLines)
+};
+
+/** \brief One accepted change of the rules file. */
+struct RulesChange
+{
+    std::uint64_t version = 0;
+    std::string applyId;
+    std::string author;
+    TimePoint at;
+    std::vector<std::string> lines; ///< the lines that the change brought
+
+    auto operator<=>(const RulesChange &other) const = default;
+    HIBISCUS_FIELDS(version, applyId, author, at, lines)
+};
+
+/** \brief The state machine of the control group: the rules file, its version and its history. */
+class RulesState
+{
+public:
+    using CommandType = ApplyRules;
+    using ReplyType = ApplyReply;
+
+    // Commands.
+    ApplyReply apply(const ApplyRules &command);
+    void restore(const Bytes &bytes);
+
+    // Queries.
+    Bytes save() const;
+    std::uint64_t size() const { return this->changes.size(); }
+    std::uint64_t version() const { return this->currentVersion; }
+    const std::string &text() const { return this->currentText; }
+    const std::deque<RulesChange> &history() const { return this->changes; }
+
+private:
+    ApplyReply conflict() const;
+
+    std::uint64_t currentVersion = 0;
+    std::string currentText;
+    std::deque<RulesChange> changes;
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Storage/DiskLog.cpp
@@ -0,0 +1,245 @@
+#include "Hibiscus/src/Storage/DiskLog.h"
+
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <sys/file.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+namespace Hibiscus {
+
+namespace internal {
+
+constexpr const char *logName = "log";
+constexpr const char *nextLogName = "log.next";
+
+/** \brief A record of the file: the whole state at first, then one write after the other. */
+struct FirstRecord
+{
+    MemberId self;
+    HardState hard;
+    Snapshot snapshot;
+    std::vector<LogEntry> entries;
+
+    HIBISCUS_FIELDS(self, hard, snapshot, entries)
+};
+
+/** \brief What stands before the payload of a record. */
+struct RecordHeader
+{
+    std::uint64_t length = 0;
+    std::uint64_t checksum = 0;
+};
+
+static Bytes framed(const Bytes &payload)
+{
+    const RecordHeader header
+        = { .length = payload.size(), .checksum = XXH3_64bits(payload.data(), payload.size()) };
+    Bytes record(sizeof(header), '\0');
+    std::memcpy(record.data(), &header, sizeof(header));
+    return record + payload;
+}
+
+static Result<void> writeAll(int file, const Bytes &bytes)
+{
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+        const ssize_t count = ::write(file, bytes.data() + done, bytes.size() - done);
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count <= 0)
+            return failure(Errc::Io);
+        done += static_cast<std::size_t>(count);
+    }
+    return {};
+}
+
+static Result<void> syncFolder(const std::filesystem::path &folder)
+{
+    const int handle = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (handle < 0)
+        return failure(Errc::Io);
+    const bool synced = ::fsync(handle) == 0;
+    ::close(handle);
+    return synced ? Result<void>() : failure(Errc::Io);
+}
+
+/** \brief Writes \a state to a new file, which then takes the place of the log. */
+static Result<int> replaceLog(const std::filesystem::path &folder, const DurableState &state)
+{
+    const std::filesystem::path next = folder / nextLogName;
+    const int file
+        = ::open(next.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
+    if (file < 0)
+        return failure(Errc::Io);
+    const FirstRecord first = {
+        .self = state.self, .hard = state.hard, .snapshot = state.snapshot, .entries = state.entries
+    };
+    const bool written = writeAll(file, framed(encode(first))).has_value() && ::fsync(file) == 0;
+    std::error_code error;
+    if (written)
+        std::filesystem::rename(next, folder / logName, error);
+    if (!written || error || !syncFolder(folder)) {
+        ::close(file);
+        return failure(Errc::Io);
+    }
+    return file;
+}
+
+/** \brief The payloads of a file and how many of its bytes are whole. */
+struct LogContent
+{
+    std::vector<Bytes> payloads;
+    std::size_t wholeBytes = 0;
+};
+
+static Result<LogContent> readLog(const std::filesystem::path &path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream)
+        return failure(Errc::Io);
+    const Bytes bytes((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
+    LogContent content;
+    while (content.wholeBytes + sizeof(RecordHeader) <= bytes.size()) {
+        RecordHeader header;
+        std::memcpy(&header, bytes.data() + content.wholeBytes, sizeof(header));
+        const std::size_t begin = content.wholeBytes + sizeof(header);
+        const std::size_t left = bytes.size() - begin;
+        if (header.length > left)
+            break;
+        const bool isIntact = XXH3_64bits(bytes.data() + begin, header.length) == header.checksum;
+        // A torn write can only be the last one.
+        if (!isIntact && header.length < left)
+            return failure(Errc::MalformedRecord);
+        if (!isIntact)
+            break;
+        content.payloads.push_back(bytes.substr(begin, header.length));
+        content.wholeBytes = begin + header.length;
+    }
+    return content;
+}
+
+static Result<DurableState> replay(const LogContent &content)
+{
+    if (content.payloads.empty())
+        return failure(Errc::MalformedRecord);
+    const Result<FirstRecord> first = decode<FirstRecord>(content.payloads.front());
+    if (!first)
+        return failure(Errc::MalformedRecord);
+    DurableState state = { .self = first->self,
+                           .hard = first->hard,
+                           .snapshot = first->snapshot,
+                           .entries = first->entries };
+    for (std::size_t i = 1; i < content.payloads.size(); ++i) {
+        const Result<StorageWrite> write = decode<StorageWrite>(content.payloads[i]);
+        if (!write)
+            return failure(Errc::MalformedRecord);
+        applyWrite(*write, state);
+    }
+    return state;
+}
+
+} // namespace internal
+
+Result<void> DiskLog::format(const std::filesystem::path &folder, const DurableState &state)
+{
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    if (error || exists(folder))
+        return failure(Errc::Io);
+    const Result<int> file = internal::replaceLog(folder, state);
+    if (!file)
+        return failure(Errc::Io);
+    ::close(*file);
+    return {};
+}
+
+bool DiskLog::exists(const std::filesystem::path &folder)
+{
+    std::error_code error;
+    return std::filesystem::exists(folder / internal::logName, error);
+}
+
+Result<DiskLog> DiskLog::open(const std::filesystem::path &folder)
+{
+    const std::filesystem::path path = folder / internal::logName;
+    const int file = ::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+    if (file < 0)
+        return failure(Errc::Io);
+    if (::flock(file, LOCK_EX | LOCK_NB) != 0) {
+        ::close(file);
+        return failure(Errc::Io);
+    }
+    const Result<internal::LogContent> content = internal::readLog(path);
+    const Result<DurableState> state = content
+        ? internal::replay(*content)
+        : Result<DurableState>(failure(Errc::MalformedRecord));
+    const bool trimmed = state && ::ftruncate(file, static_cast<off_t>(content->wholeBytes)) == 0;
+    if (!trimmed) {
+        ::close(file);
+        return tl::unexpected<std::error_code>(state ? make_error_code(Errc::Io) : state.error());
+    }
+    return DiskLog(folder, file, *state);
+}
+
+DiskLog::DiskLog(std::filesystem::path folder, int file, DurableState state)
+    : folder(std::move(folder)), file(file), durable(std::move(state))
+{ }
+
+DiskLog::DiskLog(DiskLog &&other) noexcept
+    : folder(std::move(other.folder)), file(std::exchange(other.file, -1)),
+      durable(std::move(other.durable)), dirty(other.dirty)
+{ }
+
+DiskLog &DiskLog::operator=(DiskLog &&other) noexcept
+{
+    std::swap(this->folder, other.folder);
+    std::swap(this->file, other.file);
+    std::swap(this->durable, other.durable);
+    std::swap(this->dirty, other.dirty);
+    return *this;
+}
+
+DiskLog::~DiskLog()
+{
+    if (this->file >= 0)
+        ::close(this->file);
+}
+
+Result<void> DiskLog::write(const std::vector<StorageWrite> &writes)
+{
+    Bytes records;
+    bool hasSnapshot = false;
+    for (const StorageWrite &write : writes) {
+        applyWrite(write, this->durable);
+        hasSnapshot = hasSnapshot || std::holds_alternative<SaveSnapshot>(write);
+        records += internal::framed(encode(write));
+    }
+    // A snapshot shortens the log, so the file is written anew with what is left.
+    if (hasSnapshot)
+        return this->rewrite();
+    this->dirty = this->dirty || !records.empty();
+    return internal::writeAll(this->file, records);
+}
+
+Result<void> DiskLog::sync()
+{
+    if (!this->dirty)
+        return {};
+    this->dirty = false;
+    return ::fdatasync(this->file) == 0 ? Result<void>() : failure(Errc::Io);
+}
+
+Result<void> DiskLog::rewrite()
+{
+    const Result<int> next = internal::replaceLog(this->folder, this->durable);
+    if (!next)
+        return failure(Errc::Io);
+    ::close(this->file);
+    this->file = *next;
+    this->dirty = false;
+    return ::flock(this->file, LOCK_EX | LOCK_NB) == 0 ? Result<void>() : failure(Errc::Io);
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Telemetry/SpanLog.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <Hibiscus/Core>
+
+#include <cstdint>
+#include <fstream>
+#include <random>
+#include <string>
+
+namespace Hibiscus {
+
+/** \brief The place of a span in its trace, carried between processes as a W3C traceparent. */
+struct SpanContext
+{
+    std::uint64_t traceHigh = 0;
+    std::uint64_t traceLow = 0;
+    std::uint64_t span = 0;
+
+    /** \returns the context in a traceparent header, or nothing if it is malformed. */
+    static std::optional<SpanContext> parse(const std::string &traceparent);
+    std::string traceparent() const;
+
+    auto operator<=>(const SpanContext &other) const = default;
+};
+
+/** \brief One hop of a job in one process. */
+struct Span
+{
+    SpanContext context;
+    std::uint64_t parent = 0; ///< 0 for the first span of a trace
+    std::string name;
+    std::string subject; ///< what the hop was for, such as a job or an attempt
+    TimePoint startedAt;
+};
+
+/** \brief Writes the spans of a process as JSON lines. */
+class SpanLog
+{
+public:
+    /** \brief Spans go to the file \a path; an empty path drops them. */
+    SpanLog(std::string node, const std::string &path, std::uint64_t seed);
+
+    // Commands.
+    /** \brief Starts a span below \a traceparent, or a new trace if that is malformed. */
+    Span start(std::string name, std::string subject, const std::string &traceparent,
+               TimePoint now);
+    void finish(const Span &span, const std::string &outcome, TimePoint now);
+
+private:
+    std::string node;
+    std::ofstream file;
+    std::mt19937_64 random;
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,13 @@
+# The libraries of the project, all from Debian's packages.
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(gflags REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(GTest REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED)
+find_package(OpenTracing CONFIG REQUIRED)
+pkg_check_modules(H2O REQUIRED IMPORTED_TARGET libh2o-evloop)
+pkg_check_modules(GRPC REQUIRED IMPORTED_TARGET grpc++)
+pkg_check_modules(PROTOBUF REQUIRED IMPORTED_TARGET protobuf)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(OPENSSL REQUIRED IMPORTED_TARGET openssl)
--- /dev/null
+++ b/programs/EntryMain.cpp
@@ -0,0 +1,10 @@
+#include <Hibiscus/Process>
+
+/** \brief An entry node: callers, targets and dispatch. */
+int main(int argc, char **argv)
+{
+    const auto decision = Hibiscus::startProcess(&argc, &argv, Hibiscus::NodeRole::Entry);
+    if (!decision.shouldRun)
+        return decision.exitCode;
+    return Hibiscus::EntryProcess(decision.context).run();
+}
--- /dev/null
+++ b/test/standins/StandInTarget.cpp
@@ -0,0 +1,195 @@
+#include "test/standins/StandInTarget.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus {
+
+namespace internal {
+
+constexpr Duration announceInterval = 600ms;
+constexpr std::uint32_t failuresToMove = 2;
+
+static Duration runTimeOf(const std::string &payload, double speed)
+{
+    std::int64_t milliseconds = 0;
+    std::from_chars(payload.data(), payload.data() + payload.size(), milliseconds);
+    return fromSeconds(static_cast<double>(milliseconds) / 1000.0 / speed);
+}
+
+} // namespace internal
+
+StandInTarget::StandInTarget(EventLoop &loop, const StandInTargetOptions &options)
+    : loop(loop), options(options),
+      http(loop, { .address = options.address },
+           [this](const HttpRequest &request) { this->onHttp(request); }),
+      client(loop, { .connectionsPerServer = 4, .idleTimeout = 1s }),
+      random(std::random_device {}())
+{
+    if (!options.historyFile.empty())
+        this->history.open(options.historyFile, std::ios::app);
+}
+
+Result<void> StandInTarget::listen()
+{
+    return this->http.listen();
+}
+
+void StandInTarget::tick()
+{
+    this->finishDue();
+    if (this->loop.now() >= this->announceAt)
+        this->announceDue();
+}
+
+void StandInTarget::onHttp(const HttpRequest &request)
+{
+    if (request.path == "/v1/tasks" && request.method == "POST")
+        this->onStart(request);
+    else if (request.path.starts_with("/v1/tasks/"))
+        this->onQuestion(request);
+    else
+        this->http.respond(request.token, { .status = 404, .body = "{}" });
+}
+
+void StandInTarget::onStart(const HttpRequest &request)
+{
+    const Result<AttemptId> attempt = AttemptId::parse(request.attempt);
+    const bool isLeased = this->owner && std::to_string(this->owner->lease) == request.lease;
+    const bool isNew
+        = attempt && !this->running.contains(*attempt) && !this->ended.contains(*attempt);
+    if (!isLeased || !isNew || this->running.size() >= this->options.slots) {
+        if (attempt && isNew)
+            this->ended[*attempt] = "not-started";
+        this->http.respond(request.token, { .status = 409, .body = "not started" });
+        return;
+    }
+    this->record("start", *attempt);
+    const Duration runTime = this->options.failsEverything
+        ? Duration(1ms)
+        : internal::runTimeOf(request.body, this->options.speed);
+    this->running[*attempt] = { .token = request.token,
+                                .lease = this->owner->lease,
+                                .endsAt = this->loop.now() + runTime,
+                                .payload = request.body };
+}
+
+void StandInTarget::onQuestion(const HttpRequest &request)
+{
+    const auto attempt = AttemptId::parse(request.path.substr(std::string("/v1/tasks/").size()));
+    if (!attempt) {
+        this->http.respond(request.token, { .status = 400, .body = "{}" });
+        return;
+    }
+    std::string state = "running";
+    // Whoever asks is told "not started" only if that stays true.
+    if (!this->running.contains(*attempt))
+        state = this->ended.try_emplace(*attempt, "not-started").first->second;
+    this->http.respond(request.token, { .body = "{\"state\":\"" + state + "\"}" });
+}
+
+void StandInTarget::finishDue()
+{
+    const TimePoint now = this->loop.now();
+    for (auto item = this->running.begin(); item != this->running.end();) {
+        if (now < item->second.endsAt) {
+            ++item;
+            continue;
+        }
+        const bool failed = this->options.failsEverything;
+        this->record("end", item->first);
+        this->ended[item->first] = failed ? "failed" : "succeeded";
+        this->http.respond(item->second.token,
+                           { .status = failed ? 500 : 200,
+                             .body = failed ? "failed" : "done " + item->second.payload });
+        item = this->running.erase(item);
+    }
+}
+
+void StandInTarget::announceDue()
+{
+    this->announceAt = this->loop.now() + internal::announceInterval;
+    if (!this->owner)
+        this->findOwner();
+    this->announceTo(*this->owner, true);
+    std::erase_if(this->formerOwners, [this](const Owner &former) {
+        return std::ranges::none_of(
+            this->running, [&](const auto &item) { return item.second.lease == former.lease; });
+    });
+    for (const Owner &former : this->formerOwners)
+        this->announceTo(former, false);
+}
+
+void StandInTarget::announceTo(const Owner &to, bool isCurrent)
+{
+    AnnouncementRequest request;
+    request.announcement.target = this->options.name;
+    request.announcement.address
+        = this->options.address.host + ":" + std::to_string(this->options.address.port);
+    request.announcement.service = this->options.service;
+    request.announcement.slots = this->options.slots;
+    request.announcement.lease = to.lease;
+    request.announcement.isLeaving = this->leaving || !isCurrent;
+    request.isUnowned = isCurrent && to.node.empty();
+    request.avoided = this->avoided;
+    for (const auto &[attempt, task] : this->running)
+        if (task.lease == to.lease)
+            request.announcement.running.push_back(attempt);
+    HttpCall call;
+    call.method = "POST";
+    call.address = to.address;
+    call.path = "/v1/targets";
+    call.body = renderAnnouncement(request);
+    const std::uint64_t lease = to.lease;
+    this->client.send(call, [this, lease, isCurrent](const HttpCallResult &result) {
+        if (isCurrent)
+            this->onAnnounced(lease, result);
+    });
+}
+
+void StandInTarget::onAnnounced(std::uint64_t lease, const HttpCallResult &result)
+{
+    if (!this->owner || this->owner->lease != lease)
+        return;
+    if (result.state != HttpCallState::Answered || result.status != 200) {
+        if (++this->failedCalls < internal::failuresToMove)
+            return;
+        this->failedCalls = 0;
+        if (!this->owner->node.empty())
+            this->avoided = { NodeName(this->owner->node) };
+        this->formerOwners.push_back(*this->owner);
+        this->owner.reset();
+        this->announceAt = TimePoint();
+        return;
+    }
+    this->failedCalls = 0;
+    const auto json = nlohmann::json::parse(result.body, nullptr, false);
+    if (json.is_object() && json.contains("owner")) {
+        this->formerOwners.push_back(*this->owner);
+        this->owner = Owner { .address = *Address::parse(json["address"].get<std::string>()),
+                              .node = json["owner"].get<std::string>(),
+                              .lease = this->random() >> 1U };
+        this->announceAt = TimePoint();
+    } else if (this->owner->node.empty()) {
+        this->owner->node = "here";
+    }
+}
+
+void StandInTarget::findOwner()
+{
+    const Address &entry = this->options.entries.at(this->nextEntry);
+    this->nextEntry = (this->nextEntry + 1) % this->options.entries.size();
+    this->owner = Owner { .address = entry, .lease = this->random() >> 1U };
+}
+
+void StandInTarget::record(const char *event, const AttemptId &attempt)
+{
+    if (!this->history.is_open())
+        return;
+    this->history << "{\"event\":\"" << event << "\",\"attempt\":\"" << attempt.str()
+                  << "\",\"target\":\"" << this->options.name.str()
+                  << "\",\"at_us\":" << this->loop.now().time_since_epoch().count() << "}"
+                  << std::endl;
+}
+
+} // namespace Hibiscus
