--- a/Hibiscus/src/Dispatch/DispatchMessage.h
+++ b/Hibiscus/src/Dispatch/DispatchMessage.h
@@ -150,12 +150,14 @@
 
 /** \brief Asks a target, over a new connection, what became of an attempt.
  *
- * A target that answers "not started" must refuse the attempt from then on.
+ * A target that answers "not started" must refuse the attempt from then on. It may say so only if
+ * it drew \a lease since its last restart: before that, it does not remember what it ran.
  */
 struct AskTarget
 {
     TargetName target;
     std::string address;
+    std::uint64_t lease = 0; ///< under which the attempt was sent
     AttemptId attempt;
 
     auto operator<=>(const AskTarget &other) const = default;
--- a/Hibiscus/src/Dispatch/SlotOwner.cpp
+++ b/Hibiscus/src/Dispatch/SlotOwner.cpp
@@ -17,8 +17,10 @@
     this->pool.announce(announcement, now);
     // The connection that carried these starts may have gone silent, so a new one asks.
     for (const AttemptId &attempt : this->pool.missingAttempts(announcement.target, now))
-        out.toTargets.emplace_back(AskTarget {
-            .target = announcement.target, .address = announcement.address, .attempt = attempt });
+        out.toTargets.emplace_back(AskTarget { .target = announcement.target,
+                                               .address = announcement.address,
+                                               .lease = this->running.at(attempt).lease,
+                                               .attempt = attempt });
 }
 
 void SlotOwner::accept(const NodeName &coordinator, const TaskStart &start, TimePoint now,
@@ -66,13 +68,11 @@
 {
     const AttemptId &attempt = held.start.attempt;
     this->pool.occupy(target, attempt, now);
-    const bool isNew
-        = this->running
-              .try_emplace(attempt,
-                           RunningAttempt { .coordinator = held.coordinator, .target = target })
-              .second;
-    HIBISCUS_INVARIANT(isNew, "an attempt is started once");
     const TargetAnnouncement &announcement = this->pool.find(target)->announcement;
+    const RunningAttempt started
+        = { .coordinator = held.coordinator, .target = target, .lease = announcement.lease };
+    const bool isNew = this->running.try_emplace(attempt, started).second;
+    HIBISCUS_INVARIANT(isNew, "an attempt is started once");
     out.toTargets.emplace_back(StartOnTarget { .target = target,
                                                .address = announcement.address,
                                                .lease = announcement.lease,
--- a/Hibiscus/src/Dispatch/SlotOwner.h
+++ b/Hibiscus/src/Dispatch/SlotOwner.h
@@ -75,6 +75,7 @@
     {
         NodeName coordinator;
         TargetName target;
+        std::uint64_t lease = 0;
     };
 
     struct SeenAttempt
--- a/Hibiscus/src/Process/EntryProcess.cpp
+++ b/Hibiscus/src/Process/EntryProcess.cpp
@@ -397,6 +397,7 @@
     HttpCall call;
     call.address = *Address::parse(command.address);
     call.path = "/v1/tasks/" + command.attempt.str();
+    call.headers = { { "hibiscus-lease", std::to_string(command.lease) } };
     call.usesNewConnection = true;
     this->client.send(call, [this, command](const HttpCallResult &result) {
         this->endQuestion(command, result);
@@ -436,7 +437,7 @@
         report.verdict = AttemptVerdict::Failed;
     else if (state == "not-started")
         report.verdict = AttemptVerdict::NotStarted;
-    else
+    else if (state != "unknown")
         return;
     // The connection that carried the start is of no more use.
     if (const auto open = this->openStarts.find(question.attempt); open != this->openStarts.end())
--- a/test/standins/StandInTarget.cpp
+++ b/test/standins/StandInTarget.cpp
@@ -82,8 +82,13 @@
         return;
     }
     std::string state = "running";
-    // Whoever asks is told "not started" only if that stays true.
-    if (!this->running.contains(*attempt))
+    const bool isOfThisLife = std::ranges::any_of(this->drawnLeases, [&](std::uint64_t lease) {
+        return std::to_string(lease) == request.lease;
+    });
+    // Whoever asks is told "not started" only if that is known, and stays true.
+    if (!isOfThisLife)
+        state = "unknown";
+    else if (!this->running.contains(*attempt))
         state = this->ended.try_emplace(*attempt, "not-started").first->second;
     this->http.respond(request.token, { .body = "{\"state\":\"" + state + "\"}" });
 }
@@ -168,7 +173,7 @@
         this->formerOwners.push_back(*this->owner);
         this->owner = Owner { .address = *Address::parse(json["address"].get<std::string>()),
                               .node = json["owner"].get<std::string>(),
-                              .lease = this->random() >> 1U };
+                              .lease = this->drawLease() };
         this->announceAt = TimePoint();
     } else if (this->owner->node.empty()) {
         this->owner->node = "here";
@@ -179,7 +184,14 @@
 {
     const Address &entry = this->options.entries.at(this->nextEntry);
     this->nextEntry = (this->nextEntry + 1) % this->options.entries.size();
-    this->owner = Owner { .address = entry, .lease = this->random() >> 1U };
+    this->owner = Owner { .address = entry, .lease = this->drawLease() };
+}
+
+std::uint64_t StandInTarget::drawLease()
+{
+    const std::uint64_t lease = this->random() >> 1U;
+    this->drawnLeases.insert(lease);
+    return lease;
 }
 
 void StandInTarget::record(const char *event, const AttemptId &attempt)
--- a/test/standins/StandInTarget.h
+++ b/test/standins/StandInTarget.h
@@ -61,6 +61,7 @@
     void announceTo(const Owner &owner, bool isCurrent);
     void onAnnounced(std::uint64_t lease, const HttpCallResult &result);
     void findOwner();
+    std::uint64_t drawLease();
     void record(const char *event, const AttemptId &attempt);
 
     EventLoop &loop;
@@ -69,6 +70,7 @@
     HttpClient client;
     std::map<AttemptId, RunningTask> running;
     std::map<AttemptId, std::string> ended; ///< state of each attempt that is over
+    std::set<std::uint64_t> drawnLeases; ///< by this life of the target
     std::optional<Owner> owner;
     std::vector<Owner> formerOwners;
     std::set<NodeName> avoided;
--- /dev/null
+++ b/test/support/Process.h
@@ -0,0 +1,283 @@
+#pragma once
+
+#include "test/support/Network.h"
+
+#include <Hibiscus/Replication>
+
+namespace Hibiscus::Fake {
+
+/** \brief A process that can be killed, frozen and thawed. */
+class Process
+{
+public:
+    Process(Scheduler &scheduler, Network &network, std::string name)
+        : scheduler(scheduler)
+        , network(network)
+        , processName(std::move(name))
+    {
+    }
+    virtual ~Process() = default;
+
+    virtual void start() = 0;
+    virtual void kill() = 0;
+
+    void freeze() { this->frozen = true; }
+
+    void thaw()
+    {
+        this->frozen = false;
+        for (const auto &work : std::exchange(this->backlog, {}))
+            if (this->isUp())
+                work();
+    }
+
+    /** \brief Runs \a work now, after the thaw, or never if the process is down. */
+    void deliver(const std::function<void()> &work)
+    {
+        if (!this->isUp())
+            return;
+        if (this->frozen)
+            this->backlog.push_back(work);
+        else
+            work();
+    }
+
+    const std::string &name() const { return this->processName; }
+    bool isUp() const { return this->up; }
+    bool isFrozen() const { return this->frozen; }
+
+protected:
+    /** \brief Repeats \a work every \a interval for as long as this life lasts. */
+    void repeat(Duration interval, std::function<void()> work)
+    {
+        const std::uint64_t life = this->life;
+        this->scheduler.after(interval, [this, interval, work, life] {
+            if (!this->up || this->life != life)
+                return;
+            if (!this->frozen)
+                work();
+            this->repeat(interval, work);
+        });
+    }
+
+    void beginLife()
+    {
+        this->up = true;
+        this->frozen = false;
+        ++this->life;
+    }
+
+    void endLife()
+    {
+        this->up = false;
+        this->frozen = false;
+        this->backlog.clear();
+    }
+
+    Scheduler &scheduler;
+    Network &network;
+    std::uint64_t life = 0;
+
+private:
+    std::string processName;
+    std::vector<std::function<void()>> backlog;
+    bool up = false;
+    bool frozen = false;
+};
+
+/** \brief A disk that loses what was not synced, and may tear the write under way. */
+class Disk
+{
+public:
+    void format(const DurableState &state)
+    {
+        this->synced = state;
+        this->pending.clear();
+        this->formatted = true;
+    }
+
+    void write(const std::vector<StorageWrite> &writes)
+    {
+        this->pending.insert(this->pending.end(), writes.begin(), writes.end());
+    }
+
+    void sync()
+    {
+        for (const StorageWrite &write : this->pending)
+            applyWrite(write, this->synced);
+        this->pending.clear();
+    }
+
+    /** \brief A crash: some of the writes under way reach the disk, in order. */
+    void crash(std::mt19937_64 &random)
+    {
+        std::uniform_int_distribution<std::size_t> count(0, this->pending.size());
+        this->pending.resize(count(random));
+        this->sync();
+    }
+
+    void wipe()
+    {
+        this->formatted = false;
+        this->pending.clear();
+    }
+
+    bool isFormatted() const { return this->formatted; }
+    const DurableState &state() const { return this->synced; }
+
+private:
+    DurableState synced;
+    std::vector<StorageWrite> pending;
+    bool formatted = false;
+};
+
+inline Step stepOf(const ReplicaMessage &message)
+{
+    return std::visit(Overloaded {
+                              [](const VoteRequest &request) {
+                                  return request.kind == VoteKind::PreVote ? Step::PreVote
+                                                                           : Step::Vote;
+                              },
+                              [](const VoteReply &) { return Step::VoteReply; },
+                              [](const AppendRequest &) { return Step::Append; },
+                              [](const SnapshotRequest &) { return Step::Snapshot; },
+                              [](const AppendReply &) { return Step::AppendReply; },
+                              [](const JoinRequest &) { return Step::Join; },
+                      },
+                      message);
+}
+
+/** \brief The process of a replica: \a Node is a JournalNode or a ControlNode.
+ *
+ * While a sync is under way events wait, and then share the next sync, as on a real disk.
+ */
+template<typename Node>
+class ReplicaProcess : public Process
+{
+public:
+    using Outbox = typename Node::Outbox;
+    using Make = std::function<std::unique_ptr<Node>(const DurableState &, TimePoint)>;
+    using Release = std::function<void(const Outbox &)>;
+    using SendReplica = std::function<void(const ReplicaEnvelope &)>;
+
+    struct Wiring
+    {
+        Make make;
+        std::function<ReplicaOutbox &(Outbox &)> replicaOutbox;
+        SendReplica send;
+        Release release; ///< sends the answers, after the sync
+        std::vector<NodeName> group;
+        Duration syncTime = 5ms;
+    };
+
+    ReplicaProcess(Scheduler &scheduler, Network &network, const std::string &name,
+                   Wiring wiring, std::uint64_t seed)
+        : Process(scheduler, network, name)
+        , wiring(std::move(wiring))
+        , random(seed)
+    {
+    }
+
+    void start() override
+    {
+        if (this->isUp())
+            return;
+        if (!this->disk.isFormatted()) {
+            DurableState empty;
+            empty.self = { .node = NodeName(this->name()), .incarnation = this->random() | 2U };
+            this->disk.format(empty);
+        }
+        this->beginLife();
+        this->syncing = false;
+        this->waiting.clear();
+        this->node = this->wiring.make(this->disk.state(), this->scheduler.now());
+        this->repeat(10ms, [this] {
+            this->handle([](Node &n, TimePoint now, Outbox &out) { n.tick(now, out); });
+        });
+        this->repeat(500ms, [this] {
+            this->handle([this](Node &n, TimePoint, Outbox &out) {
+                n.requestJoin(this->wiring.group, out);
+            });
+        });
+    }
+
+    void kill() override
+    {
+        if (!this->isUp())
+            return;
+        this->endLife();
+        this->disk.crash(this->random);
+        this->node.reset();
+    }
+
+    void wipe()
+    {
+        this->kill();
+        this->disk.wipe();
+    }
+
+    using Work = std::function<void(Node &, TimePoint, Outbox &)>;
+
+    void handle(const Work &work)
+    {
+        this->waiting.push_back(work);
+        this->turn();
+    }
+
+    Node *get() { return this->node.get(); }
+    Disk disk;
+
+private:
+    void turn()
+    {
+        if (this->syncing || !this->isUp())
+            return;
+        Outbox out;
+        for (const Work &work : std::exchange(this->waiting, {}))
+            work(*this->node, this->scheduler.now(), out);
+        ReplicaOutbox &replica = this->wiring.replicaOutbox(out);
+        for (const ReplicaEnvelope &envelope : replica.beforeSync)
+            this->wiring.send(envelope);
+        if (replica.writes.empty()) {
+            this->finish(out);
+            return;
+        }
+        this->disk.write(replica.writes);
+        this->syncing = true;
+        const std::uint64_t life = this->life;
+        const auto done = [this, out, life] {
+            if (this->life != life || !this->isUp())
+                return;
+            this->deliver([this, out, life] {
+                if (this->life != life)
+                    return;
+                this->disk.sync();
+                this->syncing = false;
+                Outbox copy = out;
+                this->finish(copy);
+                if (!this->waiting.empty())
+                    this->turn();
+            });
+        };
+        this->network.send({ .step = Step::DiskSync,
+                             .from = this->name(),
+                             .to = this->name(),
+                             .latency = this->wiring.syncTime,
+                             .deliver = done });
+    }
+
+    void finish(Outbox &out)
+    {
+        for (const ReplicaEnvelope &envelope : this->wiring.replicaOutbox(out).afterSync)
+            this->wiring.send(envelope);
+        this->wiring.release(out);
+    }
+
+    Wiring wiring;
+    std::mt19937_64 random;
+    std::unique_ptr<Node> node;
+    std::vector<Work> waiting;
+    bool syncing = false;
+};
+
+} // namespace Hibiscus::Fake
--- /dev/null
+++ b/test/support/Scenario.cpp
@@ -0,0 +1,374 @@
+#include "test/support/Scenario.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Hibiscus::Fake {
+
+namespace {
+
+constexpr Duration faultTime = 4s;
+constexpr Duration downTime = 1s;
+constexpr Duration workTime = 10s;
+constexpr Duration settleTime = 36s;
+
+WorldOptions scenarioOptions(std::uint64_t seed)
+{
+    WorldOptions options;
+    options.seed = seed;
+    options.dispatcher.coordinator.mostWaitingTasks = 60;
+    return options;
+}
+
+} // namespace
+
+const char *toString(Fault fault)
+{
+    static constexpr std::array<const char *, static_cast<std::size_t>(Fault::Count)> names = {
+        "LoseMessage",     "DoubleMessage",  "DelayMessage",  "ReorderMessage",
+        "KillSender",      "KillReceiver",   "WipeSender",    "WipeReceiver",
+        "FreezeSender",    "FreezeReceiver", "CutForward",    "CutBothWays",
+        "IsolateSender",   "IsolateReceiver", "CutSenderDomain", "SilentConnections",
+        "FailingTarget",   "Straggler",      "OperatorRace",  "ApplyResent"
+    };
+    return names.at(static_cast<std::size_t>(fault));
+}
+
+Scenario::Scenario(std::uint64_t seed, std::vector<PlannedFault> faults, NetworkOptions network)
+    : seed(seed)
+    , faults(std::move(faults))
+    , world(scenarioOptions(seed))
+    , random(seed + 17)
+{
+    this->world.network.options = network;
+    this->world.network.hook = [this](const Packet &packet) { return this->onPacket(packet); };
+}
+
+ScenarioResult Scenario::run()
+{
+    this->world.start();
+    this->watching = true;
+    this->schedule();
+    this->world.run(workTime);
+    this->healAll();
+    this->world.run(settleTime);
+    this->result.failures = this->world.violations();
+    if (this->world.openCallers() > 0)
+        this->result.failures.push_back(std::to_string(this->world.openCallers())
+                                        + " callers got no answer");
+    this->checkProgress();
+    this->checkRules();
+    this->result.steps = this->counted;
+    this->result.answers = this->world.answers.size();
+    this->result.starts = this->world.starts.size();
+    this->result.complete = static_cast<std::size_t>(
+            std::ranges::count_if(this->world.answers, [](const ObservedAnswer &item) {
+                return item.answer.state == JobState::Complete;
+            }));
+    return this->result;
+}
+
+void Scenario::schedule()
+{
+    const auto in = [this](Duration delay, Scheduler::Event event) {
+        this->world.scheduler.after(delay, std::move(event));
+    };
+    for (Duration at = 0ms; at < workTime; at += 40ms)
+        in(at, [this] { this->submitJobs(); });
+    for (Duration at = 100ms; at < workTime; at += 450ms)
+        in(at, [this] { this->applyRules(); });
+    in(1s, [this] {
+        for (const auto &target : this->world.targets)
+            target->silenceConnections();
+    });
+    in(2s, [this] {
+        this->world.network.cut("c", "*");
+        this->world.network.cut("*", "c");
+    });
+    in(6s, [this] { this->world.network.heal(); });
+    in(4s, [this] { this->killFor("entry-1", false); });
+    in(5s, [this] { this->killFor("journal-b-2", true); });
+    in(7s, [this] {
+        for (int i = 0; i < 80; ++i)
+            this->submitJobs();
+    });
+    in(8s, [this] { this->world.targets[4]->leave(); });
+}
+
+void Scenario::submitJobs()
+{
+    std::uniform_int_distribution<std::size_t> anyEntry(0, this->world.entries.size() - 1);
+    std::uniform_int_distribution<int> percent(0, 99);
+    std::uniform_int_distribution<std::size_t> narrow(1, 6);
+    std::uniform_int_distribution<std::size_t> wide(10, 40);
+    const std::size_t entry = anyEntry(this->random);
+    const std::string &near = this->world.entries[entry]->domain;
+    const std::string &home = percent(this->random) < 70
+            ? near
+            : this->world.options.domains[static_cast<std::size_t>(percent(this->random)) % 3];
+    const bool isRepeatable = percent(this->random) < 25;
+    const std::size_t tasks = percent(this->random) < 10 ? wide(this->random)
+                                                         : narrow(this->random);
+    const Duration deadline = percent(this->random) < 30 ? Duration(2s) : Duration(7s);
+    const JobRequest job = this->world.makeJob(
+            home, tasks, isRepeatable ? Repeatability::Repeatable : Repeatability::NotRepeatable,
+            deadline);
+    this->world.submit(job, entry, 2);
+    if (percent(this->random) < 30)
+        this->world.submit(job, anyEntry(this->random), 1);
+    if (percent(this->random) < 15)
+        this->world.scheduler.after(200ms, [this, job, entry] {
+            this->world.cancel(job.id, entry);
+        });
+}
+
+void Scenario::applyRules()
+{
+    std::uniform_int_distribution<std::size_t> anyControl(0, 2);
+    const std::uint64_t expected =
+            this->world.acceptedRules.empty() ? 0 : this->world.acceptedRules.rbegin()->first;
+    // Two operators hold the same version and apply at the same time.
+    for (int i = 0; i < 2; ++i) {
+        const std::string id = "apply-" + std::to_string(this->nextApply++);
+        const ApplyRules command = { .applyId = id,
+                                     .expectedVersion = expected,
+                                     .author = "operator",
+                                     .text = "quota team=" + id + " tasks=9 # operator\n" };
+        this->applies.push_back(command);
+        const std::size_t control = anyControl(this->random);
+        this->world.apply(command, control);
+        // An operator without an answer sends the same apply to the next control node.
+        for (int again = 1; again <= 4; ++again)
+            this->world.scheduler.after(again * 700ms, [this, command, control, again] {
+                const auto told = std::ranges::any_of(
+                        this->world.acceptedRules,
+                        [&](const auto &item) { return item.second == command.applyId; });
+                if (!told)
+                    this->world.apply(command, control + static_cast<std::size_t>(again));
+            });
+    }
+}
+
+bool Scenario::onPacket(const Packet &packet)
+{
+    if (!this->watching)
+        return true;
+    const std::uint64_t occurrence = ++this->counted[packet.step];
+    bool passes = true;
+    for (const PlannedFault &planned : this->faults)
+        if (planned.step == packet.step && planned.occurrence == occurrence)
+            passes = this->inflict(planned.fault, packet) && passes;
+    return passes;
+}
+
+/** \returns whether the packet goes on by itself. */
+bool Scenario::inflict(Fault fault, const Packet &packet)
+{
+    ++this->result.applied;
+    const bool hasSender = this->world.find(packet.from) != nullptr;
+    const bool hasReceiver = this->world.find(packet.to) != nullptr;
+    const auto count = [this](bool isInside) {
+        this->result.outside += isInside ? 0 : 1;
+        return isInside;
+    };
+    switch (fault) {
+    case Fault::LoseMessage:
+        return false;
+    case Fault::DoubleMessage:
+        this->world.network.carry(packet, 300us);
+        return true;
+    case Fault::DelayMessage:
+        this->world.network.carry(packet, 3s);
+        return false;
+    case Fault::ReorderMessage:
+        this->world.network.carry(packet, 30ms);
+        return false;
+    case Fault::KillSender:
+    case Fault::WipeSender:
+        // The sender has sent, and dies at once: the message is on its way.
+        if (count(hasSender))
+            this->world.scheduler.after(0us, [this, packet, fault] {
+                this->killFor(packet.from, fault == Fault::WipeSender);
+            });
+        return true;
+    case Fault::KillReceiver:
+    case Fault::WipeReceiver:
+        if (count(hasReceiver))
+            this->world.scheduler.after(packet.latency + 1us, [this, packet, fault] {
+                this->killFor(packet.to, fault == Fault::WipeReceiver);
+            });
+        return true;
+    case Fault::FreezeSender:
+        if (count(hasSender))
+            this->world.scheduler.after(0us, [this, packet] { this->freezeFor(packet.from); });
+        return true;
+    case Fault::FreezeReceiver:
+        if (count(hasReceiver))
+            this->freezeFor(packet.to);
+        return true;
+    case Fault::CutForward:
+        this->cutFor(packet.from, packet.to);
+        return true;
+    case Fault::CutBothWays:
+        this->cutFor(packet.from, packet.to);
+        this->cutFor(packet.to, packet.from);
+        return true;
+    case Fault::IsolateSender:
+        this->cutFor(packet.from, "*");
+        this->cutFor("*", packet.from);
+        return true;
+    case Fault::IsolateReceiver:
+        this->cutFor(packet.to, "*");
+        this->cutFor("*", packet.to);
+        return true;
+    case Fault::CutSenderDomain:
+        this->cutFor("a", "*");
+        this->cutFor("*", "a");
+        return true;
+    case Fault::SilentConnections:
+        for (const auto &target : this->world.targets)
+            target->silenceConnections();
+        return true;
+    case Fault::FailingTarget:
+        this->world.targets[1]->failsEverything = true;
+        this->world.scheduler.after(faultTime,
+                                    [this] { this->world.targets[1]->failsEverything = false; });
+        return true;
+    case Fault::Straggler:
+        this->world.targets[3]->speed /= 10;
+        this->world.scheduler.after(faultTime, [this] { this->world.targets[3]->speed *= 10; });
+        return true;
+    case Fault::OperatorRace:
+        this->applyRules();
+        return true;
+    case Fault::ApplyResent:
+        if (!this->applies.empty())
+            this->world.apply(this->applies.back(), this->applies.size());
+        return true;
+    case Fault::Count:
+        break;
+    }
+    return true;
+}
+
+void Scenario::killFor(const std::string &name, bool wipes)
+{
+    Process *process = this->world.find(name);
+    if (!process->isUp())
+        return;
+    process->kill();
+    if (auto *journal = dynamic_cast<World::JournalProcess *>(process); journal && wipes) {
+        journal->wipe();
+        this->wiped.insert(name);
+    }
+    if (auto *control = dynamic_cast<World::ControlProcess *>(process); control && wipes) {
+        control->wipe();
+        this->wiped.insert(name);
+    }
+    this->world.scheduler.after(downTime, [process] { process->start(); });
+}
+
+void Scenario::freezeFor(const std::string &name)
+{
+    Process *process = this->world.find(name);
+    if (!process->isUp() || process->isFrozen())
+        return;
+    process->freeze();
+    this->world.scheduler.after(faultTime, [process] {
+        if (process->isFrozen())
+            process->thaw();
+    });
+}
+
+void Scenario::cutFor(const std::string &from, const std::string &to)
+{
+    this->world.network.cut(from, to);
+    this->world.scheduler.after(faultTime, [this] { this->world.network.heal(); });
+}
+
+void Scenario::healAll()
+{
+    this->world.network.heal();
+    this->world.network.options = {};
+    const auto revive = [](Process &process) {
+        if (process.isFrozen())
+            process.thaw();
+        process.start();
+    };
+    for (const auto &process : this->world.journals)
+        revive(*process);
+    for (const auto &process : this->world.controls)
+        revive(*process);
+    for (const auto &process : this->world.entries)
+        revive(*process);
+    for (const auto &process : this->world.targets)
+        revive(*process);
+}
+
+std::size_t Scenario::wipedVoters(const std::string &prefix) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+            this->wiped, [&](const std::string &name) { return name.starts_with(prefix); }));
+}
+
+// Two of three disks lost before the first was replaced is more than a group survives: it must
+// stay safe, but need not go on.
+bool Scenario::hasQuorum(const std::string &domain)
+{
+    if (this->wipedVoters("journal-" + domain) < 2)
+        return true;
+    return std::ranges::any_of(this->world.journals, [&](const auto &journal) {
+        return journal->name().starts_with("journal-" + domain) && journal->get()
+                && journal->get()->replica().isLeaderReady();
+    });
+}
+
+void Scenario::checkProgress()
+{
+    std::vector<JobId> probes;
+    for (const std::string &domain : this->world.options.domains) {
+        if (!this->hasQuorum(domain))
+            continue;
+        const JobRequest job =
+                this->world.makeJob(domain, 3, Repeatability::NotRepeatable, 10s);
+        probes.push_back(job.id);
+        this->world.submit(job, std::ranges::find(this->world.options.domains, domain)
+                                   - this->world.options.domains.begin(),
+                           0);
+    }
+    this->world.run(12s);
+    for (const JobId &id : probes) {
+        const bool isComplete = std::ranges::any_of(this->world.answers, [&](const auto &item) {
+            return item.request.id == id && item.answer.state == JobState::Complete;
+        });
+        if (!isComplete)
+            this->result.failures.push_back("after healing, a job at " + id.home().str()
+                                            + " was not completed");
+    }
+}
+
+void Scenario::checkRules()
+{
+    const auto leader = std::ranges::find_if(this->world.controls, [](const auto &control) {
+        return control->get() && control->get()->replica().isLeaderReady();
+    });
+    if (leader == this->world.controls.end()) {
+        if (this->wipedVoters("control") < 2)
+            this->result.failures.push_back("the control group has no leader after healing");
+        return;
+    }
+    const RulesState &state = (*leader)->get()->state();
+    for (const auto &[version, applyId] : this->world.acceptedRules) {
+        const bool isKept = std::ranges::any_of(state.history(), [&](const RulesChange &change) {
+            return change.version == version && change.applyId == applyId;
+        });
+        if (!isKept)
+            this->result.failures.push_back("accepted rules version " + std::to_string(version)
+                                            + " is gone");
+    }
+    for (const auto &entry : this->world.entries)
+        if (entry->rules()->file().version != state.version())
+            this->result.failures.push_back(entry->name() + " does not hold the newest rules");
+}
+
+} // namespace Hibiscus::Fake
--- /dev/null
+++ b/test/support/Scheduler.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <Hibiscus/Core>
+
+#include <functional>
+#include <queue>
+
+namespace Hibiscus::Fake {
+
+/** \brief Virtual time: runs events in the order of their times, then of their making. */
+class Scheduler
+{
+public:
+    using Event = std::function<void()>;
+
+    explicit Scheduler(TimePoint start)
+        : present(start)
+    {
+    }
+
+    void at(TimePoint time, Event event)
+    {
+        this->events.push({ .time = std::max(time, this->present),
+                            .sequence = this->nextSequence++,
+                            .event = std::move(event) });
+    }
+
+    void after(Duration delay, Event event) { this->at(this->present + delay, std::move(event)); }
+
+    void runUntil(TimePoint end)
+    {
+        while (!this->events.empty() && this->events.top().time <= end) {
+            Item item = std::move(const_cast<Item &>(this->events.top()));
+            this->events.pop();
+            this->present = item.time;
+            item.event();
+        }
+        this->present = end;
+    }
+
+    TimePoint now() const { return this->present; }
+
+private:
+    struct Item
+    {
+        TimePoint time;
+        std::uint64_t sequence = 0;
+        Event event;
+
+        bool operator<(const Item &other) const
+        {
+            return this->time != other.time ? this->time > other.time
+                                            : this->sequence > other.sequence;
+        }
+    };
+
+    TimePoint present;
+    std::uint64_t nextSequence = 0;
+    std::priority_queue<Item> events;
+};
+
+} // namespace Hibiscus::Fake
--- /dev/null
+++ b/test/support/World.cpp
@@ -0,0 +1,921 @@
+#include "test/support/World.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace Hibiscus::Fake {
+
+namespace {
+
+const TimePoint worldStart = TimePoint(std::chrono::hours(24 * 365 * 50));
+
+Step stepOf(const JournalQuestion &question)
+{
+    if (std::holds_alternative<LookUpJob>(question))
+        return Step::LookUpJob;
+    if (std::holds_alternative<CoordinatorHeartbeat>(question))
+        return Step::Heartbeat;
+    return std::visit(Overloaded {
+                              [](const OpenJob &) { return Step::OpenJob; },
+                              [](const RecordStarts &) { return Step::RecordStarts; },
+                              [](const FinishJob &) { return Step::FinishJob; },
+                              [](const TakeOverJob &) { return Step::TakeOverJob; },
+                              [](const RefuseJob &) { return Step::RefuseJob; },
+                              [](const AbandonJob &) { return Step::AbandonJob; },
+                              [](const ExpireJobs &) { return Step::OpenJob; },
+                      },
+                      std::get<JournalCommand>(question));
+}
+
+Step stepOf(const PeerMessage &message)
+{
+    if (!message.starts.empty())
+        return Step::PeerStart;
+    if (!message.reports.empty())
+        return Step::PeerReport;
+    if (!message.cancelled.empty())
+        return Step::PeerCancel;
+    return message.probes.empty() ? Step::PeerNews : Step::PeerProbe;
+}
+
+std::string resultOf(const AttemptId &attempt)
+{
+    return attempt.job.str() + "#" + std::to_string(attempt.task);
+}
+
+} // namespace
+
+const char *toString(Step step)
+{
+    static constexpr std::array<const char *, static_cast<std::size_t>(Step::Count)> names = {
+        "PreVote",      "Vote",       "VoteReply",    "Append",      "AppendReply",
+        "Snapshot",     "Join",       "DiskSync",     "OpenJob",     "RecordStarts",
+        "FinishJob",    "TakeOverJob", "RefuseJob",   "AbandonJob",  "LookUpJob",
+        "Heartbeat",    "JournalAnswer", "PeerStart", "PeerReport",  "PeerProbe",
+        "PeerCancel",   "PeerNews",   "TargetStart",  "TargetReport", "Announce",
+        "AnnounceReply", "AskTarget", "AskReply",     "Submit",      "CallerAnswer",
+        "Cancel",       "RulesUpdate", "RulesAcknowledged", "FetchRules", "Apply",
+        "ApplyAnswer"
+    };
+    return names.at(static_cast<std::size_t>(step));
+}
+
+// ---- TargetProcess
+
+TargetProcess::TargetProcess(World &world, const std::string &name, std::string domain,
+                             double speed)
+    : Process(world.scheduler, world.network, name)
+    , speed(speed)
+    , domain(std::move(domain))
+    , world(world)
+    , random(world.random())
+{
+}
+
+void TargetProcess::start()
+{
+    if (this->isUp())
+        return;
+    this->beginLife();
+    this->owner.clear();
+    this->leaving = false;
+    std::uniform_int_distribution<Duration::rep> phase(0, 500'000);
+    this->scheduler.after(Duration(phase(this->random)), [this] { this->announce(); });
+    this->repeat(600ms, [this] { this->announce(); });
+}
+
+void TargetProcess::kill()
+{
+    this->endLife();
+    this->running.clear();
+    this->ended.clear();
+    this->drawnLeases.clear();
+    this->formerOwners.clear();
+}
+
+void TargetProcess::silenceConnections()
+{
+    for (auto &[attempt, task] : this->running)
+        task.isSilent = true;
+}
+
+void TargetProcess::announce()
+{
+    if (!this->isUp() || this->isFrozen())
+        return;
+    const TimePoint now = this->scheduler.now();
+    if (this->owner.empty() || now > this->heardAt + 1500ms) {
+        const std::vector<EntryProcess *> near = this->world.entriesOf(this->domain);
+        this->isSettled = false;
+        this->heardAt = now;
+        std::uniform_int_distribution<std::size_t> any(0, near.size() - 1);
+        this->moveTo(near[any(this->random)]->name());
+    }
+    this->announceTo(this->owner, this->lease, true);
+    for (const auto &[lease, entry] : this->formerOwners)
+        this->announceTo(entry, lease, false);
+}
+
+void TargetProcess::moveTo(const std::string &entry)
+{
+    if (!this->owner.empty())
+        this->formerOwners[this->lease] = this->owner;
+    this->owner = entry;
+    this->lease = this->random() >> 1U;
+    this->drawnLeases.insert(this->lease);
+    std::erase_if(this->formerOwners, [&](const auto &former) {
+        return std::ranges::none_of(this->running, [&](const auto &task) {
+            return task.second.lease == former.first;
+        });
+    });
+}
+
+void TargetProcess::announceTo(const std::string &entry, std::uint64_t lease, bool isCurrent)
+{
+    AnnouncementRequest request;
+    request.announcement.target = TargetName(this->name());
+    request.announcement.address = this->name();
+    request.announcement.service = ServiceName("work");
+    request.announcement.slots = this->world.options.slots;
+    request.announcement.lease = lease;
+    request.announcement.isLeaving = this->leaving || !isCurrent;
+    request.isUnowned = isCurrent && !this->isSettled;
+    for (const auto &[attempt, task] : this->running)
+        if (task.lease == lease)
+            request.announcement.running.push_back(attempt);
+    const auto reply = [this, entry, lease](const std::string &better) {
+        this->world.network.send({ .step = Step::AnnounceReply,
+                                   .from = entry,
+                                   .to = this->name(),
+                                   .latency = this->world.latency(entry, this->name()),
+                                   .deliver = [this, entry, lease, better] {
+                                       this->deliver([this, entry, lease, better] {
+                                           if (lease != this->lease)
+                                               return;
+                                           this->heardAt = this->scheduler.now();
+                                           this->isSettled = true;
+                                           if (!better.empty()) {
+                                               this->moveTo(better);
+                                               this->announce();
+                                           }
+                                       });
+                                   } });
+    };
+    const auto receive = [this, entry, request, reply] {
+        EntryProcess *process = this->world.entryNamed(entry);
+        process->deliver([this, process, request, reply] {
+            std::vector<OwnerCandidate> candidates;
+            for (EntryProcess *near : this->world.entriesOf(this->domain)) {
+                const NodeName node(near->name());
+                const PeerTable &peers = process->dispatcher()->peers();
+                const bool isSelf = near == process;
+                if (isSelf || (peers.view(node).incarnation != 0
+                               && !peers.isDead(node, this->scheduler.now())))
+                    candidates.push_back({ .node = node });
+            }
+            const auto owner = chooseOwner(request.announcement.target, candidates);
+            if (request.isUnowned && owner && owner->str() != process->name()) {
+                reply(owner->str());
+                return;
+            }
+            process->step([&](Dispatcher &dispatcher, TimePoint now, DispatchOutbox &out) {
+                dispatcher.announce(request.announcement, now, out);
+            });
+            reply("");
+        });
+    };
+    this->network.send({ .step = Step::Announce,
+                         .from = this->name(),
+                         .to = entry,
+                         .latency = this->world.latency(this->name(), entry),
+                         .deliver = receive });
+}
+
+void TargetProcess::receive(const std::string &entry, const StartOnTarget &command)
+{
+    const AttemptId &attempt = command.start.attempt;
+    const bool isNew = !this->running.contains(attempt) && !this->ended.contains(attempt);
+    // A copy of a request on one connection is not a second start.
+    if (!isNew)
+        return;
+    const bool isWelcome = command.lease == this->lease && entry == this->owner && !this->leaving
+            && this->running.size() < this->world.options.slots;
+    if (!isWelcome) {
+        this->ended[attempt] = {};
+        this->report(entry, { .attempt = attempt, .verdict = AttemptVerdict::NotStarted });
+        return;
+    }
+    const ObservedStart start = { .attempt = attempt,
+                                  .target = this->name(),
+                                  .at = this->scheduler.now() };
+    if (this->world.keepsHistory)
+        this->world.starts.push_back(start);
+    if (this->world.onStart)
+        this->world.onStart(start);
+    this->running[attempt] = { .lease = command.lease };
+    std::int64_t microseconds = 0;
+    const std::string &payload = command.start.payload;
+    std::from_chars(payload.data(), payload.data() + payload.size(), microseconds);
+    Duration runTime = fromSeconds(static_cast<double>(microseconds) / 1e6 / this->speed);
+    if (this->failsEverything)
+        runTime = 1ms;
+    const std::uint64_t life = this->life;
+    this->scheduler.after(runTime,
+                          [this, attempt, entry, life] { this->finish(attempt, entry, life); });
+}
+
+void TargetProcess::finish(const AttemptId &attempt, const std::string &entry,
+                           std::uint64_t life)
+{
+    if (this->life != life)
+        return;
+    this->deliver([this, attempt, entry] {
+        const auto found = this->running.find(attempt);
+        if (found == this->running.end())
+            return;
+        const bool isSilent = found->second.isSilent;
+        this->running.erase(found);
+        Ending &ending = this->ended[attempt];
+        ending.verdict = this->failsEverything ? AttemptVerdict::Failed
+                                               : AttemptVerdict::Succeeded;
+        ending.result = this->failsEverything ? "failed" : resultOf(attempt);
+        if (!isSilent)
+            this->report(entry,
+                         { .attempt = attempt,
+                           .verdict = ending.verdict,
+                           .result = ending.result });
+    });
+}
+
+void TargetProcess::report(const std::string &entry, const TaskReport &report)
+{
+    this->network.send({ .step = Step::TargetReport,
+                         .from = this->name(),
+                         .to = entry,
+                         .latency = this->world.latency(this->name(), entry),
+                         .deliver = [this, entry, report] {
+                             EntryProcess *process = this->world.entryNamed(entry);
+                             process->deliver([process, report] {
+                                 process->step([&](Dispatcher &d, TimePoint now,
+                                                   DispatchOutbox &out) {
+                                     d.finishAttempt(report, now, out);
+                                 });
+                             });
+                         } });
+}
+
+void TargetProcess::answer(const std::string &entry, const AskTarget &question)
+{
+    if (this->running.contains(question.attempt))
+        return;
+    Ending ending = { .verdict = AttemptVerdict::Lost };
+    if (this->drawnLeases.contains(question.lease))
+        ending = this->ended.try_emplace(question.attempt).first->second;
+    const TaskReport report = { .attempt = question.attempt,
+                                .verdict = ending.verdict,
+                                .result = ending.result };
+    this->network.send({ .step = Step::AskReply,
+                         .from = this->name(),
+                         .to = entry,
+                         .latency = this->world.latency(this->name(), entry),
+                         .deliver = [this, entry, report] {
+                             EntryProcess *process = this->world.entryNamed(entry);
+                             process->deliver([process, report] {
+                                 process->step([&](Dispatcher &d, TimePoint now,
+                                                   DispatchOutbox &out) {
+                                     d.finishAttempt(report, now, out);
+                                 });
+                             });
+                         } });
+}
+
+// ---- EntryProcess
+
+EntryProcess::EntryProcess(World &world, const std::string &name, std::string domain,
+                           std::uint32_t index)
+    : Process(world.scheduler, world.network, name)
+    , domain(std::move(domain))
+    , world(world)
+    , index(index)
+{
+}
+
+void EntryProcess::start()
+{
+    if (this->isUp())
+        return;
+    this->beginLife();
+    DispatcherOptions options = this->world.options.dispatcher;
+    const TimePoint now = this->scheduler.now();
+    options.coordinator.self = {
+        .node = NodeName(this->name()),
+        .incarnation = static_cast<std::uint64_t>(now.time_since_epoch().count())
+    };
+    options.coordinator.entryIndex = this->index;
+    options.coordinator.entryCount = static_cast<std::uint32_t>(this->world.entries.size());
+    options.peers.ownDomain = DomainName(this->domain);
+    for (const auto &entry : this->world.entries)
+        if (entry.get() != this)
+            options.peers.peers.push_back(
+                    { .node = NodeName(entry->name()), .domain = DomainName(entry->domain) });
+    for (const std::string &name : this->world.options.domains) {
+        JournalGroup group = { .domain = DomainName(name) };
+        for (int i = 1; i <= 3; ++i)
+            group.members.emplace_back("journal-" + name + "-" + std::to_string(i));
+        options.journals.groups.push_back(group);
+    }
+    this->core = std::make_unique<Dispatcher>(options);
+    this->follower = std::make_unique<RulesFollower>(NodeName(this->name()));
+    this->repeat(10ms, [this] {
+        this->step([](Dispatcher &d, TimePoint time, DispatchOutbox &out) { d.tick(time, out); });
+    });
+    this->repeat(500ms, [this] {
+        if (this->follower->standing() != RulesStanding::Confirmed)
+            this->world.sendFetch(this->name());
+    });
+}
+
+void EntryProcess::kill()
+{
+    if (!this->isUp())
+        return;
+    this->endLife();
+    this->core.reset();
+    this->follower.reset();
+}
+
+void EntryProcess::drain()
+{
+    if (this->isUp())
+        this->core->drain();
+}
+
+void EntryProcess::step(
+        const std::function<void(Dispatcher &, TimePoint, DispatchOutbox &)> &work)
+{
+    DispatchOutbox out;
+    work(*this->core, this->scheduler.now(), out);
+    this->carryOut(out);
+}
+
+void EntryProcess::receive(const RulesUpdate &update)
+{
+    const std::uint64_t former = this->follower->file().version;
+    const auto acknowledged = this->follower->receive(update);
+    if (this->follower->file().version != former)
+        this->step([this](Dispatcher &d, TimePoint now, DispatchOutbox &out) {
+            d.applyRules(this->follower->rules(), now, out);
+        });
+    if (acknowledged)
+        this->world.sendAcknowledged(*acknowledged);
+}
+
+void EntryProcess::carryOut(const DispatchOutbox &out)
+{
+    for (const TargetCommand &command : out.toTargets)
+        std::visit(Overloaded {
+                           [this](const StartOnTarget &c) {
+                               this->world.sendStart(this->name(), c);
+                           },
+                           [this](const AskTarget &c) {
+                               this->world.sendQuestion(this->name(), c);
+                           },
+                   },
+                   command);
+    for (const AddressedPeerMessage &item : out.toPeers)
+        this->world.sendPeer(this->name(), item);
+    for (const AddressedJournalRequest &item : out.toJournals)
+        this->world.sendJournal(this->name(), item);
+    for (const CallerAnswer &item : out.answers)
+        this->world.answerCaller(this->name(), item);
+}
+
+// ---- World
+
+World::World(const WorldOptions &options)
+    : options(options)
+    , scheduler(worldStart)
+    , network(this->scheduler, options.seed * 7919 + 1)
+    , random(options.seed)
+{
+    this->makeJournals();
+    this->makeControls();
+    this->makeEntriesAndTargets();
+    const auto enlist = [this](Process *process, const std::string &domain) {
+        this->byName[process->name()] = process;
+        this->domainOf[process->name()] = domain;
+        this->network.setDomain(process->name(), domain);
+    };
+    for (std::size_t i = 0; i < this->journals.size(); ++i)
+        enlist(this->journals[i].get(), options.domains[i / 3]);
+    for (std::size_t i = 0; i < this->controls.size(); ++i)
+        enlist(this->controls[i].get(), options.domains[i % options.domains.size()]);
+    for (const auto &entry : this->entries)
+        enlist(entry.get(), entry->domain);
+    for (const auto &target : this->targets)
+        enlist(target.get(), target->domain);
+}
+
+DurableState World::founding(const std::string &node, const std::vector<NodeName> &group,
+                             const Bytes &state) const
+{
+    DurableState durable;
+    durable.self = { .node = NodeName(node), .incarnation = 1 };
+    durable.hard.term = 1;
+    durable.snapshot.index = 1;
+    durable.snapshot.term = 1;
+    durable.snapshot.state = state;
+    for (const NodeName &member : group)
+        durable.snapshot.membership = durable.snapshot.membership.with(
+                { .id = { .node = member, .incarnation = 1 } });
+    return durable;
+}
+
+void World::makeJournals()
+{
+    for (const std::string &domain : this->options.domains) {
+        std::vector<NodeName> group;
+        for (int i = 1; i <= 3; ++i)
+            group.emplace_back("journal-" + domain + "-" + std::to_string(i));
+        for (const NodeName &name : group) {
+            JournalProcess::Wiring wiring;
+            JournalOptions journal;
+            journal.replicated.entriesPerSnapshot = this->options.entriesPerSnapshot;
+            journal.coordinatorLease = this->options.coordinatorLease;
+            journal.abandonAfter = this->options.abandonAfter;
+            wiring.make = [this, journal](const DurableState &durable, TimePoint now) {
+                return std::make_unique<JournalNode>(journal, durable, this->random(), now);
+            };
+            wiring.replicaOutbox = [](JournalNode::Outbox &out) -> ReplicaOutbox & {
+                return out.replica;
+            };
+            wiring.send = [this](const ReplicaEnvelope &e) { this->sendReplica(e); };
+            wiring.release = [this, name](const JournalNode::Outbox &out) {
+                this->release(name.str(), out);
+            };
+            wiring.group = group;
+            wiring.syncTime = this->options.syncTime;
+            this->journals.push_back(std::make_unique<JournalProcess>(
+                    this->scheduler, this->network, name.str(), wiring, this->random()));
+            const TimePoint birth = worldStart - 1h;
+            this->journals.back()->disk.format(
+                    this->founding(name.str(), group, JournalState(birth).save()));
+        }
+    }
+}
+
+void World::makeControls()
+{
+    std::vector<NodeName> group;
+    for (int i = 1; i <= 3; ++i)
+        group.emplace_back("control-" + std::to_string(i));
+    ControlOptions control;
+    control.replicated.entriesPerSnapshot = this->options.entriesPerSnapshot;
+    for (std::uint32_t i = 0; i < this->options.entries; ++i) {
+        const std::string &domain = this->options.domains[i % this->options.domains.size()];
+        control.entries.push_back({ .node = NodeName("entry-" + std::to_string(i + 1)),
+                                    .domain = DomainName(domain) });
+    }
+    for (const NodeName &name : group) {
+        ControlProcess::Wiring wiring;
+        wiring.make = [this, control](const DurableState &durable, TimePoint now) {
+            return std::make_unique<ControlNode>(control, durable, this->random(), now);
+        };
+        wiring.replicaOutbox = [](ControlNode::Outbox &out) -> ReplicaOutbox & {
+            return out.log.replica;
+        };
+        wiring.send = [this](const ReplicaEnvelope &e) { this->sendReplica(e); };
+        wiring.release = [this, name](const ControlNode::Outbox &out) {
+            this->release(name.str(), out);
+        };
+        wiring.group = group;
+        wiring.syncTime = this->options.syncTime;
+        this->controls.push_back(std::make_unique<ControlProcess>(
+                this->scheduler, this->network, name.str(), wiring, this->random()));
+        this->controls.back()->disk.format(
+                this->founding(name.str(), group, RulesState().save()));
+    }
+}
+
+void World::makeEntriesAndTargets()
+{
+    for (std::uint32_t i = 0; i < this->options.entries; ++i)
+        this->entries.push_back(std::make_unique<EntryProcess>(
+                *this, "entry-" + std::to_string(i + 1),
+                this->options.domains[i % this->options.domains.size()], i));
+    for (const std::string &domain : this->options.domains) {
+        const std::uint32_t count = this->options.targetsPerDomain;
+        for (std::uint32_t i = 0; i < count; ++i) {
+            // Speeds differ by 4 times.
+            const double speed = count > 1 ? 0.5 + 1.5 * i / (count - 1) : 1.0;
+            this->targets.push_back(std::make_unique<TargetProcess>(
+                    *this, "target-" + domain + "-" + std::to_string(i + 1), domain, speed));
+        }
+    }
+}
+
+void World::start()
+{
+    for (const auto &process : this->journals)
+        process->start();
+    for (const auto &process : this->controls)
+        process->start();
+    for (const auto &process : this->entries)
+        process->start();
+    for (const auto &process : this->targets)
+        process->start();
+    this->run(3s);
+}
+
+void World::submit(const JobRequest &request, std::size_t entry, int resubmissions)
+{
+    const std::uint64_t token = this->nextToken++;
+    const TimePoint now = this->scheduler.now();
+    this->callers[token] = { .request = request,
+                             .entry = this->entries[entry % this->entries.size()]->name(),
+                             .submittedAt = now,
+                             .firstSubmittedAt = now,
+                             .resubmissions = resubmissions };
+    this->submitNow(token);
+}
+
+void World::submitNow(std::uint64_t token)
+{
+    const Caller &caller = this->callers.at(token);
+    const std::string name = caller.entry;
+    const JobRequest request = caller.request;
+    this->network.send({ .step = Step::Submit,
+                         .from = "caller",
+                         .to = name,
+                         .latency = this->options.toCaller,
+                         .deliver = [this, name, request, token] {
+                             EntryProcess *process = this->entryNamed(name);
+                             process->deliver([process, request, token] {
+                                 process->step([&](Dispatcher &d, TimePoint now,
+                                                   DispatchOutbox &out) {
+                                     d.submit({ .token = token, .request = request }, now, out);
+                                 });
+                             });
+                         } });
+    // A caller that got no answer believes its job lost, and turns to another entry node.
+    this->scheduler.at(request.deadline + 4s, [this, token] {
+        const auto found = this->callers.find(token);
+        if (found == this->callers.end())
+            return;
+        Caller again = found->second;
+        this->callers.erase(found);
+        if (again.resubmissions == 0)
+            return;
+        --again.resubmissions;
+        const TimePoint now = this->scheduler.now();
+        again.request.deadline = now + 8s;
+        again.submittedAt = now;
+        std::uniform_int_distribution<std::size_t> any(0, this->entries.size() - 1);
+        again.entry = this->entries[any(this->random)]->name();
+        const std::uint64_t next = this->nextToken++;
+        this->callers[next] = again;
+        this->submitNow(next);
+    });
+}
+
+void World::cancel(const JobId &id, std::size_t entry)
+{
+    EntryProcess *process = this->entries[entry % this->entries.size()].get();
+    this->network.send({ .step = Step::Cancel,
+                         .from = "caller",
+                         .to = process->name(),
+                         .latency = this->options.toCaller,
+                         .deliver = [process, id] {
+                             process->deliver([process, id] {
+                                 process->step([&](Dispatcher &d, TimePoint now,
+                                                   DispatchOutbox &out) { d.cancel(id, now, out); });
+                             });
+                         } });
+}
+
+void World::apply(const ApplyRules &command, std::size_t controlNode)
+{
+    ControlProcess *process = this->controls[controlNode % this->controls.size()].get();
+    this->network.send({ .step = Step::Apply,
+                         .from = "operator",
+                         .to = process->name(),
+                         .latency = this->options.toCaller,
+                         .deliver = [process, command] {
+                             process->deliver([process, command] {
+                                 process->handle([command](ControlNode &node, TimePoint now,
+                                                           ControlNode::Outbox &out) {
+                                     node.apply({ .node = NodeName(command.applyId) }, command,
+                                                now, out);
+                                 });
+                             });
+                         } });
+}
+
+JobRequest World::makeJob(const std::string &home, std::size_t tasks,
+                          Repeatability repeatability, Duration deadline)
+{
+    std::lognormal_distribution<double> seconds(-1.5, 0.7);
+    JobRequest request;
+    request.id = JobId(DomainName(home), this->scheduler.now(),
+                       "j" + std::to_string(this->nextJob++));
+    request.service = ServiceName("work");
+    request.team = TeamName("team");
+    request.repeatability = repeatability;
+    if (!request.isRepeatable())
+        this->singleJobs.insert(request.id);
+    request.deadline = this->scheduler.now() + deadline;
+    for (std::size_t i = 0; i < tasks; ++i) {
+        const double time = std::min(seconds(this->random), 2.0);
+        request.payloads.push_back(std::to_string(static_cast<std::int64_t>(time * 1e6)));
+    }
+    return request;
+}
+
+void World::sendPeer(const std::string &from, const AddressedPeerMessage &item)
+{
+    const std::string to = item.to.str();
+    // As over gRPC: a call into a cut ends with its time limit, a dead process refuses at once.
+    constexpr Duration callTimeout = 2s;
+    if (this->network.isCut(from, to))
+        this->noteBrokenLink(from, to, callTimeout);
+    this->network.send({ .step = stepOf(item.message),
+                         .from = from,
+                         .to = to,
+                         .latency = this->latency(from, to),
+                         .deliver = [this, from, to, message = item.message] {
+                             EntryProcess *process = this->entryNamed(to);
+                             if (!process->isUp())
+                                 this->noteBrokenLink(from, to, this->latency(from, to));
+                             process->deliver([process, message] {
+                                 process->step([&](Dispatcher &d, TimePoint now,
+                                                   DispatchOutbox &out) {
+                                     d.receive(message, now, out);
+                                 });
+                             });
+                         } });
+}
+
+void World::noteBrokenLink(const std::string &from, const std::string &to, Duration delay)
+{
+    this->scheduler.after(delay, [this, from, to] {
+        EntryProcess *process = this->entryNamed(from);
+        process->deliver([process, to] {
+            process->step([&](Dispatcher &d, TimePoint now, DispatchOutbox &out) {
+                d.noteBrokenLink(NodeName(to), now, out);
+            });
+        });
+    });
+}
+
+void World::sendJournal(const std::string &from, const AddressedJournalRequest &item)
+{
+    const std::string to = item.to.str();
+    this->network.send({ .step = stepOf(item.request.question),
+                         .from = from,
+                         .to = to,
+                         .latency = this->latency(from, to),
+                         .deliver = [this, to, request = item.request] {
+                             auto *process = static_cast<JournalProcess *>(this->find(to));
+                             process->deliver([process, request] {
+                                 process->handle([request](JournalNode &node, TimePoint now,
+                                                           JournalNode::Outbox &out) {
+                                     node.ask(request, now, out);
+                                 });
+                             });
+                         } });
+}
+
+void World::sendStart(const std::string &from, const StartOnTarget &command)
+{
+    const std::string to = command.target.str();
+    this->network.send({ .step = Step::TargetStart,
+                         .from = from,
+                         .to = to,
+                         .latency = this->latency(from, to),
+                         .deliver = [this, from, to, command] {
+                             TargetProcess *target = this->targetNamed(to);
+                             target->deliver(
+                                     [target, from, command] { target->receive(from, command); });
+                         } });
+}
+
+void World::sendQuestion(const std::string &from, const AskTarget &question)
+{
+    const std::string to = question.target.str();
+    this->network.send({ .step = Step::AskTarget,
+                         .from = from,
+                         .to = to,
+                         .latency = this->latency(from, to),
+                         .deliver = [this, from, to, question] {
+                             TargetProcess *target = this->targetNamed(to);
+                             target->deliver(
+                                     [target, from, question] { target->answer(from, question); });
+                         } });
+}
+
+void World::sendAcknowledged(const RulesAcknowledged &acknowledged)
+{
+    for (const auto &control : this->controls)
+        this->network.send(
+                { .step = Step::RulesAcknowledged,
+                  .from = acknowledged.node.str(),
+                  .to = control->name(),
+                  .latency = this->latency(acknowledged.node.str(), control->name()),
+                  .deliver = [process = control.get(), acknowledged] {
+                      process->deliver([process, acknowledged] {
+                          process->handle([acknowledged](ControlNode &node, TimePoint now,
+                                                         ControlNode::Outbox &out) {
+                              node.receive(acknowledged, now, out);
+                          });
+                      });
+                  } });
+}
+
+void World::sendFetch(const std::string &from)
+{
+    for (const auto &control : this->controls)
+        this->network.send({ .step = Step::FetchRules,
+                             .from = from,
+                             .to = control->name(),
+                             .latency = this->latency(from, control->name()),
+                             .deliver = [process = control.get(), from] {
+                                 process->deliver([process, from] {
+                                     process->handle([from](ControlNode &node, TimePoint now,
+                                                            ControlNode::Outbox &out) {
+                                         node.receive(FetchRules { .node = NodeName(from) }, now,
+                                                      out);
+                                     });
+                                 });
+                             } });
+}
+
+void World::answerCaller(const std::string &entry, const CallerAnswer &item)
+{
+    this->network.send({ .step = Step::CallerAnswer,
+                         .from = entry,
+                         .to = "caller",
+                         .latency = this->options.toCaller,
+                         .deliver = [this, item] {
+                             const auto found = this->callers.find(item.token);
+                             if (found == this->callers.end())
+                                 return;
+                             const ObservedAnswer answer = { .request = found->second.request,
+                                                             .answer = item.answer,
+                                                             .submittedAt =
+                                                                     found->second.submittedAt,
+                                                             .at = this->scheduler.now() };
+                             this->callers.erase(found);
+                             if (this->keepsHistory)
+                                 this->answers.push_back(answer);
+                             if (this->onAnswer)
+                                 this->onAnswer(answer);
+                         } });
+}
+
+void World::release(const std::string &from, const JournalNode::Outbox &out)
+{
+    for (const JournalAnswer &answer : out.answers) {
+        const std::string to = answer.request.node.str();
+        if (to.empty())
+            continue;
+        this->network.send({ .step = Step::JournalAnswer,
+                             .from = from,
+                             .to = to,
+                             .latency = this->latency(from, to),
+                             .deliver = [this, to, answer] {
+                                 EntryProcess *process = this->entryNamed(to);
+                                 process->deliver([process, answer] {
+                                     process->step([&](Dispatcher &d, TimePoint now,
+                                                       DispatchOutbox &outbox) {
+                                         d.receive(answer, now, outbox);
+                                     });
+                                 });
+                             } });
+    }
+}
+
+void World::release(const std::string &from, const ControlNode::Outbox &out)
+{
+    for (const AddressedUpdate &item : out.updates) {
+        const std::string to = item.to.str();
+        this->network.send({ .step = Step::RulesUpdate,
+                             .from = from,
+                             .to = to,
+                             .latency = this->latency(from, to),
+                             .deliver = [this, to, update = item.update] {
+                                 EntryProcess *process = this->entryNamed(to);
+                                 process->deliver([process, update] { process->receive(update); });
+                             } });
+    }
+    for (const ApplyReport &report : out.applied) {
+        const bool accepted = report.reply && report.reply->verdict == ApplyVerdict::Accepted;
+        this->network.send({ .step = Step::ApplyAnswer,
+                             .from = from,
+                             .to = "operator",
+                             .latency = this->options.toCaller,
+                             .deliver = [this, report, accepted] {
+                                 if (accepted)
+                                     this->acceptedRules[report.reply->version] =
+                                             report.request.node.str();
+                             } });
+    }
+}
+
+void World::sendReplica(const ReplicaEnvelope &envelope)
+{
+    const std::string from = envelope.from.node.str();
+    const std::string to = envelope.to.str();
+    const auto deliver = [this, to, envelope] {
+        Process *process = this->find(to);
+        process->deliver([process, envelope] {
+            if (auto *journal = dynamic_cast<JournalProcess *>(process))
+                journal->handle([envelope](JournalNode &node, TimePoint now,
+                                           JournalNode::Outbox &out) {
+                    node.receive(envelope, now, out);
+                });
+            if (auto *control = dynamic_cast<ControlProcess *>(process))
+                control->handle([envelope](ControlNode &node, TimePoint now,
+                                           ControlNode::Outbox &out) {
+                    node.receive(envelope, now, out);
+                });
+        });
+    };
+    this->network.send({ .step = Fake::stepOf(envelope.message),
+                         .from = from,
+                         .to = to,
+                         .latency = this->latency(from, to),
+                         .deliver = deliver });
+}
+
+Duration World::latency(const std::string &from, const std::string &to) const
+{
+    const auto a = this->domainOf.find(from);
+    const auto b = this->domainOf.find(to);
+    const bool isNear = a != this->domainOf.end() && b != this->domainOf.end()
+            && a->second == b->second;
+    return isNear ? this->options.withinDomain : this->options.betweenDomains;
+}
+
+Process *World::find(const std::string &name)
+{
+    const auto found = this->byName.find(name);
+    return found == this->byName.end() ? nullptr : found->second;
+}
+
+EntryProcess *World::entryNamed(const std::string &name)
+{
+    return static_cast<EntryProcess *>(this->byName.at(name));
+}
+
+TargetProcess *World::targetNamed(const std::string &name)
+{
+    return static_cast<TargetProcess *>(this->byName.at(name));
+}
+
+std::vector<EntryProcess *> World::entriesOf(const std::string &domain)
+{
+    std::vector<EntryProcess *> found;
+    for (const auto &entry : this->entries)
+        if (entry->domain == domain)
+            found.push_back(entry.get());
+    return found;
+}
+
+std::vector<std::string> World::violations() const
+{
+    std::vector<std::string> found;
+    std::map<std::pair<JobId, std::uint32_t>, int> startCounts;
+    for (const ObservedStart &start : this->starts)
+        ++startCounts[{ start.attempt.job, start.attempt.task }];
+    for (const ObservedAnswer &item : this->answers) {
+        const JobId &id = item.request.id;
+        const bool isSingle = !item.request.isRepeatable();
+        bool isWhole = item.answer.tasks.size() == item.request.taskCount();
+        if (!isWhole)
+            found.push_back(id.str() + ": an answer is not whole");
+        for (std::uint32_t i = 0; i < item.answer.tasks.size(); ++i) {
+            const TaskOutcome &task = item.answer.tasks[i];
+            const auto count = startCounts.find({ id, i });
+            const int starts = count == startCounts.end() ? 0 : count->second;
+            const std::string name = id.str() + "#" + std::to_string(i);
+            if (isSingle && task.fate == TaskFate::NotRun && starts > 0)
+                found.push_back(name + ": told not run, but was started");
+            if (task.fate == TaskFate::Ran && starts == 0)
+                found.push_back(name + ": told ran, but was never started");
+            if (task.succeeded && task.result != name)
+                found.push_back(name + ": got the answer of " + task.result);
+            isWhole = isWhole && task.succeeded;
+        }
+        if ((item.answer.state == JobState::Complete) != isWhole)
+            found.push_back(id.str() + ": partial, but not marked as failed");
+    }
+    for (const auto &[key, count] : startCounts) {
+        if (this->singleJobs.contains(key.first) && count > 1)
+            found.push_back(key.first.str() + "#" + std::to_string(key.second) + ": started "
+                            + std::to_string(count) + " times");
+    }
+    return found;
+}
+
+} // namespace Hibiscus::Fake
