--- a/Hibiscus/src/Dispatch/Dispatcher.cpp
+++ b/Hibiscus/src/Dispatch/Dispatcher.cpp
@@ -120,6 +120,7 @@
     this->owning.tick(now, out, reports);
     this->deliver(reports, now, out);
     this->coordinating.tick(now, out);
+    this->askWhenStarving(now);
     if (now >= this->probesSweptAt + this->options.probeSweepInterval) {
         this->probesSweptAt = now;
         this->sendProbes(now);
@@ -210,6 +211,7 @@
     const CoordinatorId &self = this->options.coordinator.self;
     std::vector<TaskStart> starts;
     this->coordinating.place(job, self.node, self.incarnation, now, starts, out);
+    this->progressAt = now;
     std::vector<OwnedReport> reports;
     for (const TaskStart &start : starts)
         this->owning.accept(self.node, start, now, reports);
@@ -223,6 +225,7 @@
     const std::uint64_t incarnation = this->peerTable.view(slot.peer).incarnation;
     std::vector<TaskStart> &starts = this->draftTo(slot.peer).starts;
     this->coordinating.place(job, slot.peer, incarnation, now, starts, out);
+    this->progressAt = now;
     this->peerTable.takeSlot(slot.peer, service);
 }
 
@@ -262,6 +265,22 @@
     }
 }
 
+// Free slots are learned from messages that flow anyway. A node that has tasks to place and hears
+// of no slot would wait for ever, so it asks, and its demand makes owners offer what they have.
+void Dispatcher::askWhenStarving(TimePoint now)
+{
+    if (this->coordinating.demand().waitingTasks == 0)
+        this->progressAt = now;
+    const bool isStarving = now > this->progressAt + this->options.starvingAfter
+        && now >= this->starvingAskedAt + this->options.starvingInterval;
+    if (!isStarving)
+        return;
+    this->starvingAskedAt = now;
+    for (const auto &[peer, view] : this->peerTable.peers())
+        if (!view.unansweredSince)
+            this->draftTo(peer).wantsReply = true;
+}
+
 void Dispatcher::flush(TimePoint now, DispatchOutbox &out)
 {
     for (auto &[peer, draft] : std::exchange(this->drafts, {})) {
--- a/Hibiscus/src/Dispatch/Dispatcher.h
+++ b/Hibiscus/src/Dispatch/Dispatcher.h
@@ -14,6 +14,8 @@
     PeerTableOptions peers;
     JournalClientOptions journals;
     Duration probeSweepInterval = 250ms;
+    Duration starvingAfter = 60ms; ///< without a place for a waiting task the peers are asked
+    Duration starvingInterval = 500ms; ///< between two such rounds
 };
 
 /** \brief Messages between entry nodes, by what they were for. */
@@ -77,6 +79,7 @@
     void offerTo(const NodeName &peer, const ServiceName &service, TimePoint now);
     void deliver(const std::vector<OwnedReport> &reports, TimePoint now, DispatchOutbox &out);
     void sendProbes(TimePoint now);
+    void askWhenStarving(TimePoint now);
     void flush(TimePoint now, DispatchOutbox &out);
     void count(const PeerMessage &message);
     PeerMessage &draftTo(const NodeName &peer) { return this->drafts[peer]; }
@@ -91,6 +94,8 @@
     std::map<NodeName, std::uint32_t> openOffers;
     PeerCounters counts;
     TimePoint probesSweptAt;
+    TimePoint progressAt; ///< when a task was last placed, or none waited
+    TimePoint starvingAskedAt;
 };
 
 } // namespace Hibiscus
--- a/test/FaultMatrixTest.cpp
+++ b/test/FaultMatrixTest.cpp
@@ -27,8 +27,8 @@
     std::vector<Cell> cells;
     for (std::uint8_t step = 0; step < static_cast<std::uint8_t>(Step::Count); ++step)
         for (std::uint8_t fault = 0; fault < static_cast<std::uint8_t>(Fault::Count); ++fault)
-            cells.push_back({ .step = static_cast<Step>(step),
-                              .fault = static_cast<Fault>(fault) });
+            cells.push_back(
+                { .step = static_cast<Step>(step), .fault = static_cast<Fault>(fault) });
     return cells;
 }
 
@@ -40,8 +40,7 @@
 }
 
 class FaultMatrix : public testing::TestWithParam<Cell>
-{
-};
+{ };
 
 TEST(FaultMatrixSteps, EveryStepOccurs)
 {
@@ -51,7 +50,7 @@
     for (std::uint8_t step = 0; step < static_cast<std::uint8_t>(Step::Count); ++step) {
         const auto found = result.steps.find(static_cast<Step>(step));
         EXPECT_TRUE(found != result.steps.end() && found->second > 0)
-                << Fake::toString(static_cast<Step>(step)) << " never occurs";
+            << Fake::toString(static_cast<Step>(step)) << " never occurs";
     }
     RecordProperty("answers", static_cast<int>(result.answers));
     EXPECT_GT(result.complete, 50U);
@@ -65,22 +64,19 @@
     // Early, middle and late in the exchange, from the cell's own place in the matrix.
     const std::uint64_t count = reference->second;
     for (const std::uint64_t occurrence : { std::uint64_t(1), (count + 1) / 2 }) {
-        const PlannedFault fault = { .step = cell.step,
-                                     .occurrence = occurrence,
-                                     .fault = cell.fault };
+        const PlannedFault fault
+            = { .step = cell.step, .occurrence = occurrence, .fault = cell.fault };
         const ScenarioResult result = Scenario(matrixSeed, { fault }).run();
         EXPECT_EQ(result.applied, 1U) << "the fault never came to pass";
         for (const std::string &failure : result.failures)
             ADD_FAILURE() << Fake::toString(cell.fault) << " at " << Fake::toString(cell.step)
-                          << " number " << occurrence << ", seed " << matrixSeed << ": "
-                          << failure;
+                          << " number " << occurrence << ", seed " << matrixSeed << ": " << failure;
     }
 }
 
 std::string cellName(const testing::TestParamInfo<Cell> &info)
 {
-    return std::string(Fake::toString(info.param.step)) + "_"
-            + Fake::toString(info.param.fault);
+    return std::string(Fake::toString(info.param.step)) + "_" + Fake::toString(info.param.fault);
 }
 
 INSTANTIATE_TEST_SUITE_P(All, FaultMatrix, testing::ValuesIn(allCells()), cellName);
--- a/test/RandomRunTest.cpp
+++ b/test/RandomRunTest.cpp
@@ -35,8 +35,8 @@
     for (int i = count(random); i > 0; --i) {
         // Small numbers are more common, since many steps are rare.
         std::uniform_int_distribution<std::uint64_t> scale(1, 9);
-        std::uniform_int_distribution<std::uint64_t> occurrence(
-                1, std::uint64_t(1) << scale(random));
+        std::uniform_int_distribution<std::uint64_t> occurrence(1,
+                                                                std::uint64_t(1) << scale(random));
         faults.push_back({ .step = static_cast<Step>(anyStep(random)),
                            .occurrence = occurrence(random),
                            .fault = static_cast<Fault>(anyFault(random)) });
@@ -67,8 +67,7 @@
 }
 
 class RandomRun : public testing::TestWithParam<std::uint64_t>
-{
-};
+{ };
 
 TEST_P(RandomRun, PromisesHold)
 {
@@ -90,6 +89,6 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomRun,
                          testing::Range(numberFrom("HIBISCUS_FIRST_SEED", usualFirstSeed),
                                         numberFrom("HIBISCUS_FIRST_SEED", usualFirstSeed)
-                                                + numberFrom("HIBISCUS_RUNS", usualRuns)));
+                                            + numberFrom("HIBISCUS_RUNS", usualRuns)));
 
 } // namespace
--- a/test/support/Network.h
+++ b/test/support/Network.h
@@ -76,11 +76,7 @@
     /** \brief Sees each packet first; returns false to take the packet off the network. */
     using Hook = std::function<bool(const Packet &)>;
 
-    Network(Scheduler &scheduler, std::uint64_t seed)
-        : scheduler(scheduler)
-        , random(seed)
-    {
-    }
+    Network(Scheduler &scheduler, std::uint64_t seed) : scheduler(scheduler), random(seed) { }
 
     void send(const Packet &packet)
     {
@@ -95,6 +91,11 @@
     {
         std::bernoulli_distribution lost(this->options.lossRate);
         std::bernoulli_distribution doubled(this->options.duplicateRate);
+        // A disk is not part of the network; a planned fault can still make one sync hang.
+        if (packet.step == Step::DiskSync) {
+            this->scheduler.after(packet.latency + extraDelay, packet.deliver);
+            return;
+        }
         if (this->isCut(packet.from, packet.to))
             return;
         if (this->options.lossRate > 0 && lost(this->random))
@@ -122,7 +123,7 @@
             return this->cuts.contains({ a, b });
         };
         const bool betweenDomains = fromDomain != toDomain
-                && (has(fromDomain, "*") || has("*", toDomain) || has(fromDomain, toDomain));
+            && (has(fromDomain, "*") || has("*", toDomain) || has(fromDomain, toDomain));
         return has(from, to) || has(from, "*") || has("*", to) || betweenDomains;
     }
 
--- a/test/support/Process.h
+++ b/test/support/Process.h
@@ -11,11 +11,8 @@
 {
 public:
     Process(Scheduler &scheduler, Network &network, std::string name)
-        : scheduler(scheduler)
-        , network(network)
-        , processName(std::move(name))
-    {
-    }
+        : scheduler(scheduler), network(network), processName(std::move(name))
+    { }
     virtual ~Process() = default;
 
     virtual void start() = 0;
@@ -134,15 +131,14 @@
 inline Step stepOf(const ReplicaMessage &message)
 {
     return std::visit(Overloaded {
-                              [](const VoteRequest &request) {
-                                  return request.kind == VoteKind::PreVote ? Step::PreVote
-                                                                           : Step::Vote;
-                              },
-                              [](const VoteReply &) { return Step::VoteReply; },
-                              [](const AppendRequest &) { return Step::Append; },
-                              [](const SnapshotRequest &) { return Step::Snapshot; },
-                              [](const AppendReply &) { return Step::AppendReply; },
-                              [](const JoinRequest &) { return Step::Join; },
+                          [](const VoteRequest &request) {
+                              return request.kind == VoteKind::PreVote ? Step::PreVote : Step::Vote;
+                          },
+                          [](const VoteReply &) { return Step::VoteReply; },
+                          [](const AppendRequest &) { return Step::Append; },
+                          [](const SnapshotRequest &) { return Step::Snapshot; },
+                          [](const AppendReply &) { return Step::AppendReply; },
+                          [](const JoinRequest &) { return Step::Join; },
                       },
                       message);
 }
@@ -170,13 +166,10 @@
         Duration syncTime = 5ms;
     };
 
-    ReplicaProcess(Scheduler &scheduler, Network &network, const std::string &name,
-                   Wiring wiring, std::uint64_t seed)
-        : Process(scheduler, network, name)
-        , wiring(std::move(wiring))
-        , random(seed)
-    {
-    }
+    ReplicaProcess(Scheduler &scheduler, Network &network, const std::string &name, Wiring wiring,
+                   std::uint64_t seed)
+        : Process(scheduler, network, name), wiring(std::move(wiring)), random(seed)
+    { }
 
     void start() override
     {
--- a/test/support/Scenario.cpp
+++ b/test/support/Scenario.cpp
@@ -24,21 +24,17 @@
 
 const char *toString(Fault fault)
 {
-    static constexpr std::array<const char *, static_cast<std::size_t>(Fault::Count)> names = {
-        "LoseMessage",     "DoubleMessage",  "DelayMessage",  "ReorderMessage",
-        "KillSender",      "KillReceiver",   "WipeSender",    "WipeReceiver",
-        "FreezeSender",    "FreezeReceiver", "CutForward",    "CutBothWays",
-        "IsolateSender",   "IsolateReceiver", "CutSenderDomain", "SilentConnections",
-        "FailingTarget",   "Straggler",      "OperatorRace",  "ApplyResent"
-    };
+    static constexpr std::array<const char *, static_cast<std::size_t>(Fault::Count)> names
+        = { "LoseMessage",   "DoubleMessage",   "DelayMessage",    "ReorderMessage",
+            "KillSender",    "KillReceiver",    "WipeSender",      "WipeReceiver",
+            "FreezeSender",  "FreezeReceiver",  "CutForward",      "CutBothWays",
+            "IsolateSender", "IsolateReceiver", "CutSenderDomain", "SilentConnections",
+            "FailingTarget", "Straggler",       "OperatorRace",    "ApplyResent" };
     return names.at(static_cast<std::size_t>(fault));
 }
 
 Scenario::Scenario(std::uint64_t seed, std::vector<PlannedFault> faults, NetworkOptions network)
-    : seed(seed)
-    , faults(std::move(faults))
-    , world(scenarioOptions(seed))
-    , random(seed + 17)
+    : seed(seed), faults(std::move(faults)), world(scenarioOptions(seed)), random(seed + 17)
 {
     this->world.network.options = network;
     this->world.network.hook = [this](const Packet &packet) { return this->onPacket(packet); };
@@ -62,9 +58,9 @@
     this->result.answers = this->world.answers.size();
     this->result.starts = this->world.starts.size();
     this->result.complete = static_cast<std::size_t>(
-            std::ranges::count_if(this->world.answers, [](const ObservedAnswer &item) {
-                return item.answer.state == JobState::Complete;
-            }));
+        std::ranges::count_if(this->world.answers, [](const ObservedAnswer &item) {
+            return item.answer.state == JobState::Complete;
+        }));
     return this->result;
 }
 
@@ -104,29 +100,28 @@
     const std::size_t entry = anyEntry(this->random);
     const std::string &near = this->world.entries[entry]->domain;
     const std::string &home = percent(this->random) < 70
-            ? near
-            : this->world.options.domains[static_cast<std::size_t>(percent(this->random)) % 3];
+        ? near
+        : this->world.options.domains[static_cast<std::size_t>(percent(this->random)) % 3];
     const bool isRepeatable = percent(this->random) < 25;
-    const std::size_t tasks = percent(this->random) < 10 ? wide(this->random)
-                                                         : narrow(this->random);
+    const std::size_t tasks
+        = percent(this->random) < 10 ? wide(this->random) : narrow(this->random);
     const Duration deadline = percent(this->random) < 30 ? Duration(2s) : Duration(7s);
     const JobRequest job = this->world.makeJob(
-            home, tasks, isRepeatable ? Repeatability::Repeatable : Repeatability::NotRepeatable,
-            deadline);
+        home, tasks, isRepeatable ? Repeatability::Repeatable : Repeatability::NotRepeatable,
+        deadline);
     this->world.submit(job, entry, 2);
     if (percent(this->random) < 30)
         this->world.submit(job, anyEntry(this->random), 1);
     if (percent(this->random) < 15)
-        this->world.scheduler.after(200ms, [this, job, entry] {
-            this->world.cancel(job.id, entry);
-        });
+        this->world.scheduler.after(200ms,
+                                    [this, job, entry] { this->world.cancel(job.id, entry); });
 }
 
 void Scenario::applyRules()
 {
     std::uniform_int_distribution<std::size_t> anyControl(0, 2);
-    const std::uint64_t expected =
-            this->world.acceptedRules.empty() ? 0 : this->world.acceptedRules.rbegin()->first;
+    const std::uint64_t expected
+        = this->world.acceptedRules.empty() ? 0 : this->world.acceptedRules.rbegin()->first;
     // Two operators hold the same version and apply at the same time.
     for (int i = 0; i < 2; ++i) {
         const std::string id = "apply-" + std::to_string(this->nextApply++);
@@ -140,9 +135,10 @@
         // An operator without an answer sends the same apply to the next control node.
         for (int again = 1; again <= 4; ++again)
             this->world.scheduler.after(again * 700ms, [this, command, control, again] {
-                const auto told = std::ranges::any_of(
-                        this->world.acceptedRules,
-                        [&](const auto &item) { return item.second == command.applyId; });
+                const auto told
+                    = std::ranges::any_of(this->world.acceptedRules, [&](const auto &item) {
+                          return item.second == command.applyId;
+                      });
                 if (!told)
                     this->world.apply(command, control + static_cast<std::size_t>(again));
             });
@@ -173,6 +169,9 @@
     };
     switch (fault) {
     case Fault::LoseMessage:
+        // A sync that is lost is one that hangs for a while.
+        if (packet.step == Step::DiskSync)
+            this->world.network.carry(packet, faultTime);
         return false;
     case Fault::DoubleMessage:
         this->world.network.carry(packet, 300us);
@@ -308,7 +307,7 @@
 std::size_t Scenario::wipedVoters(const std::string &prefix) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
-            this->wiped, [&](const std::string &name) { return name.starts_with(prefix); }));
+        this->wiped, [&](const std::string &name) { return name.starts_with(prefix); }));
 }
 
 // Two of three disks lost before the first was replaced is more than a group survives: it must
@@ -319,7 +318,7 @@
         return true;
     return std::ranges::any_of(this->world.journals, [&](const auto &journal) {
         return journal->name().starts_with("journal-" + domain) && journal->get()
-                && journal->get()->replica().isLeaderReady();
+            && journal->get()->replica().isLeaderReady();
     });
 }
 
@@ -329,11 +328,11 @@
     for (const std::string &domain : this->world.options.domains) {
         if (!this->hasQuorum(domain))
             continue;
-        const JobRequest job =
-                this->world.makeJob(domain, 3, Repeatability::NotRepeatable, 10s);
+        const JobRequest job = this->world.makeJob(domain, 3, Repeatability::NotRepeatable, 10s);
         probes.push_back(job.id);
-        this->world.submit(job, std::ranges::find(this->world.options.domains, domain)
-                                   - this->world.options.domains.begin(),
+        this->world.submit(job,
+                           std::ranges::find(this->world.options.domains, domain)
+                               - this->world.options.domains.begin(),
                            0);
     }
     this->world.run(12s);
--- a/test/support/Scheduler.h
+++ b/test/support/Scheduler.h
@@ -13,10 +13,7 @@
 public:
     using Event = std::function<void()>;
 
-    explicit Scheduler(TimePoint start)
-        : present(start)
-    {
-    }
+    explicit Scheduler(TimePoint start) : present(start) { }
 
     void at(TimePoint time, Event event)
     {
--- a/test/support/World.cpp
+++ b/test/support/World.cpp
@@ -17,13 +17,13 @@
     if (std::holds_alternative<CoordinatorHeartbeat>(question))
         return Step::Heartbeat;
     return std::visit(Overloaded {
-                              [](const OpenJob &) { return Step::OpenJob; },
-                              [](const RecordStarts &) { return Step::RecordStarts; },
-                              [](const FinishJob &) { return Step::FinishJob; },
-                              [](const TakeOverJob &) { return Step::TakeOverJob; },
-                              [](const RefuseJob &) { return Step::RefuseJob; },
-                              [](const AbandonJob &) { return Step::AbandonJob; },
-                              [](const ExpireJobs &) { return Step::OpenJob; },
+                          [](const OpenJob &) { return Step::OpenJob; },
+                          [](const RecordStarts &) { return Step::RecordStarts; },
+                          [](const FinishJob &) { return Step::FinishJob; },
+                          [](const TakeOverJob &) { return Step::TakeOverJob; },
+                          [](const RefuseJob &) { return Step::RefuseJob; },
+                          [](const AbandonJob &) { return Step::AbandonJob; },
+                          [](const ExpireJobs &) { return Step::OpenJob; },
                       },
                       std::get<JournalCommand>(question));
 }
@@ -48,16 +48,15 @@
 
 const char *toString(Step step)
 {
-    static constexpr std::array<const char *, static_cast<std::size_t>(Step::Count)> names = {
-        "PreVote",      "Vote",       "VoteReply",    "Append",      "AppendReply",
-        "Snapshot",     "Join",       "DiskSync",     "OpenJob",     "RecordStarts",
-        "FinishJob",    "TakeOverJob", "RefuseJob",   "AbandonJob",  "LookUpJob",
-        "Heartbeat",    "JournalAnswer", "PeerStart", "PeerReport",  "PeerProbe",
-        "PeerCancel",   "PeerNews",   "TargetStart",  "TargetReport", "Announce",
-        "AnnounceReply", "AskTarget", "AskReply",     "Submit",      "CallerAnswer",
-        "Cancel",       "RulesUpdate", "RulesAcknowledged", "FetchRules", "Apply",
-        "ApplyAnswer"
-    };
+    static constexpr std::array<const char *, static_cast<std::size_t>(Step::Count)> names
+        = { "PreVote",       "Vote",          "VoteReply",         "Append",       "AppendReply",
+            "Snapshot",      "Join",          "DiskSync",          "OpenJob",      "RecordStarts",
+            "FinishJob",     "TakeOverJob",   "RefuseJob",         "AbandonJob",   "LookUpJob",
+            "Heartbeat",     "JournalAnswer", "PeerStart",         "PeerReport",   "PeerProbe",
+            "PeerCancel",    "PeerNews",      "TargetStart",       "TargetReport", "Announce",
+            "AnnounceReply", "AskTarget",     "AskReply",          "Submit",       "CallerAnswer",
+            "Cancel",        "RulesUpdate",   "RulesAcknowledged", "FetchRules",   "Apply",
+            "ApplyAnswer" };
     return names.at(static_cast<std::size_t>(step));
 }
 
@@ -65,13 +64,9 @@
 
 TargetProcess::TargetProcess(World &world, const std::string &name, std::string domain,
                              double speed)
-    : Process(world.scheduler, world.network, name)
-    , speed(speed)
-    , domain(std::move(domain))
-    , world(world)
-    , random(world.random())
-{
-}
+    : Process(world.scheduler, world.network, name), speed(speed), domain(std::move(domain)),
+      world(world), random(world.random())
+{ }
 
 void TargetProcess::start()
 {
@@ -125,9 +120,8 @@
     this->lease = this->random() >> 1U;
     this->drawnLeases.insert(this->lease);
     std::erase_if(this->formerOwners, [&](const auto &former) {
-        return std::ranges::none_of(this->running, [&](const auto &task) {
-            return task.second.lease == former.first;
-        });
+        return std::ranges::none_of(
+            this->running, [&](const auto &task) { return task.second.lease == former.first; });
     });
 }
 
@@ -170,8 +164,9 @@
                 const NodeName node(near->name());
                 const PeerTable &peers = process->dispatcher()->peers();
                 const bool isSelf = near == process;
-                if (isSelf || (peers.view(node).incarnation != 0
-                               && !peers.isDead(node, this->scheduler.now())))
+                if (isSelf
+                    || (peers.view(node).incarnation != 0
+                        && !peers.isDead(node, this->scheduler.now())))
                     candidates.push_back({ .node = node });
             }
             const auto owner = chooseOwner(request.announcement.target, candidates);
@@ -200,15 +195,14 @@
     if (!isNew)
         return;
     const bool isWelcome = command.lease == this->lease && entry == this->owner && !this->leaving
-            && this->running.size() < this->world.options.slots;
+        && this->running.size() < this->world.options.slots;
     if (!isWelcome) {
         this->ended[attempt] = {};
         this->report(entry, { .attempt = attempt, .verdict = AttemptVerdict::NotStarted });
         return;
     }
-    const ObservedStart start = { .attempt = attempt,
-                                  .target = this->name(),
-                                  .at = this->scheduler.now() };
+    const ObservedStart start
+        = { .attempt = attempt, .target = this->name(), .at = this->scheduler.now() };
     if (this->world.keepsHistory)
         this->world.starts.push_back(start);
     if (this->world.onStart)
@@ -225,8 +219,7 @@
                           [this, attempt, entry, life] { this->finish(attempt, entry, life); });
 }
 
-void TargetProcess::finish(const AttemptId &attempt, const std::string &entry,
-                           std::uint64_t life)
+void TargetProcess::finish(const AttemptId &attempt, const std::string &entry, std::uint64_t life)
 {
     if (this->life != life)
         return;
@@ -237,14 +230,11 @@
         const bool isSilent = found->second.isSilent;
         this->running.erase(found);
         Ending &ending = this->ended[attempt];
-        ending.verdict = this->failsEverything ? AttemptVerdict::Failed
-                                               : AttemptVerdict::Succeeded;
+        ending.verdict = this->failsEverything ? AttemptVerdict::Failed : AttemptVerdict::Succeeded;
         ending.result = this->failsEverything ? "failed" : resultOf(attempt);
         if (!isSilent)
-            this->report(entry,
-                         { .attempt = attempt,
-                           .verdict = ending.verdict,
-                           .result = ending.result });
+            this->report(
+                entry, { .attempt = attempt, .verdict = ending.verdict, .result = ending.result });
     });
 }
 
@@ -257,10 +247,10 @@
                          .deliver = [this, entry, report] {
                              EntryProcess *process = this->world.entryNamed(entry);
                              process->deliver([process, report] {
-                                 process->step([&](Dispatcher &d, TimePoint now,
-                                                   DispatchOutbox &out) {
-                                     d.finishAttempt(report, now, out);
-                                 });
+                                 process->step(
+                                     [&](Dispatcher &d, TimePoint now, DispatchOutbox &out) {
+                                         d.finishAttempt(report, now, out);
+                                     });
                              });
                          } });
 }
@@ -272,9 +262,8 @@
     Ending ending = { .verdict = AttemptVerdict::Lost };
     if (this->drawnLeases.contains(question.lease))
         ending = this->ended.try_emplace(question.attempt).first->second;
-    const TaskReport report = { .attempt = question.attempt,
-                                .verdict = ending.verdict,
-                                .result = ending.result };
+    const TaskReport report
+        = { .attempt = question.attempt, .verdict = ending.verdict, .result = ending.result };
     this->network.send({ .step = Step::AskReply,
                          .from = this->name(),
                          .to = entry,
@@ -282,10 +271,10 @@
                          .deliver = [this, entry, report] {
                              EntryProcess *process = this->world.entryNamed(entry);
                              process->deliver([process, report] {
-                                 process->step([&](Dispatcher &d, TimePoint now,
-                                                   DispatchOutbox &out) {
-                                     d.finishAttempt(report, now, out);
-                                 });
+                                 process->step(
+                                     [&](Dispatcher &d, TimePoint now, DispatchOutbox &out) {
+                                         d.finishAttempt(report, now, out);
+                                     });
                              });
                          } });
 }
@@ -294,12 +283,9 @@
 
 EntryProcess::EntryProcess(World &world, const std::string &name, std::string domain,
                            std::uint32_t index)
-    : Process(world.scheduler, world.network, name)
-    , domain(std::move(domain))
-    , world(world)
-    , index(index)
-{
-}
+    : Process(world.scheduler, world.network, name), domain(std::move(domain)), world(world),
+      index(index)
+{ }
 
 void EntryProcess::start()
 {
@@ -308,17 +294,16 @@
     this->beginLife();
     DispatcherOptions options = this->world.options.dispatcher;
     const TimePoint now = this->scheduler.now();
-    options.coordinator.self = {
-        .node = NodeName(this->name()),
-        .incarnation = static_cast<std::uint64_t>(now.time_since_epoch().count())
-    };
+    options.coordinator.self
+        = { .node = NodeName(this->name()),
+            .incarnation = static_cast<std::uint64_t>(now.time_since_epoch().count()) };
     options.coordinator.entryIndex = this->index;
     options.coordinator.entryCount = static_cast<std::uint32_t>(this->world.entries.size());
     options.peers.ownDomain = DomainName(this->domain);
     for (const auto &entry : this->world.entries)
         if (entry.get() != this)
             options.peers.peers.push_back(
-                    { .node = NodeName(entry->name()), .domain = DomainName(entry->domain) });
+                { .node = NodeName(entry->name()), .domain = DomainName(entry->domain) });
     for (const std::string &name : this->world.options.domains) {
         JournalGroup group = { .domain = DomainName(name) };
         for (int i = 1; i <= 3; ++i)
@@ -351,8 +336,7 @@
         this->core->drain();
 }
 
-void EntryProcess::step(
-        const std::function<void(Dispatcher &, TimePoint, DispatchOutbox &)> &work)
+void EntryProcess::step(const std::function<void(Dispatcher &, TimePoint, DispatchOutbox &)> &work)
 {
     DispatchOutbox out;
     work(*this->core, this->scheduler.now(), out);
@@ -375,12 +359,8 @@
 {
     for (const TargetCommand &command : out.toTargets)
         std::visit(Overloaded {
-                           [this](const StartOnTarget &c) {
-                               this->world.sendStart(this->name(), c);
-                           },
-                           [this](const AskTarget &c) {
-                               this->world.sendQuestion(this->name(), c);
-                           },
+                       [this](const StartOnTarget &c) { this->world.sendStart(this->name(), c); },
+                       [this](const AskTarget &c) { this->world.sendQuestion(this->name(), c); },
                    },
                    command);
     for (const AddressedPeerMessage &item : out.toPeers)
@@ -394,10 +374,8 @@
 // ---- World
 
 World::World(const WorldOptions &options)
-    : options(options)
-    , scheduler(worldStart)
-    , network(this->scheduler, options.seed * 7919 + 1)
-    , random(options.seed)
+    : options(options), scheduler(worldStart), network(this->scheduler, options.seed * 7919 + 1),
+      random(options.seed)
 {
     this->makeJournals();
     this->makeControls();
@@ -427,8 +405,8 @@
     durable.snapshot.term = 1;
     durable.snapshot.state = state;
     for (const NodeName &member : group)
-        durable.snapshot.membership = durable.snapshot.membership.with(
-                { .id = { .node = member, .incarnation = 1 } });
+        durable.snapshot.membership
+            = durable.snapshot.membership.with({ .id = { .node = member, .incarnation = 1 } });
     return durable;
 }
 
@@ -447,20 +425,18 @@
             wiring.make = [this, journal](const DurableState &durable, TimePoint now) {
                 return std::make_unique<JournalNode>(journal, durable, this->random(), now);
             };
-            wiring.replicaOutbox = [](JournalNode::Outbox &out) -> ReplicaOutbox & {
-                return out.replica;
-            };
+            wiring.replicaOutbox
+                = [](JournalNode::Outbox &out) -> ReplicaOutbox & { return out.replica; };
             wiring.send = [this](const ReplicaEnvelope &e) { this->sendReplica(e); };
-            wiring.release = [this, name](const JournalNode::Outbox &out) {
-                this->release(name.str(), out);
-            };
+            wiring.release
+                = [this, name](const JournalNode::Outbox &out) { this->release(name.str(), out); };
             wiring.group = group;
             wiring.syncTime = this->options.syncTime;
             this->journals.push_back(std::make_unique<JournalProcess>(
-                    this->scheduler, this->network, name.str(), wiring, this->random()));
+                this->scheduler, this->network, name.str(), wiring, this->random()));
             const TimePoint birth = worldStart - 1h;
             this->journals.back()->disk.format(
-                    this->founding(name.str(), group, JournalState(birth).save()));
+                this->founding(name.str(), group, JournalState(birth).save()));
         }
     }
 }
@@ -474,27 +450,24 @@
     control.replicated.entriesPerSnapshot = this->options.entriesPerSnapshot;
     for (std::uint32_t i = 0; i < this->options.entries; ++i) {
         const std::string &domain = this->options.domains[i % this->options.domains.size()];
-        control.entries.push_back({ .node = NodeName("entry-" + std::to_string(i + 1)),
-                                    .domain = DomainName(domain) });
+        control.entries.push_back(
+            { .node = NodeName("entry-" + std::to_string(i + 1)), .domain = DomainName(domain) });
     }
     for (const NodeName &name : group) {
         ControlProcess::Wiring wiring;
         wiring.make = [this, control](const DurableState &durable, TimePoint now) {
             return std::make_unique<ControlNode>(control, durable, this->random(), now);
         };
-        wiring.replicaOutbox = [](ControlNode::Outbox &out) -> ReplicaOutbox & {
-            return out.log.replica;
-        };
+        wiring.replicaOutbox
+            = [](ControlNode::Outbox &out) -> ReplicaOutbox & { return out.log.replica; };
         wiring.send = [this](const ReplicaEnvelope &e) { this->sendReplica(e); };
-        wiring.release = [this, name](const ControlNode::Outbox &out) {
-            this->release(name.str(), out);
-        };
+        wiring.release
+            = [this, name](const ControlNode::Outbox &out) { this->release(name.str(), out); };
         wiring.group = group;
         wiring.syncTime = this->options.syncTime;
         this->controls.push_back(std::make_unique<ControlProcess>(
-                this->scheduler, this->network, name.str(), wiring, this->random()));
-        this->controls.back()->disk.format(
-                this->founding(name.str(), group, RulesState().save()));
+            this->scheduler, this->network, name.str(), wiring, this->random()));
+        this->controls.back()->disk.format(this->founding(name.str(), group, RulesState().save()));
     }
 }
 
@@ -502,15 +475,15 @@
 {
     for (std::uint32_t i = 0; i < this->options.entries; ++i)
         this->entries.push_back(std::make_unique<EntryProcess>(
-                *this, "entry-" + std::to_string(i + 1),
-                this->options.domains[i % this->options.domains.size()], i));
+            *this, "entry-" + std::to_string(i + 1),
+            this->options.domains[i % this->options.domains.size()], i));
     for (const std::string &domain : this->options.domains) {
         const std::uint32_t count = this->options.targetsPerDomain;
         for (std::uint32_t i = 0; i < count; ++i) {
             // Speeds differ by 4 times.
             const double speed = count > 1 ? 0.5 + 1.5 * i / (count - 1) : 1.0;
             this->targets.push_back(std::make_unique<TargetProcess>(
-                    *this, "target-" + domain + "-" + std::to_string(i + 1), domain, speed));
+                *this, "target-" + domain + "-" + std::to_string(i + 1), domain, speed));
         }
     }
 }
@@ -552,10 +525,10 @@
                          .deliver = [this, name, request, token] {
                              EntryProcess *process = this->entryNamed(name);
                              process->deliver([process, request, token] {
-                                 process->step([&](Dispatcher &d, TimePoint now,
-                                                   DispatchOutbox &out) {
-                                     d.submit({ .token = token, .request = request }, now, out);
-                                 });
+                                 process->step(
+                                     [&](Dispatcher &d, TimePoint now, DispatchOutbox &out) {
+                                         d.submit({ .token = token, .request = request }, now, out);
+                                     });
                              });
                          } });
     // A caller that got no answer believes its job lost, and turns to another entry node.
@@ -588,8 +561,10 @@
                          .latency = this->options.toCaller,
                          .deliver = [process, id] {
                              process->deliver([process, id] {
-                                 process->step([&](Dispatcher &d, TimePoint now,
-                                                   DispatchOutbox &out) { d.cancel(id, now, out); });
+                                 process->step(
+                                     [&](Dispatcher &d, TimePoint now, DispatchOutbox &out) {
+                                         d.cancel(id, now, out);
+                                     });
                              });
                          } });
 }
@@ -605,20 +580,20 @@
                              process->deliver([process, command] {
                                  process->handle([command](ControlNode &node, TimePoint now,
                                                            ControlNode::Outbox &out) {
-                                     node.apply({ .node = NodeName(command.applyId) }, command,
-                                                now, out);
+                                     node.apply({ .node = NodeName(command.applyId) }, command, now,
+                                                out);
                                  });
                              });
                          } });
 }
 
-JobRequest World::makeJob(const std::string &home, std::size_t tasks,
-                          Repeatability repeatability, Duration deadline)
+JobRequest World::makeJob(const std::string &home, std::size_t tasks, Repeatability repeatability,
+                          Duration deadline)
 {
     std::lognormal_distribution<double> seconds(-1.5, 0.7);
     JobRequest request;
-    request.id = JobId(DomainName(home), this->scheduler.now(),
-                       "j" + std::to_string(this->nextJob++));
+    request.id
+        = JobId(DomainName(home), this->scheduler.now(), "j" + std::to_string(this->nextJob++));
     request.service = ServiceName("work");
     request.team = TeamName("team");
     request.repeatability = repeatability;
@@ -648,10 +623,10 @@
                              if (!process->isUp())
                                  this->noteBrokenLink(from, to, this->latency(from, to));
                              process->deliver([process, message] {
-                                 process->step([&](Dispatcher &d, TimePoint now,
-                                                   DispatchOutbox &out) {
-                                     d.receive(message, now, out);
-                                 });
+                                 process->step(
+                                     [&](Dispatcher &d, TimePoint now, DispatchOutbox &out) {
+                                         d.receive(message, now, out);
+                                     });
                              });
                          } });
 }
@@ -696,7 +671,7 @@
                          .deliver = [this, from, to, command] {
                              TargetProcess *target = this->targetNamed(to);
                              target->deliver(
-                                     [target, from, command] { target->receive(from, command); });
+                                 [target, from, command] { target->receive(from, command); });
                          } });
 }
 
@@ -710,26 +685,26 @@
                          .deliver = [this, from, to, question] {
                              TargetProcess *target = this->targetNamed(to);
                              target->deliver(
-                                     [target, from, question] { target->answer(from, question); });
+                                 [target, from, question] { target->answer(from, question); });
                          } });
 }
 
 void World::sendAcknowledged(const RulesAcknowledged &acknowledged)
 {
     for (const auto &control : this->controls)
-        this->network.send(
-                { .step = Step::RulesAcknowledged,
-                  .from = acknowledged.node.str(),
-                  .to = control->name(),
-                  .latency = this->latency(acknowledged.node.str(), control->name()),
-                  .deliver = [process = control.get(), acknowledged] {
-                      process->deliver([process, acknowledged] {
-                          process->handle([acknowledged](ControlNode &node, TimePoint now,
-                                                         ControlNode::Outbox &out) {
-                              node.receive(acknowledged, now, out);
-                          });
-                      });
-                  } });
+        this->network.send({ .step = Step::RulesAcknowledged,
+                             .from = acknowledged.node.str(),
+                             .to = control->name(),
+                             .latency = this->latency(acknowledged.node.str(), control->name()),
+                             .deliver = [process = control.get(), acknowledged] {
+                                 process->deliver([process, acknowledged] {
+                                     process->handle([acknowledged](ControlNode &node,
+                                                                    TimePoint now,
+                                                                    ControlNode::Outbox &out) {
+                                         node.receive(acknowledged, now, out);
+                                     });
+                                 });
+                             } });
 }
 
 void World::sendFetch(const std::string &from)
@@ -760,11 +735,11 @@
                              const auto found = this->callers.find(item.token);
                              if (found == this->callers.end())
                                  return;
-                             const ObservedAnswer answer = { .request = found->second.request,
-                                                             .answer = item.answer,
-                                                             .submittedAt =
-                                                                     found->second.submittedAt,
-                                                             .at = this->scheduler.now() };
+                             const ObservedAnswer answer
+                                 = { .request = found->second.request,
+                                     .answer = item.answer,
+                                     .submittedAt = found->second.submittedAt,
+                                     .at = this->scheduler.now() };
                              this->callers.erase(found);
                              if (this->keepsHistory)
                                  this->answers.push_back(answer);
@@ -786,10 +761,10 @@
                              .deliver = [this, to, answer] {
                                  EntryProcess *process = this->entryNamed(to);
                                  process->deliver([process, answer] {
-                                     process->step([&](Dispatcher &d, TimePoint now,
-                                                       DispatchOutbox &outbox) {
-                                         d.receive(answer, now, outbox);
-                                     });
+                                     process->step(
+                                         [&](Dispatcher &d, TimePoint now, DispatchOutbox &outbox) {
+                                             d.receive(answer, now, outbox);
+                                         });
                                  });
                              } });
     }
@@ -816,8 +791,8 @@
                              .latency = this->options.toCaller,
                              .deliver = [this, report, accepted] {
                                  if (accepted)
-                                     this->acceptedRules[report.reply->version] =
-                                             report.request.node.str();
+                                     this->acceptedRules[report.reply->version]
+                                         = report.request.node.str();
                              } });
     }
 }
@@ -830,15 +805,15 @@
         Process *process = this->find(to);
         process->deliver([process, envelope] {
             if (auto *journal = dynamic_cast<JournalProcess *>(process))
-                journal->handle([envelope](JournalNode &node, TimePoint now,
-                                           JournalNode::Outbox &out) {
-                    node.receive(envelope, now, out);
-                });
+                journal->handle(
+                    [envelope](JournalNode &node, TimePoint now, JournalNode::Outbox &out) {
+                        node.receive(envelope, now, out);
+                    });
             if (auto *control = dynamic_cast<ControlProcess *>(process))
-                control->handle([envelope](ControlNode &node, TimePoint now,
-                                           ControlNode::Outbox &out) {
-                    node.receive(envelope, now, out);
-                });
+                control->handle(
+                    [envelope](ControlNode &node, TimePoint now, ControlNode::Outbox &out) {
+                        node.receive(envelope, now, out);
+                    });
         });
     };
     this->network.send({ .step = Fake::stepOf(envelope.message),
@@ -852,8 +827,8 @@
 {
     const auto a = this->domainOf.find(from);
     const auto b = this->domainOf.find(to);
-    const bool isNear = a != this->domainOf.end() && b != this->domainOf.end()
-            && a->second == b->second;
+    const bool isNear
+        = a != this->domainOf.end() && b != this->domainOf.end() && a->second == b->second;
     return isNear ? this->options.withinDomain : this->options.betweenDomains;
 }
 
--- a/test/support/World.h
+++ b/test/support/World.h
@@ -102,8 +102,7 @@
 class EntryProcess : public Process
 {
 public:
-    EntryProcess(World &world, const std::string &name, std::string domain,
-                 std::uint32_t index);
+    EntryProcess(World &world, const std::string &name, std::string domain, std::uint32_t index);
 
     void start() override;
     void kill() override;
