--- a/Hibiscus/src/Journal/JournalMessage.h
+++ b/Hibiscus/src/Journal/JournalMessage.h
@@ -16,7 +16,7 @@
 /** \brief Says that a coordinator with open jobs is alive. */
 struct CoordinatorHeartbeat
 {
-    auto operator<=>(const CoordinatorHeartbeat &other) const = default;
+    auto operator<=>(const CoordinatorHeartbeat &) const = default;
     template<typename Archive>
     void serialize(Archive &)
     { }
--- a/Hibiscus/src/Replication/LogEntry.h
+++ b/Hibiscus/src/Replication/LogEntry.h
@@ -10,7 +10,7 @@
 /** \brief An entry without effect; each leader commits one at the start of its term. */
 struct Noop
 {
-    auto operator<=>(const Noop &other) const = default;
+    auto operator<=>(const Noop &) const = default;
     template<typename Archive>
     void serialize(Archive &)
     { }
--- a/Hibiscus/src/Replication/ReplicaMessage.h
+++ b/Hibiscus/src/Replication/ReplicaMessage.h
@@ -75,7 +75,7 @@
 /** \brief A replica with an empty disk asks to be taken in as a learner. */
 struct JoinRequest
 {
-    auto operator<=>(const JoinRequest &other) const = default;
+    auto operator<=>(const JoinRequest &) const = default;
     template<typename Archive>
     void serialize(Archive &)
     { }
--- /dev/null
+++ b/bench/DispatcherModel.cpp
@@ -0,0 +1,204 @@
+#include "bench/DispatcherModel.h"
+
+#include "test/support/World.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace Hibiscus::Bench {
+
+namespace {
+
+constexpr Duration drainTime = 60s;
+constexpr Duration jobDeadline = 60s;
+constexpr Duration cutTime = 30s;
+constexpr Duration downTime = 10s;
+
+Fake::WorldOptions worldOptions(const Site &site, const WorkloadOptions &options)
+{
+    Fake::WorldOptions world;
+    world.domains = domainNames();
+    world.entries = site.entries;
+    world.targetsPerDomain = targetsPerDomain;
+    world.slots = slotsPerTarget;
+    world.betweenDomains = site.betweenDomains;
+    world.withinDomain = withinDomain;
+    world.toCaller = toCaller;
+    world.syncTime = syncTime;
+    world.entriesPerSnapshot = 4096;
+    world.abandonAfter = 30s;
+    world.seed = options.seed;
+    return world;
+}
+
+/** \brief Kinds of steps by what they are for. */
+void sortMessages(const std::map<Fake::Step, std::uint64_t> &sent, RunResult &result)
+{
+    using Fake::Step;
+    for (const auto &[step, count] : sent) {
+        switch (step) {
+        case Step::PeerProbe:
+        case Step::PeerCancel:
+        case Step::PeerNews:
+        case Step::AskTarget:
+        case Step::AskReply:
+        case Step::LookUpJob:
+        case Step::Heartbeat:
+        case Step::TakeOverJob:
+        case Step::AbandonJob:
+            result.wasted[Fake::toString(step)] += count;
+            break;
+        case Step::Announce:
+        case Step::AnnounceReply:
+        case Step::PreVote:
+        case Step::Vote:
+        case Step::VoteReply:
+        case Step::Append:
+        case Step::AppendReply:
+        case Step::FetchRules:
+        case Step::RulesUpdate:
+        case Step::RulesAcknowledged:
+            result.standing[Fake::toString(step)] += count;
+            break;
+        case Step::DiskSync:
+            break;
+        default:
+            result.usefulMessages += count;
+            break;
+        }
+    }
+}
+
+/** \brief A run of the world under a load. */
+class DispatcherRun
+{
+public:
+    DispatcherRun(const Site &site, const WorkloadOptions &options,
+                  const std::vector<WorkloadJob> &workload)
+        : options(options)
+        , workload(workload)
+        , world(worldOptions(site, options))
+    {
+        this->world.keepsHistory = false;
+        this->world.onAnswer = [this](const Fake::ObservedAnswer &answer) {
+            this->onAnswer(answer);
+        };
+        this->world.onStart = [this](const Fake::ObservedStart &start) { this->onStart(start); };
+    }
+
+    RunResult run()
+    {
+        this->world.start();
+        const auto before = this->world.network.sent();
+        this->startTime = this->world.scheduler.now();
+        for (std::size_t i = 0; i < this->workload.size(); ++i)
+            this->world.scheduler.after(this->workload[i].arrival, [this, i] { this->submit(i); });
+        this->world.scheduler.after(this->options.length / 3, [this] { this->trouble(); });
+        this->world.run(this->options.length + drainTime);
+        auto sent = this->world.network.sent();
+        for (const auto &[step, count] : before)
+            sent[step] -= count;
+        sortMessages(sent, this->result);
+        return std::move(this->result);
+    }
+
+private:
+    void submit(std::size_t index)
+    {
+        const WorkloadJob &job = this->workload[index];
+        JobRequest request;
+        request.id = JobId(DomainName(job.home), this->world.scheduler.now(),
+                           "w" + std::to_string(index));
+        request.service = ServiceName("work");
+        request.team = TeamName("team-" + std::to_string(job.team));
+        request.repeatability = job.isRepeatable ? Repeatability::Repeatable
+                                                 : Repeatability::NotRepeatable;
+        request.deadline = this->world.scheduler.now() + jobDeadline;
+        for (const double seconds : job.seconds)
+            request.payloads.push_back(
+                    std::to_string(static_cast<std::int64_t>(seconds * 1e6)));
+        this->indices[request.id.str()] = index;
+        this->world.submit(request, job.entry, 0);
+        if (job.isCancelled)
+            this->world.scheduler.after(200ms, [this, id = request.id, entry = job.entry] {
+                this->world.cancel(id, entry);
+            });
+    }
+
+    void onAnswer(const Fake::ObservedAnswer &answer)
+    {
+        const std::size_t index = this->indices.at(answer.request.id.str());
+        this->result.jobs.push_back({ .job = index,
+                                      .state = answer.answer.state,
+                                      .reason = answer.answer.reason,
+                                      .response = answer.at - answer.submittedAt });
+        const bool isMeasured = answer.at >= this->startTime + warmUp
+                && answer.at < this->startTime + this->options.length;
+        for (std::size_t i = 0; i < answer.answer.tasks.size(); ++i) {
+            const TaskOutcome &task = answer.answer.tasks[i];
+            if (task.succeeded)
+                ++this->result.tasksDone;
+            else if (task.fate == TaskFate::Ran)
+                this->result.wasted["failed-start"] += 2;
+            if (task.succeeded && isMeasured)
+                this->result.workDone += this->workload[index].seconds[i];
+        }
+    }
+
+    void onStart(const Fake::ObservedStart &start)
+    {
+        const TimePoint from = this->startTime + this->options.length / 3 + 1s;
+        if (this->failing.empty() || start.at < from
+            || start.at > this->startTime + this->options.length)
+            return;
+        ++this->result.startsInTrouble;
+        if (this->failing.contains(start.target))
+            ++this->result.startsAtFailing;
+    }
+
+    void trouble()
+    {
+        const auto &targets = this->world.targets;
+        switch (this->options.trouble) {
+        case Trouble::FailingTargets:
+            for (const std::size_t index : { 15U, 31U }) {
+                targets[index]->failsEverything = true;
+                this->failing.insert(targets[index]->name());
+            }
+            break;
+        case Trouble::Stragglers:
+            for (const std::size_t index : { 14U, 30U, 46U })
+                targets[index]->speed /= 10;
+            break;
+        case Trouble::EntryKilled:
+            this->world.entries[0]->kill();
+            this->world.scheduler.after(downTime, [this] { this->world.entries[0]->start(); });
+            break;
+        case Trouble::DomainCut:
+            this->world.network.cut("c", "*");
+            this->world.network.cut("*", "c");
+            this->world.scheduler.after(cutTime, [this] { this->world.network.heal(); });
+            break;
+        default:
+            break;
+        }
+    }
+
+    WorkloadOptions options;
+    const std::vector<WorkloadJob> &workload;
+    Fake::World world;
+    TimePoint startTime;
+    std::unordered_map<std::string, std::size_t> indices;
+    std::set<std::string> failing;
+    RunResult result;
+};
+
+} // namespace
+
+RunResult runDispatcher(const Site &site, const WorkloadOptions &options,
+                        const std::vector<WorkloadJob> &workload)
+{
+    return DispatcherRun(site, options, workload).run();
+}
+
+} // namespace Hibiscus::Bench
