--- a/Hibiscus/src/Dispatch/Coordinator.cpp
+++ b/Hibiscus/src/Dispatch/Coordinator.cpp
@@ -29,7 +29,7 @@
 } // namespace internal
 
 Coordinator::Coordinator(const CoordinatorOptions &options, const JournalClientOptions &journals)
-    : options(options), journal(journals, options.self), retries(options.retryShare)
+    : options(options), journal(journals, options.self)
 { }
 
 void Coordinator::submit(const Submission &submission, std::uint32_t visibleSlots, TimePoint now,
@@ -244,7 +244,7 @@
     ++this->placedByService[job.request.service];
     ++this->counts.placed;
     if (task.attempts == 1)
-        this->retries.noteFirstAttempt();
+        this->retryBudgetOf(job.request.service).noteFirstAttempt();
     starts.push_back({ .attempt = task.attempt,
                        .service = job.request.service,
                        .deadline = job.request.deadline,
@@ -259,6 +259,8 @@
 void Coordinator::applyRules(const RuleSet &newRules)
 {
     this->rules = newRules;
+    for (auto &[service, budget] : this->retries)
+        budget.setShare(this->retryShareOf(service));
 }
 
 void Coordinator::noteWidestTarget(const ServiceName &service, std::uint32_t slots)
@@ -559,10 +561,11 @@
     CoordinatedTask &task = job.tasks[index];
     const bool neverStarted = report.verdict == AttemptVerdict::NotStarted;
     const bool hasTime = now < job.request.deadline && job.phase == JobPhase::Running;
-    const bool mayRetry = neverStarted || (job.isRepeatable() && this->retries.allowsRetry());
+    RetryBudget &budget = this->retryBudgetOf(job.request.service);
+    const bool mayRetry = neverStarted || (job.isRepeatable() && budget.allowsRetry());
     if (mayRetry && hasTime && task.attempts < this->options.mostAttempts) {
         if (!neverStarted)
-            this->retries.spend();
+            budget.spend();
         ++this->counts.retried;
         job.ready.push_front(index);
         this->requeue(job);
@@ -713,6 +716,18 @@
     this->journal.ask(job.request.id, question, now, out);
 }
 
+RetryBudget &Coordinator::retryBudgetOf(const ServiceName &service)
+{
+    return this->retries.try_emplace(service, this->retryShareOf(service)).first->second;
+}
+
+double Coordinator::retryShareOf(const ServiceName &service) const
+{
+    const auto rule = this->rules.find<RetryLimit>(
+        [&](const RetryLimit &limit) { return limit.service == service; });
+    return rule ? rule->percent / 100.0 : this->options.retryShare;
+}
+
 JobClaim Coordinator::claimOf(const CoordinatedJob &job) const
 {
     const auto found = this->claims.find(job.request.id);
--- a/Hibiscus/src/Dispatch/Coordinator.h
+++ b/Hibiscus/src/Dispatch/Coordinator.h
@@ -171,6 +171,8 @@
     void dropWaiting(CoordinatedJob &job);
     void ask(const CoordinatedJob &job, const JournalQuestion &question, TimePoint now,
              DispatchOutbox &out);
+    RetryBudget &retryBudgetOf(const ServiceName &service);
+    double retryShareOf(const ServiceName &service) const;
     JobClaim claimOf(const CoordinatedJob &job) const;
     std::uint32_t shareOf(std::uint32_t total) const;
     bool isEligible(const JobId &id) const;
@@ -181,7 +183,7 @@
     std::map<JobId, CoordinatedJob> jobs;
     std::map<JobId, std::uint64_t> claims;
     JobQueue queue;
-    RetryBudget retries;
+    std::map<ServiceName, RetryBudget> retries;
     std::map<TeamName, std::uint32_t> placedByTeam;
     std::map<ServiceName, std::uint32_t> placedByService;
     std::map<ServiceName, RateBucket> rates;
--- a/Hibiscus/src/Dispatch/RetryBudget.h
+++ b/Hibiscus/src/Dispatch/RetryBudget.h
@@ -8,10 +8,15 @@
 class RetryBudget
 {
 public:
-    explicit RetryBudget(double share) : share(share) { }
+    explicit RetryBudget(double share) : share(share), tokens(share > 0 ? firstTokens : 0) { }
 
     // Commands.
-    void setShare(double newShare) { this->share = newShare; }
+    void setShare(double newShare)
+    {
+        this->share = newShare;
+        if (newShare <= 0)
+            this->tokens = 0;
+    }
     void noteFirstAttempt() { this->tokens = std::min(this->tokens + this->share, mostTokens); }
     void spend() { this->tokens -= 1.0; }
 
@@ -19,10 +24,11 @@
     bool allowsRetry() const { return this->tokens >= 1.0; }
 
 private:
+    static constexpr double firstTokens = 10.0;
     static constexpr double mostTokens = 50.0;
 
     double share;
-    double tokens = 10.0;
+    double tokens;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Dispatch/SpeedProfile.cpp
+++ b/Hibiscus/src/Dispatch/SpeedProfile.cpp
@@ -46,8 +46,8 @@
     std::ranges::sort(classes, std::greater<> {}, &SpeedClass::speed);
     std::vector<SpeedClass> result;
     for (const SpeedClass &item : classes) {
-        const bool isSame =
-                !result.empty() && result.back().speed <= item.speed * internal::sameSpeed;
+        const bool isSame
+            = !result.empty() && result.back().speed <= item.speed * internal::sameSpeed;
         if (isSame)
             result.back().slots += item.slots;
         else
--- /dev/null
+++ b/test/DispatchTest.cpp
@@ -0,0 +1,205 @@
+#include <Hibiscus/Dispatch>
+#include <gtest/gtest.h>
+
+using namespace Hibiscus;
+
+namespace {
+
+const TimePoint start = TimePoint(std::chrono::hours(24 * 365 * 50));
+const ServiceName work("work");
+
+AttemptId attempt(const std::string &job, std::uint32_t task = 0)
+{
+    return { .job = JobId(DomainName("a"), start, job), .task = task, .incarnation = 1 };
+}
+
+TargetAnnouncement announcement(const std::string &name, std::uint64_t lease = 1)
+{
+    return { .target = TargetName(name),
+             .address = "127.0.0.1:1",
+             .service = work,
+             .slots = 2,
+             .lease = lease };
+}
+
+TaskStart startOf(const AttemptId &id, TimePoint now, Urgency urgency = 0)
+{
+    return { .attempt = id,
+             .service = work,
+             .deadline = now + 60s,
+             .validUntil = now + 10s,
+             .urgency = urgency };
+}
+
+TEST(TargetPool, ALeaseThatIsNotRenewedEndsNewWork)
+{
+    TargetPool pool({});
+    pool.announce(announcement("t"), start);
+    EXPECT_EQ(pool.freeSlots(work, 9, start + 2s).size(), 2U);
+    EXPECT_TRUE(pool.freeSlots(work, 9, start + 2s + 1us).empty());
+    TargetAnnouncement leaving = announcement("t");
+    leaving.isLeaving = true;
+    pool.announce(leaving, start + 3s);
+    EXPECT_TRUE(pool.freeSlots(work, 9, start + 3s).empty());
+    pool.announce(announcement("t"), start + 4s);
+    pool.setDrained({ TargetName("t") });
+    EXPECT_TRUE(pool.freeSlots(work, 9, start + 4s).empty());
+}
+
+TEST(TargetPool, TargetsThatFailEverythingAreEjectedAndComeBackOneTaskAtATime)
+{
+    TargetPool pool({});
+    for (const char *name : { "t1", "t2", "t3", "t4" })
+        pool.announce(announcement(name), start);
+    const TargetName bad("t1");
+    for (int i = 0; i < 3; ++i) {
+        const AttemptId id = attempt("job" + std::to_string(i));
+        pool.occupy(bad, id, start);
+        pool.release(bad, id, AttemptVerdict::Failed, start + 1ms);
+    }
+    EXPECT_EQ(pool.freeSlots(work, 99, start + 2ms).size(), 6U);
+    const TimePoint later = start + 1500ms;
+    EXPECT_EQ(pool.freeSlots(work, 99, later).size(), 7U);
+    const AttemptId trial = attempt("trial");
+    pool.occupy(bad, trial, later);
+    pool.release(bad, trial, AttemptVerdict::Failed, later);
+    EXPECT_EQ(pool.freeSlots(work, 99, later + 400ms).size(), 6U);
+}
+
+TEST(TargetPool, OneJobThatFailsEverywhereEjectsNobody)
+{
+    TargetPool pool({});
+    for (const char *name : { "t1", "t2" })
+        pool.announce(announcement(name), start);
+    for (std::uint32_t i = 0; i < 60; ++i) {
+        const TargetName target(i % 2 == 0 ? "t1" : "t2");
+        pool.occupy(target, attempt("poison", i), start);
+        pool.release(target, attempt("poison", i), AttemptVerdict::Failed, start);
+    }
+    EXPECT_EQ(pool.freeSlots(work, 99, start).size(), 4U);
+}
+
+TEST(SlotOwner, ACopyOfAStartIsStartedOnce)
+{
+    SlotOwner owner({}, NodeName("e"));
+    DispatchOutbox out;
+    std::vector<OwnedReport> reports;
+    owner.announce(announcement("t"), start, out);
+    const TaskStart first = startOf(attempt("j"), start);
+    owner.accept(NodeName("c"), first, start, reports);
+    owner.accept(NodeName("c"), first, start, reports);
+    owner.startHeld(work, start, out);
+    owner.finish({ .attempt = first.attempt, .verdict = AttemptVerdict::Succeeded }, start + 1s,
+                 reports);
+    owner.accept(NodeName("c"), first, start + 5s, reports);
+    owner.startHeld(work, start + 1500ms, out);
+    EXPECT_EQ(out.toTargets.size(), 1U);
+    // Long after it was forgotten, a copy is refused by its age.
+    owner.tick(start + 100s, out, reports);
+    owner.accept(NodeName("c"), first, start + 100s, reports);
+    EXPECT_EQ(owner.heldCount(), 0U);
+    EXPECT_EQ(reports.back().report.verdict, AttemptVerdict::NotStarted);
+}
+
+TEST(SlotOwner, NotStartedIsOnlySaidWhileItIsCertain)
+{
+    SlotOwner owner({}, NodeName("e"));
+    DispatchOutbox out;
+    std::vector<OwnedReport> reports;
+    const AttemptProbe probe = { .attempt = attempt("j"), .validUntil = start + 10s };
+    owner.answer(NodeName("c"), probe, start + 6s, reports);
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_EQ(reports[0].report.verdict, AttemptVerdict::NotStarted);
+    // The start that was late for the probe must not be taken any more.
+    owner.accept(NodeName("c"), startOf(attempt("j"), start), start + 7s, reports);
+    EXPECT_EQ(owner.heldCount(), 0U);
+    const AttemptProbe old = { .attempt = attempt("k"), .validUntil = start + 10s };
+    owner.answer(NodeName("c"), old, start + 60s, reports);
+    EXPECT_EQ(reports.back().report.verdict, AttemptVerdict::Lost);
+}
+
+TEST(SpeedProfile, SlowSlotsAreTakenWhenEnoughTasksWait)
+{
+    SpeedProfile profile;
+    profile.add({ { .speed = 8.0F, .slots = 10 }, { .speed = 2.0F, .slots = 10 } });
+    EXPECT_TRUE(profile.isWorthTaking(8.0, 1));
+    EXPECT_FALSE(profile.isWorthTaking(2.0, 1));
+    EXPECT_TRUE(profile.isWorthTaking(2.0, 100));
+}
+
+TEST(Coordinator, QuotasAreDividedExactlyAndHold)
+{
+    const auto rules = RuleSet::parse("quota team=t tasks=10 # test\n");
+    std::uint32_t total = 0;
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        CoordinatorOptions options;
+        options.self = { .node = NodeName("e"), .incarnation = 1 };
+        options.entryIndex = index;
+        options.entryCount = 3;
+        JournalClientOptions journals;
+        journals.groups = { { .domain = DomainName("a"), .members = { NodeName("j") } } };
+        Coordinator coordinator(options, journals);
+        coordinator.applyRules(*rules);
+        JobRequest request;
+        request.id = JobId(DomainName("a"), start, "q");
+        request.service = work;
+        request.team = TeamName("t");
+        request.repeatability = Repeatability::Repeatable;
+        request.deadline = start + 60s;
+        request.payloads.assign(50, "1");
+        DispatchOutbox out;
+        coordinator.submit({ .token = 1, .request = request }, 0, start, out);
+        std::vector<TaskStart> starts;
+        while (coordinator.head(work))
+            coordinator.place(request.id, NodeName("e"), 1, start, starts, out);
+        total += coordinator.placedOf(TeamName("t"));
+    }
+    EXPECT_EQ(total, 10U);
+}
+
+TEST(Coordinator, BurstsAreRefusedAndQueuesStayBounded)
+{
+    CoordinatorOptions options;
+    options.self = { .node = NodeName("e"), .incarnation = 1 };
+    options.mostWaitingTasks = 100;
+    JournalClientOptions journals;
+    journals.groups = { { .domain = DomainName("a"), .members = { NodeName("j") } } };
+    Coordinator coordinator(options, journals);
+    DispatchOutbox out;
+    for (int i = 0; i < 5000; ++i) {
+        JobRequest request;
+        request.id = JobId(DomainName("a"), start, "b" + std::to_string(i));
+        request.service = work;
+        request.repeatability =
+                i % 2 == 0 ? Repeatability::Repeatable : Repeatability::NotRepeatable;
+        request.deadline = start + 60s;
+        request.payloads.assign(10, "1");
+        coordinator.submit({ .token = static_cast<std::uint64_t>(i) + 1, .request = request }, 0,
+                           start, out);
+    }
+    EXPECT_LE(coordinator.waitingCount(), 110U);
+    EXPECT_LE(coordinator.jobCount(), 11U + options.mostRefusing);
+    // Without the journal's word nobody is told that a job which is not repeatable did not run.
+    for (const CallerAnswer &answer : out.answers)
+        for (const TaskOutcome &task : answer.answer.tasks)
+            EXPECT_NE(task.fate, TaskFate::NotRun);
+}
+
+TEST(RetryBudget, RetriesStayAShareOfFirstAttempts)
+{
+    RetryBudget budget(0.1);
+    int retries = 0;
+    for (int i = 0; i < 10'000; ++i) {
+        budget.noteFirstAttempt();
+        if (budget.allowsRetry()) {
+            budget.spend();
+            ++retries;
+        }
+    }
+    EXPECT_LE(retries, 1'000 + 10);
+    RetryBudget none(0.0);
+    none.noteFirstAttempt();
+    EXPECT_FALSE(none.allowsRetry());
+}
+
+} // namespace
--- /dev/null
+++ b/test/ReplicationTest.cpp
@@ -0,0 +1,177 @@
+#include "test/support/World.h"
+
+#include <gtest/gtest.h>
+
+using namespace Hibiscus;
+
+namespace {
+
+/** \brief A journal group alone, with an asker that opens one job after the other. */
+class Group
+{
+public:
+    explicit Group(std::uint64_t seed)
+        : world(options(seed))
+        , random(seed)
+    {
+        for (const auto &journal : this->world.journals)
+            journal->start();
+        this->world.run(2s);
+    }
+
+    static Fake::WorldOptions options(std::uint64_t seed)
+    {
+        Fake::WorldOptions options;
+        options.domains = { "a" };
+        options.entries = 1;
+        options.targetsPerDomain = 0;
+        options.entriesPerSnapshot = 16;
+        options.seed = seed;
+        return options;
+    }
+
+    /** \returns the one member that may answer, or nothing. */
+    Fake::World::JournalProcess *leader()
+    {
+        for (const auto &journal : this->world.journals)
+            if (journal->isUp() && journal->get()->replica().isLeaderReady())
+                return journal.get();
+        return nullptr;
+    }
+
+    void open(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            const JobId id(DomainName("a"), this->world.scheduler.now(),
+                           "g" + std::to_string(this->nextJob++));
+            this->opened.push_back(id);
+            for (const auto &journal : this->world.journals)
+                if (journal->isUp())
+                    journal->handle([id](JournalNode &node, TimePoint now,
+                                         JournalNode::Outbox &out) {
+                        if (node.replica().isLeader())
+                            node.ask({ .request = { .node = NodeName(), .number = 1 },
+                                       .question = JournalCommand(OpenJob { .id = id,
+                                                                            .taskCount = 1 }) },
+                                     now, out);
+                    });
+            this->world.run(20ms);
+        }
+    }
+
+    Fake::World world;
+    std::mt19937_64 random;
+    std::vector<JobId> opened;
+    int nextJob = 1;
+};
+
+TEST(Replication, AMemberThatLostItsDiskComesBackAsAnotherAndCatchesUp)
+{
+    for (const std::uint64_t seed : { 1U, 2U, 3U, 4U, 5U, 6U }) {
+        Group group(seed);
+        group.open(40);
+        const std::string lost = "journal-a-2";
+        auto *process =
+                static_cast<Fake::World::JournalProcess *>(group.world.find(lost));
+        process->wipe();
+        // If it led, the others elect a leader first: nobody else takes jobs.
+        group.world.run(2s);
+        group.open(10);
+        process->start();
+        group.world.run(4s);
+        const Replica &replica = process->get()->replica();
+        EXPECT_NE(replica.self().incarnation, 1U);
+        EXPECT_TRUE(replica.membership().isVoter(replica.self())) << "seed " << seed;
+        EXPECT_EQ(replica.membership().voterCount(), 3U);
+        // A second member may be lost right after the repair.
+        auto *second =
+                static_cast<Fake::World::JournalProcess *>(group.world.find("journal-a-1"));
+        second->wipe();
+        group.world.run(3s);
+        ASSERT_NE(group.leader(), nullptr) << "seed " << seed;
+        EXPECT_EQ(group.leader()->get()->state().size(), 50U) << "seed " << seed;
+    }
+}
+
+TEST(Replication, AnEmptyDiskNeverVotes)
+{
+    Group group(9);
+    group.open(5);
+    auto *kept = static_cast<Fake::World::JournalProcess *>(group.world.find("journal-a-1"));
+    auto *two = static_cast<Fake::World::JournalProcess *>(group.world.find("journal-a-2"));
+    auto *three = static_cast<Fake::World::JournalProcess *>(group.world.find("journal-a-3"));
+    two->wipe();
+    three->wipe();
+    kept->kill();
+    two->start();
+    three->start();
+    group.world.run(10s);
+    // Two members without a past must not form a group that forgot it.
+    EXPECT_EQ(group.leader(), nullptr);
+    EXPECT_EQ(two->get()->replica().commitIndex(), 0U);
+}
+
+TEST(Replication, AnIsolatedLeaderConfirmsNothing)
+{
+    Group group(12);
+    Fake::World::JournalProcess *former = group.leader();
+    ASSERT_NE(former, nullptr);
+    group.world.network.cut(former->name(), "*");
+    group.world.network.cut("*", former->name());
+    const std::uint64_t commit = former->get()->replica().commitIndex();
+    std::size_t answers = 0;
+    former->handle([&](JournalNode &node, TimePoint now, JournalNode::Outbox &out) {
+        const JobId id(DomainName("a"), now, "isolated");
+        node.ask({ .question = JournalCommand(OpenJob { .id = id, .taskCount = 1 }) }, now, out);
+        node.ask({ .question = LookUpJob { .id = id } }, now, out);
+        for (const JournalAnswer &answer : out.answers)
+            answers += answer.reply ? 1 : 0;
+    });
+    group.world.run(5s);
+    EXPECT_EQ(answers, 0U);
+    EXPECT_EQ(former->get()->replica().commitIndex(), commit);
+    EXPECT_FALSE(former->get()->replica().isLeader());
+    // The others go on, and what the isolated one had alone is gone once it is back.
+    Fake::World::JournalProcess *next = group.leader();
+    ASSERT_NE(next, nullptr);
+    EXPECT_NE(next, former);
+    group.world.network.heal();
+    group.world.run(3s);
+    EXPECT_EQ(former->get()->state().size(), next->get()->state().size());
+}
+
+TEST(Replication, RandomCrashesLoseNoCommittedEntry)
+{
+    for (std::uint64_t seed = 100; seed < 140; ++seed) {
+        Group group(seed);
+        std::uniform_int_distribution<std::size_t> anyMember(0, 2);
+        std::uniform_int_distribution<int> percent(0, 99);
+        std::uint64_t mostCommitted = 0;
+        for (int round = 0; round < 30; ++round) {
+            group.open(3);
+            auto &member = *group.world.journals[anyMember(group.random)];
+            if (percent(group.random) < 30 && member.isUp()) {
+                member.kill();
+                group.world.scheduler.after(700ms, [&member] { member.start(); });
+            }
+            if (percent(group.random) < 20)
+                group.world.network.cut(member.name(), "*");
+            if (percent(group.random) < 30)
+                group.world.network.heal();
+            if (group.leader() != nullptr) {
+                const std::uint64_t committed = group.leader()->get()->replica().commitIndex();
+                mostCommitted = std::max(mostCommitted, committed);
+            }
+        }
+        group.world.network.heal();
+        group.world.run(4s);
+        ASSERT_NE(group.leader(), nullptr) << "seed " << seed;
+        EXPECT_GE(group.leader()->get()->replica().commitIndex(), mostCommitted)
+                << "seed " << seed;
+        const Bytes expected = group.leader()->get()->state().save();
+        for (const auto &journal : group.world.journals)
+            EXPECT_EQ(journal->get()->state().save(), expected) << "seed " << seed;
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/test/RulesTest.cpp
@@ -0,0 +1,115 @@
+#include <Hibiscus/Rules>
+#include <gtest/gtest.h>
+#include <random>
+
+using namespace Hibiscus;
+
+namespace {
+
+TEST(Rules, EveryKindOfRuleIsRead)
+{
+    const auto rules = RuleSet::parse("# the rules of spring\n"
+                                      "quota team=claims tasks=40 # Lan\n"
+                                      "limit service=hoso tasks=200 # Lan\n"
+                                      "rate service=hoso per-second=50 # Minh\n"
+                                      "retry service=hoso percent=5 # Minh\n"
+                                      "priority team=claims level=3 # Minh\n"
+                                      "drain target=t-1 # Hoa\n"
+                                      "drain entry=e-1 # Hoa\n"
+                                      "\n"
+                                      "refuse service=old # Hoa, 3 May\n");
+    ASSERT_TRUE(rules.has_value());
+    EXPECT_EQ(rules->lines().size(), 8U);
+    EXPECT_EQ(rules->quotaOf(TeamName("claims")), 40U);
+    EXPECT_EQ(rules->priorityOf(TeamName("claims")), 3U);
+    EXPECT_TRUE(rules->isDrained(TargetName("t-1")));
+    EXPECT_TRUE(rules->isDrained(NodeName("e-1")));
+    EXPECT_TRUE(rules->isRefused(ServiceName("old")));
+    EXPECT_EQ(rules->lines().back().askedBy, "Hoa, 3 May");
+}
+
+TEST(Rules, ErrorsNameLineAndColumn)
+{
+    struct Case
+    {
+        const char *text;
+        std::uint32_t line;
+        std::uint32_t column;
+    };
+    for (const Case &item : { Case { "quota team=a tasks=1\n", 1, 21 },
+                              Case { "quota team=a tasks=1 #  \n", 1, 25 },
+                              Case { "# fine\nqouta team=a # x\n", 2, 1 },
+                              Case { "quota team=a tasks=many # x\n", 1, 20 },
+                              Case { "quota team=a tasks=1 tasks=2 # x\n", 1, 22 },
+                              Case { "quota team=a tasks=1 more=2 # x\n", 1, 27 },
+                              Case { "priority team=a level=10 # x\n", 1, 23 },
+                              Case { "quota team= tasks=1 # x\n", 1, 7 } }) {
+        const auto rules = RuleSet::parse(item.text);
+        ASSERT_FALSE(rules.has_value()) << item.text;
+        EXPECT_EQ(rules.error().line, item.line) << item.text;
+        EXPECT_EQ(rules.error().column, item.column) << item.text << rules.error().reason;
+    }
+}
+
+std::string randomFile(std::mt19937_64 &random)
+{
+    std::uniform_int_distribution<int> count(0, 12);
+    std::uniform_int_distribution<int> value(0, 5);
+    std::string text;
+    for (int i = count(random); i > 0; --i)
+        text += "quota team=t tasks=" + std::to_string(value(random)) + " # x\n";
+    return text;
+}
+
+TEST(Rules, DeltasGiveTheNextFileOrNothing)
+{
+    constexpr std::uint64_t seed = 77;
+    std::mt19937_64 random(seed);
+    for (int round = 0; round < 2000; ++round) {
+        const std::string base = randomFile(random);
+        const std::string next = randomFile(random);
+        const RulesDelta delta = RulesDelta::between(base, next);
+        ASSERT_EQ(delta.applyTo(base), next) << "seed " << seed << ", round " << round;
+        ASSERT_EQ(delta.applyTo(base + "#"), std::nullopt);
+    }
+}
+
+TEST(Rules, OneOfTwoOperatorsWinsAndAResendGetsTheFirstAnswer)
+{
+    RulesState state;
+    const ApplyRules mine = { .applyId = "1", .expectedVersion = 0, .author = "Lan",
+                              .text = "refuse service=x # Lan\n" };
+    const ApplyRules theirs = { .applyId = "2", .expectedVersion = 0, .author = "Minh",
+                                .text = "refuse service=y # Minh\n" };
+    EXPECT_EQ(state.apply(mine).verdict, ApplyVerdict::Accepted);
+    const ApplyReply lost = state.apply(theirs);
+    EXPECT_EQ(lost.verdict, ApplyVerdict::Conflict);
+    EXPECT_EQ(lost.winner, "Lan");
+    EXPECT_EQ(lost.winnerLines.at(0), "refuse service=x # Lan");
+    ApplyRules next = theirs;
+    next.expectedVersion = 1;
+    EXPECT_EQ(state.apply(next).version, 2U);
+    EXPECT_EQ(state.apply(mine).version, 1U);
+    EXPECT_EQ(state.version(), 2U);
+    const ApplyReply invalid = state.apply(
+            { .applyId = "3", .expectedVersion = 2, .author = "Lan", .text = "nonsense # Lan" });
+    EXPECT_EQ(invalid.verdict, ApplyVerdict::Invalid);
+    EXPECT_EQ(state.version(), 2U);
+}
+
+TEST(Rules, AFollowerNeverGoesBack)
+{
+    RulesFollower follower(NodeName("e"));
+    EXPECT_EQ(follower.standing(), RulesStanding::None);
+    const RulesFile five = { .version = 5, .text = "refuse service=x # a\n" };
+    const RulesFile four = { .version = 4, .text = "" };
+    follower.receive({ .content = five, .isConfirmed = true });
+    follower.receive({ .content = four, .isConfirmed = true });
+    follower.adoptLastKnown(four);
+    EXPECT_EQ(follower.file(), five);
+    EXPECT_EQ(follower.standing(), RulesStanding::Confirmed);
+    const RulesChanged wrongBase = { .version = 7, .delta = RulesDelta::between("z", "y") };
+    EXPECT_EQ(follower.receive({ .content = wrongBase })->version, 5U);
+}
+
+} // namespace
--- /dev/null
+++ b/test/StorageTest.cpp
@@ -0,0 +1,122 @@
+#include <Hibiscus/Storage>
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <random>
+#include <unistd.h>
+
+using namespace Hibiscus;
+
+namespace {
+
+/** \brief A folder that is removed at the end of its test. */
+class Folder
+{
+public:
+    Folder()
+        : path(std::filesystem::temp_directory_path()
+               / ("hibiscus-storage-" + std::to_string(::getpid()) + "-"
+                  + std::to_string(++made)))
+    {
+        std::filesystem::remove_all(this->path);
+    }
+    ~Folder() { std::filesystem::remove_all(this->path); }
+
+    std::filesystem::path path;
+
+private:
+    static inline int made = 0;
+};
+
+DurableState firstState()
+{
+    DurableState state;
+    state.self = { .node = NodeName("j1"), .incarnation = 4 };
+    state.snapshot.index = 1;
+    state.snapshot.term = 1;
+    return state;
+}
+
+StorageWrite randomWrite(std::mt19937_64 &random, const DurableState &state)
+{
+    std::uniform_int_distribution<int> kind(0, 9);
+    const int drawn = kind(random);
+    if (drawn == 0)
+        return SaveHardState { .hard = { .term = state.hard.term + 1 } };
+    const std::uint64_t last =
+            state.entries.empty() ? state.snapshot.index : state.entries.back().index;
+    if (drawn == 1 && !state.entries.empty())
+        return SaveSnapshot { .snapshot = { .index = last,
+                                            .term = state.entries.back().term,
+                                            .state = "state" } };
+    LogEntry entry = { .index = last + 1, .term = state.hard.term };
+    entry.body = Command { .bytes = std::string(random() % 200, 'c') };
+    return SaveEntries { .entries = { entry } };
+}
+
+TEST(Storage, WhatWasSyncedIsReadBack)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Folder folder;
+        std::mt19937_64 random(seed);
+        ASSERT_TRUE(DiskLog::format(folder.path, firstState()).has_value());
+        DurableState expected = firstState();
+        for (int life = 0; life < 4; ++life) {
+            auto log = DiskLog::open(folder.path);
+            ASSERT_TRUE(log.has_value());
+            ASSERT_EQ(log->state(), expected) << "seed " << seed;
+            for (int i = 0; i < 40; ++i) {
+                const StorageWrite write = randomWrite(random, log->state());
+                applyWrite(write, expected);
+                ASSERT_TRUE(log->write({ write }).has_value());
+            }
+            ASSERT_TRUE(log->sync().has_value());
+        }
+    }
+}
+
+TEST(Storage, ATornTailIsDroppedAndDamageElsewhereIsAnError)
+{
+    Folder folder;
+    ASSERT_TRUE(DiskLog::format(folder.path, firstState()).has_value());
+    std::mt19937_64 random(5);
+    DurableState beforeLast;
+    {
+        auto log = DiskLog::open(folder.path);
+        for (int i = 0; i < 10; ++i) {
+            beforeLast = log->state();
+            const LogEntry entry = { .index = static_cast<std::uint64_t>(i) + 2,
+                                     .term = 1,
+                                     .body = Command { .bytes = std::string(50, 'x') } };
+            ASSERT_TRUE(log->write({ SaveEntries { .entries = { entry } } }).has_value());
+        }
+    }
+    const std::filesystem::path file = folder.path / "log";
+    const auto size = std::filesystem::file_size(file);
+    std::filesystem::resize_file(file, size - 7);
+    {
+        auto log = DiskLog::open(folder.path);
+        ASSERT_TRUE(log.has_value());
+        EXPECT_EQ(log->state(), beforeLast);
+    }
+    {
+        std::fstream stream(file, std::ios::in | std::ios::out | std::ios::binary);
+        stream.seekp(static_cast<std::streamoff>(size / 2));
+        stream.put('!');
+    }
+    const auto damaged = DiskLog::open(folder.path);
+    ASSERT_FALSE(damaged.has_value());
+    EXPECT_EQ(damaged.error(), make_error_code(Errc::MalformedRecord));
+}
+
+TEST(Storage, AFolderIsFormattedOnceAndOpenedOnce)
+{
+    Folder folder;
+    EXPECT_FALSE(DiskLog::open(folder.path).has_value());
+    ASSERT_TRUE(DiskLog::format(folder.path, firstState()).has_value());
+    EXPECT_FALSE(DiskLog::format(folder.path, firstState()).has_value());
+    const auto log = DiskLog::open(folder.path);
+    EXPECT_FALSE(DiskLog::open(folder.path).has_value());
+}
+
+} // namespace
--- a/test/standins/CallerMain.cpp
+++ b/test/standins/CallerMain.cpp
@@ -19,6 +19,7 @@
 DEFINE_double(resubmitted, 0.0, "share of jobs submitted a second time through another entry");
 DEFINE_int32(deadline_ms, 20000, "deadline of each job");
 DEFINE_uint64(seed, 1, "seed of everything random");
+DEFINE_int32(retries, 0, "how often a job is sent again when the answer says so, or none came");
 DEFINE_string(answers, "", "a file that gets a line for each answer");
 
 namespace Hibiscus {
@@ -88,12 +89,12 @@
         const int count = tasks(this->random);
         for (int i = 0; i < count; ++i)
             job["tasks"].push_back(std::to_string(milliseconds(this->random)));
-        this->send(id, job.dump(), entry);
+        this->send(id, job.dump(), entry, FLAGS_retries);
         if (again(this->random))
-            this->send(id, job.dump(), (entry + 1) % this->entries.size());
+            this->send(id, job.dump(), (entry + 1) % this->entries.size(), FLAGS_retries);
     }
 
-    void send(const JobId &id, const std::string &body, std::size_t entry)
+    void send(const JobId &id, const std::string &body, std::size_t entry, int retries)
     {
         ++this->open;
         HttpCall call;
@@ -101,10 +102,16 @@
         call.address = this->entries[entry];
         call.path = "/v1/jobs";
         call.body = body;
-        this->client.send(call, [this, id](const HttpCallResult &result) {
+        this->client.send(call, [this, id, body, entry, retries](const HttpCallResult &result) {
             --this->open;
             const auto json = nlohmann::json::parse(result.body, nullptr, false);
             const bool isAnswer = result.state == HttpCallState::Answered && json.is_object();
+            const bool shouldRetry = !isAnswer || json.value("retry", "") == "retry-with-same-id";
+            // As behind a balancer: the next entry node gets the job.
+            if (shouldRetry && retries > 0) {
+                this->send(id, body, (entry + 1) % this->entries.size(), retries - 1);
+                return;
+            }
             const std::string state = isAnswer ? json.value("state", "error") : "no-answer";
             ++this->outcomes[state];
             if (this->answers.is_open())
--- a/test/standins/StandInTarget.cpp
+++ b/test/standins/StandInTarget.cpp
@@ -60,7 +60,7 @@
         = attempt && !this->running.contains(*attempt) && !this->ended.contains(*attempt);
     if (!isLeased || !isNew || this->running.size() >= this->options.slots) {
         if (attempt && isNew)
-            this->ended[*attempt] = "not-started";
+            this->ended[*attempt] = {};
         this->http.respond(request.token, { .status = 409, .body = "not started" });
         return;
     }
@@ -81,16 +81,17 @@
         this->http.respond(request.token, { .status = 400, .body = "{}" });
         return;
     }
-    std::string state = "running";
+    Ending ending = { .state = "running" };
     const bool isOfThisLife = std::ranges::any_of(this->drawnLeases, [&](std::uint64_t lease) {
         return std::to_string(lease) == request.lease;
     });
     // Whoever asks is told "not started" only if that is known, and stays true.
     if (!isOfThisLife)
-        state = "unknown";
+        ending.state = "unknown";
     else if (!this->running.contains(*attempt))
-        state = this->ended.try_emplace(*attempt, "not-started").first->second;
-    this->http.respond(request.token, { .body = "{\"state\":\"" + state + "\"}" });
+        ending = this->ended.try_emplace(*attempt).first->second;
+    const nlohmann::json json = { { "state", ending.state }, { "result", ending.result } };
+    this->http.respond(request.token, { .body = json.dump() });
 }
 
 void StandInTarget::finishDue()
@@ -103,10 +104,9 @@
         }
         const bool failed = this->options.failsEverything;
         this->record("end", item->first);
-        this->ended[item->first] = failed ? "failed" : "succeeded";
-        this->http.respond(item->second.token,
-                           { .status = failed ? 500 : 200,
-                             .body = failed ? "failed" : "done " + item->second.payload });
+        const std::string result = failed ? "failed" : "done " + item->second.payload;
+        this->ended[item->first] = { .state = failed ? "failed" : "succeeded", .result = result };
+        this->http.respond(item->second.token, { .status = failed ? 500 : 200, .body = result });
         item = this->running.erase(item);
     }
 }
--- a/test/standins/StandInTarget.h
+++ b/test/standins/StandInTarget.h
@@ -46,6 +46,13 @@
         std::string payload;
     };
 
+    /** \brief How an attempt ended. */
+    struct Ending
+    {
+        std::string state = "not-started";
+        std::string result;
+    };
+
     struct Owner
     {
         Address address;
@@ -69,7 +76,7 @@
     HttpServer http;
     HttpClient client;
     std::map<AttemptId, RunningTask> running;
-    std::map<AttemptId, std::string> ended; ///< state of each attempt that is over
+    std::map<AttemptId, Ending> ended;
     std::set<std::uint64_t> drawnLeases; ///< by this life of the target
     std::optional<Owner> owner;
     std::vector<Owner> formerOwners;
