A planned stop hands over its targets and what has not started

Cause, found by the rolling restart under load: a stopping owner went on counting free slots of targets that had moved to another owner, so tasks were refused six times in a row and their jobs failed as 'not run'; and peers went on sending starts to it until it exited ('owner lost', 7 tasks). Ruled out: the targets' move itself (new leases within a second).

Now a draining owner tells its peers at once that it has no slots, hands back what has not started, and takes no more from them; a target that is sent elsewhere, or that refuses a start, gets nothing more until it announces itself.

--- a/Hibiscus/src/Dispatch/Coordinator.h
+++ b/Hibiscus/src/Dispatch/Coordinator.h
@@ -124,6 +124,7 @@
     bool isRepeatable(const JobId &job) const { return this->jobs.at(job).isRepeatable(); }
     std::vector<ServiceName> services() const { return this->queue.services(); }
     Demand demand() const;
+    bool isDraining() const { return this->draining; }
     std::size_t jobCount() const { return this->jobs.size(); }
     std::size_t waitingCount() const { return this->waitingTasks; }
     const CoordinatedJob *find(const JobId &job) const;
--- a/Hibiscus/src/Dispatch/Dispatcher.cpp
+++ b/Hibiscus/src/Dispatch/Dispatcher.cpp
@@ -130,6 +130,17 @@
     this->settle(now, out);
 }
 
+void Dispatcher::drain(TimePoint now, DispatchOutbox &out)
+{
+    std::vector<OwnedReport> reports;
+    this->coordinating.drain();
+    this->owning.drain(now, reports);
+    this->deliver(reports, now, out);
+    for (const auto &[peer, view] : this->peerTable.peers())
+        this->draftTo(peer);
+    this->settle(now, out);
+}
+
 bool Dispatcher::isIdle() const
 {
     return this->coordinating.jobCount() == 0 && this->owning.runningCount() == 0
--- a/Hibiscus/src/Dispatch/Dispatcher.h
+++ b/Hibiscus/src/Dispatch/Dispatcher.h
@@ -54,8 +54,10 @@
     void noteBrokenLink(const NodeName &peer, TimePoint now, DispatchOutbox &out);
     void applyRules(const RuleSet &rules, TimePoint now, DispatchOutbox &out);
     void tick(TimePoint now, DispatchOutbox &out);
-    /** \brief Takes no new jobs; what is in progress goes on. */
-    void drain() { this->coordinating.drain(); }
+    /** \brief Takes no new jobs and no starts of peers, hands back what has not started, and tells
+     * the peers. What is in progress goes on.
+     */
+    void drain(TimePoint now, DispatchOutbox &out);
 
     // Queries.
     const Coordinator &coordinator() const { return this->coordinating; }
@@ -64,6 +66,7 @@
     const PeerCounters &counters() const { return this->counts; }
     /** \returns whether nothing is in progress, so that the process may stop. */
     bool isIdle() const;
+    bool isDraining() const { return this->coordinating.isDraining(); }
 
 private:
     void settle(TimePoint now, DispatchOutbox &out);
--- a/Hibiscus/src/Dispatch/SlotOwner.cpp
+++ b/Hibiscus/src/Dispatch/SlotOwner.cpp
@@ -32,11 +32,12 @@
     if (!isNew)
         return;
     item->second.forgetAt = std::max(forgetAt, now + this->options.reportLifetime);
-    if (now > forgetAt) {
+    const bool isLate = now > forgetAt;
+    if (isLate || (this->draining && coordinator != this->self)) {
         this->report(coordinator,
                      { .attempt = start.attempt,
                        .verdict = AttemptVerdict::NotStarted,
-                       .result = "arrived too late" },
+                       .result = isLate ? "arrived too late" : "draining" },
                      now, reports);
         return;
     }
@@ -130,6 +131,18 @@
         reports);
 }
 
+void SlotOwner::drain(TimePoint now, std::vector<OwnedReport> &reports)
+{
+    this->draining = true;
+    this->offers.clear();
+    std::vector<AttemptId> waiting;
+    for (const auto &[key, item] : this->held)
+        if (item.coordinator != this->self)
+            waiting.push_back(item.start.attempt);
+    for (const AttemptId &attempt : waiting)
+        this->cancel(attempt, now, reports);
+}
+
 void SlotOwner::offer(const NodeName &peer, const ServiceName &service, TimePoint now)
 {
     this->offers.push_back(
@@ -186,6 +199,8 @@
 std::vector<ServiceSlots> SlotOwner::slotsFor(const NodeName &peer, TimePoint now) const
 {
     std::vector<ServiceSlots> report;
+    if (this->draining)
+        return report;
     for (const ServiceName &service : this->pool.services()) {
         ServiceSlots slots;
         slots.service = service;
--- a/Hibiscus/src/Dispatch/SlotOwner.h
+++ b/Hibiscus/src/Dispatch/SlotOwner.h
@@ -50,6 +50,8 @@
     void answer(const NodeName &coordinator, const AttemptProbe &probe, TimePoint now,
                 std::vector<OwnedReport> &reports);
     void cancel(const AttemptId &attempt, TimePoint now, std::vector<OwnedReport> &reports);
+    /** \brief Hands back what peers sent and was not started, and takes no more from them. */
+    void drain(TimePoint now, std::vector<OwnedReport> &reports);
     void offer(const NodeName &peer, const ServiceName &service, TimePoint now);
     void tick(TimePoint now, DispatchOutbox &out, std::vector<OwnedReport> &reports);
 
@@ -107,6 +109,7 @@
     std::map<AttemptId, SeenAttempt> seen;
     std::vector<Offer> offers;
     std::uint64_t usedOfferCount = 0;
+    bool draining = false;
     TimePoint sweptAt;
 };
 
--- a/Hibiscus/src/Dispatch/TargetPool.cpp
+++ b/Hibiscus/src/Dispatch/TargetPool.cpp
@@ -54,6 +54,9 @@
         this->learnRunTime(chosen, runTime);
     } else if (verdict == AttemptVerdict::Failed) {
         this->noteFailure(chosen, attempt.job, now);
+    } else if (verdict == AttemptVerdict::NotStarted) {
+        // The target has another owner by now, or is gone: only an announcement can tell.
+        chosen.leasedUntil = std::min(chosen.leasedUntil, now - 1us);
     }
 }
 
--- a/Hibiscus/src/Process/EntryProcess.cpp
+++ b/Hibiscus/src/Process/EntryProcess.cpp
@@ -257,6 +257,14 @@
                            { .status = 200,
                              .body = "{\"owner\":\"" + node->name.str() + "\",\"address\":\""
                                  + node->http + "\"}\n" });
+        // From here on the target takes nothing of this node's lease.
+        TargetAnnouncement moved = parsed->announcement;
+        moved.isLeaving = true;
+        if (this->dispatcher.owner().targets().find(moved.target) != nullptr) {
+            DispatchOutbox out;
+            this->dispatcher.announce(moved, this->loop.now(), out);
+            this->carryOut(out);
+        }
         return;
     }
     const TargetAnnouncement &announcement = parsed->announcement;
@@ -349,7 +357,9 @@
 {
     if (this->stopAt == TimePoint()) {
         logChange("stopping");
-        this->dispatcher.drain();
+        DispatchOutbox out;
+        this->dispatcher.drain(now, out);
+        this->carryOut(out);
         this->stopAt = now + this->context.deployment.timing.stopBound;
     }
     const bool isDone = this->dispatcher.isIdle() && this->callers.empty();
--- a/test/ApiTest.cpp
+++ b/test/ApiTest.cpp
@@ -98,7 +98,7 @@
     const auto advice = [&](JobState state, JobReason reason, TaskFate fate) {
         const ApiReply reply = renderAnswer(id, JobAnswer::uniform(state, reason, 2, fate));
         return std::to_string(reply.status) + " "
-                + Json::parse(reply.body)["retry"].get<std::string>();
+            + Json::parse(reply.body)["retry"].get<std::string>();
     };
     EXPECT_EQ(advice(JobState::Refused, JobReason::Overloaded, TaskFate::NotRun),
               "429 retry-with-new-id");
@@ -114,10 +114,9 @@
 
 TEST(Api, AttemptIdsAndAnnouncementsRoundTrip)
 {
-    const AttemptId attempt = { .job = JobId(DomainName("a"), now, "x-1_b"),
-                                .task = 3,
-                                .ordinal = 1,
-                                .incarnation = 99 };
+    const AttemptId attempt = {
+        .job = JobId(DomainName("a"), now, "x-1_b"), .task = 3, .ordinal = 1, .incarnation = 99
+    };
     EXPECT_EQ(*AttemptId::parse(attempt.str()), attempt);
     EXPECT_FALSE(AttemptId::parse("a.1.x~1~2").has_value());
     AnnouncementRequest request;
--- a/test/DispatchTest.cpp
+++ b/test/DispatchTest.cpp
@@ -118,6 +118,35 @@
     EXPECT_EQ(reports.back().report.verdict, AttemptVerdict::Lost);
 }
 
+TEST(TargetPool, ARefusedStartEndsTheLeaseUntilTheNextAnnouncement)
+{
+    TargetPool pool({});
+    pool.announce(announcement("t"), start);
+    pool.occupy(TargetName("t"), attempt("j"), start);
+    pool.release(TargetName("t"), attempt("j"), AttemptVerdict::NotStarted, start + 5ms);
+    EXPECT_TRUE(pool.freeSlots(work, 9, start + 5ms).empty());
+    pool.announce(announcement("t"), start + 600ms);
+    EXPECT_EQ(pool.freeSlots(work, 9, start + 600ms).size(), 2U);
+}
+
+TEST(SlotOwner, ADrainingOwnerHandsBackAndTakesNothingMore)
+{
+    SlotOwner owner({}, NodeName("e"));
+    DispatchOutbox out;
+    std::vector<OwnedReport> reports;
+    owner.announce(announcement("t"), start, out);
+    for (std::uint32_t i = 0; i < 4; ++i)
+        owner.accept(NodeName("c"), startOf(attempt("j", i), start), start, reports);
+    owner.startHeld(work, start, out);
+    owner.drain(start, reports);
+    owner.accept(NodeName("c"), startOf(attempt("j", 9), start), start, reports);
+    ASSERT_EQ(reports.size(), 3U);
+    for (const OwnedReport &item : reports)
+        EXPECT_EQ(item.report.verdict, AttemptVerdict::NotStarted);
+    EXPECT_EQ(owner.runningCount(), 2U);
+    EXPECT_TRUE(owner.slotsFor(NodeName("c"), start).empty());
+}
+
 TEST(SpeedProfile, SlowSlotsAreTakenWhenEnoughTasksWait)
 {
     SpeedProfile profile;
@@ -170,8 +199,8 @@
         JobRequest request;
         request.id = JobId(DomainName("a"), start, "b" + std::to_string(i));
         request.service = work;
-        request.repeatability =
-                i % 2 == 0 ? Repeatability::Repeatable : Repeatability::NotRepeatable;
+        request.repeatability
+            = i % 2 == 0 ? Repeatability::Repeatable : Repeatability::NotRepeatable;
         request.deadline = start + 60s;
         request.payloads.assign(10, "1");
         coordinator.submit({ .token = static_cast<std::uint64_t>(i) + 1, .request = request }, 0,
--- a/test/JournalTest.cpp
+++ b/test/JournalTest.cpp
@@ -7,10 +7,9 @@
 
 const TimePoint birth = TimePoint(std::chrono::hours(24 * 365 * 50));
 const TimePoint now = birth + 1h;
-const JobClaim first = { .coordinator = { .node = NodeName("e1"), .incarnation = 1 },
-                         .number = 1 };
-const JobClaim second = { .coordinator = { .node = NodeName("e2"), .incarnation = 1 },
-                          .number = 1 };
+const JobClaim first = { .coordinator = { .node = NodeName("e1"), .incarnation = 1 }, .number = 1 };
+const JobClaim second
+    = { .coordinator = { .node = NodeName("e2"), .incarnation = 1 }, .number = 1 };
 
 JobId idAt(TimePoint issued)
 {
@@ -19,12 +18,9 @@
 
 OpenJob openFor(const JobId &id, const JobClaim &claim)
 {
-    return { .id = id,
-             .contentHash = 7,
-             .taskCount = 3,
-             .claim = claim,
-             .firstStarts = { 0 },
-             .at = now };
+    return {
+        .id = id, .contentHash = 7, .taskCount = 3, .claim = claim, .firstStarts = { 0 }, .at = now
+    };
 }
 
 TEST(Journal, OneClaimOpensAJobAndAsksAgainSafely)
@@ -48,9 +44,7 @@
     JournalState state(birth);
     const JobId id = idAt(now);
     const JournalReply opened = state.apply(openFor(id, first));
-    const TakeOverJob takeOver = {
-        .id = id, .contentHash = 7, .former = first, .claim = second
-    };
+    const TakeOverJob takeOver = { .id = id, .contentHash = 7, .former = first, .claim = second };
     const JournalReply taken = state.apply(takeOver);
     EXPECT_EQ(taken.verdict, JournalVerdict::Opened);
     EXPECT_GT(taken.epoch, opened.epoch);
@@ -69,8 +63,8 @@
     JournalState state(birth);
     const JobId id = idAt(now);
     const JournalReply opened = state.apply(openFor(id, first));
-    JobAnswer answer = JobAnswer::uniform(JobState::Failed, JobReason::Cancelled, 3,
-                                          TaskFate::NotRun);
+    JobAnswer answer
+        = JobAnswer::uniform(JobState::Failed, JobReason::Cancelled, 3, TaskFate::NotRun);
     answer.tasks[0].fate = TaskFate::Ran;
     const FinishJob finish = { .id = id, .epoch = opened.epoch, .answer = answer };
     EXPECT_EQ(state.apply(finish).verdict, JournalVerdict::Finished);
@@ -88,8 +82,8 @@
     const JobId id = idAt(now);
     const JournalReply opened = state.apply(openFor(id, first));
     // Task 1 has no start on record, so it cannot have run.
-    JobAnswer answer =
-            JobAnswer::uniform(JobState::Failed, JobReason::TaskFailed, 3, TaskFate::Ran);
+    JobAnswer answer
+        = JobAnswer::uniform(JobState::Failed, JobReason::TaskFailed, 3, TaskFate::Ran);
     const FinishJob finish = { .id = id, .epoch = opened.epoch, .answer = answer };
     EXPECT_EQ(state.apply(finish).verdict, JournalVerdict::Fenced);
 }
@@ -97,15 +91,12 @@
 TEST(Journal, ARefusedOrAbandonedJobNeverOpens)
 {
     JournalState state(birth);
-    const RefuseJob refuse = {
-        .id = idAt(now), .contentHash = 7, .taskCount = 3, .at = now
-    };
+    const RefuseJob refuse = { .id = idAt(now), .contentHash = 7, .taskCount = 3, .at = now };
     EXPECT_EQ(state.apply(refuse).verdict, JournalVerdict::Finished);
     EXPECT_EQ(state.apply(openFor(idAt(now), first)).verdict, JournalVerdict::Finished);
     const JobId other = idAt(now + 1s);
-    const AbandonJob abandon = {
-        .id = other, .claim = first, .contentHash = 7, .taskCount = 3, .at = now
-    };
+    const AbandonJob abandon
+        = { .id = other, .claim = first, .contentHash = 7, .taskCount = 3, .at = now };
     EXPECT_EQ(state.apply(abandon).verdict, JournalVerdict::Finished);
     EXPECT_EQ(state.apply(openFor(other, first)).verdict, JournalVerdict::Finished);
 }
@@ -113,8 +104,7 @@
 TEST(Journal, OldIdsAreRefusedForEver)
 {
     JournalState state(birth);
-    EXPECT_EQ(state.apply(openFor(idAt(birth + 1s), first)).verdict,
-              JournalVerdict::UnknownPast);
+    EXPECT_EQ(state.apply(openFor(idAt(birth + 1s), first)).verdict, JournalVerdict::UnknownPast);
     EXPECT_EQ(state.apply(openFor(idAt(now + 1min), first)).verdict, JournalVerdict::Expired);
     const JobId id = idAt(now);
     state.apply(openFor(id, first));
--- a/test/ReplicationTest.cpp
+++ b/test/ReplicationTest.cpp
@@ -10,9 +10,7 @@
 class Group
 {
 public:
-    explicit Group(std::uint64_t seed)
-        : world(options(seed))
-        , random(seed)
+    explicit Group(std::uint64_t seed) : world(options(seed)), random(seed)
     {
         for (const auto &journal : this->world.journals)
             journal->start();
@@ -47,14 +45,14 @@
             this->opened.push_back(id);
             for (const auto &journal : this->world.journals)
                 if (journal->isUp())
-                    journal->handle([id](JournalNode &node, TimePoint now,
-                                         JournalNode::Outbox &out) {
-                        if (node.replica().isLeader())
-                            node.ask({ .request = { .node = NodeName(), .number = 1 },
-                                       .question = JournalCommand(OpenJob { .id = id,
-                                                                            .taskCount = 1 }) },
-                                     now, out);
-                    });
+                    journal->handle(
+                        [id](JournalNode &node, TimePoint now, JournalNode::Outbox &out) {
+                            if (node.replica().isLeader())
+                                node.ask({ .request = { .node = NodeName(), .number = 1 },
+                                           .question
+                                           = JournalCommand(OpenJob { .id = id, .taskCount = 1 }) },
+                                         now, out);
+                        });
             this->world.run(20ms);
         }
     }
@@ -71,8 +69,7 @@
         Group group(seed);
         group.open(40);
         const std::string lost = "journal-a-2";
-        auto *process =
-                static_cast<Fake::World::JournalProcess *>(group.world.find(lost));
+        auto *process = static_cast<Fake::World::JournalProcess *>(group.world.find(lost));
         process->wipe();
         // If it led, the others elect a leader first: nobody else takes jobs.
         group.world.run(2s);
@@ -84,8 +81,7 @@
         EXPECT_TRUE(replica.membership().isVoter(replica.self())) << "seed " << seed;
         EXPECT_EQ(replica.membership().voterCount(), 3U);
         // A second member may be lost right after the repair.
-        auto *second =
-                static_cast<Fake::World::JournalProcess *>(group.world.find("journal-a-1"));
+        auto *second = static_cast<Fake::World::JournalProcess *>(group.world.find("journal-a-1"));
         second->wipe();
         group.world.run(3s);
         ASSERT_NE(group.leader(), nullptr) << "seed " << seed;
@@ -166,8 +162,7 @@
         group.world.network.heal();
         group.world.run(4s);
         ASSERT_NE(group.leader(), nullptr) << "seed " << seed;
-        EXPECT_GE(group.leader()->get()->replica().commitIndex(), mostCommitted)
-                << "seed " << seed;
+        EXPECT_GE(group.leader()->get()->replica().commitIndex(), mostCommitted) << "seed " << seed;
         const Bytes expected = group.leader()->get()->state().save();
         for (const auto &journal : group.world.journals)
             EXPECT_EQ(journal->get()->state().save(), expected) << "seed " << seed;
--- a/test/RulesTest.cpp
+++ b/test/RulesTest.cpp
@@ -36,14 +36,14 @@
         std::uint32_t line;
         std::uint32_t column;
     };
-    for (const Case &item : { Case { "quota team=a tasks=1\n", 1, 21 },
-                              Case { "quota team=a tasks=1 #  \n", 1, 25 },
-                              Case { "# fine\nqouta team=a # x\n", 2, 1 },
-                              Case { "quota team=a tasks=many # x\n", 1, 20 },
-                              Case { "quota team=a tasks=1 tasks=2 # x\n", 1, 22 },
-                              Case { "quota team=a tasks=1 more=2 # x\n", 1, 27 },
-                              Case { "priority team=a level=10 # x\n", 1, 23 },
-                              Case { "quota team= tasks=1 # x\n", 1, 7 } }) {
+    for (const Case &item :
+         { Case { "quota team=a tasks=1\n", 1, 21 }, Case { "quota team=a tasks=1 #  \n", 1, 25 },
+           Case { "# fine\nqouta team=a # x\n", 2, 1 },
+           Case { "quota team=a tasks=many # x\n", 1, 20 },
+           Case { "quota team=a tasks=1 tasks=2 # x\n", 1, 22 },
+           Case { "quota team=a tasks=1 more=2 # x\n", 1, 27 },
+           Case { "priority team=a level=10 # x\n", 1, 23 },
+           Case { "quota team= tasks=1 # x\n", 1, 7 } }) {
         const auto rules = RuleSet::parse(item.text);
         ASSERT_FALSE(rules.has_value()) << item.text;
         EXPECT_EQ(rules.error().line, item.line) << item.text;
@@ -77,10 +77,12 @@
 TEST(Rules, OneOfTwoOperatorsWinsAndAResendGetsTheFirstAnswer)
 {
     RulesState state;
-    const ApplyRules mine = { .applyId = "1", .expectedVersion = 0, .author = "Lan",
-                              .text = "refuse service=x # Lan\n" };
-    const ApplyRules theirs = { .applyId = "2", .expectedVersion = 0, .author = "Minh",
-                                .text = "refuse service=y # Minh\n" };
+    const ApplyRules mine = {
+        .applyId = "1", .expectedVersion = 0, .author = "Lan", .text = "refuse service=x # Lan\n"
+    };
+    const ApplyRules theirs = {
+        .applyId = "2", .expectedVersion = 0, .author = "Minh", .text = "refuse service=y # Minh\n"
+    };
     EXPECT_EQ(state.apply(mine).verdict, ApplyVerdict::Accepted);
     const ApplyReply lost = state.apply(theirs);
     EXPECT_EQ(lost.verdict, ApplyVerdict::Conflict);
@@ -92,7 +94,7 @@
     EXPECT_EQ(state.apply(mine).version, 1U);
     EXPECT_EQ(state.version(), 2U);
     const ApplyReply invalid = state.apply(
-            { .applyId = "3", .expectedVersion = 2, .author = "Lan", .text = "nonsense # Lan" });
+        { .applyId = "3", .expectedVersion = 2, .author = "Lan", .text = "nonsense # Lan" });
     EXPECT_EQ(invalid.verdict, ApplyVerdict::Invalid);
     EXPECT_EQ(state.version(), 2U);
 }
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -68,7 +68,7 @@
         ASSERT_FALSE(deployment.has_value()) << item.pointer;
         const auto &errors = deployment.error();
         const bool named = std::ranges::any_of(
-                errors, [&](const SettingsError &error) { return error.path == item.path; });
+            errors, [&](const SettingsError &error) { return error.path == item.path; });
         EXPECT_TRUE(named) << item.pointer << ": got " << errors.front().path << " "
                            << errors.front().reason;
     }
--- a/test/StorageTest.cpp
+++ b/test/StorageTest.cpp
@@ -15,8 +15,7 @@
 public:
     Folder()
         : path(std::filesystem::temp_directory_path()
-               / ("hibiscus-storage-" + std::to_string(::getpid()) + "-"
-                  + std::to_string(++made)))
+               / ("hibiscus-storage-" + std::to_string(::getpid()) + "-" + std::to_string(++made)))
     {
         std::filesystem::remove_all(this->path);
     }
@@ -43,12 +42,12 @@
     const int drawn = kind(random);
     if (drawn == 0)
         return SaveHardState { .hard = { .term = state.hard.term + 1 } };
-    const std::uint64_t last =
-            state.entries.empty() ? state.snapshot.index : state.entries.back().index;
+    const std::uint64_t last
+        = state.entries.empty() ? state.snapshot.index : state.entries.back().index;
     if (drawn == 1 && !state.entries.empty())
-        return SaveSnapshot { .snapshot = { .index = last,
-                                            .term = state.entries.back().term,
-                                            .state = "state" } };
+        return SaveSnapshot {
+            .snapshot = { .index = last, .term = state.entries.back().term, .state = "state" }
+        };
     LogEntry entry = { .index = last + 1, .term = state.hard.term };
     entry.body = Command { .bytes = std::string(random() % 200, 'c') };
     return SaveEntries { .entries = { entry } };
--- a/test/support/Scenario.cpp
+++ b/test/support/Scenario.cpp
@@ -91,6 +91,9 @@
             this->submitJobs();
     });
     in(8s, [this] { this->world.targets[4]->leave(); });
+    // A planned stop, and the start of the next life.
+    in(3s, [this] { this->world.entries[4]->drain(); });
+    in(9s, [this] { this->killFor("entry-5", false); });
 }
 
 void Scenario::submitJobs()
--- a/test/support/World.cpp
+++ b/test/support/World.cpp
@@ -177,13 +177,23 @@
                 const NodeName node(near->name());
                 const PeerTable &peers = process->dispatcher()->peers();
                 const bool isSelf = near == process;
+                if (isSelf && process->dispatcher()->isDraining())
+                    continue;
                 if (isSelf
                     || (peers.view(node).incarnation != 0
                         && !peers.isDead(node, this->scheduler.now())))
                     candidates.push_back({ .node = node });
             }
             const auto owner = chooseOwner(request.announcement.target, candidates);
-            if (request.isUnowned && owner && owner->str() != process->name()) {
+            const bool mayMove = request.isUnowned || process->dispatcher()->isDraining();
+            if (mayMove && !request.announcement.isLeaving && owner
+                && owner->str() != process->name()) {
+                TargetAnnouncement moved = request.announcement;
+                moved.isLeaving = true;
+                if (process->dispatcher()->owner().targets().find(moved.target) != nullptr)
+                    process->step([&](Dispatcher &dispatcher, TimePoint now, DispatchOutbox &out) {
+                        dispatcher.announce(moved, now, out);
+                    });
                 reply(owner->str());
                 return;
             }
@@ -346,7 +356,7 @@
 void EntryProcess::drain()
 {
     if (this->isUp())
-        this->core->drain();
+        this->step([](Dispatcher &d, TimePoint now, DispatchOutbox &out) { d.drain(now, out); });
 }
 
 void EntryProcess::step(const std::function<void(Dispatcher &, TimePoint, DispatchOutbox &)> &work)
