--- a/Hibiscus/src/Dispatch/Coordinator.cpp
+++ b/Hibiscus/src/Dispatch/Coordinator.cpp
@@ -344,6 +344,8 @@
         [&](const ServiceRate &rule) { return rule.service == request.service; });
     if (rate && !this->takeRateToken(request.service, rate->jobsPerSecond, now))
         return JobReason::QuotaExceeded;
+    if (this->isOverQuota(request))
+        return JobReason::QuotaExceeded;
     // The tasks of this job are counted already; a job alone in the queue is never too large.
     const bool isAlone = this->waitingTasks == request.taskCount();
     if (!isAlone && this->waitingTasks > this->options.mostWaitingTasks)
@@ -351,6 +353,22 @@
     return JobReason::None;
 }
 
+// A team that asks for more than its quota must not fill the queue that all teams share. Where the
+// quota leaves this node no share, waiting would be for nothing.
+bool Coordinator::isOverQuota(const JobRequest &request) const
+{
+    const std::optional<std::uint32_t> quota = this->rules.quotaOf(request.team);
+    if (!quota)
+        return false;
+    const std::uint32_t share = this->shareOf(*quota);
+    std::size_t waiting = 0;
+    for (const auto &[id, job] : this->jobs)
+        if (job.request.team == request.team && id != request.id)
+            waiting += job.waitingTasks();
+    const double most = this->options.quotaBacklog * share;
+    return share == 0 || (waiting > 0 && static_cast<double>(waiting) > most);
+}
+
 bool Coordinator::takeRateToken(const ServiceName &service, std::uint32_t jobsPerSecond,
                                 TimePoint now)
 {
--- a/Hibiscus/src/Dispatch/Coordinator.h
+++ b/Hibiscus/src/Dispatch/Coordinator.h
@@ -19,6 +19,7 @@
     std::uint32_t entryIndex = 0; ///< position of this entry node among all
     std::uint32_t entryCount = 1;
     std::size_t mostWaitingTasks = 600; ///< beyond it new jobs are refused
+    double quotaBacklog = 4.0; ///< waiting tasks of a team, as a multiple of its share
     std::size_t mostRefusing = 2048; ///< refusals that may wait for the journal at once
     double secondsPerWaitingTask = 0.02; ///< how much a waiting task delays its job's turn
     double secondsPerPriorityLevel = 0.5;
@@ -148,6 +149,7 @@
 
     void answerLookUps(const JobId &id, const JournalReply &reply, DispatchOutbox &out);
     JobReason admissionOf(const JobRequest &request, TimePoint now);
+    bool isOverQuota(const JobRequest &request) const;
     bool takeRateToken(const ServiceName &service, std::uint32_t jobsPerSecond, TimePoint now);
     void refuse(CoordinatedJob &job, JobReason reason, TimePoint now, DispatchOutbox &out);
     void open(CoordinatedJob &job, std::uint32_t visibleSlots, TimePoint now, DispatchOutbox &out);
--- a/test/DispatchTest.cpp
+++ b/test/DispatchTest.cpp
@@ -214,6 +214,37 @@
             EXPECT_NE(task.fate, TaskFate::NotRun);
 }
 
+TEST(Coordinator, ATeamOverItsQuotaLeavesTheQueueToTheOthers)
+{
+    CoordinatorOptions options;
+    options.self = { .node = NodeName("e"), .incarnation = 1 };
+    JournalClientOptions journals;
+    journals.groups = { { .domain = DomainName("a"), .members = { NodeName("j") } } };
+    Coordinator coordinator(options, journals);
+    coordinator.applyRules(*RuleSet::parse("quota team=greedy tasks=5 # test\n"
+                                           "quota team=none tasks=0 # test\n"));
+    DispatchOutbox out;
+    const auto submit = [&](const std::string &team, int number) {
+        JobRequest request;
+        request.id = JobId(DomainName("a"), start, team + std::to_string(number));
+        request.service = work;
+        request.team = TeamName(team);
+        request.repeatability = Repeatability::Repeatable;
+        request.deadline = start + 60s;
+        request.payloads.assign(10, "1");
+        coordinator.submit({ .token = 1, .request = request }, 0, start, out);
+    };
+    for (int i = 0; i < 200; ++i)
+        submit("greedy", i);
+    EXPECT_LE(coordinator.waitingCount(), 30U);
+    submit("none", 0);
+    EXPECT_EQ(out.answers.back().answer.reason, JobReason::QuotaExceeded);
+    const std::size_t refused = out.answers.size();
+    for (int i = 0; i < 20; ++i)
+        submit("modest", i);
+    EXPECT_EQ(out.answers.size(), refused);
+}
+
 TEST(RetryBudget, RetriesStayAShareOfFirstAttempts)
 {
     RetryBudget budget(0.1);
