Who should own a target is decided in one place, for processes and fakes alike

The choice stood twice, in the entry process and in the fakes of the tests; it is now Dispatcher::betterOwner.

--- a/Hibiscus/src/Api/TargetApi.cpp
+++ b/Hibiscus/src/Api/TargetApi.cpp
@@ -1,8 +1,6 @@
 #include "Hibiscus/src/Api/TargetApi.h"
 
-#include <cmath>
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 namespace Hibiscus {
 
@@ -20,15 +18,6 @@
                                      .path = path });
 }
 
-/** \returns a number in (0, 1) that depends on \a node and \a target alone. */
-static double unitHash(const NodeName &node, const TargetName &target)
-{
-    const std::string key = node.str() + "/" + target.str();
-    const std::uint64_t hash = XXH3_64bits(key.data(), key.size());
-    constexpr double range = 9007199254740992.0; // 2^53, the whole numbers of a double
-    return (static_cast<double>(hash >> 11U) + 0.5) / range;
-}
-
 static bool readAttempts(const Json &list, std::vector<AttemptId> &attempts)
 {
     if (!list.is_array() || list.size() > mostListedAttempts)
@@ -105,21 +94,4 @@
     return json.dump();
 }
 
-std::optional<NodeName> chooseOwner(const TargetName &target,
-                                    const std::vector<OwnerCandidate> &candidates)
-{
-    std::optional<NodeName> best;
-    double bestScore = 0;
-    for (const OwnerCandidate &candidate : candidates) {
-        // Rendezvous hashing: -weight / ln(hash) gives each node its share by weight.
-        const double score = -static_cast<double>(candidate.weight)
-            / std::log(internal::unitHash(candidate.node, target));
-        if (!best || score > bestScore) {
-            best = candidate.node;
-            bestScore = score;
-        }
-    }
-    return best;
-}
-
 } // namespace Hibiscus
--- a/Hibiscus/src/Dispatch/DispatchMessage.h
+++ b/Hibiscus/src/Dispatch/DispatchMessage.h
@@ -3,6 +3,7 @@
 #include <Hibiscus/Jobs>
 #include <Hibiscus/Journal>
 
+#include <set>
 #include <vector>
 
 namespace Hibiscus {
@@ -148,6 +149,16 @@
     HIBISCUS_FIELDS(target, address, service, slots, lease, isLeaving, running)
 };
 
+/** \brief A target's announcement with what only the first one carries. */
+struct AnnouncementRequest
+{
+    TargetAnnouncement announcement;
+    bool isUnowned = false; ///< the target looks for an owner
+    std::set<NodeName> avoided; ///< owners that did not answer the target
+
+    auto operator<=>(const AnnouncementRequest &other) const = default;
+};
+
 /** \brief Sends a task to a target. */
 struct StartOnTarget
 {
--- a/Hibiscus/src/Dispatch/Dispatcher.cpp
+++ b/Hibiscus/src/Dispatch/Dispatcher.cpp
@@ -37,10 +37,14 @@
     this->settle(now, out);
 }
 
-void Dispatcher::announce(const TargetAnnouncement &announcement, TimePoint now,
-                          DispatchOutbox &out)
+void Dispatcher::announce(const AnnouncementRequest &request, TimePoint now, DispatchOutbox &out)
 {
+    TargetAnnouncement announcement = request.announcement;
     const bool isNew = this->owning.targets().find(announcement.target) == nullptr;
+    const bool moves = this->betterOwner(request, now).has_value();
+    if (moves && isNew)
+        return;
+    announcement.isLeaving = announcement.isLeaving || moves;
     this->owning.announce(announcement, now, out);
     if (isNew)
         this->applyRules(this->rules, now, out);
@@ -48,6 +52,23 @@
     this->settle(now, out);
 }
 
+std::optional<NodeName> Dispatcher::betterOwner(const AnnouncementRequest &request,
+                                                TimePoint now) const
+{
+    const bool mayMove = request.isUnowned || this->isDraining();
+    if (!mayMove || request.announcement.isLeaving)
+        return std::nullopt;
+    const NodeName &self = this->options.coordinator.self.node;
+    std::vector<OwnerCandidate> candidates = this->peerTable.ownerCandidates(now);
+    if (!this->isDraining())
+        candidates.push_back({ .node = self, .weight = this->options.peers.ownWeight });
+    std::erase_if(candidates, [&](const OwnerCandidate &candidate) {
+        return request.avoided.contains(candidate.node);
+    });
+    const auto owner = chooseOwner(request.announcement.target, candidates);
+    return owner == self ? std::nullopt : owner;
+}
+
 void Dispatcher::finishAttempt(const TaskReport &report, TimePoint now, DispatchOutbox &out)
 {
     std::vector<OwnedReport> reports;
--- a/Hibiscus/src/Dispatch/Dispatcher.h
+++ b/Hibiscus/src/Dispatch/Dispatcher.h
@@ -46,7 +46,10 @@
     void submit(const Submission &submission, TimePoint now, DispatchOutbox &out);
     void cancel(const JobId &id, TimePoint now, DispatchOutbox &out);
     void lookUp(std::uint64_t token, const JobId &id, TimePoint now, DispatchOutbox &out);
-    void announce(const TargetAnnouncement &announcement, TimePoint now, DispatchOutbox &out);
+    /** \brief Takes or renews a target's lease, unless betterOwner() names another node: then the
+     * target gets nothing more from this one.
+     */
+    void announce(const AnnouncementRequest &request, TimePoint now, DispatchOutbox &out);
     void finishAttempt(const TaskReport &report, TimePoint now, DispatchOutbox &out);
     void receive(const PeerMessage &message, TimePoint now, DispatchOutbox &out);
     void receive(const JournalAnswer &answer, TimePoint now, DispatchOutbox &out);
@@ -66,6 +69,11 @@
     const PeerCounters &counters() const { return this->counts; }
     /** \returns whether nothing is in progress, so that the process may stop. */
     bool isIdle() const;
+    /** \returns the node that the target of \a request should turn to instead of this one. Only a
+     * target without an owner, or whose owner is draining, is sent elsewhere, so that leases do not
+     * move to and fro.
+     */
+    std::optional<NodeName> betterOwner(const AnnouncementRequest &request, TimePoint now) const;
     bool isDraining() const { return this->coordinating.isDraining(); }
 
 private:
--- a/Hibiscus/src/Dispatch/PeerTable.cpp
+++ b/Hibiscus/src/Dispatch/PeerTable.cpp
@@ -6,8 +6,10 @@
 
 PeerTable::PeerTable(const PeerTableOptions &options) : options(options)
 {
-    for (const PeerAddress &peer : options.peers)
+    for (const PeerAddress &peer : options.peers) {
         this->views[peer.node].domain = peer.domain;
+        this->views[peer.node].weight = peer.weight;
+    }
 }
 
 void PeerTable::learn(const PeerMessage &message, TimePoint now)
@@ -118,6 +120,17 @@
     return view.unansweredSince && now > *view.unansweredSince + this->options.deadAfter;
 }
 
+std::vector<OwnerCandidate> PeerTable::ownerCandidates(TimePoint now) const
+{
+    std::vector<OwnerCandidate> candidates;
+    for (const auto &[name, view] : this->views) {
+        const bool isNear = view.domain == this->options.ownDomain;
+        if (isNear && view.incarnation != 0 && !this->isDead(name, now))
+            candidates.push_back({ .node = name, .weight = view.weight });
+    }
+    return candidates;
+}
+
 bool PeerTable::isProbeDue(const NodeName &peer, TimePoint now) const
 {
     return now >= this->views.at(peer).probedAt + this->options.probeInterval;
--- a/Hibiscus/src/Dispatch/PeerTable.h
+++ b/Hibiscus/src/Dispatch/PeerTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hibiscus/src/Dispatch/DispatchMessage.h"
+#include "Hibiscus/src/Dispatch/OwnerChoice.h"
 
 #include <deque>
 #include <map>
@@ -12,6 +13,7 @@
 {
     NodeName node;
     DomainName domain;
+    std::uint32_t weight = 1; ///< size of its VM compared to the others
 
     auto operator<=>(const PeerAddress &other) const = default;
 };
@@ -21,6 +23,7 @@
 {
     DomainName ownDomain;
     std::vector<PeerAddress> peers;
+    std::uint32_t ownWeight = 1;
     double sameDomainWeight = 0.97;
     double otherDomainWeight = 0.93;
     double otherDomainNotRepeatableWeight = 0.75;
@@ -42,6 +45,7 @@
 struct PeerView
 {
     DomainName domain;
+    std::uint32_t weight = 1;
     std::uint64_t incarnation = 0; ///< 0 until the peer was heard
     std::uint64_t startsSent = 0; ///< to this incarnation
     std::uint64_t startsReceived = 0; ///< from this incarnation
@@ -82,6 +86,8 @@
     /** \returns the peer with the most urgent demand for \a service. */
     std::optional<NodeName> mostUrgent(const ServiceName &service, TimePoint now) const;
     bool isDead(const NodeName &peer, TimePoint now) const;
+    /** \returns the peers of this node's own domain that may own targets. */
+    std::vector<OwnerCandidate> ownerCandidates(TimePoint now) const;
     bool isProbeDue(const NodeName &peer, TimePoint now) const;
     /** \returns how many peers were heard lately. */
     std::size_t liveCount(TimePoint now) const;
--- a/Hibiscus/src/Process/EntryProcess.cpp
+++ b/Hibiscus/src/Process/EntryProcess.cpp
@@ -26,13 +26,16 @@
     options.coordinator.mostWaitingTasks = deployment.limits.waitingTasks;
     options.owner.pool.lease = deployment.timing.targetLease;
     options.peers.ownDomain = context.self.domain;
+    options.peers.ownWeight = context.self.weight;
     const std::vector<NodeSettings> entries = deployment.withRole(NodeRole::Entry);
     options.coordinator.entryCount = static_cast<std::uint32_t>(entries.size());
     for (std::uint32_t i = 0; i < entries.size(); ++i) {
         if (entries[i].name == context.self.name)
             options.coordinator.entryIndex = i;
         else
-            options.peers.peers.push_back({ .node = entries[i].name, .domain = entries[i].domain });
+            options.peers.peers.push_back({ .node = entries[i].name,
+                                            .domain = entries[i].domain,
+                                            .weight = entries[i].weight });
     }
     for (const DomainName &domain : deployment.domains) {
         JournalGroup group = { .domain = domain };
@@ -251,32 +254,26 @@
         this->http.respond(request.token, { .status = reply.status, .body = reply.body });
         return;
     }
-    if (const std::optional<NodeName> owner = this->betterOwner(*parsed)) {
-        const NodeSettings *node = this->context.deployment.find(*owner);
-        this->http.respond(request.token,
-                           { .status = 200,
-                             .body = "{\"owner\":\"" + node->name.str() + "\",\"address\":\""
-                                 + node->http + "\"}\n" });
-        // From here on the target takes nothing of this node's lease.
-        TargetAnnouncement moved = parsed->announcement;
-        moved.isLeaving = true;
-        if (this->dispatcher.owner().targets().find(moved.target) != nullptr) {
-            DispatchOutbox out;
-            this->dispatcher.announce(moved, this->loop.now(), out);
-            this->carryOut(out);
-        }
-        return;
-    }
+    const TimePoint now = this->loop.now();
     const TargetAnnouncement &announcement = parsed->announcement;
-    if (this->dispatcher.owner().targets().find(announcement.target) == nullptr)
-        logChange("target-leased",
-                  { { "target", announcement.target.str() }, { "address", announcement.address } });
-    const auto lease = std::chrono::duration_cast<std::chrono::milliseconds>(
-        this->context.deployment.timing.targetLease);
-    this->http.respond(request.token,
-                       { .body = "{\"lease_ms\":" + std::to_string(lease.count()) + "}\n" });
+    const std::optional<NodeName> owner = this->dispatcher.betterOwner(*parsed, now);
+    const bool isNew = this->dispatcher.owner().targets().find(announcement.target) == nullptr;
+    internal::OrderedJson json;
+    if (owner) {
+        json["owner"] = owner->str();
+        json["address"] = this->context.deployment.find(*owner)->http;
+    } else {
+        json["lease_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(
+                               this->context.deployment.timing.targetLease)
+                               .count();
+        if (isNew)
+            logChange(
+                "target-leased",
+                { { "target", announcement.target.str() }, { "address", announcement.address } });
+    }
+    this->http.respond(request.token, { .body = json.dump() + "\n" });
     DispatchOutbox out;
-    this->dispatcher.announce(announcement, this->loop.now(), out);
+    this->dispatcher.announce(*parsed, now, out);
     this->carryOut(out);
 }
 
@@ -506,28 +503,6 @@
     return hasRules && stopRequests() == 0;
 }
 
-// Only a target without an owner is sent elsewhere, so that leases do not move to and fro.
-std::optional<NodeName> EntryProcess::betterOwner(const AnnouncementRequest &request) const
-{
-    const bool isStopping = stopRequests() > 0;
-    if ((!request.isUnowned && !isStopping) || request.announcement.isLeaving)
-        return std::nullopt;
-    std::vector<OwnerCandidate> candidates;
-    const TimePoint now = this->loop.now();
-    for (const NodeSettings &entry : this->context.deployment.withRole(NodeRole::Entry)) {
-        const bool isSelf = entry.name == this->context.self.name;
-        const bool isCandidate = entry.domain == this->context.self.domain
-            && !request.avoided.contains(entry.name)
-            && (isSelf ? !isStopping
-                       : this->dispatcher.peers().view(entry.name).incarnation != 0
-                        && !this->dispatcher.peers().isDead(entry.name, now));
-        if (isCandidate)
-            candidates.push_back({ .node = entry.name, .weight = entry.weight });
-    }
-    const auto owner = chooseOwner(request.announcement.target, candidates);
-    return owner == this->context.self.name ? std::nullopt : owner;
-}
-
 std::string EntryProcess::statusJson() const
 {
     internal::OrderedJson json;
--- a/Hibiscus/src/Process/EntryProcess.h
+++ b/Hibiscus/src/Process/EntryProcess.h
@@ -54,7 +54,7 @@
     void answer(const StatusAnswer &answer);
 
     bool isReady() const;
-    std::optional<NodeName> betterOwner(const AnnouncementRequest &request) const;
+
     std::string statusJson() const;
     void updateMetrics();
 
--- a/bench/StateBench.cpp
+++ b/bench/StateBench.cpp
@@ -82,8 +82,7 @@
         std::string text;
         for (int team = 0; team < teams; ++team)
             text += "quota team=team-" + std::to_string(team)
-                    + " tasks=" + std::to_string(team == change % teams ? change : 100)
-                    + " # Lan\n";
+                + " tasks=" + std::to_string(team == change % teams ? change : 100) + " # Lan\n";
         deltaBytes += encode(RulesDelta::between(state.text(), text)).size();
         state.apply({ .applyId = std::to_string(change),
                       .expectedVersion = state.version(),
--- a/test/ReplicationTest.cpp
+++ b/test/ReplicationTest.cpp
@@ -107,6 +107,37 @@
     EXPECT_EQ(two->get()->replica().commitIndex(), 0U);
 }
 
+TEST(Replication, NobodyVotesOnAPastThatItForgot)
+{
+    for (const std::uint64_t seed : { 21U, 22U, 23U, 24U }) {
+        Group group(seed);
+        Fake::World::JournalProcess *former = group.leader();
+        ASSERT_NE(former, nullptr);
+        std::vector<Fake::World::JournalProcess *> others;
+        for (const auto &journal : group.world.journals)
+            if (journal.get() != former)
+                others.push_back(journal.get());
+        const auto isolate = [&](const std::string &name) {
+            group.world.network.cut(name, "*");
+            group.world.network.cut("*", name);
+        };
+        // Ten entries are committed by the leader and one other, which then loses its disk.
+        isolate(others[0]->name());
+        group.open(10);
+        others[1]->wipe();
+        group.world.network.heal();
+        isolate(former->name());
+        others[1]->start();
+        group.world.run(5s);
+        // The two that can talk hold none of the ten, so they must not go on alone.
+        EXPECT_EQ(group.leader(), nullptr) << "seed " << seed;
+        group.world.network.heal();
+        group.world.run(5s);
+        ASSERT_NE(group.leader(), nullptr) << "seed " << seed;
+        EXPECT_EQ(group.leader()->get()->state().size(), 10U) << "seed " << seed;
+    }
+}
+
 TEST(Replication, AnIsolatedLeaderConfirmsNothing)
 {
     Group group(12);
--- a/test/support/World.cpp
+++ b/test/support/World.cpp
@@ -172,35 +172,12 @@
     const auto receive = [this, entry, request, reply] {
         EntryProcess *process = this->world.entryNamed(entry);
         process->deliver([this, process, request, reply] {
-            std::vector<OwnerCandidate> candidates;
-            for (EntryProcess *near : this->world.entriesOf(this->domain)) {
-                const NodeName node(near->name());
-                const PeerTable &peers = process->dispatcher()->peers();
-                const bool isSelf = near == process;
-                if (isSelf && process->dispatcher()->isDraining())
-                    continue;
-                if (isSelf
-                    || (peers.view(node).incarnation != 0
-                        && !peers.isDead(node, this->scheduler.now())))
-                    candidates.push_back({ .node = node });
-            }
-            const auto owner = chooseOwner(request.announcement.target, candidates);
-            const bool mayMove = request.isUnowned || process->dispatcher()->isDraining();
-            if (mayMove && !request.announcement.isLeaving && owner
-                && owner->str() != process->name()) {
-                TargetAnnouncement moved = request.announcement;
-                moved.isLeaving = true;
-                if (process->dispatcher()->owner().targets().find(moved.target) != nullptr)
-                    process->step([&](Dispatcher &dispatcher, TimePoint now, DispatchOutbox &out) {
-                        dispatcher.announce(moved, now, out);
-                    });
-                reply(owner->str());
-                return;
-            }
+            const TimePoint present = this->scheduler.now();
+            const auto owner = process->dispatcher()->betterOwner(request, present);
             process->step([&](Dispatcher &dispatcher, TimePoint now, DispatchOutbox &out) {
-                dispatcher.announce(request.announcement, now, out);
+                dispatcher.announce(request, now, out);
             });
-            reply("");
+            reply(owner ? owner->str() : "");
         });
     };
     this->network.send({ .step = Step::Announce,
