--- a/Hibiscus/src/Dispatch/Coordinator.cpp
+++ b/Hibiscus/src/Dispatch/Coordinator.cpp
@@ -7,7 +7,6 @@
 namespace internal {
 
 constexpr Duration longestProbePause = 20s;
-constexpr double secondsOfRateBurst = 1.0;
 
 /** \brief Turns what only the journal could vouch for into "may have run". */
 static JobAnswer withoutProof(JobAnswer answer)
@@ -29,7 +28,7 @@
 } // namespace internal
 
 Coordinator::Coordinator(const CoordinatorOptions &options, const JournalClientOptions &journals)
-    : options(options), journal(journals, options.self)
+    : options(options), journal(journals, options.self), admission(options.admission)
 { }
 
 void Coordinator::submit(const Submission &submission, std::uint32_t visibleSlots, TimePoint now,
@@ -74,7 +73,10 @@
     job.tasks.resize(request.taskCount());
     job.unfinished = static_cast<std::uint32_t>(request.taskCount());
     this->waitingTasks += job.tasks.size();
-    const JobReason reason = this->admissionOf(request, now);
+    const bool isKnownHome = this->journal.knows(request.id.home());
+    const JobReason reason = isKnownHome
+        ? this->admission.admit(request, this->backlogWithout(job), now)
+        : JobReason::HomeUnreachable;
     if (reason != JobReason::None)
         this->refuse(job, reason, now, out);
     else
@@ -157,7 +159,7 @@
         this->endTask(job, report.attempt.task,
                       { .fate = TaskFate::Ran, .succeeded = true, .result = report.result });
     else
-        this->retryOrEnd(job, report.attempt.task, report, now, out);
+        this->retryOrEnd(job, report.attempt.task, report, now);
     if (job.unfinished == 0 && job.phase == JobPhase::Running)
         this->end(job, JobReason::None, now, out);
 }
@@ -258,15 +260,9 @@
 
 void Coordinator::applyRules(const RuleSet &newRules)
 {
-    this->rules = newRules;
+    this->admission.applyRules(newRules);
     for (auto &[service, budget] : this->retries)
-        budget.setShare(this->retryShareOf(service));
-}
-
-void Coordinator::noteWidestTarget(const ServiceName &service, std::uint32_t slots)
-{
-    std::uint32_t &widest = this->widestTargets[service];
-    widest = std::max(widest, slots);
+        budget.setShare(this->admission.retryShareOf(service).value_or(this->options.retryShare));
 }
 
 std::vector<DueProbe> Coordinator::takeDueProbes(TimePoint now)
@@ -325,63 +321,14 @@
     return found == this->placedByTeam.end() ? 0 : found->second;
 }
 
-JobReason Coordinator::admissionOf(const JobRequest &request, TimePoint now)
-{
-    const NodeName &self = this->options.self.node;
-    if (this->draining || this->rules.isDrained(self))
-        return JobReason::Draining;
-    if (!this->journal.knows(request.id.home()))
-        return JobReason::HomeUnreachable;
-    if (request.id.isExpired(now) || request.id.isFromFuture(now))
-        return JobReason::IdExpired;
-    if (this->rules.isRefused(request.service))
-        return JobReason::ServiceRefused;
-    const auto widest = this->widestTargets.find(request.service);
-    const std::uint32_t most = widest == this->widestTargets.end() ? 0 : widest->second;
-    if (most > 0 && request.declaredSlots > most)
-        return JobReason::CannotRun;
-    const auto rate = this->rules.find<ServiceRate>(
-        [&](const ServiceRate &rule) { return rule.service == request.service; });
-    if (rate && !this->takeRateToken(request.service, rate->jobsPerSecond, now))
-        return JobReason::QuotaExceeded;
-    if (this->isOverQuota(request))
-        return JobReason::QuotaExceeded;
-    // The tasks of this job are counted already; a job alone in the queue is never too large.
-    const bool isAlone = this->waitingTasks == request.taskCount();
-    if (!isAlone && this->waitingTasks > this->options.mostWaitingTasks)
-        return JobReason::Overloaded;
-    return JobReason::None;
-}
-
-// A team that asks for more than its quota must not fill the queue that all teams share. Where the
-// quota leaves this node no share, waiting would be for nothing.
-bool Coordinator::isOverQuota(const JobRequest &request) const
-{
-    const std::optional<std::uint32_t> quota = this->rules.quotaOf(request.team);
-    if (!quota)
-        return false;
-    const std::uint32_t share = this->shareOf(*quota);
-    std::size_t waiting = 0;
+Backlog Coordinator::backlogWithout(const CoordinatedJob &without) const
+{
+    Backlog backlog;
+    backlog.waitingTasks = this->waitingTasks - without.tasks.size();
     for (const auto &[id, job] : this->jobs)
-        if (job.request.team == request.team && id != request.id)
-            waiting += job.waitingTasks();
-    const double most = this->options.quotaBacklog * share;
-    return share == 0 || (waiting > 0 && static_cast<double>(waiting) > most);
-}
-
-bool Coordinator::takeRateToken(const ServiceName &service, std::uint32_t jobsPerSecond,
-                                TimePoint now)
-{
-    const double rate
-        = static_cast<double>(jobsPerSecond) / static_cast<double>(this->options.entryCount);
-    RateBucket &bucket = this->rates[service];
-    const double filled = bucket.tokens + rate * toSeconds(now - bucket.filledAt);
-    bucket.tokens = std::min(filled, std::max(1.0, rate * internal::secondsOfRateBurst));
-    bucket.filledAt = now;
-    if (bucket.tokens < 1.0)
-        return false;
-    bucket.tokens -= 1.0;
-    return true;
+        if (job.request.team == without.request.team && id != without.request.id)
+            backlog.waitingOfTeam += job.waitingTasks();
+    return backlog;
 }
 
 // "Not run" needs the journal's word: the same job may be on its way through another entry node.
@@ -569,12 +516,12 @@
     const double arrival = toSeconds(job.arrivedAt.time_since_epoch());
     const double width = this->options.secondsPerWaitingTask * job.waitingTasks();
     const double priority
-        = this->options.secondsPerPriorityLevel * this->rules.priorityOf(job.request.team);
+        = this->options.secondsPerPriorityLevel * this->admission.priorityOf(job.request.team);
     this->queue.put(job.request.id, job.request.service, arrival + width - priority);
 }
 
 void Coordinator::retryOrEnd(CoordinatedJob &job, std::uint32_t index, const TaskReport &report,
-                             TimePoint now, DispatchOutbox &)
+                             TimePoint now)
 {
     CoordinatedTask &task = job.tasks[index];
     const bool neverStarted = report.verdict == AttemptVerdict::NotStarted;
@@ -736,14 +683,10 @@
 
 RetryBudget &Coordinator::retryBudgetOf(const ServiceName &service)
 {
-    return this->retries.try_emplace(service, this->retryShareOf(service)).first->second;
-}
-
-double Coordinator::retryShareOf(const ServiceName &service) const
-{
-    const auto rule = this->rules.find<RetryLimit>(
-        [&](const RetryLimit &limit) { return limit.service == service; });
-    return rule ? rule->percent / 100.0 : this->options.retryShare;
+    return this->retries
+        .try_emplace(service,
+                     this->admission.retryShareOf(service).value_or(this->options.retryShare))
+        .first->second;
 }
 
 JobClaim Coordinator::claimOf(const CoordinatedJob &job) const
@@ -753,26 +696,16 @@
              .number = found == this->claims.end() ? 0 : found->second };
 }
 
-// Entry nodes divide a total exactly, without talking about it.
-std::uint32_t Coordinator::shareOf(std::uint32_t total) const
-{
-    const std::uint64_t index = this->options.entryIndex;
-    const std::uint64_t before = index * total / this->options.entryCount;
-    const std::uint64_t after = (index + 1) * total / this->options.entryCount;
-    return static_cast<std::uint32_t>(after - before);
-}
-
 bool Coordinator::isEligible(const JobId &id) const
 {
     const CoordinatedJob &job = this->jobs.at(id);
-    const std::optional<std::uint32_t> quota = this->rules.quotaOf(job.request.team);
-    if (quota && this->placedOf(job.request.team) >= this->shareOf(*quota))
+    const auto quota = this->admission.quotaShareOf(job.request.team);
+    if (quota && this->placedOf(job.request.team) >= *quota)
         return false;
-    const auto limit = this->rules.find<ServiceLimit>(
-        [&](const ServiceLimit &rule) { return rule.service == job.request.service; });
+    const auto limit = this->admission.limitShareOf(job.request.service);
     const auto placed = this->placedByService.find(job.request.service);
     const std::uint32_t count = placed == this->placedByService.end() ? 0 : placed->second;
-    return !limit || count < this->shareOf(limit->tasks);
+    return !limit || count < *limit;
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Dispatch/Coordinator.h
+++ b/Hibiscus/src/Dispatch/Coordinator.h
@@ -1,12 +1,11 @@
 #pragma once
 
+#include "Hibiscus/src/Dispatch/Admission.h"
 #include "Hibiscus/src/Dispatch/CoordinatedJob.h"
 #include "Hibiscus/src/Dispatch/JobQueue.h"
 #include "Hibiscus/src/Dispatch/JournalClient.h"
 #include "Hibiscus/src/Dispatch/RetryBudget.h"
 
-#include <Hibiscus/Rules>
-
 #include <map>
 #include <set>
 
@@ -16,10 +15,7 @@
 struct CoordinatorOptions
 {
     CoordinatorId self;
-    std::uint32_t entryIndex = 0; ///< position of this entry node among all
-    std::uint32_t entryCount = 1;
-    std::size_t mostWaitingTasks = 600; ///< beyond it new jobs are refused
-    double quotaBacklog = 4.0; ///< waiting tasks of a team, as a multiple of its share
+    AdmissionOptions admission;
     std::size_t mostRefusing = 2048; ///< refusals that may wait for the journal at once
     double secondsPerWaitingTask = 0.02; ///< how much a waiting task delays its job's turn
     double secondsPerPriorityLevel = 0.5;
@@ -99,8 +95,11 @@
     void place(const JobId &job, const NodeName &owner, std::uint64_t ownerIncarnation,
                TimePoint now, std::vector<TaskStart> &starts, DispatchOutbox &out);
     void applyRules(const RuleSet &newRules);
-    void drain() { this->draining = true; }
-    void noteWidestTarget(const ServiceName &service, std::uint32_t slots);
+    void drain() { this->admission.drain(); }
+    void noteWidestTarget(const ServiceName &service, std::uint32_t slots)
+    {
+        this->admission.noteWidestTarget(service, slots);
+    }
     std::vector<DueProbe> takeDueProbes(TimePoint now);
     std::vector<DueCancellation> takeCancellations();
 
@@ -125,7 +124,7 @@
     bool isRepeatable(const JobId &job) const { return this->jobs.at(job).isRepeatable(); }
     std::vector<ServiceName> services() const { return this->queue.services(); }
     Demand demand() const;
-    bool isDraining() const { return this->draining; }
+    bool isDraining() const { return this->admission.isDraining(); }
     std::size_t jobCount() const { return this->jobs.size(); }
     std::size_t waitingCount() const { return this->waitingTasks; }
     const CoordinatedJob *find(const JobId &job) const;
@@ -141,16 +140,8 @@
         TimePoint until;
     };
 
-    struct RateBucket
-    {
-        double tokens = 0;
-        TimePoint filledAt;
-    };
-
     void answerLookUps(const JobId &id, const JournalReply &reply, DispatchOutbox &out);
-    JobReason admissionOf(const JobRequest &request, TimePoint now);
-    bool isOverQuota(const JobRequest &request) const;
-    bool takeRateToken(const ServiceName &service, std::uint32_t jobsPerSecond, TimePoint now);
+    Backlog backlogWithout(const CoordinatedJob &without) const;
     void refuse(CoordinatedJob &job, JobReason reason, TimePoint now, DispatchOutbox &out);
     void open(CoordinatedJob &job, std::uint32_t visibleSlots, TimePoint now, DispatchOutbox &out);
     void handle(CoordinatedJob &job, const JournalReply &reply, TimePoint now, DispatchOutbox &out);
@@ -162,7 +153,7 @@
     void recordAhead(CoordinatedJob &job, TimePoint now, DispatchOutbox &out);
     void requeue(CoordinatedJob &job);
     void retryOrEnd(CoordinatedJob &job, std::uint32_t index, const TaskReport &report,
-                    TimePoint now, DispatchOutbox &out);
+                    TimePoint now);
     void endTask(CoordinatedJob &job, std::uint32_t index, const TaskOutcome &outcome);
     void unplace(CoordinatedJob &job, CoordinatedTask &task);
     void end(CoordinatedJob &job, JobReason reason, TimePoint now, DispatchOutbox &out);
@@ -175,22 +166,18 @@
     void ask(const CoordinatedJob &job, const JournalQuestion &question, TimePoint now,
              DispatchOutbox &out);
     RetryBudget &retryBudgetOf(const ServiceName &service);
-    double retryShareOf(const ServiceName &service) const;
     JobClaim claimOf(const CoordinatedJob &job) const;
-    std::uint32_t shareOf(std::uint32_t total) const;
     bool isEligible(const JobId &id) const;
 
     CoordinatorOptions options;
     JournalClient journal;
-    RuleSet rules;
+    Admission admission;
     std::map<JobId, CoordinatedJob> jobs;
     std::map<JobId, std::uint64_t> claims;
     JobQueue queue;
     std::map<ServiceName, RetryBudget> retries;
     std::map<TeamName, std::uint32_t> placedByTeam;
     std::map<ServiceName, std::uint32_t> placedByService;
-    std::map<ServiceName, RateBucket> rates;
-    std::map<ServiceName, std::uint32_t> widestTargets;
     std::map<JobId, KeptAnswer> keptAnswers;
     std::map<JobId, std::vector<std::uint64_t>> lookUps;
     std::vector<DueCancellation> cancellations;
@@ -198,7 +185,6 @@
     std::size_t waitingTasks = 0;
     std::size_t refusing = 0;
     std::uint64_t nextClaim = 1;
-    bool draining = false;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Dispatch/OwnerChoice.cpp
+++ b/Hibiscus/src/Dispatch/OwnerChoice.cpp
@@ -26,7 +26,7 @@
     double bestScore = 0;
     for (const OwnerCandidate &candidate : candidates) {
         const double score = -static_cast<double>(candidate.weight)
-                / std::log(internal::unitHash(candidate.node, target));
+            / std::log(internal::unitHash(candidate.node, target));
         if (!best || score > bestScore) {
             best = candidate.node;
             bestScore = score;
--- a/Hibiscus/src/Process/EntryProcess.cpp
+++ b/Hibiscus/src/Process/EntryProcess.cpp
@@ -23,15 +23,16 @@
     const Deployment &deployment = context.deployment;
     DispatcherOptions options;
     options.coordinator.self = { .node = context.self.name, .incarnation = context.incarnation };
-    options.coordinator.mostWaitingTasks = deployment.limits.waitingTasks;
+    options.coordinator.admission.self = context.self.name;
+    options.coordinator.admission.mostWaitingTasks = deployment.limits.waitingTasks;
     options.owner.pool.lease = deployment.timing.targetLease;
     options.peers.ownDomain = context.self.domain;
     options.peers.ownWeight = context.self.weight;
     const std::vector<NodeSettings> entries = deployment.withRole(NodeRole::Entry);
-    options.coordinator.entryCount = static_cast<std::uint32_t>(entries.size());
+    options.coordinator.admission.entryCount = static_cast<std::uint32_t>(entries.size());
     for (std::uint32_t i = 0; i < entries.size(); ++i) {
         if (entries[i].name == context.self.name)
-            options.coordinator.entryIndex = i;
+            options.coordinator.admission.entryIndex = i;
         else
             options.peers.peers.push_back({ .node = entries[i].name,
                                             .domain = entries[i].domain,
--- a/test/DispatchTest.cpp
+++ b/test/DispatchTest.cpp
@@ -163,8 +163,8 @@
     for (std::uint32_t index = 0; index < 3; ++index) {
         CoordinatorOptions options;
         options.self = { .node = NodeName("e"), .incarnation = 1 };
-        options.entryIndex = index;
-        options.entryCount = 3;
+        options.admission.entryIndex = index;
+        options.admission.entryCount = 3;
         JournalClientOptions journals;
         journals.groups = { { .domain = DomainName("a"), .members = { NodeName("j") } } };
         Coordinator coordinator(options, journals);
@@ -190,7 +190,7 @@
 {
     CoordinatorOptions options;
     options.self = { .node = NodeName("e"), .incarnation = 1 };
-    options.mostWaitingTasks = 100;
+    options.admission.mostWaitingTasks = 100;
     JournalClientOptions journals;
     journals.groups = { { .domain = DomainName("a"), .members = { NodeName("j") } } };
     Coordinator coordinator(options, journals);
@@ -245,6 +245,64 @@
     EXPECT_EQ(out.answers.size(), refused);
 }
 
+TEST(Coordinator, WithoutTheJournalNothingIsToldNotRun)
+{
+    CoordinatorOptions options;
+    options.self = { .node = NodeName("e"), .incarnation = 1 };
+    JournalClientOptions journals;
+    journals.groups = { { .domain = DomainName("a"), .members = { NodeName("j") } } };
+    Coordinator coordinator(options, journals);
+    JobRequest request;
+    request.id = JobId(DomainName("a"), start, "n");
+    request.service = work;
+    request.deadline = start + 60s;
+    request.payloads.assign(30, "1");
+    DispatchOutbox out;
+    coordinator.submit({ .token = 1, .request = request }, 0, start, out);
+    ASSERT_EQ(out.toJournals.size(), 1U);
+    const JournalReply opened
+        = { .verdict = JournalVerdict::Opened, .epoch = 1, .recorded = { 0 } };
+    coordinator.receive({ .request = out.toJournals[0].request.request, .reply = opened }, start,
+                        out);
+    std::vector<TaskStart> starts;
+    coordinator.place(request.id, NodeName("e"), 1, start, starts, out);
+    coordinator.cancel(request.id, start + 1s, out);
+    EXPECT_TRUE(out.answers.empty());
+    coordinator.tick(start + 20s, out);
+    ASSERT_EQ(out.answers.size(), 1U);
+    for (const TaskOutcome &task : out.answers[0].answer.tasks)
+        EXPECT_EQ(task.fate, TaskFate::MayHaveRun);
+}
+
+TEST(Dispatcher, ANodeThatStarvesAsksItsPeersAndNoOther)
+{
+    DispatcherOptions options;
+    options.coordinator.self = { .node = NodeName("e1"), .incarnation = 1 };
+    options.peers.ownDomain = DomainName("a");
+    options.peers.peers = { { .node = NodeName("e2"), .domain = DomainName("a") } };
+    options.journals.groups = { { .domain = DomainName("a"), .members = { NodeName("j") } } };
+    Dispatcher dispatcher(options);
+    const PeerMessage news = { .from = NodeName("e2"), .incarnation = 5, .toIncarnation = 1 };
+    DispatchOutbox heard;
+    dispatcher.receive(news, start, heard);
+    const auto asked = [&](TimePoint from, TimePoint to) {
+        DispatchOutbox out;
+        for (TimePoint now = from; now < to; now += 10ms)
+            dispatcher.tick(now, out);
+        return out.toPeers.size();
+    };
+    EXPECT_EQ(asked(start + 1s, start + 3s), 0U);
+    JobRequest request;
+    request.id = JobId(DomainName("a"), start, "s");
+    request.service = work;
+    request.repeatability = Repeatability::Repeatable;
+    request.deadline = start + 60s;
+    request.payloads = { "1" };
+    DispatchOutbox out;
+    dispatcher.submit({ .token = 1, .request = request }, start + 3s, out);
+    EXPECT_EQ(asked(start + 3s, start + 3200ms), 1U);
+}
+
 TEST(RetryBudget, RetriesStayAShareOfFirstAttempts)
 {
     RetryBudget budget(0.1);
--- a/test/support/Scenario.cpp
+++ b/test/support/Scenario.cpp
@@ -16,7 +16,7 @@
 {
     WorldOptions options;
     options.seed = seed;
-    options.dispatcher.coordinator.mostWaitingTasks = 60;
+    options.dispatcher.coordinator.admission.mostWaitingTasks = 60;
     return options;
 }
 
--- a/test/support/World.cpp
+++ b/test/support/World.cpp
@@ -297,8 +297,10 @@
     options.coordinator.self
         = { .node = NodeName(this->name()),
             .incarnation = static_cast<std::uint64_t>(now.time_since_epoch().count()) };
-    options.coordinator.entryIndex = this->index;
-    options.coordinator.entryCount = static_cast<std::uint32_t>(this->world.entries.size());
+    options.coordinator.admission.self = NodeName(this->name());
+    options.coordinator.admission.entryIndex = this->index;
+    options.coordinator.admission.entryCount
+        = static_cast<std::uint32_t>(this->world.entries.size());
     options.peers.ownDomain = DomainName(this->domain);
     for (const auto &entry : this->world.entries)
         if (entry.get() != this)
