--- a/Hibiscus/src/Dispatch/Admission.h
+++ b/Hibiscus/src/Dispatch/Admission.h
@@ -29,10 +29,7 @@
 class Admission
 {
 public:
-    explicit Admission(const AdmissionOptions &options)
-        : options(options)
-    {
-    }
+    explicit Admission(const AdmissionOptions &options) : options(options) { }
 
     // Commands.
     void applyRules(const RuleSet &newRules) { this->rules = newRules; }
--- a/Hibiscus/src/Process/ControlProcess.cpp
+++ b/Hibiscus/src/Process/ControlProcess.cpp
@@ -12,8 +12,6 @@
 using OrderedJson = nlohmann::ordered_json;
 
 constexpr Duration controlTick = 10ms;
-constexpr Duration controlJoinInterval = 500ms;
-constexpr Duration controlHandOverTime = 1s;
 
 static ControlOptions controlOptions(const ProcessContext &context)
 {
@@ -121,28 +119,12 @@
 
 void ControlProcess::onTick()
 {
-    const TimePoint now = this->loop.now();
-    this->node.tick(now, this->out);
-    if (!this->node.replica().isMember() && now >= this->joinAt) {
-        this->joinAt = now + internal::controlJoinInterval;
-        this->node.requestJoin(groupOf(this->context), this->out);
-    }
-    if (stopRequests() > 0 && this->stopAt == TimePoint()) {
-        logChange("stopping");
-        this->node.stepDown(now);
-        this->stopAt = now + internal::controlHandOverTime;
-    }
-    if (stopRequests() > 1 || (stopRequests() > 0 && now >= this->stopAt))
+    if (this->lifecycle.tick(this->node, this->context, this->loop.now(), this->out))
         this->loop.stop();
-    const bool isLeader = this->node.replica().isLeader();
-    if (isLeader != this->wasLeader)
-        logChange(isLeader ? "became-leader" : "lost-leadership",
-                  { { "term", std::to_string(this->node.replica().term()) } });
-    this->wasLeader = isLeader;
-    if (this->node.state().version() != this->loggedVersion)
-        logChange("rules-accepted",
-                  { { "version", std::to_string(this->node.state().version()) } });
-    this->loggedVersion = this->node.state().version();
+    const std::uint64_t version = this->node.state().version();
+    if (version != this->loggedVersion)
+        logChange("rules-accepted", { { "version", std::to_string(version) } });
+    this->loggedVersion = version;
 }
 
 void ControlProcess::carryOut()
--- a/Hibiscus/src/Process/ControlProcess.h
+++ b/Hibiscus/src/Process/ControlProcess.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Hibiscus/src/Process/ReplicaDisk.h"
+#include "Hibiscus/src/Process/ReplicaLifecycle.h"
 
 #include <Hibiscus/Rules>
 #include <Hibiscus/Telemetry>
@@ -37,9 +37,7 @@
     Relay relay;
     HttpServer http;
     Metrics metrics;
-    TimePoint joinAt;
-    TimePoint stopAt;
-    bool wasLeader = false;
+    ReplicaLifecycle lifecycle;
     std::uint64_t loggedVersion = 0;
 };
 
--- a/Hibiscus/src/Process/JournalProcess.cpp
+++ b/Hibiscus/src/Process/JournalProcess.cpp
@@ -7,9 +7,6 @@
 namespace internal {
 
 constexpr Duration journalTick = 10ms;
-constexpr Duration joinInterval = 500ms;
-/** \brief After stepping down, time for the others to elect a leader while this one still votes. */
-constexpr Duration handOverTime = 1s;
 
 static JournalOptions journalOptions(const ProcessContext &context)
 {
@@ -73,20 +70,8 @@
 
 void JournalProcess::onTick()
 {
-    const TimePoint now = this->loop.now();
-    this->node.tick(now, this->out);
-    if (!this->node.replica().isMember() && now >= this->joinAt) {
-        this->joinAt = now + internal::joinInterval;
-        this->node.requestJoin(groupOf(this->context), this->out);
-    }
-    if (stopRequests() > 0 && this->stopAt == TimePoint()) {
-        logChange("stopping");
-        this->node.stepDown(now);
-        this->stopAt = now + internal::handOverTime;
-    }
-    if (stopRequests() > 1 || (stopRequests() > 0 && now >= this->stopAt))
+    if (this->lifecycle.tick(this->node, this->context, this->loop.now(), this->out))
         this->loop.stop();
-    this->logRole();
 }
 
 void JournalProcess::carryOut()
@@ -99,17 +84,6 @@
     }
 }
 
-void JournalProcess::logRole()
-{
-    const ReplicaRole role = this->node.replica().role();
-    const bool matters = role != this->loggedRole
-        && (role == ReplicaRole::Leader || this->loggedRole == ReplicaRole::Leader);
-    this->loggedRole = role;
-    if (matters)
-        logChange(role == ReplicaRole::Leader ? "became-leader" : "lost-leadership",
-                  { { "term", std::to_string(this->node.replica().term()) } });
-}
-
 std::string JournalProcess::statusJson() const
 {
     return describeReplica(this->node.replica(),
--- a/Hibiscus/src/Process/JournalProcess.h
+++ b/Hibiscus/src/Process/JournalProcess.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Hibiscus/src/Process/ReplicaDisk.h"
+#include "Hibiscus/src/Process/ReplicaLifecycle.h"
 
 #include <Hibiscus/Journal>
 #include <Hibiscus/Telemetry>
@@ -21,7 +21,6 @@
     void onMessage(const WireMessage &message);
     void onTick();
     void carryOut();
-    void logRole();
     std::string statusJson() const;
     void updateMetrics();
 
@@ -33,9 +32,7 @@
     Relay relay;
     HttpServer http;
     Metrics metrics;
-    TimePoint joinAt;
-    TimePoint stopAt;
-    ReplicaRole loggedRole = ReplicaRole::Follower;
+    ReplicaLifecycle lifecycle;
     std::uint64_t answered = 0;
 };
 
--- a/test/ReplicationTest.cpp
+++ b/test/ReplicationTest.cpp
@@ -167,6 +167,40 @@
     EXPECT_EQ(former->get()->state().size(), next->get()->state().size());
 }
 
+TEST(Replication, WhatWasAnsweredSurvivesTheCrashOfAll)
+{
+    for (std::uint64_t seed = 200; seed < 260; ++seed) {
+        Group group(seed);
+        std::uint64_t answered = 0;
+        group.world.network.hook = [&](const Fake::Packet &packet) {
+            answered += packet.step == Fake::Step::JournalAnswer ? 1 : 0;
+            return true;
+        };
+        Fake::World::JournalProcess *leader = group.leader();
+        ASSERT_NE(leader, nullptr);
+        std::uniform_int_distribution<int> count(1, 40);
+        std::uniform_int_distribution<Duration::rep> gap(100, 4000);
+        for (int i = count(group.random); i > 0; --i) {
+            const JobId id(DomainName("a"), group.world.scheduler.now(), std::to_string(i));
+            leader->handle([id](JournalNode &node, TimePoint now, JournalNode::Outbox &out) {
+                const RequestId request = { .node = NodeName("entry-1"), .number = 1 };
+                node.ask({ .request = request,
+                           .question = JournalCommand(OpenJob { .id = id, .taskCount = 1 }) },
+                         now, out);
+            });
+            group.world.run(Duration(gap(group.random)));
+        }
+        for (const auto &journal : group.world.journals)
+            journal->kill();
+        const std::uint64_t promised = answered;
+        for (const auto &journal : group.world.journals)
+            journal->start();
+        group.world.run(4s);
+        ASSERT_NE(group.leader(), nullptr) << "seed " << seed;
+        EXPECT_GE(group.leader()->get()->state().size(), promised) << "seed " << seed;
+    }
+}
+
 TEST(Replication, RandomCrashesLoseNoCommittedEntry)
 {
     for (std::uint64_t seed = 100; seed < 140; ++seed) {
