--- a/Hibiscus/src/Dispatch/Dispatcher.cpp
+++ b/Hibiscus/src/Dispatch/Dispatcher.cpp
@@ -233,7 +233,7 @@
                              DispatchOutbox &out)
 {
     for (const bool repeatable : { true, false }) {
-        const auto slot = this->peerTable.bestSlot(service, repeatable);
+        const auto slot = this->peerTable.bestSlot(service, repeatable, now);
         if (!slot)
             return false;
         const std::optional<JobId> job = this->jobFor(service, profile, slot->weighedSpeed, now);
@@ -248,7 +248,7 @@
 void Dispatcher::placeFastest(const ServiceName &service, const JobId &job, const FreeSlot &own,
                               TimePoint now, DispatchOutbox &out)
 {
-    const auto peer = this->peerTable.bestSlot(service, this->coordinating.isRepeatable(job));
+    const auto peer = this->peerTable.bestSlot(service, this->coordinating.isRepeatable(job), now);
     if (peer && peer->weighedSpeed > own.speed) {
         this->placeAtPeer(service, job, *peer, now, out);
         return;
--- a/Hibiscus/src/Dispatch/PeerTable.cpp
+++ b/Hibiscus/src/Dispatch/PeerTable.cpp
@@ -72,12 +72,15 @@
     return fromNow && (message.toIncarnation == 0 || message.toIncarnation == ownIncarnation);
 }
 
-std::optional<PeerSlot> PeerTable::bestSlot(const ServiceName &service, bool repeatable) const
+std::optional<PeerSlot> PeerTable::bestSlot(const ServiceName &service, bool repeatable,
+                                            TimePoint now) const
 {
     std::optional<PeerSlot> best;
     for (const auto &[name, view] : this->views) {
+        if (!this->isReachable(view, repeatable, now))
+            continue;
         for (const ServiceSlots &slots : view.slots) {
-            if (slots.service != service || slots.speeds.empty() || view.unansweredSince)
+            if (slots.service != service || slots.speeds.empty())
                 continue;
             const double speed
                 = this->weightOf(view, repeatable) * static_cast<double>(slots.speeds.front());
@@ -143,6 +146,13 @@
     }));
 }
 
+bool PeerTable::isReachable(const PeerView &view, bool repeatable, TimePoint now) const
+{
+    const bool isNear = view.domain == this->options.ownDomain;
+    const bool isFresh = now <= view.heardAt + this->options.farSlotLifetime;
+    return !view.unansweredSince && (repeatable || isNear || isFresh);
+}
+
 // A task that is not repeatable and runs behind a partition ends as "may have run", so another
 // domain must be clearly faster to be worth that risk.
 double PeerTable::weightOf(const PeerView &view, bool repeatable) const
--- a/Hibiscus/src/Dispatch/PeerTable.h
+++ b/Hibiscus/src/Dispatch/PeerTable.h
@@ -28,6 +28,10 @@
     double otherDomainWeight = 0.93;
     double otherDomainNotRepeatableWeight = 0.75;
     Duration demandLifetime = 1s;
+    /** \brief Slots beyond the own domain that were not heard of for longer may be behind a cut:
+     * tasks that are not repeatable are not sent there.
+     */
+    Duration farSlotLifetime = 1s;
     Duration probeInterval = 1s;
     Duration deadAfter = 3s; ///< unanswered for longer: the peer's attempts are lost
 };
@@ -82,7 +86,8 @@
      * as far as is known.
      */
     std::size_t waitingBefore(const ServiceName &service, Urgency urgency, TimePoint now) const;
-    std::optional<PeerSlot> bestSlot(const ServiceName &service, bool repeatable) const;
+    std::optional<PeerSlot> bestSlot(const ServiceName &service, bool repeatable,
+                                     TimePoint now) const;
     /** \returns the peer with the most urgent demand for \a service. */
     std::optional<NodeName> mostUrgent(const ServiceName &service, TimePoint now) const;
     bool isDead(const NodeName &peer, TimePoint now) const;
@@ -94,6 +99,7 @@
 
 private:
     double weightOf(const PeerView &view, bool repeatable) const;
+    bool isReachable(const PeerView &view, bool repeatable, TimePoint now) const;
 
     PeerTableOptions options;
     std::map<NodeName, PeerView> views;
--- a/Hibiscus/src/Process/ReplicaLifecycle.h
+++ b/Hibiscus/src/Process/ReplicaLifecycle.h
@@ -16,8 +16,7 @@
      * \returns whether the process should stop now.
      */
     template<typename Node>
-    bool tick(Node &node, const ProcessContext &context, TimePoint now,
-              typename Node::Outbox &out)
+    bool tick(Node &node, const ProcessContext &context, TimePoint now, typename Node::Outbox &out)
     {
         node.tick(now, out);
         if (!node.replica().isMember() && now >= this->joinAt) {
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -64,7 +64,8 @@
                 f"--address=127.0.0.1:{port}", f"--count={self.targets_per_domain}",
                 f"--service={self.settings['services'][0]['name']}", f"--slots={self.slots}",
                 f"--slowest={self.slowest}", f"--entries={entries}",
-                f"--history={self.history()}"])
+                f"--history={self.history()}",
+                f"--spans={os.path.join(self.folder, 'spans.jsonl')}"])
             port += 40
 
     def start_all(self):
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -34,7 +34,7 @@
 bench) build && shift && "$build/bin/dispatch-bench" "$@" ;;
 soak) build && shift && "$build/bin/hibiscus-tests" "$@" ;;
 format) sources | xargs clang-format -i ;;
-lint) install && scripts/lint.sh "$build" ;;
+lint) build && scripts/lint.sh "$build" ;;
 *)
     echo "usage: ./run demo|test|bench|build|install|soak|format|lint"
     exit 2
--- a/test/process_test.py
+++ b/test/process_test.py
@@ -81,6 +81,19 @@
                                "rules", "apply", path], stdout=subprocess.PIPE, text=True,
                               check=False)
 
+    def test_a_trace_is_followed_from_caller_to_target(self):
+        self.finish(self.load(jobs=30, rate=30, resubmitted=0))
+        spans = read_lines(os.path.join(self.local.folder, "spans.jsonl"))
+        by_id = {span["span"]: span for span in spans}
+        tasks = [span for span in spans if span["name"] == "task"]
+        self.assertGreater(len(tasks), 30)
+        for task in tasks:
+            attempt = by_id[task["parent"]]
+            job = by_id[attempt["parent"]]
+            self.assertEqual((attempt["name"], job["name"]), ("attempt", "job"))
+            self.assertEqual(job["trace"], task["trace"])
+            self.assertTrue(attempt["subject"].startswith(job["subject"]))
+
     def test_kill_an_entry_node(self):
         caller = self.load()
         self.started(60)
--- a/test/standins/StandInTarget.cpp
+++ b/test/standins/StandInTarget.cpp
@@ -24,6 +24,7 @@
       http(loop, { .address = options.address },
            [this](const HttpRequest &request) { this->onHttp(request); }),
       client(loop, { .connectionsPerServer = 4, .idleTimeout = 1s }),
+      spans(options.name.str(), options.spanFile, std::random_device {}()),
       random(std::random_device {}())
 {
     if (!options.historyFile.empty())
@@ -71,7 +72,9 @@
     this->running[*attempt] = { .token = request.token,
                                 .lease = this->owner->lease,
                                 .endsAt = this->loop.now() + runTime,
-                                .payload = request.body };
+                                .payload = request.body,
+                                .span = this->spans.start("task", attempt->str(),
+                                                          request.traceparent, this->loop.now()) };
 }
 
 void StandInTarget::onQuestion(const HttpRequest &request)
@@ -104,6 +107,7 @@
         }
         const bool failed = this->options.failsEverything;
         this->record("end", item->first);
+        this->spans.finish(item->second.span, failed ? "failed" : "succeeded", now);
         const std::string result = failed ? "failed" : "done " + item->second.payload;
         this->ended[item->first] = { .state = failed ? "failed" : "succeeded", .result = result };
         this->http.respond(item->second.token, { .status = failed ? 500 : 200, .body = result });
--- a/test/standins/StandInTarget.h
+++ b/test/standins/StandInTarget.h
@@ -2,6 +2,7 @@
 
 #include <Hibiscus/Api>
 #include <Hibiscus/Net>
+#include <Hibiscus/Telemetry>
 
 #include <fstream>
 
@@ -18,6 +19,7 @@
     bool failsEverything = false;
     std::vector<Address> entries; ///< entry nodes of its failure domain
     std::string historyFile; ///< gets a line for each start
+    std::string spanFile; ///< gets a span for each task; none when empty
 };
 
 /** \brief A small target for tests and the demo: runs tasks whose payload is their run time in
@@ -44,6 +46,7 @@
         std::uint64_t lease = 0;
         TimePoint endsAt;
         std::string payload;
+        Span span;
     };
 
     /** \brief How an attempt ended. */
@@ -82,6 +85,7 @@
     std::vector<Owner> formerOwners;
     std::set<NodeName> avoided;
     std::ofstream history;
+    SpanLog spans;
     std::mt19937_64 random;
     std::size_t nextEntry = 0;
     std::uint32_t failedCalls = 0;
--- a/test/standins/TargetMain.cpp
+++ b/test/standins/TargetMain.cpp
@@ -12,6 +12,7 @@
 DEFINE_double(slowest, 1.0, "speed of the slowest target; the fastest has 4 times that");
 DEFINE_int32(failing, 0, "how many of the targets fail every task");
 DEFINE_string(entries, "", "HTTP addresses of the entry nodes of this domain, with commas");
+DEFINE_string(spans, "", "a file for the spans of tasks (JSON lines); none when empty");
 DEFINE_string(history, "", "a file that gets a line for each start and end");
 
 namespace {
@@ -57,6 +58,7 @@
         options.failsEverything = i < FLAGS_failing;
         options.entries = parseEntries(FLAGS_entries);
         options.historyFile = FLAGS_history;
+        options.spanFile = FLAGS_spans;
         targets.push_back(std::make_unique<StandInTarget>(loop, options));
         if (!targets.back()->listen()) {
             std::fprintf(stderr, "cannot listen for %s\n", options.name.str().c_str());
