Incarnations differ between nodes that start in the same microsecond

Seen: the new trace test failed once in a full run (an attempt's span pointed at the span of another job) and passed alone. Likely cause, not proved: two entry nodes drew the same incarnation, and with it the same span ids and the same election timers; nothing else gives two spans one id. The low bits of an incarnation now come from the node's name.

--- a/Hibiscus/src/Process/ProcessContext.cpp
+++ b/Hibiscus/src/Process/ProcessContext.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdio>
 #include <gflags/gflags.h>
+#include <xxhash.h>
 
 DEFINE_string(settings, "", "the settings file of the deployment (JSON)");
 DEFINE_string(node, "", "the name of this node in the settings file");
@@ -29,6 +30,17 @@
     ++stopSignals;
 }
 
+// Grows with each life of a node, and differs between nodes that start in the same microsecond.
+static std::uint64_t incarnationOf(const std::string &node,
+                                   std::chrono::system_clock::duration sinceEpoch)
+{
+    constexpr unsigned nodeBits = 10;
+    const auto microseconds = std::chrono::duration_cast<Duration>(sinceEpoch).count();
+    const std::uint64_t nodeHash = XXH3_64bits(node.data(), node.size());
+    const std::uint64_t mask = (std::uint64_t(1) << nodeBits) - 1;
+    return (static_cast<std::uint64_t>(microseconds) << nodeBits) | (nodeHash & mask);
+}
+
 static void installSignals()
 {
     struct sigaction action = {};
@@ -111,8 +123,7 @@
                          .self = *self,
                          .dataFolder = FLAGS_data,
                          .spanFile = FLAGS_spans,
-                         .incarnation = static_cast<std::uint64_t>(
-                             std::chrono::duration_cast<Duration>(start).count()) };
+                         .incarnation = internal::incarnationOf(FLAGS_node, start) };
     if (FLAGS_format)
         return needsData ? internal::formatLog(decision.context)
                          : internal::failed("an entry node has no log to format");
