--- a/test/support/Process.h
+++ b/test/support/Process.h
@@ -45,7 +45,7 @@
 
 protected:
     /** \brief Repeats \a work every \a interval for as long as this life lasts. */
-    void repeat(Duration interval, std::function<void()> work)
+    void repeat(Duration interval, const std::function<void()> &work)
     {
         const std::uint64_t life = this->life;
         this->scheduler.after(interval, [this, interval, work, life] {
