--- a/test/support/Scenario.cpp
+++ b/test/support/Scenario.cpp
@@ -210,49 +210,57 @@
         if (count(hasReceiver))
             this->freezeFor(packet.to);
         return true;
+    default:
+        this->disturb(fault, packet);
+        return true;
+    }
+}
+
+void Scenario::disturb(Fault fault, const Packet &packet)
+{
+    switch (fault) {
     case Fault::CutForward:
         this->cutFor(packet.from, packet.to);
-        return true;
+        break;
     case Fault::CutBothWays:
         this->cutFor(packet.from, packet.to);
         this->cutFor(packet.to, packet.from);
-        return true;
+        break;
     case Fault::IsolateSender:
         this->cutFor(packet.from, "*");
         this->cutFor("*", packet.from);
-        return true;
+        break;
     case Fault::IsolateReceiver:
         this->cutFor(packet.to, "*");
         this->cutFor("*", packet.to);
-        return true;
+        break;
     case Fault::CutSenderDomain:
         this->cutFor("a", "*");
         this->cutFor("*", "a");
-        return true;
+        break;
     case Fault::SilentConnections:
         for (const auto &target : this->world.targets)
             target->silenceConnections();
-        return true;
+        break;
     case Fault::FailingTarget:
         this->world.targets[1]->failsEverything = true;
         this->world.scheduler.after(faultTime,
                                     [this] { this->world.targets[1]->failsEverything = false; });
-        return true;
+        break;
     case Fault::Straggler:
         this->world.targets[3]->speed /= 10;
         this->world.scheduler.after(faultTime, [this] { this->world.targets[3]->speed *= 10; });
-        return true;
+        break;
     case Fault::OperatorRace:
         this->applyRules();
-        return true;
+        break;
     case Fault::ApplyResent:
         if (!this->applies.empty())
             this->world.apply(this->applies.back(), this->applies.size());
-        return true;
-    case Fault::Count:
+        break;
+    default:
         break;
     }
-    return true;
 }
 
 void Scenario::killFor(const std::string &name, bool wipes)
@@ -362,7 +370,9 @@
         return;
     }
     const RulesState &state = (*leader)->get()->state();
-    for (const auto &[version, applyId] : this->world.acceptedRules) {
+    for (const auto &accepted : this->world.acceptedRules) {
+        const std::uint64_t version = accepted.first;
+        const std::string &applyId = accepted.second;
         const bool isKept = std::ranges::any_of(state.history(), [&](const RulesChange &change) {
             return change.version == version && change.applyId == applyId;
         });
--- a/test/support/Scenario.h
+++ b/test/support/Scenario.h
@@ -70,6 +70,7 @@
     void applyRules();
     bool onPacket(const Packet &packet);
     bool inflict(Fault fault, const Packet &packet);
+    void disturb(Fault fault, const Packet &packet);
     void killFor(const std::string &name, bool wipes);
     void freezeFor(const std::string &name);
     void cutFor(const std::string &from, const std::string &to);
