--- /dev/null
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -0,0 +1,418 @@
+#include "Hibiscus/src/Fleet/FleetCoordinator.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Hibiscus {
+
+namespace internal {
+
+/** \brief A pause before a task that was not started is given away again, so that the owners'
+ * next reports are in; two of their intervals.
+ */
+constexpr Duration replacePause = 20ms;
+/** \brief How far the attempt number jumps when the target has seen higher ones of an earlier
+ * coordinator of the same job.
+ */
+constexpr std::uint64_t attemptJump = 16;
+
+static bool hasLabel(const OwnedTarget &target, const std::string &label)
+{
+    return label.empty() || std::ranges::find(target.labels, label) != target.labels.end();
+}
+
+static bool suits(const OwnedTarget &target, const ServiceName &service, const JobStep &step)
+{
+    return target.service == service && hasLabel(target, step.requiredLabel)
+        && target.capacity.covers(step.demand);
+}
+
+/** \brief Room of an owner for tasks of one demand. */
+struct Room
+{
+    std::int64_t free = 0; ///< tasks that fit now
+    std::int64_t all = 0; ///< tasks that fit when nothing runs
+};
+
+static Room roomOf(const OwnerView &owner, const ServiceName &service, const JobStep &step)
+{
+    Room room;
+    for (const OwnedTarget &target : owner.report.targets) {
+        if (!target.takesWork || !suits(target, service, step))
+            continue;
+        room.free += target.free.copiesOf(step.demand);
+        room.all += target.capacity.copiesOf(step.demand);
+    }
+    return room;
+}
+
+} // namespace internal
+
+const char *toString(OutcomeReason reason)
+{
+    switch (reason) {
+    case OutcomeReason::NoTargets:
+        return "no-targets";
+    case OutcomeReason::NeverFits:
+        return "never-fits";
+    case OutcomeReason::Overloaded:
+        return "overloaded";
+    case OutcomeReason::Draining:
+        return "draining";
+    case OutcomeReason::TaskFailed:
+        return "task-failed";
+    case OutcomeReason::DeadlineOver:
+        return "deadline-over";
+    case OutcomeReason::OwnerLost:
+        return "owner-lost";
+    case OutcomeReason::None:
+        break;
+    }
+    return "none";
+}
+
+void FleetCoordinator::submit(const TransientJob &job, const JobTerms &terms, std::uint64_t caller,
+                              const std::vector<OwnerView> &owners, TimePoint now)
+{
+    if (const auto found = this->jobs.find(job.id); found != this->jobs.end()) {
+        found->second.callers.push_back(caller);
+        this->jobOfCaller[caller] = job.id;
+        return;
+    }
+    if (const auto found = this->answered.find(job.id); found != this->answered.end()) {
+        JobOutcome outcome = found->second.outcome;
+        outcome.callers = { caller };
+        this->outcomes.push_back(outcome);
+        return;
+    }
+    if (const auto reason = this->refusalOf(job, terms, owners)) {
+        const bool isHopeless = *reason == OutcomeReason::NeverFits;
+        this->outcomes.push_back({ .job = job.id,
+                                   .callers = { caller },
+                                   .verdict = isHopeless ? JobVerdict::Failed : JobVerdict::Refused,
+                                   .reason = *reason,
+                                   .retryAfter = this->retryAfter(terms, owners) });
+        return;
+    }
+    Job added;
+    added.job = job;
+    added.terms = terms;
+    added.callers = { caller };
+    added.arrivedAt = now;
+    const double chain = toSeconds(longestChain(job));
+    added.objectiveAt = now + fromSeconds(terms.stretch * chain) + terms.slack;
+    added.deadlineAt = now + terms.untilDeadline;
+    for (const JobStep &step : job.steps)
+        added.steps.emplace_back(step.count);
+    this->unblock(added);
+    this->jobOfCaller[caller] = job.id;
+    this->jobs[job.id] = std::move(added);
+}
+
+void FleetCoordinator::leave(std::uint64_t caller, TimePoint)
+{
+    const auto named = this->jobOfCaller.find(caller);
+    if (named == this->jobOfCaller.end())
+        return;
+    const auto found = this->jobs.find(named->second);
+    this->jobOfCaller.erase(named);
+    if (found == this->jobs.end())
+        return;
+    std::erase(found->second.callers, caller);
+    if (found->second.callers.empty())
+        this->jobs.erase(found);
+}
+
+void FleetCoordinator::finish(const NodeName &owner, const RunEnd &end, TimePoint now)
+{
+    const auto found = this->jobs.find(end.run.job);
+    if (found == this->jobs.end())
+        return;
+    Job &job = found->second;
+    const bool exists
+        = end.run.step < job.steps.size() && end.run.index < job.steps[end.run.step].size();
+    if (!exists || job.isOver)
+        return;
+    Task &task = job.steps[end.run.step][end.run.index];
+    const bool isCurrent
+        = task.stage == Stage::Assigned && task.attempt == end.run.attempt && task.owner == owner;
+    if (!isCurrent)
+        return;
+    switch (end.kind) {
+    case RunEndKind::Completed:
+        task.stage = Stage::Done;
+        this->unblock(job);
+        break;
+    case RunEndKind::Failed:
+        ++task.failures;
+        if (task.failures >= job.terms.mostFailures)
+            this->answer(job, JobVerdict::Failed, OutcomeReason::TaskFailed, now);
+        else
+            this->retry(job, task, {}, now);
+        break;
+    case RunEndKind::Superseded:
+        task.attempt += internal::attemptJump;
+        this->retry(job, task, internal::replacePause, now);
+        break;
+    case RunEndKind::NotStarted:
+        this->retry(job, task, internal::replacePause, now);
+        break;
+    case RunEndKind::Stopped:
+    case RunEndKind::Lost:
+        this->retry(job, task, {}, now);
+        break;
+    case RunEndKind::Unknown:
+        this->noteUncertain(job, end.run.step, task, now);
+        break;
+    }
+    const auto isDone = [](const Task &t) { return t.stage == Stage::Done; };
+    const bool isComplete = std::ranges::all_of(
+        job.steps, [&](const auto &tasks) { return std::ranges::all_of(tasks, isDone); });
+    if (isComplete)
+        this->answer(job, JobVerdict::Completed, OutcomeReason::None, now);
+}
+
+void FleetCoordinator::noteLife(const NodeName &owner, std::uint64_t life, TimePoint now)
+{
+    for (auto &[id, job] : this->jobs)
+        for (std::uint32_t step = 0; step < job.steps.size(); ++step)
+            for (Task &task : job.steps[step])
+                if (!job.isOver && task.stage == Stage::Assigned && task.owner == owner
+                    && task.ownerLife != life)
+                    this->noteUncertain(job, step, task, now);
+}
+
+void FleetCoordinator::tick(TimePoint now)
+{
+    for (auto &[id, job] : this->jobs) {
+        if (job.isOver)
+            continue;
+        if (now >= job.deadlineAt + this->options.lateAnswer) {
+            const bool hasRun = job.attempts > 0;
+            this->answer(job, hasRun ? JobVerdict::Failed : JobVerdict::Refused,
+                         OutcomeReason::DeadlineOver, now);
+            continue;
+        }
+        for (auto &tasks : job.steps)
+            for (Task &task : tasks)
+                if (task.stage == Stage::Uncertain && now >= task.readyAt)
+                    task.stage = Stage::Ready;
+    }
+    this->forgetEnded(now);
+}
+
+// The class first, then the earlier objective: the order in which owners start tasks, too.
+std::vector<RunAssignment> FleetCoordinator::place(std::vector<OwnerView> &owners, TimePoint now)
+{
+    std::vector<Job *> order;
+    for (auto &[id, job] : this->jobs)
+        if (!job.isOver)
+            order.push_back(&job);
+    std::ranges::sort(order, {}, [&](const Job *job) {
+        return std::tuple(job->objectiveAt < now, job->terms.priority, job->objectiveAt);
+    });
+    std::vector<RunAssignment> assignments;
+    for (Job *job : order) {
+        for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < job->steps[step].size(); ++index) {
+                Task &task = job->steps[step][index];
+                if (task.stage != Stage::Ready || now < task.readyAt)
+                    continue;
+                OwnerView *owner = this->chooseOwner(*job, job->job.steps[step], owners);
+                if (owner == nullptr)
+                    continue;
+                ++task.attempt;
+                ++job->attempts;
+                task.stage = Stage::Assigned;
+                task.owner = owner->node;
+                task.ownerLife = owner->life;
+                ++owner->unreported;
+                const RunName run
+                    = { .job = job->job.id, .step = step, .index = index, .attempt = task.attempt };
+                assignments.push_back(
+                    { .owner = owner->node, .request = this->requestFor(*job, run, now) });
+            }
+        }
+    }
+    return assignments;
+}
+
+std::vector<RunName> FleetCoordinator::wantedAt(const NodeName &owner) const
+{
+    std::vector<RunName> wanted;
+    for (const auto &[id, job] : this->jobs) {
+        if (job.isOver)
+            continue;
+        for (std::uint32_t step = 0; step < job.steps.size(); ++step)
+            for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
+                const Task &task = job.steps[step][index];
+                if (task.stage == Stage::Assigned && task.owner == owner)
+                    wanted.push_back(
+                        { .job = id, .step = step, .index = index, .attempt = task.attempt });
+            }
+    }
+    return wanted;
+}
+
+bool FleetCoordinator::hasReady(TimePoint now) const
+{
+    const auto isReady = [&](const Task &t) { return t.stage == Stage::Ready && now >= t.readyAt; };
+    return std::ranges::any_of(this->jobs, [&](const auto &item) {
+        return !item.second.isOver && std::ranges::any_of(item.second.steps, [&](const auto &s) {
+            return std::ranges::any_of(s, isReady);
+        });
+    });
+}
+
+Duration FleetCoordinator::longestChain(const TransientJob &job)
+{
+    std::vector<Duration> ends(job.steps.size());
+    Duration longest {};
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        Duration begin {};
+        for (const std::uint32_t before : job.steps[step].dependsOn)
+            begin = std::max(begin, ends.at(before));
+        ends[step] = begin + job.steps[step].estimate;
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
+std::optional<OutcomeReason> FleetCoordinator::refusalOf(const TransientJob &job,
+                                                         const JobTerms &terms,
+                                                         const std::vector<OwnerView> &owners) const
+{
+    bool hasTargets = false;
+    for (const OwnerView &owner : owners)
+        for (const OwnedTarget &target : owner.report.targets)
+            hasTargets = hasTargets || (target.service == terms.service && target.takesWork);
+    if (!hasTargets)
+        return OutcomeReason::NoTargets;
+    for (const JobStep &step : job.steps) {
+        const auto suits = [&](const OwnedTarget &target) {
+            return internal::suits(target, terms.service, step);
+        };
+        const bool fits = std::ranges::any_of(owners, [&](const OwnerView &owner) {
+            return std::ranges::any_of(owner.report.targets, suits);
+        });
+        if (!fits)
+            return OutcomeReason::NeverFits;
+    }
+    return std::nullopt;
+}
+
+Duration FleetCoordinator::retryAfter(const JobTerms &, const std::vector<OwnerView> &owners) const
+{
+    std::int64_t queued = 0;
+    for (const OwnerView &owner : owners)
+        queued += owner.report.queued;
+    const Duration wait = this->options.shortestRetry + queued * 10ms;
+    return std::min(wait, this->options.longestRetry);
+}
+
+void FleetCoordinator::unblock(Job &job)
+{
+    const auto isDone = [](const Task &task) { return task.stage == Stage::Done; };
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        const bool isOpen
+            = std::ranges::all_of(job.job.steps[step].dependsOn, [&](std::uint32_t before) {
+                  return std::ranges::all_of(job.steps[before], isDone);
+              });
+        if (!isOpen)
+            continue;
+        for (Task &task : job.steps[step])
+            if (task.stage == Stage::Blocked)
+                task.stage = Stage::Ready;
+    }
+}
+
+void FleetCoordinator::retry(Job &, Task &task, Duration pause, TimePoint now)
+{
+    task.stage = Stage::Ready;
+    task.readyAt = now + pause;
+}
+
+void FleetCoordinator::noteUncertain(Job &job, std::uint32_t step, Task &task, TimePoint now)
+{
+    const Duration needed = this->options.uncertainty + job.job.steps[step].estimate;
+    if (now + needed > job.deadlineAt) {
+        this->answer(job, JobVerdict::Failed, OutcomeReason::OwnerLost, now);
+        return;
+    }
+    task.stage = Stage::Uncertain;
+    task.readyAt = now + this->options.uncertainty;
+}
+
+void FleetCoordinator::answer(Job &job, JobVerdict verdict, OutcomeReason reason, TimePoint now)
+{
+    job.isOver = true;
+    JobOutcome outcome = { .job = job.job.id,
+                           .callers = job.callers,
+                           .verdict = verdict,
+                           .reason = reason,
+                           .retryAfter = this->options.shortestRetry,
+                           .took = now - job.arrivedAt,
+                           .attempts = job.attempts };
+    if (verdict != JobVerdict::Refused)
+        this->answered[job.job.id] = { .outcome = outcome, .at = now };
+    this->outcomes.push_back(std::move(outcome));
+}
+
+void FleetCoordinator::forgetEnded(TimePoint now)
+{
+    for (auto item = this->jobs.begin(); item != this->jobs.end();) {
+        for (const std::uint64_t caller : item->second.callers)
+            if (item->second.isOver)
+                this->jobOfCaller.erase(caller);
+        item = item->second.isOver ? this->jobs.erase(item) : ++item;
+    }
+    const bool isFull = this->answered.size() > this->options.mostAnswers;
+    std::erase_if(this->answered, [&](const auto &item) {
+        const Duration lifetime
+            = isFull ? this->options.answerLifetime / 4 : this->options.answerLifetime;
+        return now >= item.second.at + lifetime;
+    });
+}
+
+RunRequest FleetCoordinator::requestFor(const Job &job, const RunName &run, TimePoint now) const
+{
+    const JobStep &step = job.job.steps[run.step];
+    return { .run = run,
+             .service = job.terms.service,
+             .spec = job.job.spec,
+             .demand = step.demand,
+             .estimate = step.estimate,
+             .untilObjective = job.objectiveAt - now,
+             .untilDeadline = job.deadlineAt - now,
+             .priority = job.terms.priority,
+             .requiredLabel = step.requiredLabel,
+             .mostPerTarget = step.mostPerTarget };
+}
+
+// Free room nearby first; without any, the shortest queue for its size, at a distance only when it
+// is clearly shorter.
+OwnerView *FleetCoordinator::chooseOwner(const Job &job, const JobStep &step,
+                                         std::vector<OwnerView> &owners) const
+{
+    OwnerView *best = nullptr;
+    std::tuple<bool, int, double> bestKey;
+    for (OwnerView &owner : owners) {
+        const internal::Room room = internal::roomOf(owner, job.terms.service, step);
+        if (room.all == 0)
+            continue;
+        const std::int64_t ahead = owner.report.queued + owner.unreported;
+        const bool isFull = room.free <= ahead;
+        const double load = static_cast<double>(ahead - room.free) / static_cast<double>(room.all);
+        constexpr double farPenalty = 0.15; // of an owner's room: about a round trip of waiting
+        const bool isFar = owner.distance == OwnerView::Distance::OtherDomain;
+        const int rank = isFull ? 0 : static_cast<int>(isFar);
+        const std::tuple key(isFull, rank, load + (isFar && isFull ? farPenalty : 0));
+        if (best != nullptr && key >= bestKey)
+            continue;
+        best = &owner;
+        bestKey = key;
+    }
+    return best;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "Hibiscus/src/Fleet/FleetCoordinator.h"
+#include "Hibiscus/src/Fleet/FleetOwner.h"
+
+#include <deque>
+
+namespace Hibiscus {
+
+/** \brief The identity and timing of a FleetNode. */
+struct FleetNodeOptions
+{
+    NodeName self;
+    std::uint64_t life = 0;
+    DomainName domain;
+    std::uint32_t weight = 1; ///< size of the VM compared to the others
+    std::string targetsAddress; ///< IP:port where targets send heartbeats
+    FleetCoordinatorOptions coordinator;
+    FleetOwnerOptions owner;
+    Duration beatInterval = 150ms; ///< between messages to a peer when there is no news
+    Duration reportInterval = 25ms; ///< between reports of changed room to a peer
+    /** \brief A peer that has echoed nothing sent within it gets no start and no task. */
+    Duration confirmLifetime = 600ms;
+    /** \brief After it the runs of a silent peer are stopped: with the time that a stop takes it
+     * stays under the time after which callers send a job again over a new connection.
+     */
+    Duration dropAfter = 800ms;
+    Duration gap = 500ms; ///< between two steps of this node: it stood still, and trusts nothing
+    Duration forgetPeerAfter = 10s; ///< unheard for longer, and not listed any more
+    Duration settleTime = 2s; ///< a new peer is given targets only after it
+};
+
+/** \brief A message for another entry node. */
+struct AddressedFleetMessage
+{
+    NodeName to;
+    FleetMessage message;
+
+    auto operator<=>(const AddressedFleetMessage &other) const = default;
+};
+
+/** \brief What a step of a FleetNode asks of its process. */
+struct FleetOutbox
+{
+    std::vector<TargetOrder> orders;
+    std::vector<AddressedFleetMessage> messages;
+    std::vector<JobOutcome> outcomes;
+    std::vector<TargetChange> changes;
+    std::vector<NodeName> forgotten; ///< peers that are gone
+};
+
+/** \brief Counts of messages between entry nodes, for metrics. */
+struct FleetNodeCounters
+{
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+    std::uint64_t stale = 0; ///< not newer than what was known
+    std::uint64_t gaps = 0; ///< times that this node found that it had stood still
+};
+
+/** \brief An entry node: coordinates transient jobs, owns targets, and shares their room with its
+ * peers.
+ *
+ * Events and the present time come in, orders and messages go out; there is no socket, clock or
+ * thread. After any number of events, settle() carries out what follows from them.
+ *
+ * \sa FleetCoordinator, FleetOwner
+ */
+class FleetNode
+{
+public:
+    explicit FleetNode(const FleetNodeOptions &options);
+
+    // Commands.
+    void submit(const TransientJob &job, const JobTerms &terms, std::uint64_t caller,
+                TimePoint now);
+    void leave(std::uint64_t caller, TimePoint now);
+    /** \brief Takes the heartbeat of a target that this node owns or is to own. */
+    void hear(const TargetHeard &heard, TimePoint now);
+    void receive(const FleetMessage &message, TimePoint now);
+    void finishStart(const OrderAddress &from, const RunName &run, const OrderAnswer &answer,
+                     TimePoint now);
+    void finishStop(const OrderAddress &from, const RunName &run, const OrderAnswer &answer,
+                    TimePoint now);
+    void finishPoll(const OrderAddress &from, const PollAnswer &answer, TimePoint now);
+    /** \brief Knows \a peer from now on, as the directory names it. */
+    void meet(const NodeName &peer, TimePoint now);
+    /** \brief Takes no new jobs, and hands targets over as they become empty. */
+    void drain() { this->isDraining = true; }
+    /** \brief Renews what is due, and drops who is silent. */
+    void tick(TimePoint now);
+    /** \brief Places tasks, starts runs and sends messages. */
+    FleetOutbox settle(TimePoint now);
+
+    // Queries.
+    const FleetCoordinator &coordinator() const { return this->coordinating; }
+    const FleetOwner &owner() const { return this->owning; }
+    const FleetNodeCounters &counters() const { return this->counts; }
+    /** \returns where \a target should send its heartbeats instead; empty: to this node. */
+    std::string heartbeatAddressOf(const TargetName &target) const;
+    bool isIdle() const;
+    std::size_t livePeers(TimePoint now) const;
+
+private:
+    struct SentMark
+    {
+        std::uint64_t sequence = 0;
+        TimePoint at;
+        std::uint32_t starts = 0;
+    };
+
+    struct Peer
+    {
+        std::uint64_t life = 0; ///< 0 until heard
+        DomainName domain;
+        std::uint32_t weight = 1;
+        std::string targetsAddress;
+        bool isDraining = false;
+        OwnerReport report;
+        std::uint64_t received = 0; ///< highest sequence taken from this life
+        std::uint64_t sent = 0;
+        std::deque<SentMark> unconfirmed; ///< messages that were not echoed yet
+        TimePoint confirmedAt; ///< when the latest echoed message was sent
+        TimePoint metAt;
+        TimePoint heardAt;
+        TimePoint sentAt;
+        TimePoint reportedAt;
+        std::optional<OwnerReport> reported;
+        bool isDropped = false;
+        bool owesNews = false;
+        std::vector<RunRequest> starts;
+        std::vector<LeasedTarget> handedOver;
+    };
+
+    void noteTime(TimePoint now);
+    bool isConfirmed(const Peer &peer, TimePoint now) const;
+    bool isHeard(const Requester &requester, TimePoint now) const;
+    void takeEcho(Peer &peer, const FleetMessage &message);
+    void takeWanted(Peer &peer, const FleetMessage &message, TimePoint now);
+    void placeTasks(TimePoint now);
+    void deliverOwnEnds(TimePoint now);
+    void passTargetsOn(TimePoint now);
+    std::optional<NodeName> betterOwner(const TargetName &target, TimePoint now) const;
+    std::vector<OwnerView> views(TimePoint now) const;
+    FleetMessage compose(const NodeName &to, Peer &peer, const OwnerReport &report, TimePoint now);
+    void sendMessages(TimePoint now, FleetOutbox &out);
+    Requester self() const { return { .node = this->options.self, .life = this->options.life }; }
+
+    FleetNodeOptions options;
+    FleetCoordinator coordinating;
+    FleetOwner owning;
+    std::map<NodeName, Peer> peers;
+    std::map<NodeName, std::vector<RunEnd>> unknown; ///< wanted here, but not known here
+    std::map<TargetName, std::string> passedOn; ///< heartbeat address of the next owner
+    FleetNodeCounters counts;
+    TimePoint steppedAt;
+    TimePoint passedOnAt;
+    bool isDraining = false;
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -0,0 +1,412 @@
+#include "Hibiscus/src/Fleet/FleetOwner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Hibiscus {
+
+namespace internal {
+
+// Tokens must grow from owner to owner without talk between them, so they come from the clock.
+static std::uint64_t tokenAt(TimePoint now)
+{
+    const auto since = now.time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
+static bool hasLabel(const LeasedTarget &target, const std::string &label)
+{
+    return label.empty() || std::ranges::find(target.labels, label) != target.labels.end();
+}
+
+} // namespace internal
+
+void FleetOwner::own(const LeasedTarget &target, TimePoint now)
+{
+    auto found = this->drivers.find(target.name);
+    if (found != this->drivers.end() && target.life > found->second.target().life) {
+        // The former life took its runs with it.
+        TargetDriver &former = found->second;
+        former.noteOver();
+        former.tick(now, this->out);
+        this->note(former, "over");
+        this->drivers.erase(found);
+        this->takeEnds(now);
+        found = this->drivers.end();
+    }
+    if (found != this->drivers.end()) {
+        found->second.announce(target, now);
+        return;
+    }
+    const auto [added, isNew] = this->drivers.try_emplace(target.name, this->options.driver, target,
+                                                          internal::tokenAt(now), now);
+    HIBISCUS_INVARIANT(isNew, "a target has one driver");
+    ++this->counts.adopted;
+    this->note(added->second, "adopted");
+    added->second.tick(now, this->out);
+}
+
+void FleetOwner::noteLeaving(const LeasedTarget &target)
+{
+    const auto found = this->drivers.find(target.name);
+    if (found != this->drivers.end() && found->second.target().life == target.life)
+        found->second.noteOver();
+}
+
+void FleetOwner::release(const TargetName &target)
+{
+    if (const auto found = this->drivers.find(target); found != this->drivers.end())
+        found->second.release();
+}
+
+std::vector<LeasedTarget> FleetOwner::takeReleased()
+{
+    return std::exchange(this->released, {});
+}
+
+void FleetOwner::request(const RunRequest &request, const Requester &requester, TimePoint now)
+{
+    HeldRun run;
+    run.request = request;
+    run.requester = requester;
+    run.objectiveAt = now + request.untilObjective;
+    run.deadlineAt = now + request.untilDeadline;
+    this->held.try_emplace(request.run, std::move(run));
+}
+
+void FleetOwner::keepOnly(const Requester &requester, const std::set<RunName> &wanted,
+                          TimePoint now)
+{
+    for (auto item = this->held.begin(); item != this->held.end();) {
+        HeldRun &run = item->second;
+        const bool isDropped = run.requester == requester && !wanted.contains(item->first);
+        if (isDropped)
+            this->cancel(run, now);
+        item = isDropped && run.stage != Stage::AtTarget ? this->held.erase(item) : ++item;
+    }
+}
+
+void FleetOwner::dropEarlierLives(const Requester &requester, TimePoint now)
+{
+    for (auto &[name, run] : this->held)
+        if (run.requester.node == requester.node && run.requester.life < requester.life)
+            this->cancel(run, now);
+}
+
+void FleetOwner::dropNode(const NodeName &node, TimePoint now)
+{
+    for (auto &[name, run] : this->held)
+        if (run.requester.node == node)
+            this->cancel(run, now);
+}
+
+void FleetOwner::cancel(HeldRun &run, TimePoint now)
+{
+    if (run.stage == Stage::Queued) {
+        run.stage = Stage::Ended;
+        run.end = RunEndKind::NotStarted;
+        run.endedAt = now;
+    }
+    if (run.stage != Stage::AtTarget || !run.isWanted)
+        return;
+    run.isWanted = false;
+    const auto found = this->drivers.find(run.target);
+    HIBISCUS_INVARIANT(found != this->drivers.end(), "a run at a target has a driver");
+    found->second.stop(run.request.run, now, this->out);
+}
+
+void FleetOwner::finishStart(const OrderAddress &from, const RunName &run,
+                             const OrderAnswer &answer, TimePoint now)
+{
+    if (TargetDriver *driver = this->driverOf(from))
+        driver->finishStart(run, answer, now, this->out);
+    this->takeEnds(now);
+}
+
+void FleetOwner::finishStop(const OrderAddress &from, const RunName &run, const OrderAnswer &answer,
+                            TimePoint now)
+{
+    if (TargetDriver *driver = this->driverOf(from))
+        driver->finishStop(run, answer, now, this->out);
+    this->takeEnds(now);
+}
+
+void FleetOwner::finishPoll(const OrderAddress &from, const PollAnswer &answer, TimePoint now)
+{
+    if (TargetDriver *driver = this->driverOf(from)) {
+        const bool wasSettled = driver->isSettled();
+        driver->finishPoll(answer, now, this->out);
+        driver->tick(now, this->out);
+        if (!wasSettled && driver->isSettled())
+            this->note(*driver, "settled");
+    }
+    this->takeEnds(now);
+}
+
+void FleetOwner::tick(const IsHeard &isHeard, TimePoint now)
+{
+    for (auto &[name, driver] : this->drivers)
+        driver.tick(now, this->out);
+    this->takeEnds(now);
+    this->watchTargets(now);
+    std::erase_if(this->held, [&](const auto &item) {
+        return item.second.stage == Stage::Ended
+            && now >= item.second.endedAt + this->options.endLifetime;
+    });
+    this->place(isHeard, now);
+}
+
+// What is late already goes behind what can still be in time; then the more urgent class, then the
+// earlier objective.
+void FleetOwner::place(const IsHeard &isHeard, TimePoint now)
+{
+    std::vector<HeldRun *> waiting;
+    for (auto &[name, run] : this->held)
+        if (run.stage == Stage::Queued)
+            waiting.push_back(&run);
+    std::ranges::sort(waiting, {}, [&](const HeldRun *run) {
+        return std::tuple(run->objectiveAt < now, run->request.priority, run->objectiveAt);
+    });
+    for (HeldRun *run : waiting) {
+        if (!isHeard(run->requester) || this->isTaskBusy(run->request.run))
+            continue;
+        TargetDriver *driver = this->chooseTarget(*run, now);
+        if (driver == nullptr)
+            continue;
+        run->stage = Stage::AtTarget;
+        run->target = driver->target().name;
+        run->startedAt = now;
+        ++this->counts.started;
+        driver->start(run->request, now, this->out);
+    }
+}
+
+void FleetOwner::distrustTargets()
+{
+    for (auto &[name, driver] : this->drivers)
+        driver.distrust();
+}
+
+OwnerReport FleetOwner::report(TimePoint now) const
+{
+    OwnerReport report;
+    for (const auto &[name, driver] : this->drivers)
+        report.targets.push_back({ .name = name,
+                                   .life = driver.target().life,
+                                   .fencingToken = driver.fencingToken(),
+                                   .service = driver.target().service,
+                                   .labels = driver.target().labels,
+                                   .capacity = driver.target().capacity,
+                                   .free = driver.free(),
+                                   .takesWork = driver.takesWork(now),
+                                   .isSettled = driver.isSettled() });
+    for (const auto &[name, run] : this->held) {
+        if (run.stage != Stage::Queued)
+            continue;
+        ++report.queued;
+        report.queuedCpu += run.request.demand.cpu;
+    }
+    return report;
+}
+
+std::vector<RunEnd> FleetOwner::endsFor(const Requester &requester) const
+{
+    std::vector<RunEnd> ends;
+    for (const auto &[name, run] : this->held)
+        if (run.stage == Stage::Ended && run.requester == requester)
+            ends.push_back({ .run = name, .kind = run.end });
+    return ends;
+}
+
+bool FleetOwner::knows(const RunName &run, const Requester &requester) const
+{
+    const auto found = this->held.find(run);
+    return found != this->held.end() && found->second.requester == requester;
+}
+
+std::vector<TargetName> FleetOwner::targets() const
+{
+    std::vector<TargetName> names;
+    for (const auto &[name, driver] : this->drivers)
+        names.push_back(name);
+    return names;
+}
+
+const LeasedTarget *FleetOwner::find(const TargetName &target) const
+{
+    const auto found = this->drivers.find(target);
+    return found == this->drivers.end() ? nullptr : &found->second.target();
+}
+
+std::size_t FleetOwner::queuedCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->held, [](const auto &item) { return item.second.stage == Stage::Queued; }));
+}
+
+std::size_t FleetOwner::runningCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, driver] : this->drivers)
+        count += driver.runCount();
+    return count;
+}
+
+void FleetOwner::takeEnds(TimePoint now)
+{
+    const std::vector<RunEnd> ends = std::exchange(this->out.ends, {});
+    for (const RunEnd &end : ends) {
+        this->count(end.kind);
+        const auto found = this->held.find(end.run);
+        if (found == this->held.end())
+            continue;
+        HeldRun &run = found->second;
+        const auto driver = this->drivers.find(run.target);
+        if (end.kind == RunEndKind::Completed && driver != this->drivers.end())
+            this->runTimes.learn(driver->second.target().kind, run.request.estimate,
+                                 now - run.startedAt);
+        run.stage = Stage::Ended;
+        run.end = end.kind;
+        run.endedAt = now;
+        if (!run.isWanted)
+            this->held.erase(found);
+    }
+}
+
+void FleetOwner::count(RunEndKind kind)
+{
+    switch (kind) {
+    case RunEndKind::Completed:
+        ++this->counts.completed;
+        break;
+    case RunEndKind::Failed:
+        ++this->counts.failed;
+        break;
+    case RunEndKind::NotStarted:
+    case RunEndKind::Superseded:
+        ++this->counts.notStarted;
+        break;
+    case RunEndKind::Stopped:
+        ++this->counts.stopped;
+        break;
+    case RunEndKind::Lost:
+    case RunEndKind::Unknown:
+        ++this->counts.lost;
+        break;
+    }
+}
+
+void FleetOwner::note(const TargetDriver &driver, std::string change)
+{
+    this->changes.push_back({ .target = driver.target().name,
+                              .life = driver.target().life,
+                              .fencingToken = driver.fencingToken(),
+                              .change = std::move(change) });
+}
+
+TargetDriver *FleetOwner::driverOf(const OrderAddress &from)
+{
+    const auto found = this->drivers.find(from.target);
+    const bool isCurrent = found != this->drivers.end() && found->second.target().life == from.life;
+    return isCurrent ? &found->second : nullptr;
+}
+
+// The slowest target that still meets the objective, so that fast ones are kept for what needs
+// them; if none does, the fastest. Among equals the fullest, so that wide holes stay whole.
+TargetDriver *FleetOwner::chooseTarget(const HeldRun &run, TimePoint now)
+{
+    TargetDriver *best = nullptr;
+    Duration bestTime {};
+    for (auto &[name, driver] : this->drivers) {
+        if (!this->mayRunOn(driver, run, now))
+            continue;
+        const Duration time = this->runTimes.expected(driver.target().kind, run.request.estimate);
+        const bool isInTime = now + time <= run.objectiveAt;
+        const bool bestInTime = best != nullptr && now + bestTime <= run.objectiveAt;
+        bool isBetter = best == nullptr;
+        if (best != nullptr && isInTime != bestInTime)
+            isBetter = isInTime;
+        else if (best != nullptr && time != bestTime)
+            isBetter = isInTime ? time > bestTime : time < bestTime;
+        else if (best != nullptr)
+            isBetter = driver.free().cpu < best->free().cpu;
+        if (!isBetter)
+            continue;
+        best = &driver;
+        bestTime = time;
+    }
+    return best;
+}
+
+bool FleetOwner::mayRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const
+{
+    const LeasedTarget &target = driver.target();
+    const std::uint32_t most = run.request.mostPerTarget;
+    return target.service == run.request.service && driver.takesWork(now)
+        && driver.free().covers(run.request.demand)
+        && internal::hasLabel(target, run.request.requiredLabel)
+        && (most == 0 || driver.countOf(run.request.run.job, run.request.run.step) < most);
+}
+
+// Two coordinators may have the same job, when its caller sent it again to another node: the
+// former one's run has to end first.
+bool FleetOwner::isTaskBusy(const RunName &run) const
+{
+    RunName first = run;
+    first.attempt = 0;
+    for (auto item = this->held.lower_bound(first); item != this->held.end(); ++item) {
+        if (!item->first.isSameTask(run))
+            return false;
+        if (item->second.stage == Stage::AtTarget)
+            return true;
+    }
+    return false;
+}
+
+void FleetOwner::watchTargets(TimePoint now)
+{
+    for (auto item = this->drivers.begin(); item != this->drivers.end();) {
+        const TargetDriver &driver = item->second;
+        std::string reason;
+        if (driver.isFenced())
+            reason = "fenced";
+        else if (driver.isOver() && driver.runCount() == 0)
+            reason = "over";
+        else if (driver.isReleased())
+            reason = "released";
+        else if (now >= driver.heardAt() + this->options.forgetAfter)
+            reason = "silent";
+        else if (now >= driver.contactedAt() + this->options.unreachableAfter)
+            reason = "unreachable";
+        if (reason.empty()) {
+            ++item;
+            continue;
+        }
+        if (reason == "fenced")
+            ++this->counts.fenced;
+        if (reason == "released")
+            this->released.push_back(driver.target());
+        this->note(driver, reason);
+        this->abandonRuns(item->first, now);
+        item = this->drivers.erase(item);
+    }
+}
+
+// Whoever owns the target next stops what runs there, but this node will not hear of it.
+void FleetOwner::abandonRuns(const TargetName &target, TimePoint now)
+{
+    for (auto item = this->held.begin(); item != this->held.end();) {
+        HeldRun &run = item->second;
+        const bool isThere = run.stage == Stage::AtTarget && run.target == target;
+        if (isThere) {
+            this->count(RunEndKind::Unknown);
+            run.stage = Stage::Ended;
+            run.end = RunEndKind::Unknown;
+            run.endedAt = now;
+        }
+        item = isThere && !run.isWanted ? this->held.erase(item) : ++item;
+    }
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "Hibiscus/src/Fleet/FleetMessage.h"
+#include "Hibiscus/src/Fleet/RunTimes.h"
+#include "Hibiscus/src/Fleet/TargetDriver.h"
+
+#include <functional>
+#include <set>
+
+namespace Hibiscus {
+
+/** \brief The timing of a FleetOwner. */
+struct FleetOwnerOptions
+{
+    TargetDriverOptions driver;
+    Duration forgetAfter = 10s; ///< a target unheard for longer is gone
+    Duration unreachableAfter = 3s; ///< it announces itself, but orders do not reach it
+    Duration endLifetime = 30s; ///< an end that nobody asks for any more is dropped
+};
+
+/** \brief Who asked for a run: one life of an entry node. */
+struct Requester
+{
+    NodeName node;
+    std::uint64_t life = 0;
+
+    auto operator<=>(const Requester &other) const = default;
+};
+
+/** \brief Counts of an owner, for metrics. */
+struct FleetOwnerCounters
+{
+    std::uint64_t started = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t notStarted = 0;
+    std::uint64_t stopped = 0;
+    std::uint64_t lost = 0;
+    std::uint64_t adopted = 0; ///< targets taken over
+    std::uint64_t fenced = 0; ///< targets lost to another owner
+};
+
+/** \brief A change of what an owner believes about a target, for the log. */
+struct TargetChange
+{
+    TargetName target;
+    std::uint64_t life = 0;
+    std::uint64_t fencingToken = 0;
+    std::string change; ///< such as "adopted", "settled", "fenced", "over", "released"
+
+    auto operator<=>(const TargetChange &other) const = default;
+};
+
+/** \brief The targets that one entry node owns, the runs on them and the runs that wait for room.
+ *
+ * \sa TargetDriver
+ */
+class FleetOwner
+{
+public:
+    /** \brief Whether a requester was heard so lately that a run may be started for it. */
+    using IsHeard = std::function<bool(const Requester &)>;
+
+    explicit FleetOwner(const FleetOwnerOptions &options) : options(options) { }
+
+    // Commands.
+    /** \brief Takes \a target, or its newer heartbeat. */
+    void own(const LeasedTarget &target, TimePoint now);
+    /** \brief Forgets a target that has said that it ends. */
+    void noteLeaving(const LeasedTarget &target);
+    /** \brief Gives \a target no new work; takeReleased() names it once it is empty. */
+    void release(const TargetName &target);
+    std::vector<LeasedTarget> takeReleased();
+    void request(const RunRequest &request, const Requester &requester, TimePoint now);
+    /** \brief Ends what \a requester had asked for and does not want any more. */
+    void keepOnly(const Requester &requester, const std::set<RunName> &wanted, TimePoint now);
+    /** \brief Ends everything of earlier lives of \a requester's node. */
+    void dropEarlierLives(const Requester &requester, TimePoint now);
+    /** \brief Ends everything of a node that is not heard any more. */
+    void dropNode(const NodeName &node, TimePoint now);
+    void finishStart(const OrderAddress &from, const RunName &run, const OrderAnswer &answer,
+                     TimePoint now);
+    void finishStop(const OrderAddress &from, const RunName &run, const OrderAnswer &answer,
+                    TimePoint now);
+    void finishPoll(const OrderAddress &from, const PollAnswer &answer, TimePoint now);
+    /** \brief Starts what fits, renews leases, and forgets what is gone. */
+    void tick(const IsHeard &isHeard, TimePoint now);
+    /** \brief Starts what fits. */
+    void place(const IsHeard &isHeard, TimePoint now);
+    void distrustTargets();
+    std::vector<TargetOrder> takeOrders() { return std::exchange(this->out.orders, {}); }
+    std::vector<TargetChange> takeChanges() { return std::exchange(this->changes, {}); }
+
+    // Queries.
+    OwnerReport report(TimePoint now) const;
+    /** \returns the ends that \a requester has to be told. */
+    std::vector<RunEnd> endsFor(const Requester &requester) const;
+    bool knows(const RunName &run, const Requester &requester) const;
+    bool owns(const TargetName &target) const { return this->drivers.contains(target); }
+    std::vector<TargetName> targets() const;
+    const LeasedTarget *find(const TargetName &target) const;
+    std::size_t queuedCount() const;
+    std::size_t runningCount() const;
+    const FleetOwnerCounters &counters() const { return this->counts; }
+
+private:
+    enum class Stage : std::uint8_t { Queued, AtTarget, Ended };
+
+    struct HeldRun
+    {
+        RunRequest request;
+        Requester requester;
+        Stage stage = Stage::Queued;
+        TargetName target;
+        TimePoint startedAt;
+        TimePoint objectiveAt;
+        TimePoint deadlineAt;
+        TimePoint endedAt;
+        RunEndKind end = RunEndKind::NotStarted;
+        bool isWanted = true;
+    };
+
+    using Held = std::map<RunName, HeldRun>;
+
+    void cancel(HeldRun &run, TimePoint now);
+    void takeEnds(TimePoint now);
+    void count(RunEndKind kind);
+    void note(const TargetDriver &driver, std::string change);
+    TargetDriver *driverOf(const OrderAddress &from);
+    TargetDriver *chooseTarget(const HeldRun &run, TimePoint now);
+    bool mayRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
+    bool isTaskBusy(const RunName &run) const;
+    void watchTargets(TimePoint now);
+    void abandonRuns(const TargetName &target, TimePoint now);
+
+    FleetOwnerOptions options;
+    std::map<TargetName, TargetDriver> drivers;
+    std::vector<LeasedTarget> released;
+    Held held;
+    RunTimes runTimes;
+    DriverOutbox out;
+    std::vector<TargetChange> changes;
+    FleetOwnerCounters counts;
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Fleet/Run.cpp
@@ -0,0 +1,26 @@
+#include "Hibiscus/src/Fleet/Run.h"
+
+namespace Hibiscus {
+
+const char *toString(RunEndKind kind)
+{
+    switch (kind) {
+    case RunEndKind::Completed:
+        return "completed";
+    case RunEndKind::Failed:
+        return "failed";
+    case RunEndKind::NotStarted:
+        return "not-started";
+    case RunEndKind::Superseded:
+        return "superseded";
+    case RunEndKind::Stopped:
+        return "stopped";
+    case RunEndKind::Lost:
+        return "lost";
+    case RunEndKind::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -0,0 +1,285 @@
+#include "Hibiscus/src/Fleet/TargetDriver.h"
+
+#include <algorithm>
+
+namespace Hibiscus {
+
+namespace internal {
+
+/** \brief First raise of a fencing token that a former owner's faster clock has outrun, in the
+ * token's unit of milliseconds; doubled until the target obeys.
+ */
+constexpr std::uint64_t firstTokenStep = 5'000;
+
+} // namespace internal
+
+TargetDriver::TargetDriver(const TargetDriverOptions &options, const LeasedTarget &target,
+                           std::uint64_t fencingToken, TimePoint now)
+    : options(options), announced(target), token(fencingToken), tokenStep(internal::firstTokenStep),
+      ownedAt(now), announcedAt(now), clockThen(target.clock), clockAt(now)
+{ }
+
+void TargetDriver::announce(const LeasedTarget &target, TimePoint now)
+{
+    this->announcedAt = now;
+    if (target.life != this->announced.life || !target.isNewerThan(this->announced))
+        return;
+    this->announced = target;
+}
+
+void TargetDriver::start(const RunRequest &request, TimePoint now, DriverOutbox &out)
+{
+    HIBISCUS_INVARIANT(!this->runs.contains(request.run), "an attempt is started once");
+    DrivenRun run;
+    run.demand = request.demand;
+    this->runs[request.run] = run;
+    this->used = this->used.plus(request.demand);
+    out.orders.emplace_back(StartOrder { .to = this->address(),
+                                         .run = request.run,
+                                         .spec = request.spec,
+                                         .leaseUntil = this->leaseUntil(now) });
+}
+
+void TargetDriver::stop(const RunName &run, TimePoint now, DriverOutbox &out)
+{
+    const auto found = this->runs.find(run);
+    if (found == this->runs.end() || found->second.isStopWanted)
+        return;
+    found->second.isStopWanted = true;
+    this->sendStop(found->first, found->second, now, out);
+}
+
+void TargetDriver::finishStart(const RunName &run, const OrderAnswer &answer, TimePoint now,
+                               DriverOutbox &out)
+{
+    this->noteContact(answer.clock, now);
+    const auto found = this->runs.find(run);
+    if (answer.verdict == OrderVerdict::Fenced)
+        this->noteFence(now);
+    if (answer.verdict == OrderVerdict::Unhealthy || answer.verdict == OrderVerdict::NotSent)
+        this->noteRefusal(now);
+    if (answer.verdict == OrderVerdict::NoRoom)
+        this->avoidUntil = std::max(this->avoidUntil, now + this->options.roomRefusalPause);
+    if (answer.verdict == OrderVerdict::OtherLife)
+        this->over = true;
+    if (found == this->runs.end())
+        return;
+    if (answer.verdict == OrderVerdict::Done) {
+        this->avoidance = {};
+        if (found->second.phase == Phase::Starting)
+            found->second.phase = Phase::Running;
+        found->second.confirmedAt = now;
+        return;
+    }
+    // The start may still arrive: only an answered stop makes sure that it does nothing.
+    if (answer.verdict == OrderVerdict::Unanswered) {
+        this->noteRefusal(now);
+        found->second.phase = Phase::Unanswered;
+        this->stop(run, now, out);
+        return;
+    }
+    const bool isSuperseded = answer.verdict == OrderVerdict::Superseded;
+    this->end(run, isSuperseded ? RunEndKind::Superseded : RunEndKind::NotStarted, out);
+}
+
+void TargetDriver::finishStop(const RunName &run, const OrderAnswer &answer, TimePoint now,
+                              DriverOutbox &)
+{
+    this->noteContact(answer.clock, now);
+    if (answer.verdict == OrderVerdict::Fenced)
+        this->noteFence(now);
+    if (answer.verdict == OrderVerdict::OtherLife)
+        this->over = true;
+    const auto found = this->runs.find(run);
+    if (found == this->runs.end())
+        return;
+    found->second.isStopInFlight = false;
+    found->second.stopAt = now + this->options.stopRetryInterval;
+    if (answer.verdict != OrderVerdict::Done)
+        return;
+    // The end is listed within moments; the next poll that begins after now shows what is left.
+    found->second.stopAnsweredAt = now;
+    this->pollAt = now;
+}
+
+void TargetDriver::finishPoll(const PollAnswer &answer, TimePoint now, DriverOutbox &out)
+{
+    this->isPolling = false;
+    this->pollAt = now;
+    this->lastPollFailed = answer.verdict != OrderVerdict::Done;
+    if (answer.verdict == OrderVerdict::Fenced)
+        this->noteFence(now);
+    if (answer.verdict == OrderVerdict::OtherLife)
+        this->over = true;
+    if (this->lastPollFailed) {
+        this->pollAt = now + this->options.retryInterval;
+        return;
+    }
+    this->noteContact(answer.clock, now);
+    for (const ListedEnd &listed : answer.ended) {
+        if (listed.number <= this->acknowledged)
+            continue;
+        this->acknowledged = listed.number;
+        switch (listed.end) {
+        case TargetRunEnd::Completed:
+            this->end(listed.run, RunEndKind::Completed, out);
+            break;
+        case TargetRunEnd::Failed:
+            this->end(listed.run, RunEndKind::Failed, out);
+            break;
+        case TargetRunEnd::Stopped:
+            this->end(listed.run, RunEndKind::Stopped, out);
+            break;
+        case TargetRunEnd::Lapsed:
+            this->end(listed.run, RunEndKind::Lost, out);
+            break;
+        }
+    }
+    this->endUnlisted(answer, out);
+    this->stopForeign(answer, now, out);
+}
+
+void TargetDriver::tick(TimePoint now, DriverOutbox &out)
+{
+    if (this->over)
+        this->endAll(out);
+    if (this->over || this->fenced)
+        return;
+    for (auto &[name, run] : this->runs)
+        if (run.isStopWanted && !run.isStopInFlight && !run.stopAnsweredAt && now >= run.stopAt)
+            this->sendStop(name, run, now, out);
+    if (!this->isPolling && now >= this->pollAt)
+        this->poll(now, out);
+}
+
+bool TargetDriver::takesWork(TimePoint now) const
+{
+    return this->settled && !this->fenced && !this->over && !this->isReleasing
+        && this->announced.standing == TargetStanding::Ready && now >= this->avoidUntil
+        && now < this->contactAt + this->options.contactLifetime;
+}
+
+std::uint32_t TargetDriver::countOf(const std::string &job, std::uint32_t step) const
+{
+    return static_cast<std::uint32_t>(std::ranges::count_if(
+        this->runs, [&](const auto &r) { return r.first.job == job && r.first.step == step; }));
+}
+
+OrderAddress TargetDriver::address() const
+{
+    return { .target = this->announced.name,
+             .life = this->announced.life,
+             .address = this->announced.address,
+             .fencingToken = this->token };
+}
+
+std::int64_t TargetDriver::leaseUntil(TimePoint now) const
+{
+    const Duration span = now - this->clockAt + this->options.lease;
+    return this->clockThen + std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+void TargetDriver::noteContact(std::optional<std::int64_t> clock, TimePoint now)
+{
+    if (!clock)
+        return;
+    this->contactAt = now;
+    this->clockThen = *clock;
+    this->clockAt = now;
+}
+
+// Before the target is settled a fence only says that the former owner's clock ran ahead, since
+// tokens come from clocks. Afterwards it says that another node owns the target now.
+void TargetDriver::noteFence(TimePoint now)
+{
+    if (this->settled) {
+        this->fenced = true;
+        return;
+    }
+    this->token += this->tokenStep;
+    this->tokenStep *= 2;
+    this->pollAt = now;
+}
+
+void TargetDriver::noteRefusal(TimePoint now)
+{
+    this->avoidance = std::clamp(2 * this->avoidance, this->options.avoidAfterRefusal,
+                                 this->options.longestAvoidance);
+    this->avoidUntil = now + this->avoidance;
+}
+
+void TargetDriver::poll(TimePoint now, DriverOutbox &out)
+{
+    this->isPolling = true;
+    this->polledAt = now;
+    const bool hasNoPatience = !this->settled || std::ranges::any_of(this->runs, [](const auto &r) {
+        return r.second.stopAnsweredAt.has_value();
+    });
+    constexpr Duration shortWait = 20ms; // a stopped run is listed within some tens of these
+    out.orders.emplace_back(PollOrder { .to = this->address(),
+                                        .acknowledged = this->acknowledged,
+                                        .leaseUntil = this->leaseUntil(now),
+                                        .wait = hasNoPatience ? shortWait : this->options.pollWait,
+                                        .usesNewConnection = this->lastPollFailed });
+}
+
+void TargetDriver::sendStop(const RunName &name, DrivenRun &run, TimePoint now, DriverOutbox &out)
+{
+    run.isStopInFlight = true;
+    run.stopAt = now + this->options.stopRetryInterval;
+    out.orders.emplace_back(StopOrder { .to = this->address(), .run = name });
+}
+
+void TargetDriver::end(const RunName &run, RunEndKind kind, DriverOutbox &out)
+{
+    const auto found = this->runs.find(run);
+    if (found == this->runs.end())
+        return;
+    this->used = this->used.minus(found->second.demand);
+    this->runs.erase(found);
+    out.ends.push_back({ .run = run, .kind = kind });
+}
+
+void TargetDriver::endAll(DriverOutbox &out)
+{
+    while (!this->runs.empty())
+        this->end(RunName(this->runs.begin()->first), RunEndKind::Lost, out);
+}
+
+// What a poll lists was true after it was sent. A run that was confirmed before, or whose stop was
+// answered before, and that is neither listed as running nor as ended, is over.
+void TargetDriver::endUnlisted(const PollAnswer &answer, DriverOutbox &out)
+{
+    std::vector<RunEnd> over;
+    for (const auto &[name, run] : this->runs) {
+        if (std::ranges::find(answer.running, name) != answer.running.end())
+            continue;
+        if (run.stopAnsweredAt && *run.stopAnsweredAt <= this->polledAt)
+            over.push_back({ .run = name, .kind = RunEndKind::Stopped });
+        else if (run.phase == Phase::Running && run.confirmedAt < this->polledAt)
+            over.push_back({ .run = name, .kind = RunEndKind::Lost });
+    }
+    for (const RunEnd &item : over)
+        this->end(item.run, item.kind, out);
+}
+
+void TargetDriver::stopForeign(const PollAnswer &answer, TimePoint now, DriverOutbox &out)
+{
+    bool isForeignLeft = false;
+    for (const RunName &name : answer.running) {
+        if (this->runs.contains(name))
+            continue;
+        isForeignLeft = true;
+        TimePoint &stopAt = this->foreignStopAt[name];
+        if (now < stopAt)
+            continue;
+        stopAt = now + this->options.stopRetryInterval;
+        out.orders.emplace_back(StopOrder { .to = this->address(), .run = name });
+    }
+    if (isForeignLeft)
+        return;
+    this->foreignStopAt.clear();
+    this->settled = true;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "Hibiscus/src/Fleet/TargetOrder.h"
+
+#include <map>
+
+namespace Hibiscus {
+
+/** \brief The timing of a TargetDriver. */
+struct TargetDriverOptions
+{
+    Duration lease = 1s; ///< from the platform: the longest that targets grant
+    Duration pollWait = 450ms; ///< under half of the lease, so that one lost poll does not end it
+    Duration contactLifetime = 950ms; ///< silent for longer: no new work; a poll and its time-out
+    Duration retryInterval = 50ms; ///< between orders to a target that does not answer
+    Duration stopRetryInterval = 150ms; ///< an unanswered stop is sent again
+    Duration avoidAfterRefusal = 250ms; ///< an unhealthy target is left alone, doubled each time
+    Duration longestAvoidance = 4s; ///< so that a target that recovered is found again
+    Duration roomRefusalPause = 30ms; ///< a target that had no room is believed for so long
+};
+
+/** \brief What a TargetDriver asks of its process and its owner. */
+struct DriverOutbox
+{
+    std::vector<TargetOrder> orders;
+    std::vector<RunEnd> ends;
+};
+
+/** \brief Drives one life of a target: its lease, what runs there, and how it ended.
+ *
+ * A run has ended only when that is certain: by the target's list, by a refusal of its start, or
+ * by an answered stop after which it is not listed.
+ */
+class TargetDriver
+{
+public:
+    TargetDriver(const TargetDriverOptions &options, const LeasedTarget &target,
+                 std::uint64_t fencingToken, TimePoint now);
+
+    // Commands.
+    /** \brief Takes a newer heartbeat of the same life. */
+    void announce(const LeasedTarget &target, TimePoint now);
+    void start(const RunRequest &request, TimePoint now, DriverOutbox &out);
+    void stop(const RunName &run, TimePoint now, DriverOutbox &out);
+    void finishStart(const RunName &run, const OrderAnswer &answer, TimePoint now,
+                     DriverOutbox &out);
+    void finishStop(const RunName &run, const OrderAnswer &answer, TimePoint now,
+                    DriverOutbox &out);
+    void finishPoll(const PollAnswer &answer, TimePoint now, DriverOutbox &out);
+    void tick(TimePoint now, DriverOutbox &out);
+    /** \brief Gives no new work from now on; what runs goes on. */
+    void release() { this->isReleasing = true; }
+    /** \brief Takes note that this life of the target has ended, and everything on it. */
+    void noteOver() { this->over = true; }
+    /** \brief Believes nothing until the target has answered again, after this node stood still. */
+    void distrust() { this->contactAt = TimePoint(); }
+
+    // Queries.
+    const LeasedTarget &target() const { return this->announced; }
+    std::uint64_t fencingToken() const { return this->token; }
+    Capacity free() const { return this->announced.capacity.minus(this->used); }
+    bool takesWork(TimePoint now) const;
+    /** \returns whether nothing runs there but what this driver started. */
+    bool isSettled() const { return this->settled; }
+    bool isFenced() const { return this->fenced; }
+    bool isOver() const { return this->over; }
+    bool isReleased() const { return this->isReleasing && this->runs.empty(); }
+    TimePoint heardAt() const { return std::max(this->announcedAt, this->contactAt); }
+    /** \returns when the target last answered; when it was taken over, if it never did. */
+    TimePoint contactedAt() const { return std::max(this->ownedAt, this->contactAt); }
+    std::size_t runCount() const { return this->runs.size(); }
+    bool holds(const RunName &run) const { return this->runs.contains(run); }
+    std::uint32_t countOf(const std::string &job, std::uint32_t step) const;
+
+private:
+    enum class Phase : std::uint8_t { Starting, Running, Unanswered };
+
+    struct DrivenRun
+    {
+        Capacity demand;
+        Phase phase = Phase::Starting;
+        TimePoint confirmedAt; ///< when the target confirmed the start
+        bool isStopWanted = false;
+        bool isStopInFlight = false;
+        TimePoint stopAt; ///< not before
+        std::optional<TimePoint> stopAnsweredAt;
+    };
+
+    OrderAddress address() const;
+    std::int64_t leaseUntil(TimePoint now) const;
+    void noteContact(std::optional<std::int64_t> clock, TimePoint now);
+    void noteFence(TimePoint now);
+    void noteRefusal(TimePoint now);
+    void poll(TimePoint now, DriverOutbox &out);
+    void sendStop(const RunName &name, DrivenRun &run, TimePoint now, DriverOutbox &out);
+    void end(const RunName &run, RunEndKind kind, DriverOutbox &out);
+    void endAll(DriverOutbox &out);
+    void stopForeign(const PollAnswer &answer, TimePoint now, DriverOutbox &out);
+    void endUnlisted(const PollAnswer &answer, DriverOutbox &out);
+
+    TargetDriverOptions options;
+    LeasedTarget announced;
+    std::uint64_t token;
+    std::uint64_t tokenStep;
+    TimePoint ownedAt;
+    TimePoint announcedAt;
+    TimePoint contactAt; ///< of the latest answer
+    std::int64_t clockThen = 0; ///< the target's clock when it was last heard, ms
+    TimePoint clockAt;
+    std::map<RunName, DrivenRun> runs;
+    std::map<RunName, TimePoint> foreignStopAt; ///< runs of former owners, with the next stop
+    Capacity used;
+    std::uint64_t acknowledged = 0;
+    bool isPolling = false;
+    TimePoint polledAt;
+    TimePoint pollAt;
+    bool lastPollFailed = false;
+    bool settled = false;
+    bool fenced = false;
+    bool over = false;
+    bool isReleasing = false;
+    TimePoint avoidUntil;
+    Duration avoidance {};
+};
+
+} // namespace Hibiscus
--- a/Hibiscus/src/Net/EventLoop.cpp
+++ b/Hibiscus/src/Net/EventLoop.cpp
@@ -1,17 +1,29 @@
 #include "Hibiscus/src/Net/EventLoop.h"
 
+#include <ctime>
+
 namespace Hibiscus {
 
 namespace internal {
 
 constexpr Duration longestTurn = 5ms;
 
+// The boot clock never goes back, and unlike the steady clock it counts the time that a VM was
+// suspended, so a process notices that it stood still.
+static Duration sinceBoot()
+{
+    timespec time = {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 } // namespace internal
 
 EventLoop::EventLoop()
     : loop(h2o_evloop_create()), queue(h2o_multithread_create_queue(this->loop)),
       wallStart(std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now())),
-      steadyStart(std::chrono::steady_clock::now())
+      bootStart(internal::sinceBoot())
 {
     this->receiver.owner = this;
     h2o_multithread_register_receiver(this->queue, &this->receiver.native, onMessages);
@@ -55,8 +67,7 @@
 
 TimePoint EventLoop::now() const
 {
-    const auto elapsed = std::chrono::steady_clock::now() - this->steadyStart;
-    return this->wallStart + std::chrono::duration_cast<Duration>(elapsed);
+    return this->wallStart + (internal::sinceBoot() - this->bootStart);
 }
 
 void EventLoop::onMessages(h2o_multithread_receiver_t *receiver, h2o_linklist_t *)
--- a/Hibiscus/src/Net/EventLoop.h
+++ b/Hibiscus/src/Net/EventLoop.h
@@ -52,7 +52,7 @@
     std::mutex mutex;
     std::vector<Message> mailbox;
     TimePoint wallStart;
-    std::chrono::steady_clock::time_point steadyStart;
+    Duration bootStart {};
     bool running = false;
 };
 
--- a/Hibiscus/src/Net/HttpClient.cpp
+++ b/Hibiscus/src/Net/HttpClient.cpp
@@ -53,6 +53,8 @@
     exchange->bytes = internal::requestBytes(call);
     exchange->buffer = h2o_iovec_init(exchange->bytes.data(), exchange->bytes.size());
     exchange->done = std::move(done);
+    if (call.timeout > Duration())
+        this->deadlines.emplace(this->loop.now() + call.timeout, number);
     this->exchanges[number] = std::move(owned);
     if (call.usesNewConnection) {
         const h2o_iovec_t host = h2o_iovec_init(call.address.host.data(), call.address.host.size());
@@ -75,6 +77,21 @@
     this->exchanges.erase(found);
 }
 
+void HttpClient::giveUpLate(TimePoint now)
+{
+    while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
+        const std::uint64_t number = this->deadlines.begin()->second;
+        this->deadlines.erase(this->deadlines.begin());
+        const auto found = this->exchanges.find(number);
+        if (found == this->exchanges.end())
+            continue;
+        Exchange *exchange = found->second.get();
+        if (exchange->native != nullptr)
+            h2o_http1client_cancel(exchange->native);
+        finish(exchange, exchange->wasSent ? HttpCallState::Broken : HttpCallState::NotSent);
+    }
+}
+
 h2o_http1client_head_cb HttpClient::onConnect(h2o_http1client_t *client, const char *error,
                                               h2o_iovec_t **buffers, std::size_t *bufferCount,
                                               int *methodIsHead)
--- a/Hibiscus/src/Net/HttpClient.h
+++ b/Hibiscus/src/Net/HttpClient.h
@@ -23,15 +23,6 @@
     auto operator<=>(const HttpCallResult &other) const = default;
 };
 
-/** \brief One header line of a call. */
-struct HttpHeader
-{
-    std::string name;
-    std::string value;
-
-    auto operator<=>(const HttpHeader &other) const = default;
-};
-
 /** \brief A call to an HTTP server. */
 struct HttpCall
 {
@@ -41,6 +32,7 @@
     std::vector<HttpHeader> headers;
     std::string body;
     bool usesNewConnection = false; ///< instead of one kept open by earlier calls
+    Duration timeout {}; ///< until the call is given up; 0: the client's idle timeout alone
 
     auto operator<=>(const HttpCall &other) const = default;
 };
@@ -69,6 +61,8 @@
     std::uint64_t send(const HttpCall &call, Done done);
     /** \brief Closes the connection of a call; its outcome does not matter any more. */
     void cancel(std::uint64_t number);
+    /** \brief Ends the calls whose time is over; to be called every few milliseconds. */
+    void giveUpLate(TimePoint now);
 
 private:
     struct Exchange
@@ -104,6 +98,7 @@
     h2o_http1client_ctx_t context;
     std::map<Address, std::unique_ptr<h2o_socketpool_t>> pools;
     std::map<std::uint64_t, std::unique_ptr<Exchange>> exchanges;
+    std::multimap<TimePoint, std::uint64_t> deadlines;
     std::uint64_t nextNumber = 1;
 };
 
--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -23,13 +23,29 @@
     return { text.base, text.len };
 }
 
+static std::string hostOf(const h2o_req_t *request)
+{
+    const std::string authority = textOf(request->authority);
+    return authority.substr(0, authority.find(':'));
+}
+
 } // namespace internal
 
+std::string HttpRequest::header(std::string_view name) const
+{
+    for (const HttpHeader &kept : this->headers)
+        if (kept.name == name)
+            return kept.value;
+    return {};
+}
+
 HttpServer::HttpServer(EventLoop &loop, const Options &options, Handler handler)
     : loop(loop), options(options), handler(std::move(handler))
 {
     h2o_config_init(&this->config);
     this->config.max_request_entity_size = options.mostBodyBytes;
+    this->config.http1.req_timeout = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(options.idleTimeout).count());
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("hibiscusstream"));
     h2o_hostconf_t *host
         = h2o_config_register_host(&this->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
@@ -76,11 +92,20 @@
     h2o_req_t *request = found->second;
     this->requests.erase(found);
     request->res.status = response.status;
+    if (this->closesAfterAnswers)
+        request->http1_is_persistent = 0;
     request->res.reason = response.status < 400 ? "OK" : "Error";
     const h2o_iovec_t type
         = h2o_strdup(&request->pool, response.contentType.data(), response.contentType.size());
     h2o_add_header(&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr,
                    type.base, type.len);
+    for (const HttpHeader &header : response.headers) {
+        const h2o_iovec_t name = h2o_strdup(&request->pool, header.name.data(), header.name.size());
+        const h2o_iovec_t value
+            = h2o_strdup(&request->pool, header.value.data(), header.value.size());
+        h2o_add_header_by_str(&request->pool, &request->res.headers, name.base, name.len, 0,
+                              nullptr, value.base, value.len);
+    }
     h2o_send_inline(request, response.body.data(), response.body.size());
 }
 
@@ -102,7 +127,9 @@
 void HttpServer::onRequestGone(void *guard)
 {
     const auto *gone = static_cast<RequestGuard *>(guard);
-    gone->owner->requests.erase(gone->token);
+    const bool wasOpen = gone->owner->requests.erase(gone->token) > 0;
+    if (wasOpen && gone->owner->options.gone)
+        gone->owner->options.gone(gone->token);
 }
 
 void HttpServer::onAccept(h2o_socket_t *listener, const char *error)
@@ -130,6 +157,12 @@
     message.traceparent = internal::headerOf(request, "traceparent");
     message.attempt = internal::headerOf(request, "hibiscus-attempt");
     message.lease = internal::headerOf(request, "hibiscus-lease");
+    message.host = internal::hostOf(request);
+    for (const std::string &name : this->options.keptHeaders) {
+        std::string value = internal::headerOf(request, name);
+        if (!value.empty())
+            message.headers.push_back({ .name = name, .value = std::move(value) });
+    }
     auto *guard = static_cast<RequestGuard *>(
         h2o_mem_alloc_shared(&request->pool, sizeof(RequestGuard), onRequestGone));
     *guard = { .owner = this, .token = message.token };
--- a/Hibiscus/src/Net/HttpServer.h
+++ b/Hibiscus/src/Net/HttpServer.h
@@ -7,6 +7,15 @@
 
 namespace Hibiscus {
 
+/** \brief One header line. */
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+
+    auto operator<=>(const HttpHeader &other) const = default;
+};
+
 /** \brief A request as a handler sees it. */
 struct HttpRequest
 {
@@ -17,6 +26,11 @@
     std::string traceparent;
     std::string attempt; ///< header hibiscus-attempt
     std::string lease; ///< header hibiscus-lease
+    std::string host; ///< without the port
+    std::vector<HttpHeader> headers; ///< those of HttpServer::Options::keptHeaders that it has
+
+    /** \returns the value of the kept header \a name; empty if the request has none. */
+    std::string header(std::string_view name) const;
 
     auto operator<=>(const HttpRequest &other) const = default;
 };
@@ -27,6 +41,7 @@
     int status = 200;
     std::string contentType = "application/json";
     std::string body;
+    std::vector<HttpHeader> headers;
 
     auto operator<=>(const HttpResponse &other) const = default;
 };
@@ -36,11 +51,16 @@
 {
 public:
     using Handler = std::function<void(const HttpRequest &)>;
+    /** \brief Told the token of a request whose caller went before it was answered. */
+    using Gone = std::function<void(std::uint64_t)>;
 
     struct Options
     {
         Address address;
         std::size_t mostBodyBytes = 4'000'000;
+        Duration idleTimeout = 75s; ///< longer than callers keep an unused connection
+        std::vector<std::string> keptHeaders; ///< lower case
+        Gone gone; ///< may be empty
     };
 
     HttpServer(EventLoop &loop, const Options &options, Handler handler);
@@ -55,6 +75,8 @@
     void respond(std::uint64_t token, const HttpResponse &response);
     /** \brief Accepts no more connections; requests in progress go on. */
     void stopListening();
+    /** \brief Closes each connection after its next answer, and says so in the answer. */
+    void closeAfterAnswers() { this->closesAfterAnswers = true; }
 
     // Queries.
     std::size_t openRequests() const { return this->requests.size(); }
@@ -86,6 +108,7 @@
     h2o_socket_t *listener = nullptr;
     std::map<std::uint64_t, h2o_req_t *> requests;
     std::uint64_t nextToken = 1;
+    bool closesAfterAnswers = false;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Net/Relay.cpp
+++ b/Hibiscus/src/Net/Relay.cpp
@@ -90,24 +90,22 @@
 struct Relay::Link
 {
     NodeName node;
+    std::string target;
     std::unique_ptr<::hibiscus::Relay::Stub> stub;
     std::deque<Bytes> queue;
     bool isSending = false;
+
+    void connect()
+    {
+        this->stub = ::hibiscus::Relay::NewStub(grpc::CreateCustomChannel(
+            this->target, grpc::InsecureChannelCredentials(), internal::channelArguments()));
+    }
 };
 
 Relay::Relay(EventLoop &loop, const Options &options, Receive receive, Broken broken)
     : loop(loop), options(options), receive(std::move(receive)), broken(std::move(broken)),
       service(std::make_unique<Service>(*this))
-{
-    for (const auto &[node, address] : options.nodes) {
-        const std::string target = "ipv4:" + address.host + ":" + std::to_string(address.port);
-        auto link = std::make_unique<Link>();
-        link->node = node;
-        link->stub = ::hibiscus::Relay::NewStub(grpc::CreateCustomChannel(
-            target, grpc::InsecureChannelCredentials(), internal::channelArguments()));
-        this->links[node] = std::move(link);
-    }
-}
+{ }
 
 Relay::~Relay() = default;
 
@@ -116,20 +114,45 @@
     return this->service->listen(this->options.address);
 }
 
+std::shared_ptr<Relay::Link> Relay::linkTo(const NodeName &node)
+{
+    if (const auto found = this->links.find(node); found != this->links.end())
+        return found->second;
+    const auto listed = this->options.nodes.find(node);
+    std::optional<Address> address;
+    if (listed != this->options.nodes.end())
+        address = listed->second;
+    else if (const auto parsed = Address::parse(node.str());
+             this->options.namesAreAddresses && parsed)
+        address = *parsed;
+    if (!address)
+        return nullptr;
+    const auto link = std::make_shared<Link>();
+    link->node = node;
+    link->target = "ipv4:" + address->host + ":" + std::to_string(address->port);
+    link->connect();
+    this->links[node] = link;
+    return link;
+}
+
 void Relay::send(const NodeName &to, const WireMessage &message)
 {
-    const auto found = this->links.find(to);
-    if (found == this->links.end())
+    const std::shared_ptr<Link> link = this->linkTo(to);
+    if (!link)
         return;
-    Link &link = *found->second;
-    if (link.queue.size() >= this->options.mostQueued) {
+    if (link->queue.size() >= this->options.mostQueued) {
         ++this->counts.droppedMessages;
         return;
     }
-    link.queue.push_back(encode(message));
+    link->queue.push_back(encode(message));
     this->pump(link);
 }
 
+void Relay::forget(const NodeName &node)
+{
+    this->links.erase(node);
+}
+
 void Relay::shutDown()
 {
     this->service->shutDown();
@@ -147,38 +170,45 @@
 
 } // namespace internal
 
-void Relay::pump(Link &link)
+void Relay::pump(const std::shared_ptr<Link> &link)
 {
-    if (link.isSending || link.queue.empty())
+    if (link->isSending || link->queue.empty())
         return;
-    link.isSending = true;
+    link->isSending = true;
     const auto batch = std::make_shared<internal::Batch>();
     batch->context.set_deadline(std::chrono::system_clock::now() + this->options.batchTimeout);
     batch->parcel.set_from(this->options.self.str());
     batch->parcel.set_protocol_version(wireProtocolVersion);
-    while (!link.queue.empty()
+    while (!link->queue.empty()
            && batch->parcel.messages_size() < static_cast<int>(internal::mostMessagesPerBatch)) {
-        this->counts.sentBytes += link.queue.front().size();
-        batch->parcel.add_messages(std::move(link.queue.front()));
-        link.queue.pop_front();
+        this->counts.sentBytes += link->queue.front().size();
+        batch->parcel.add_messages(std::move(link->queue.front()));
+        link->queue.pop_front();
     }
     const auto count = static_cast<std::size_t>(batch->parcel.messages_size());
     this->counts.sentMessages += count;
     ++this->counts.sentBatches;
-    link.stub->async()->Deliver(
-        &batch->context, &batch->parcel, &batch->receipt,
-        [this, batch, &link](const grpc::Status &status) {
-            const bool arrived = status.ok();
-            this->loop.post([this, &link, arrived] { this->finishBatch(link, arrived); });
-        });
+    link->stub->async()->Deliver(&batch->context, &batch->parcel, &batch->receipt,
+                                 [this, batch, link](const grpc::Status &status) {
+                                     const bool arrived = status.ok();
+                                     const bool timedOut = status.error_code()
+                                         == grpc::StatusCode::DEADLINE_EXCEEDED;
+                                     this->loop.post([this, link, arrived, timedOut] {
+                                         // The connection may have gone silent: only another one
+                                         // shows whether the node has.
+                                         if (timedOut)
+                                             link->connect();
+                                         this->finishBatch(link, arrived);
+                                     });
+                                 });
 }
 
-void Relay::finishBatch(Link &link, bool arrived)
+void Relay::finishBatch(const std::shared_ptr<Link> &link, bool arrived)
 {
-    link.isSending = false;
+    link->isSending = false;
     if (!arrived) {
         ++this->counts.brokenBatches;
-        this->broken(link.node);
+        this->broken(link->node);
     }
     this->pump(link);
 }
--- a/Hibiscus/src/Net/Relay.h
+++ b/Hibiscus/src/Net/Relay.h
@@ -36,6 +36,7 @@
         NodeName self;
         Address address;
         std::map<NodeName, Address> nodes;
+        bool namesAreAddresses = false; ///< nodes that are not listed are reached by their name
         Duration batchTimeout = 2s;
         std::size_t mostQueued = 100'000; ///< messages a node
     };
@@ -47,6 +48,8 @@
     /** \returns Errc::InvalidAddress if the address cannot be listened on. */
     Result<void> listen();
     void send(const NodeName &to, const WireMessage &message);
+    /** \brief Closes the connection to \a node; a later message opens a new one. */
+    void forget(const NodeName &node);
     void shutDown();
 
     // Queries.
@@ -56,8 +59,9 @@
     class Service;
     struct Link;
 
-    void pump(Link &link);
-    void finishBatch(Link &link, bool arrived);
+    std::shared_ptr<Link> linkTo(const NodeName &node);
+    void pump(const std::shared_ptr<Link> &link);
+    void finishBatch(const std::shared_ptr<Link> &link, bool arrived);
 
     EventLoop &loop;
     Options options;
@@ -65,7 +69,7 @@
     Broken broken;
     RelayCounters counts;
     std::unique_ptr<Service> service;
-    std::map<NodeName, std::unique_ptr<Link>> links;
+    std::map<NodeName, std::shared_ptr<Link>> links;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Process/ControlProcess.cpp
+++ b/Hibiscus/src/Process/ControlProcess.cpp
@@ -119,7 +119,7 @@
 
 void ControlProcess::onTick()
 {
-    if (this->lifecycle.tick(this->node, this->context, this->loop.now(), this->out))
+    if (this->lifecycle.tick(this->node, groupOf(this->context), this->loop.now(), this->out))
         this->loop.stop();
     const std::uint64_t version = this->node.state().version();
     if (version != this->loggedVersion)
--- /dev/null
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -0,0 +1,456 @@
+#include "Hibiscus/src/Process/GatewayProcess.h"
+
+#include "Hibiscus/src/Process/ProcessContext.h"
+#include "Hibiscus/src/Process/ReplicaStatus.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Hibiscus {
+
+namespace internal {
+
+constexpr Duration gatewayTick = 10ms;
+constexpr Duration rulesFetchInterval = 300ms;
+/** \brief How long a starting gateway looks for confirmed rules before it takes older ones. */
+constexpr Duration rulesPatience = 3s;
+/** \brief An order that is not answered for so long counts as unanswered: some tens of round
+ * trips, and a small part of a short task's objective.
+ */
+constexpr Duration orderTimeout = 150ms;
+constexpr Duration pollSlack = 300ms; ///< beyond the wait that a poll asks for
+/** \brief The balancer looks once a second and takes two misses; then nobody new comes. */
+constexpr Duration balancerTime = 2200ms;
+/** \brief Within this of its forced end a stopping gateway refuses new jobs: the longest
+ * deadline of the routes, and a margin.
+ */
+constexpr Duration lastJobMargin = 2s;
+constexpr Duration stopMargin = 500ms; ///< left of the time to stop, to end by itself
+constexpr Duration quietTime = 400ms; ///< without calls, before a drained gateway ends
+
+enum HttpStatus : int {
+    StatusOk = 200,
+    StatusBadRequest = 400,
+    StatusNotFound = 404,
+    StatusNotAllowed = 405,
+    StatusGone = 410,
+    StatusTooMany = 429,
+    StatusUnavailable = 503
+};
+
+static FleetNodeOptions fleetOptions(const ProfiledNode &context)
+{
+    const NodeRecord record = context.record(MemberKind::Gateway, false);
+    FleetNodeOptions options;
+    options.self = record.node;
+    options.life = record.life;
+    options.domain = record.domain;
+    options.weight = record.weight;
+    options.targetsAddress = record.targetsAddress;
+    options.owner.driver.lease = context.profile.lease;
+    return options;
+}
+
+static std::string milliseconds(Duration span)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+static const char *toString(JobVerdict verdict)
+{
+    if (verdict == JobVerdict::Completed)
+        return "completed";
+    return verdict == JobVerdict::Failed ? "failed" : "refused";
+}
+
+} // namespace internal
+
+GatewayProcess::GatewayProcess(const ProfiledNode &node)
+    : context(node), node(internal::fleetOptions(node)), directory({}, node.name()),
+      rules(node.name()), relay(
+                              this->loop, node.relayOptions(),
+                              [this](const WireMessage &message) { this->onMessage(message); },
+                              [](const NodeName &) {}),
+      callers(this->loop,
+              { .address = *Address::parse(node.profile.callersAddress),
+                .keptHeaders = node.protocol.callerHeaders,
+                .gone =
+                    [this](std::uint64_t token) {
+                        this->waiting.erase(token);
+                        this->node.leave(token, this->loop.now());
+                    } },
+              [this](const HttpRequest &request) { this->onCaller(request); }),
+      readiness(this->loop, { .address = *Address::parse(node.profile.readinessAddress) },
+                [this](const HttpRequest &request) {
+                    const bool ready = this->isReady();
+                    this->readiness.respond(
+                        request.token,
+                        { .status = ready ? internal::StatusOk : internal::StatusUnavailable });
+                }),
+      targets(this->loop, { .address = *Address::parse(node.profile.targetsAddress) },
+              [this](const HttpRequest &request) { this->onTargets(request); }),
+      metricsServer(this->loop, { .address = *Address::parse(node.profile.metricsAddress) },
+                    [this](const HttpRequest &request) { this->onMetrics(request); }),
+      client(this->loop, {}), metrics(node.profile.label), settings(node.settingsPath),
+      startedAt(this->loop.now())
+{
+    this->directory.setSeeds(this->context.seeds());
+}
+
+int GatewayProcess::run()
+{
+    const bool listening = this->relay.listen() && this->callers.listen()
+        && this->readiness.listen() && this->targets.listen() && this->metricsServer.listen();
+    if (!listening) {
+        logProblem("cannot-listen", { { "address", this->context.profile.peerAddress } });
+        return 1;
+    }
+    logChange("started",
+              { { "role", "gateway" },
+                { "domain", this->context.profile.domain.str() },
+                { "life", std::to_string(this->context.life) } });
+    this->loop.run(
+        internal::gatewayTick, [this] { this->onTick(); }, [this] { this->carryOut(); });
+    logChange("stopped");
+    this->relay.shutDown();
+    return 0;
+}
+
+void GatewayProcess::onCaller(const HttpRequest &request)
+{
+    this->lastCallAt = this->loop.now();
+    if (this->rules.standing() == RulesStanding::None) {
+        this->refuse(request.token, internal::StatusUnavailable, 1s, "no-rules");
+        return;
+    }
+    const RouteRule *route = this->rules.rules().routeFor(request.host, request.path);
+    if (route == nullptr) {
+        ++this->refusals["no-route"];
+        logChange("request-refused",
+                  { { "path", request.path },
+                    { "reason", "no-route" },
+                    { "rules_version", std::to_string(this->rules.file().version) } });
+        this->callers.respond(request.token, { .status = internal::StatusNotFound });
+        return;
+    }
+    const std::string id = request.path.substr(route->prefix.size());
+    if (request.method == "POST" && !id.empty()) {
+        this->onSubmit(request, *route, id);
+        return;
+    }
+    if (request.method == "GET" && id.empty()) {
+        this->callers.respond(request.token, { .body = this->context.protocol.renderPending(0) });
+        return;
+    }
+    // No job outlives its answer here, so there is nothing to show or to cancel.
+    const bool isLookUp = request.method == "GET" || request.method == "DELETE";
+    this->callers.respond(
+        request.token, { .status = isLookUp ? internal::StatusGone : internal::StatusNotAllowed });
+}
+
+void GatewayProcess::onSubmit(const HttpRequest &request, const RouteRule &route,
+                              const std::string &id)
+{
+    const JobBody body = this->context.protocol.readJob(id, request.body);
+    if (const auto *malformed = std::get_if<Malformed>(&body)) {
+        ++this->refusals["malformed"];
+        logChange("job-refused", { { "job", id }, { "reason", malformed->reason } });
+        this->callers.respond(request.token, { .status = internal::StatusBadRequest });
+        return;
+    }
+    if (const auto *notOffered = std::get_if<NotOffered>(&body)) {
+        logChange(
+            "job-refused",
+            { { "job", id }, { "reason", "not-offered" }, { "feature", notOffered->feature } });
+        this->refuse(request.token, internal::StatusUnavailable, 2s, "not-offered");
+        return;
+    }
+    const TimePoint now = this->loop.now();
+    const Duration lastJobAfter
+        = this->context.profile.stopBound - internal::stopMargin - internal::lastJobMargin;
+    if (this->stopAskedAt != TimePoint() && now > this->stopAskedAt + lastJobAfter) {
+        logChange("job-refused", { { "job", id }, { "reason", "draining" } });
+        this->refuse(request.token, internal::StatusUnavailable, {}, "draining");
+        return;
+    }
+    JobTerms terms;
+    terms.service = route.service;
+    terms.priority = route.priority;
+    terms.mostFailures = std::max(1U, route.attempts);
+    constexpr double percent = 100;
+    terms.stretch = route.stretchPercent / percent;
+    terms.slack = std::chrono::milliseconds(route.objectiveMs);
+    terms.untilDeadline = std::chrono::milliseconds(route.deadlineMs);
+    if (const auto patience = this->context.protocol.readPatience(request))
+        terms.untilDeadline = std::min(terms.untilDeadline, *patience);
+    this->waiting[request.token] = { .job = id, .route = route.name, .arrivedAt = now };
+    this->node.submit(std::get<TransientJob>(body), terms, request.token, now);
+}
+
+void GatewayProcess::onTargets(const HttpRequest &request)
+{
+    const ControlCall call = this->context.protocol.readControlCall(request);
+    const auto *heard = std::get_if<TargetHeard>(&call);
+    if (heard == nullptr) {
+        ++this->refusals["malformed-announcement"];
+        this->targets.respond(request.token, { .status = internal::StatusBadRequest });
+        return;
+    }
+    this->node.hear(*heard, this->loop.now());
+    const std::string next = this->node.heartbeatAddressOf(heard->target.name);
+    this->targets.respond(request.token,
+                          { .body = this->context.protocol.renderHeartbeatAnswer(next) });
+}
+
+void GatewayProcess::onMetrics(const HttpRequest &request)
+{
+    this->updateMetrics();
+    this->metricsServer.respond(
+        request.token,
+        { .contentType = "text/plain; version=0.0.4", .body = this->metrics.text() });
+}
+
+void GatewayProcess::onMessage(const WireMessage &message)
+{
+    const TimePoint now = this->loop.now();
+    std::visit(Overloaded {
+                   [&](const FleetMessage &peer) { this->node.receive(peer, now); },
+                   [&](const TargetHeard &heard) { this->node.hear(heard, now); },
+                   [&](const NodeList &list) {
+                       this->directory.learn(list, now);
+                       for (const NodeRecord &record : list.nodes)
+                           if (record.kind == MemberKind::Gateway)
+                               this->node.meet(record.node, now);
+                   },
+                   [&](const RulesUpdate &update) { this->takeRules(update); },
+                   [&](const FetchRules &fetch) {
+                       if (this->rules.standing() != RulesStanding::None)
+                           this->relay.send(fetch.node,
+                                            RulesUpdate { .content = this->rules.file() });
+                   },
+                   [](const auto &) {},
+               },
+               message);
+}
+
+void GatewayProcess::onTick()
+{
+    const TimePoint now = this->loop.now();
+    this->client.giveUpLate(now);
+    this->node.tick(now);
+    this->directory.forgetGone(now);
+    const NodeRecord self = this->context.record(MemberKind::Gateway, stopRequests() > 0);
+    for (const NodeName &registry : this->directory.takeHellos(now))
+        this->relay.send(registry, NodeHello { .self = self });
+    if (this->rules.standing() != RulesStanding::Confirmed && now >= this->fetchAt)
+        this->followRules(now);
+    if (const auto profile = this->settings.takeChange(now))
+        this->reload(*profile);
+    if (stopRequests() > 0)
+        this->continueStop(now);
+}
+
+void GatewayProcess::carryOut()
+{
+    const FleetOutbox out = this->node.settle(this->loop.now());
+    for (const TargetOrder &order : out.orders)
+        std::visit([this](const auto &o) { this->carryOut(o); }, order);
+    for (const AddressedFleetMessage &item : out.messages)
+        this->relay.send(item.to, item.message);
+    for (const JobOutcome &outcome : out.outcomes)
+        this->answer(outcome);
+    for (const TargetChange &change : out.changes)
+        logChange("target-" + change.change,
+                  { { "target", change.target.str() },
+                    { "life", std::to_string(change.life) },
+                    { "fencing_token", std::to_string(change.fencingToken) } });
+    for (const NodeName &peer : out.forgotten) {
+        logChange("peer-forgotten", { { "peer", peer.str() } });
+        this->relay.forget(peer);
+    }
+}
+
+void GatewayProcess::carryOut(const StartOrder &order)
+{
+    HttpCall call = this->context.protocol.startCall(order);
+    call.timeout = internal::orderTimeout;
+    this->client.send(call, [this, to = order.to, run = order.run](const HttpCallResult &result) {
+        const OrderAnswer answer = this->context.protocol.readOrderAnswer(result);
+        if (answer.verdict != OrderVerdict::Done)
+            logChange("start-not-done",
+                      { { "job", run.job },
+                        { "attempt", std::to_string(run.attempt) },
+                        { "target", to.target.str() },
+                        { "verdict", toString(answer.verdict) } });
+        this->node.finishStart(to, run, answer, this->loop.now());
+    });
+}
+
+void GatewayProcess::carryOut(const StopOrder &order)
+{
+    HttpCall call = this->context.protocol.stopCall(order);
+    call.timeout = internal::orderTimeout;
+    this->client.send(call, [this, to = order.to, run = order.run](const HttpCallResult &result) {
+        const OrderAnswer answer = this->context.protocol.readOrderAnswer(result);
+        logChange("stop-sent",
+                  { { "job", run.job },
+                    { "attempt", std::to_string(run.attempt) },
+                    { "target", to.target.str() },
+                    { "verdict", toString(answer.verdict) } });
+        this->node.finishStop(to, run, answer, this->loop.now());
+    });
+}
+
+void GatewayProcess::carryOut(const PollOrder &order)
+{
+    HttpCall call = this->context.protocol.pollCall(order);
+    call.timeout = order.wait + internal::pollSlack;
+    call.usesNewConnection = order.usesNewConnection;
+    this->client.send(call, [this, to = order.to](const HttpCallResult &result) {
+        this->node.finishPoll(to, this->context.protocol.readPollAnswer(result), this->loop.now());
+    });
+}
+
+void GatewayProcess::answer(const JobOutcome &outcome)
+{
+    for (const std::uint64_t token : outcome.callers) {
+        const auto found = this->waiting.find(token);
+        if (found == this->waiting.end())
+            continue;
+        const Duration took = this->loop.now() - found->second.arrivedAt;
+        logChange("job-answered",
+                  { { "job", outcome.job },
+                    { "route", found->second.route },
+                    { "outcome", internal::toString(outcome.verdict) },
+                    { "reason", toString(outcome.reason) },
+                    { "took_ms", internal::milliseconds(took) },
+                    { "attempts", std::to_string(outcome.attempts) },
+                    { "rules_version", std::to_string(this->rules.file().version) } });
+        this->metrics.observeSeconds("hibiscus_job_seconds",
+                                     "Time from a job's arrival to its answer, in seconds.",
+                                     toSeconds(took));
+        this->waiting.erase(found);
+        if (outcome.verdict == JobVerdict::Refused)
+            this->refuse(token, internal::StatusUnavailable, outcome.retryAfter,
+                         toString(outcome.reason));
+        else
+            this->callers.respond(
+                token, { .body = this->context.protocol.renderVerdict(outcome.verdict) });
+    }
+}
+
+void GatewayProcess::refuse(std::uint64_t token, int status, Duration retryAfter,
+                            const char *reason)
+{
+    ++this->refusals[reason];
+    const auto seconds = std::max(1L, std::lround(std::ceil(toSeconds(retryAfter))));
+    this->callers.respond(
+        token,
+        { .status = status,
+          .headers = { { .name = "retry-after", .value = std::to_string(seconds) } } });
+}
+
+// Rules that a quorum confirms come first. When none can be reached for a while, what a registry
+// node or a peer of the same domain last knew is better than not serving.
+void GatewayProcess::followRules(TimePoint now)
+{
+    this->fetchAt = now + internal::rulesFetchInterval;
+    const bool isPatient = now < this->startedAt + internal::rulesPatience
+        || this->rules.standing() != RulesStanding::None;
+    const FetchRules fetch = { .node = this->context.name(), .acceptsLastKnown = !isPatient };
+    for (const NodeName &registry : this->directory.registries())
+        this->relay.send(registry, fetch);
+    if (isPatient)
+        return;
+    for (const NodeRecord &gateway : this->directory.gateways())
+        if (gateway.domain == this->context.profile.domain)
+            this->relay.send(gateway.node, fetch);
+}
+
+void GatewayProcess::takeRules(const RulesUpdate &update)
+{
+    const std::uint64_t former = this->rules.file().version;
+    const RulesStanding formerStanding = this->rules.standing();
+    const auto acknowledged = this->rules.receive(update);
+    if (this->rules.file().version != former || this->rules.standing() != formerStanding)
+        logChange(
+            "rules-in-force",
+            { { "version", std::to_string(this->rules.file().version) },
+              { "former", std::to_string(former) },
+              { "confirmed", this->rules.standing() == RulesStanding::Confirmed ? "yes" : "no" } });
+    if (!acknowledged)
+        return;
+    for (const NodeName &registry : this->directory.registries())
+        this->relay.send(registry, *acknowledged);
+}
+
+// Addresses stay for the life of a process; what may change is where the registry nodes are.
+void GatewayProcess::reload(const NodeProfile &profile)
+{
+    this->context.profile.registrySeeds = profile.registrySeeds;
+    this->context.profile.lease = profile.lease;
+    this->context.profile.stopBound = profile.stopBound;
+    this->directory.setSeeds(this->context.seeds());
+}
+
+void GatewayProcess::continueStop(TimePoint now)
+{
+    if (this->stopAskedAt == TimePoint()) {
+        logChange("stopping");
+        this->node.drain();
+        this->stopAskedAt = now;
+    }
+    const Duration asked = now - this->stopAskedAt;
+    if (asked >= internal::balancerTime)
+        this->callers.closeAfterAnswers();
+    const bool isQuiet = asked >= internal::balancerTime + 1s && this->node.isIdle()
+        && this->callers.openRequests() == 0 && now >= this->lastCallAt + internal::quietTime;
+    const bool isForced = asked >= this->context.profile.stopBound - internal::stopMargin;
+    if (isQuiet || isForced || stopRequests() > 1)
+        this->loop.stop();
+}
+
+bool GatewayProcess::isReady() const
+{
+    const bool hasRules = this->rules.standing() != RulesStanding::None;
+    return hasRules && stopRequests() == 0;
+}
+
+void GatewayProcess::updateMetrics()
+{
+    const FleetOwnerCounters &owner = this->node.owner().counters();
+    const FleetNodeCounters &peers = this->node.counters();
+    const auto count = [&](const char *name, const char *help, std::uint64_t value) {
+        this->metrics.setCounter(name, help, static_cast<double>(value));
+    };
+    const auto gauge = [&](const char *name, const char *help, std::size_t value) {
+        this->metrics.setGauge(name, help, static_cast<double>(value));
+    };
+    count("hibiscus_runs_started_total", "Runs started on own targets.", owner.started);
+    count("hibiscus_runs_completed_total", "Runs completed.", owner.completed);
+    count("hibiscus_runs_failed_total", "Runs failed.", owner.failed);
+    count("hibiscus_runs_not_started_total", "Starts that targets refused.", owner.notStarted);
+    count("hibiscus_runs_stopped_total", "Runs stopped on request.", owner.stopped);
+    count("hibiscus_runs_lost_total", "Runs lost with a target or its lease.", owner.lost);
+    count("hibiscus_targets_adopted_total", "Targets taken over.", owner.adopted);
+    count("hibiscus_targets_fenced_total", "Targets lost to another owner.", owner.fenced);
+    count("hibiscus_peer_messages_sent_total", "Messages to peers.", peers.sent);
+    count("hibiscus_peer_messages_received_total", "Messages of peers.", peers.received);
+    count("hibiscus_peer_messages_stale_total", "Messages that came too late.", peers.stale);
+    count("hibiscus_gaps_total", "Times that this node stood still.", peers.gaps);
+    for (const auto &[reason, number] : this->refusals) {
+        std::string name = "hibiscus_refused_" + reason + "_total";
+        std::ranges::replace(name, '-', '_');
+        count(name.c_str(), "Refused requests, by reason.", number);
+    }
+    gauge("hibiscus_jobs", "Jobs in progress.", this->node.coordinator().jobCount());
+    gauge("hibiscus_queued_runs", "Runs that wait here for room.",
+          this->node.owner().queuedCount());
+    gauge("hibiscus_running_runs", "Runs on own targets.", this->node.owner().runningCount());
+    gauge("hibiscus_targets", "Own targets.", this->node.owner().targets().size());
+    gauge("hibiscus_live_peers", "Peers that answer.", this->node.livePeers(this->loop.now()));
+    gauge("hibiscus_rules_version", "Version of the rules in force.", this->rules.file().version);
+    updateRelayMetrics(this->metrics, this->relay.counters());
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Hibiscus/src/Process/ProfiledNode.h"
+
+#include <Hibiscus/Membership>
+#include <Hibiscus/Rules>
+#include <Hibiscus/Telemetry>
+
+namespace Hibiscus {
+
+/** \brief An entry node that finds its peers by itself: the process around a FleetNode. */
+class GatewayProcess
+{
+public:
+    explicit GatewayProcess(const ProfiledNode &node);
+
+    /** \brief Runs until a stop is asked for. \returns the exit code. */
+    int run();
+
+private:
+    /** \brief A job whose caller waits. */
+    struct WaitingCaller
+    {
+        std::string job;
+        std::string route;
+        TimePoint arrivedAt;
+    };
+
+    void onCaller(const HttpRequest &request);
+    void onSubmit(const HttpRequest &request, const RouteRule &route, const std::string &id);
+    void onTargets(const HttpRequest &request);
+    void onMetrics(const HttpRequest &request);
+    void onMessage(const WireMessage &message);
+    void onTick();
+    void carryOut();
+    void carryOut(const StartOrder &order);
+    void carryOut(const StopOrder &order);
+    void carryOut(const PollOrder &order);
+    void answer(const JobOutcome &outcome);
+    void refuse(std::uint64_t token, int status, Duration retryAfter, const char *reason);
+    void followRules(TimePoint now);
+    void takeRules(const RulesUpdate &update);
+    void reload(const NodeProfile &profile);
+    void continueStop(TimePoint now);
+    bool isReady() const;
+    void updateMetrics();
+
+    ProfiledNode context;
+    EventLoop loop;
+    FleetNode node;
+    Directory directory;
+    RulesFollower rules;
+    Relay relay;
+    HttpServer callers;
+    HttpServer readiness;
+    HttpServer targets;
+    HttpServer metricsServer;
+    HttpClient client;
+    Metrics metrics;
+    SettingsWatch settings;
+    std::map<std::uint64_t, WaitingCaller> waiting;
+    std::map<std::string, std::uint64_t> refusals; ///< counted by reason
+    TimePoint startedAt;
+    TimePoint fetchAt;
+    TimePoint stopAskedAt;
+    TimePoint lastCallAt;
+};
+
+} // namespace Hibiscus
--- a/Hibiscus/src/Process/JournalProcess.cpp
+++ b/Hibiscus/src/Process/JournalProcess.cpp
@@ -70,7 +70,7 @@
 
 void JournalProcess::onTick()
 {
-    if (this->lifecycle.tick(this->node, this->context, this->loop.now(), this->out))
+    if (this->lifecycle.tick(this->node, groupOf(this->context), this->loop.now(), this->out))
         this->loop.stop();
 }
 
--- a/Hibiscus/src/Process/ProcessContext.cpp
+++ b/Hibiscus/src/Process/ProcessContext.cpp
@@ -25,6 +25,13 @@
 
 static std::atomic<int> stopSignals = 0;
 
+static std::atomic<bool> reloadSignal = false;
+
+static void onReloadSignal(int)
+{
+    reloadSignal = true;
+}
+
 static void onStopSignal(int)
 {
     ++stopSignals;
@@ -41,16 +48,6 @@
     return (static_cast<std::uint64_t>(microseconds) << nodeBits) | (nodeHash & mask);
 }
 
-static void installSignals()
-{
-    struct sigaction action = {};
-    action.sa_handler = onStopSignal;
-    ::sigaction(SIGTERM, &action, nullptr);
-    ::sigaction(SIGINT, &action, nullptr);
-    action.sa_handler = SIG_IGN;
-    ::sigaction(SIGPIPE, &action, nullptr);
-}
-
 static StartDecision failed(const std::string &reason)
 {
     std::fprintf(stderr, "%s\n", reason.c_str());
@@ -117,22 +114,43 @@
     const bool needsData = role != NodeRole::Entry;
     if (needsData && FLAGS_data.empty())
         return internal::failed("--data is required");
-    const auto start = std::chrono::system_clock::now().time_since_epoch();
     StartDecision decision;
     decision.context = { .deployment = *deployment,
                          .self = *self,
                          .dataFolder = FLAGS_data,
                          .spanFile = FLAGS_spans,
-                         .incarnation = internal::incarnationOf(FLAGS_node, start) };
+                         .incarnation = newIncarnation(FLAGS_node) };
     if (FLAGS_format)
         return needsData ? internal::formatLog(decision.context)
                          : internal::failed("an entry node has no log to format");
-    internal::installSignals();
+    installSignals();
     initializeLog(self->name.str());
     decision.shouldRun = true;
     return decision;
 }
 
+std::uint64_t newIncarnation(const std::string &node)
+{
+    return internal::incarnationOf(node, std::chrono::system_clock::now().time_since_epoch());
+}
+
+void installSignals()
+{
+    struct sigaction action = {};
+    action.sa_handler = internal::onStopSignal;
+    ::sigaction(SIGTERM, &action, nullptr);
+    ::sigaction(SIGINT, &action, nullptr);
+    action.sa_handler = internal::onReloadSignal;
+    ::sigaction(SIGHUP, &action, nullptr);
+    action.sa_handler = SIG_IGN;
+    ::sigaction(SIGPIPE, &action, nullptr);
+}
+
+bool takeReloadRequest()
+{
+    return internal::reloadSignal.exchange(false);
+}
+
 int stopRequests()
 {
     return internal::stopSignals;
--- a/Hibiscus/src/Process/ProcessContext.h
+++ b/Hibiscus/src/Process/ProcessContext.h
@@ -37,6 +37,15 @@
  */
 StartDecision startProcess(int *argc, char ***argv, NodeRole role);
 
+/** \returns a number that is larger in each later life of \a node's process. */
+std::uint64_t newIncarnation(const std::string &node);
+
+/** \brief Takes the signals to stop and to read the settings again from here on. */
+void installSignals();
+
+/** \returns whether a signal has asked to read the settings again since the last call. */
+bool takeReloadRequest();
+
 /** \returns how many signals to stop have come; the first asks for a graceful stop. */
 int stopRequests();
 
--- /dev/null
+++ b/Hibiscus/src/Process/ProfiledNode.cpp
@@ -0,0 +1,133 @@
+#include "Hibiscus/src/Process/ProfiledNode.h"
+
+#include "Hibiscus/src/Process/ProcessContext.h"
+
+#include <Hibiscus/Telemetry>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <sstream>
+
+DEFINE_string(profile, "", "the settings file of this node (JSON); HIBISCUSSTREAM_CONFIG if empty");
+DECLARE_bool(check_settings);
+
+namespace Hibiscus {
+
+namespace internal {
+
+/** \brief Between two looks at a settings file that no signal was sent for. */
+constexpr Duration settingsLookInterval = 1s;
+/** \brief A batch between nodes that is not answered for so long has lost its connection; ten
+ * round trips between failure domains, and time for a busy VM.
+ */
+constexpr Duration peerBatchTimeout = 400ms;
+constexpr int invalidSettings = 2;
+
+static std::uint32_t weightOf(double processorShare)
+{
+    constexpr double weightsPerCore = 100;
+    return std::max(1U, static_cast<std::uint32_t>(std::lround(processorShare * weightsPerCore)));
+}
+
+} // namespace internal
+
+std::vector<NodeName> ProfiledNode::seeds() const
+{
+    const std::string port = this->profile.peerAddress.substr(this->profile.peerAddress.rfind(':'));
+    std::vector<NodeName> names;
+    for (const std::string &seed : this->profile.registrySeeds)
+        names.emplace_back(seed.substr(0, seed.rfind(':')) + port);
+    return names;
+}
+
+NodeRecord ProfiledNode::record(MemberKind kind, bool isDraining) const
+{
+    return { .node = this->name(),
+             .kind = kind,
+             .label = this->profile.label,
+             .life = this->life,
+             .domain = this->profile.domain,
+             .weight = internal::weightOf(this->profile.processorShare),
+             .targetsAddress = this->profile.targetsAddress,
+             .isDraining = isDraining };
+}
+
+Relay::Options ProfiledNode::relayOptions() const
+{
+    Relay::Options options;
+    options.self = this->name();
+    options.address = *Address::parse(this->profile.peerAddress);
+    options.namesAreAddresses = true;
+    options.batchTimeout = internal::peerBatchTimeout;
+    constexpr std::size_t mostQueued = 2'000; // a peer that takes nothing for seconds is lost
+    options.mostQueued = mostQueued;
+    return options;
+}
+
+std::optional<ProfiledNode> startProfiledNode(int *argc, char ***argv,
+                                              const ExternalProtocol &protocol, int &exitCode)
+{
+    gflags::SetUsageMessage("--profile=FILE");
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(argc, argv, true);
+    const char *fromEnvironment = std::getenv("HIBISCUSSTREAM_CONFIG");
+    ProfiledNode node;
+    node.settingsPath = FLAGS_profile;
+    if (node.settingsPath.empty() && fromEnvironment != nullptr)
+        node.settingsPath = fromEnvironment;
+    auto profile = readNodeProfile(node.settingsPath);
+    if (!profile) {
+        for (const SettingsError &error : profile.error())
+            std::fprintf(stderr, "%s: %s: %s\n", node.settingsPath.c_str(), error.path.c_str(),
+                         error.reason.c_str());
+        exitCode = internal::invalidSettings;
+        return std::nullopt;
+    }
+    exitCode = 0;
+    if (FLAGS_check_settings) {
+        std::printf("%s: valid\n", node.settingsPath.c_str());
+        return std::nullopt;
+    }
+    node.profile = std::move(*profile);
+    node.life = newIncarnation(node.profile.peerAddress);
+    node.protocol = protocol;
+    installSignals();
+    initializeEventLog(node.profile.label);
+    return node;
+}
+
+SettingsWatch::SettingsWatch(std::string path) : path(std::move(path)), text(this->readText()) { }
+
+std::string SettingsWatch::readText() const
+{
+    std::ifstream stream(this->path);
+    std::ostringstream content;
+    content << stream.rdbuf();
+    return content.str();
+}
+
+std::optional<NodeProfile> SettingsWatch::takeChange(TimePoint now)
+{
+    const bool isAsked = takeReloadRequest();
+    if (!isAsked && now < this->lookAt)
+        return std::nullopt;
+    this->lookAt = now + internal::settingsLookInterval;
+    std::string present = this->readText();
+    if (present == this->text)
+        return std::nullopt;
+    this->text = std::move(present);
+    auto profile = readNodeProfile(this->path);
+    if (!profile) {
+        logProblem(
+            "settings-invalid",
+            { { "reason", profile.error().front().path + ": " + profile.error().front().reason } });
+        return std::nullopt;
+    }
+    logChange("settings-reloaded");
+    return std::move(*profile);
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscus/src/Process/ProfiledNode.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Hibiscus/src/Process/ExternalProtocol.h"
+
+#include <Hibiscus/Settings>
+
+namespace Hibiscus {
+
+/** \brief What a gateway or registry process was started with. */
+struct ProfiledNode
+{
+    NodeProfile profile;
+    std::string settingsPath; ///< read again when it changes
+    std::uint64_t life = 0; ///< larger in each later life of the process
+    ExternalProtocol protocol;
+
+    /** \returns the name by which the other nodes know this one. */
+    NodeName name() const { return NodeName(this->profile.peerAddress); }
+    /** \returns the names of the registry nodes that the settings name. */
+    std::vector<NodeName> seeds() const;
+    NodeRecord record(MemberKind kind, bool isDraining) const;
+    Relay::Options relayOptions() const;
+};
+
+/** \brief Reads the command line and the settings; prints what is wrong.
+ * \returns nothing when the process should end with \a exitCode.
+ */
+std::optional<ProfiledNode> startProfiledNode(int *argc, char ***argv,
+                                              const ExternalProtocol &protocol, int &exitCode);
+
+/** \brief Notices that a settings file has changed, with or without a signal. */
+class SettingsWatch
+{
+public:
+    explicit SettingsWatch(std::string path);
+
+    /** \returns the new profile, if the file has changed and is valid. */
+    std::optional<NodeProfile> takeChange(TimePoint now);
+
+private:
+    std::string readText() const;
+
+    std::string path;
+    std::string text;
+    TimePoint lookAt;
+};
+
+} // namespace Hibiscus
--- a/Hibiscus/src/Process/ReplicaDisk.cpp
+++ b/Hibiscus/src/Process/ReplicaDisk.cpp
@@ -30,33 +30,45 @@
 
 // The first state stands in a snapshot at index 1, so that a member which joins later receives it
 // like any other snapshot.
-DurableState foundingState(const ProcessContext &context, TimePoint birth)
+DurableState foundingState(const NodeName &self, const std::vector<NodeName> &nodes,
+                           const Bytes &machine)
 {
     DurableState state;
-    state.self = { .node = context.self.name, .incarnation = internal::foundingIncarnation };
+    state.self = { .node = self, .incarnation = internal::foundingIncarnation };
     state.hard.term = 1;
     state.snapshot.index = 1;
     state.snapshot.term = 1;
-    for (const NodeName &node : groupOf(context)) {
+    for (const NodeName &node : nodes) {
         const MemberId id = { .node = node, .incarnation = internal::foundingIncarnation };
         state.snapshot.membership = state.snapshot.membership.with({ .id = id });
     }
-    const bool isControl = context.self.role == NodeRole::Control;
-    state.snapshot.state = isControl ? RulesState().save() : JournalState(birth).save();
+    state.snapshot.state = machine;
     return state;
 }
 
+DurableState foundingState(const ProcessContext &context, TimePoint birth)
+{
+    const bool isControl = context.self.role == NodeRole::Control;
+    return foundingState(context.self.name, groupOf(context),
+                         isControl ? RulesState().save() : JournalState(birth).save());
+}
+
 Result<ReplicaDisk> ReplicaDisk::open(const ProcessContext &context)
 {
-    if (!DiskLog::exists(context.dataFolder)) {
+    return open(context.dataFolder, context.self.name);
+}
+
+Result<ReplicaDisk> ReplicaDisk::open(const std::filesystem::path &folder, const NodeName &self)
+{
+    if (!DiskLog::exists(folder)) {
         DurableState empty;
-        empty.self = { .node = context.self.name, .incarnation = std::random_device {}() + 2ULL };
+        empty.self = { .node = self, .incarnation = std::random_device {}() + 2ULL };
         logChange("joining-as-new-member",
                   { { "incarnation", std::to_string(empty.self.incarnation) } });
-        if (const auto formatted = DiskLog::format(context.dataFolder, empty); !formatted)
+        if (const auto formatted = DiskLog::format(folder, empty); !formatted)
             return tl::unexpected<std::error_code>(formatted.error());
     }
-    Result<DiskLog> log = DiskLog::open(context.dataFolder);
+    Result<DiskLog> log = DiskLog::open(folder);
     if (!log)
         return tl::unexpected<std::error_code>(log.error());
     return ReplicaDisk(std::move(*log));
--- a/Hibiscus/src/Process/ReplicaLifecycle.h
+++ b/Hibiscus/src/Process/ReplicaLifecycle.h
@@ -12,16 +12,17 @@
 class ReplicaLifecycle
 {
 public:
-    /** \brief Carries \a node on, and puts what it sends into \a out.
+    /** \brief Carries \a node of \a group on, and puts what it sends into \a out.
      * \returns whether the process should stop now.
      */
     template<typename Node>
-    bool tick(Node &node, const ProcessContext &context, TimePoint now, typename Node::Outbox &out)
+    bool tick(Node &node, const std::vector<NodeName> &group, TimePoint now,
+              typename Node::Outbox &out)
     {
         node.tick(now, out);
-        if (!node.replica().isMember() && now >= this->joinAt) {
+        if (now >= this->joinAt) {
             this->joinAt = now + joinInterval;
-            node.requestJoin(groupOf(context), out);
+            node.requestJoin(group, out);
         }
         if (stopRequests() > 0 && this->stopAt == TimePoint()) {
             logChange("stopping");
--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -82,7 +82,8 @@
 
 void Replica::requestJoin(const std::vector<NodeName> &nodes, ReplicaOutbox &out) const
 {
-    if (this->isMember())
+    // A member that hears of no leader may have been replaced while it was away.
+    if (this->isMember() && this->knownLeader)
         return;
     for (const NodeName &node : nodes)
         if (node != this->self().node)
@@ -461,9 +462,31 @@
                 return;
             }
         }
-        change(this->activeMembership.with({ .id = learner.id, .role = MemberRole::Voter }));
-        return;
+        const std::size_t voters = this->options.voters;
+        if (voters == 0 || this->activeMembership.voterCount() < voters) {
+            change(this->activeMembership.with({ .id = learner.id, .role = MemberRole::Voter }));
+            return;
+        }
+        if (const auto gone = this->silentMember(MemberRole::Voter, now)) {
+            change(this->activeMembership.without(*gone));
+            return;
+        }
+    }
+    if (const auto gone = this->silentMember(MemberRole::Learner, now);
+        gone && this->options.voters > 0)
+        change(this->activeMembership.without(*gone));
+}
+
+std::optional<MemberId> Replica::silentMember(MemberRole role, TimePoint now) const
+{
+    const Duration patience
+        = role == MemberRole::Voter ? this->options.replaceAfter : this->options.dropLearnerAfter;
+    for (const Member &member : this->activeMembership.members) {
+        const bool isOther = member.role == role && member.id != this->self();
+        if (isOther && now >= this->progress.at(member.id).heardAt + patience)
+            return member.id;
     }
+    return std::nullopt;
 }
 
 void Replica::adoptMembershipFromLog()
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -15,6 +15,12 @@
     Duration heartbeatInterval = 75ms;
     Duration electionTimeout = 400ms; ///< shortest; the longest is twice this
     std::size_t entriesPerAppend = 256;
+    /** \brief Voters that the group keeps when nodes are replaced by others with new names; further
+     * members wait as learners. 0: each learner becomes a voter.
+     */
+    std::size_t voters = 0;
+    Duration replaceAfter = 3s; ///< a voter unheard for longer is replaced, if a learner is ready
+    Duration dropLearnerAfter = 15s; ///< with a number of voters: an unheard learner is dropped
 };
 
 /** \brief What a step of a Replica asks its process to do.
@@ -127,6 +133,8 @@
     std::uint64_t lastTerm() const;
     bool isUpToDate(std::uint64_t lastIndex, std::uint64_t lastTerm) const;
     bool hearsQuorum(TimePoint now) const;
+    /** \returns a member with \a role that the leader has not heard for too long. */
+    std::optional<MemberId> silentMember(MemberRole role, TimePoint now) const;
     bool membershipIsCommitted() const;
     std::uint64_t quorumIndex() const;
     const LogEntry &entryAt(std::uint64_t index) const;
--- a/Hibiscus/src/Rules/ControlNode.cpp
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -1,5 +1,7 @@
 #include "Hibiscus/src/Rules/ControlNode.h"
 
+#include <algorithm>
+
 namespace Hibiscus {
 
 namespace internal {
@@ -34,8 +36,11 @@
 
 void ControlNode::receive(const FetchRules &fetch, TimePoint now, Outbox &out)
 {
-    if (!this->replica().isLeader())
+    if (!this->replica().isLeader()) {
+        if (fetch.acceptsLastKnown && this->state().version() > 0)
+            out.updates.push_back({ .to = fetch.node, .update = this->wholeFile(false) });
         return;
+    }
     const std::uint64_t token = this->nextToken++;
     this->pendingFetches[token] = fetch.node;
     this->replicated.read(token, now, out.log);
@@ -73,6 +78,15 @@
     this->replicated.requestJoin(nodes, out.log);
 }
 
+void ControlNode::setEntries(const std::vector<ControlledEntry> &entries)
+{
+    this->options.entries = entries;
+    std::erase_if(this->views, [&](const auto &view) {
+        return std::ranges::none_of(
+            entries, [&](const ControlledEntry &entry) { return entry.node == view.first; });
+    });
+}
+
 void ControlNode::settle(TimePoint now, Outbox &out)
 {
     for (const auto &answer : out.log.answers) {
@@ -135,7 +149,8 @@
         if (const auto found = this->pendingReads.find(token); found != this->pendingReads.end()) {
             const RulesFile file
                 = { .version = this->state().version(), .text = this->state().text() };
-            out.read.push_back({ .request = found->second, .file = file });
+            out.read.push_back(
+                { .request = found->second, .file = file, .source = this->state().source() });
             this->pendingReads.erase(found);
         }
         if (const auto found = this->pendingFetches.find(token);
--- a/Hibiscus/src/Rules/ControlNode.h
+++ b/Hibiscus/src/Rules/ControlNode.h
@@ -41,6 +41,7 @@
 {
     RequestId request;
     std::optional<RulesFile> file; ///< empty when this member is not the leader
+    std::string source; ///< the document that the rules were made from; may be empty
     std::optional<NodeName> leader;
 
     auto operator<=>(const RulesReport &other) const = default;
@@ -80,6 +81,8 @@
     void read(const RequestId &request, TimePoint now, Outbox &out);
     void tick(TimePoint now, Outbox &out);
     void requestJoin(const std::vector<NodeName> &nodes, Outbox &out) const;
+    /** \brief Replaces the entry nodes that versions are spread to. */
+    void setEntries(const std::vector<ControlledEntry> &entries);
     void stepDown(TimePoint now) { this->replicated.stepDown(now); }
 
     // Queries.
--- a/Hibiscus/src/Rules/Rule.h
+++ b/Hibiscus/src/Rules/Rule.h
@@ -2,6 +2,7 @@
 
 #include <Hibiscus/Core>
 
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -84,9 +85,40 @@
     HIBISCUS_FIELDS(service)
 };
 
+/** \brief `service name=NAME`: a service that routes may name. */
+struct ServiceRule
+{
+    ServiceName service;
+
+    auto operator<=>(const ServiceRule &other) const = default;
+    HIBISCUS_FIELDS(service)
+};
+
+/** \brief `route name=NAME host=HOST prefix=PATH service=NAME deadline-ms=N objective-ms=N
+ * priority=N attempts=N stretch-percent=N`: where jobs of a host and path prefix run.
+ *
+ * In the values of host and prefix, bytes may be written as %XX.
+ */
+struct RouteRule
+{
+    std::string name;
+    std::string host;
+    std::string prefix;
+    ServiceName service;
+    std::uint32_t deadlineMs = 0; ///< how long a job may take, in milliseconds
+    std::uint32_t objectiveMs = 0; ///< slack of the latency objective, in milliseconds
+    std::uint32_t priority = 0; ///< 0 is the most urgent
+    std::uint32_t attempts = 1; ///< a task that failed so often has failed for good
+    std::uint32_t stretchPercent = 100; ///< of the ideal time, for the latency objective
+
+    auto operator<=>(const RouteRule &other) const = default;
+    HIBISCUS_FIELDS(name, host, prefix, service, deadlineMs, objectiveMs, priority, attempts,
+                    stretchPercent)
+};
+
 /** \brief One rule of the rules file. */
 using Rule = std::variant<TeamQuota, ServiceLimit, ServiceRate, RetryLimit, TeamPriority,
-                          DrainTarget, DrainEntry, RefuseService>;
+                          DrainTarget, DrainEntry, RefuseService, ServiceRule, RouteRule>;
 
 /** \brief A rule with the line it stands on and the name of who asked for it. */
 struct RuleLine
--- a/Hibiscus/src/Rules/RuleSet.cpp
+++ b/Hibiscus/src/Rules/RuleSet.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <map>
+#include <set>
 
 namespace Hibiscus {
 
@@ -60,6 +61,28 @@
         return value ? std::string(value->text) : std::string();
     }
 
+    /** \returns the value of \a key with each %XX decoded. */
+    std::string text(std::string_view key)
+    {
+        const auto value = this->take(key);
+        std::string decoded;
+        for (std::size_t i = 0; value && i < value->text.size(); ++i) {
+            if (value->text[i] != '%') {
+                decoded += value->text[i];
+                continue;
+            }
+            unsigned byte = 0;
+            const std::string_view digits = value->text.substr(i + 1, 2);
+            const char *end = digits.data() + digits.size();
+            const auto parsed = std::from_chars(digits.data(), end, byte, 16);
+            if (digits.size() != 2 || parsed.ec != std::errc() || parsed.ptr != end)
+                this->fail(value->column, "expected two hexadecimal digits after %");
+            decoded += static_cast<char>(byte);
+            i += 2;
+        }
+        return decoded;
+    }
+
     std::uint32_t number(std::string_view key, std::uint32_t most)
     {
         const auto value = this->take(key);
@@ -124,6 +147,10 @@
 constexpr std::uint32_t mostTasks = 10'000'000;
 constexpr std::uint32_t mostPercent = 100;
 constexpr std::uint32_t mostPriority = 9;
+constexpr std::uint32_t mostRoutePriority = 1'000'000;
+constexpr std::uint32_t mostMilliseconds = 1'000'000'000;
+constexpr std::uint32_t mostAttempts = 1'000'000;
+constexpr std::uint32_t mostStretchPercent = 100'000'000;
 
 static ParsedRule parseDrain(Arguments &arguments)
 {
@@ -132,6 +159,21 @@
     return arguments.finish(DrainTarget { .target = TargetName(arguments.name("target")) });
 }
 
+static ParsedRule parseRoute(Arguments &arguments)
+{
+    RouteRule route;
+    route.name = arguments.text("name");
+    route.host = arguments.text("host");
+    route.prefix = arguments.text("prefix");
+    route.service = ServiceName(arguments.text("service"));
+    route.deadlineMs = arguments.number("deadline-ms", mostMilliseconds);
+    route.objectiveMs = arguments.number("objective-ms", mostMilliseconds);
+    route.priority = arguments.number("priority", mostRoutePriority);
+    route.attempts = arguments.number("attempts", mostAttempts);
+    route.stretchPercent = arguments.number("stretch-percent", mostStretchPercent);
+    return arguments.finish(route);
+}
+
 static ParsedRule parseRule(const std::vector<Word> &words)
 {
     Arguments arguments(words);
@@ -157,6 +199,10 @@
         return parseDrain(arguments);
     if (verb == "refuse")
         return arguments.finish(RefuseService { .service = service() });
+    if (verb == "service")
+        return arguments.finish(ServiceRule { .service = ServiceName(arguments.text("name")) });
+    if (verb == "route")
+        return parseRoute(arguments);
     return lineError(words.front().column, "unknown rule '" + std::string(verb) + "'");
 }
 
@@ -188,6 +234,31 @@
     return parsed;
 }
 
+/** \returns what is wrong with the routes of \a lines taken together, or nothing. */
+static std::optional<RuleError> checkRoutes(const std::vector<RuleLine> &lines)
+{
+    std::set<ServiceName> services;
+    std::set<std::pair<std::string, std::string>> places;
+    for (const RuleLine &line : lines)
+        if (const auto *service = std::get_if<ServiceRule>(&line.rule))
+            services.insert(service->service);
+    for (const RuleLine &line : lines) {
+        const auto *route = std::get_if<RouteRule>(&line.rule);
+        if (route == nullptr)
+            continue;
+        std::string reason;
+        if (!services.contains(route->service))
+            reason = "the route names an unknown service";
+        else if (!places.emplace(route->host, route->prefix).second)
+            reason = "another route has the same host and prefix";
+        else if (route->deadlineMs == 0)
+            reason = "the deadline of a route is at least 1 ms";
+        if (!reason.empty())
+            return RuleError { .line = line.line, .column = 1, .reason = reason };
+    }
+    return std::nullopt;
+}
+
 } // namespace internal
 
 tl::expected<RuleSet, RuleError> RuleSet::parse(std::string_view text)
@@ -207,6 +278,8 @@
         }
         text.remove_prefix(std::min(end + 1, text.size()));
     }
+    if (const auto error = internal::checkRoutes(rules.ruleLines))
+        return tl::unexpected<RuleError>(*error);
     return rules;
 }
 
@@ -238,4 +311,17 @@
         .has_value();
 }
 
+const RouteRule *RuleSet::routeFor(std::string_view host, std::string_view path) const
+{
+    const RouteRule *best = nullptr;
+    for (const RuleLine &line : this->ruleLines) {
+        const auto *route = std::get_if<RouteRule>(&line.rule);
+        const bool matches = route != nullptr && route->host == host
+            && path.substr(0, route->prefix.size()) == route->prefix;
+        if (matches && (best == nullptr || route->prefix.size() > best->prefix.size()))
+            best = route;
+    }
+    return best;
+}
+
 } // namespace Hibiscus
--- a/Hibiscus/src/Rules/RuleSet.h
+++ b/Hibiscus/src/Rules/RuleSet.h
@@ -46,6 +46,8 @@
     bool isDrained(const TargetName &target) const;
     bool isDrained(const NodeName &entry) const;
     bool isRefused(const ServiceName &service) const;
+    /** \returns the route of \a host with the longest prefix that \a path begins with. */
+    const RouteRule *routeFor(std::string_view host, std::string_view path) const;
 
     auto operator<=>(const RuleSet &other) const = default;
 
--- a/Hibiscus/src/Rules/RulesMessage.h
+++ b/Hibiscus/src/Rules/RulesMessage.h
@@ -49,9 +49,11 @@
 struct FetchRules
 {
     NodeName node;
+    /** \brief The asker has waited in vain for a confirmed version: any member may answer. */
+    bool acceptsLastKnown = false;
 
     auto operator<=>(const FetchRules &other) const = default;
-    HIBISCUS_FIELDS(node)
+    HIBISCUS_FIELDS(node, acceptsLastKnown)
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Rules/RulesState.cpp
+++ b/Hibiscus/src/Rules/RulesState.cpp
@@ -24,27 +24,43 @@
 
 ApplyReply RulesState::apply(const ApplyRules &command)
 {
+    const auto rules = RuleSet::parse(command.text);
+    const auto invalid = [&]() -> ApplyReply {
+        return { .verdict = ApplyVerdict::Invalid,
+                 .version = this->currentVersion,
+                 .error = rules.error() };
+    };
+    if (command.assignedVersion > 0) {
+        if (!rules)
+            return invalid();
+        if (command.assignedVersion > this->currentVersion)
+            this->replace(command, command.assignedVersion);
+        return { .verdict = ApplyVerdict::Accepted, .version = this->currentVersion };
+    }
     const auto isResend = [&](const RulesChange &c) { return c.applyId == command.applyId; };
     const auto first = std::ranges::find_if(this->changes, isResend);
     if (first != this->changes.end())
         return { .verdict = ApplyVerdict::Accepted, .version = first->version };
     if (command.expectedVersion != this->currentVersion)
         return this->conflict();
-    const auto rules = RuleSet::parse(command.text);
     if (!rules)
-        return { .verdict = ApplyVerdict::Invalid,
-                 .version = this->currentVersion,
-                 .error = rules.error() };
-    ++this->currentVersion;
+        return invalid();
+    this->replace(command, this->currentVersion + 1);
+    return { .verdict = ApplyVerdict::Accepted, .version = this->currentVersion };
+}
+
+void RulesState::replace(const ApplyRules &command, std::uint64_t version)
+{
+    this->currentVersion = version;
     this->changes.push_back({ .version = this->currentVersion,
                               .applyId = command.applyId,
                               .author = command.author,
                               .at = command.at,
                               .lines = internal::linesBrought(this->currentText, command.text) });
     this->currentText = command.text;
+    this->currentSource = command.source;
     if (this->changes.size() > internal::mostChanges)
         this->changes.pop_front();
-    return { .verdict = ApplyVerdict::Accepted, .version = this->currentVersion };
 }
 
 ApplyReply RulesState::conflict() const
@@ -64,7 +80,7 @@
     std::ostringstream stream(std::ios::binary);
     {
         cereal::PortableBinaryOutputArchive archive(stream);
-        archive(this->currentVersion, this->currentText, this->changes);
+        archive(this->currentVersion, this->currentText, this->currentSource, this->changes);
     }
     return std::move(stream).str();
 }
@@ -74,7 +90,7 @@
     std::istringstream stream(bytes, std::ios::binary);
     cereal::PortableBinaryInputArchive archive(stream);
     const std::uint64_t former = this->currentVersion;
-    archive(this->currentVersion, this->currentText, this->changes);
+    archive(this->currentVersion, this->currentText, this->currentSource, this->changes);
     HIBISCUS_INVARIANT(this->currentVersion >= former, "an accepted rule never reverts");
 }
 
--- a/Hibiscus/src/Rules/RulesState.h
+++ b/Hibiscus/src/Rules/RulesState.h
@@ -15,9 +15,14 @@
     std::string author;
     std::string text;
     TimePoint at; ///< set by the control group's leader
+    /** \brief Given by a system that numbers its versions itself: the highest one counts, whatever
+     * order they come in. 0: the next version, if expectedVersion is the present one.
+     */
+    std::uint64_t assignedVersion = 0;
+    std::string source; ///< the document that the text was made from, for reading it back
 
     auto operator<=>(const ApplyRules &other) const = default;
-    HIBISCUS_FIELDS(applyId, expectedVersion, author, text, at)
+    HIBISCUS_FIELDS(applyId, expectedVersion, author, text, at, assignedVersion, source)
 };
 
 /** \brief What became of an ApplyRules. */
@@ -69,13 +74,16 @@
     std::uint64_t size() const { return this->changes.size(); }
     std::uint64_t version() const { return this->currentVersion; }
     const std::string &text() const { return this->currentText; }
+    const std::string &source() const { return this->currentSource; }
     const std::deque<RulesChange> &history() const { return this->changes; }
 
 private:
     ApplyReply conflict() const;
+    void replace(const ApplyRules &command, std::uint64_t version);
 
     std::uint64_t currentVersion = 0;
     std::string currentText;
+    std::string currentSource;
     std::deque<RulesChange> changes;
 };
 
--- a/Hibiscus/src/Settings/Deployment.cpp
+++ b/Hibiscus/src/Settings/Deployment.cpp
@@ -1,16 +1,13 @@
 #include "Hibiscus/src/Settings/Deployment.h"
 
 #include "Hibiscus/src/Settings/DeploymentSchema.h"
+#include "Hibiscus/src/Settings/SchemaCheck.h"
 
 #include <algorithm>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <sstream>
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validator.hpp>
 
 namespace Hibiscus {
 
@@ -19,39 +16,6 @@
 using Json = nlohmann::json;
 using Errors = std::vector<SettingsError>;
 
-/** \returns the JSON pointer of an error that the validator describes as `<root>[key][0]`. */
-static std::string pointerOf(const std::vector<std::string> &context)
-{
-    std::string pointer;
-    for (std::string part : context) {
-        if (part == "<root>")
-            continue;
-        std::erase_if(part, [](char c) { return c == '[' || c == ']' || c == '"'; });
-        pointer += "/" + part;
-    }
-    return pointer.empty() ? "/" : pointer;
-}
-
-static Errors checkSchema(const Json &document)
-{
-    const Json schemaDocument = Json::parse(deploymentSchema);
-    valijson::Schema schema;
-    valijson::SchemaParser parser;
-    const valijson::adapters::NlohmannJsonAdapter schemaAdapter(schemaDocument);
-    parser.populateSchema(schemaAdapter, schema);
-    valijson::Validator validator;
-    valijson::ValidationResults results;
-    const valijson::adapters::NlohmannJsonAdapter adapter(document);
-    Errors errors;
-    if (validator.validate(schema, adapter, &results))
-        return errors;
-    valijson::ValidationResults::Error error;
-    while (results.popError(error))
-        errors.push_back({ .path = pointerOf(error.context), .reason = error.description });
-    // The validator reports the cause first and then each level that contains it.
-    return errors;
-}
-
 static NodeRole roleOf(const std::string &text)
 {
     if (text == "journal")
@@ -195,7 +159,8 @@
     const internal::Json document = internal::Json::parse(json, nullptr, false);
     if (document.is_discarded())
         return tl::unexpected(internal::Errors { { .path = "/", .reason = "not valid JSON" } });
-    if (internal::Errors errors = internal::checkSchema(document); !errors.empty())
+    if (internal::Errors errors = internal::checkSchema(internal::deploymentSchema, document);
+        !errors.empty())
         return tl::unexpected(std::move(errors));
     const Deployment deployment = internal::readDocument(document);
     if (internal::Errors errors = internal::checkMeaning(deployment); !errors.empty())
--- /dev/null
+++ b/Hibiscus/src/Settings/NodeProfileSchema.h
@@ -0,0 +1,35 @@
+#pragma once
+
+namespace Hibiscus::internal {
+
+/** \brief The JSON schema of the settings of a node that finds the others by itself. */
+inline constexpr const char *nodeProfileSchema = R"schema({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["node", "domain", "ip", "peer_address", "registry_seeds"],
+  "properties": {
+    "node": { "type": "string", "minLength": 1 },
+    "domain": { "type": "string", "minLength": 1 },
+    "ip": { "type": "string", "minLength": 7 },
+    "peer_address": { "$ref": "#/definitions/address" },
+    "targets_address": { "$ref": "#/definitions/address" },
+    "metrics_address": { "$ref": "#/definitions/address" },
+    "callers_address": { "$ref": "#/definitions/address" },
+    "readiness_address": { "$ref": "#/definitions/address" },
+    "operators_address": { "$ref": "#/definitions/address" },
+    "registry_seeds": {
+      "type": "array", "minItems": 1, "items": { "$ref": "#/definitions/address" }
+    },
+    "is_first_start": { "type": "boolean" },
+    "data_folder": { "type": "string" },
+    "processor_share": { "type": "number", "exclusiveMinimum": 0 },
+    "lease_ms": { "type": "number", "minimum": 1 },
+    "stop_bound_s": { "type": "number", "minimum": 0 },
+    "heartbeat_ms": { "type": "number", "minimum": 1 }
+  },
+  "definitions": {
+    "address": { "type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$" }
+  }
+})schema";
+
+} // namespace Hibiscus::internal
--- a/Hibiscus/src/Telemetry/StateLog.cpp
+++ b/Hibiscus/src/Telemetry/StateLog.cpp
@@ -1,8 +1,12 @@
 #include "Hibiscus/src/Telemetry/StateLog.h"
 
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace Hibiscus {
 
@@ -19,19 +23,84 @@
     return line.dump(-1, ' ', false, replace).substr(1);
 }
 
-} // namespace internal
+/** \brief Writes lines to standard output as long as they fit, and counts the others. */
+class BoundedSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+protected:
+    void sink_it_(const spdlog::details::log_msg &message) override
+    {
+        this->refill(message.time);
+        if (this->budget < 1 || !canWrite()) {
+            ++this->leftOut;
+            return;
+        }
+        this->budget -= 1;
+        spdlog::memory_buf_t line;
+        this->formatter_->format(message, line);
+        if (this->leftOut > 0) {
+            const std::string count
+                = ",\"lines_left_out\":" + std::to_string(this->leftOut) + "}\n";
+            line.resize(line.size() - 2);
+            line.append(count.data(), count.data() + count.size());
+            this->leftOut = 0;
+        }
+        const bool written
+            = ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+        if (!written)
+            ++this->leftOut;
+    }
 
-void initializeLog(std::string_view node)
+    void flush_() override { }
+
+private:
+    static constexpr double linesPerSecond = 400; ///< more than twice a busy node's decisions
+    static constexpr double mostSaved = 1200; ///< a burst of three seconds
+
+    void refill(spdlog::log_clock::time_point time)
+    {
+        const std::chrono::duration<double> passed = time - this->refilledAt;
+        this->budget = std::min(mostSaved, this->budget + passed.count() * linesPerSecond);
+        this->refilledAt = time;
+    }
+
+    // A pipe is writable when it has room for a whole page, which is longer than a line.
+    static bool canWrite()
+    {
+        pollfd output = { .fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0 };
+        return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+    }
+
+    double budget = mostSaved;
+    spdlog::log_clock::time_point refilledAt;
+    std::uint64_t leftOut = 0;
+};
+
+/** \brief Sends the log of this process to \a logger. */
+static void useLogger(const std::shared_ptr<spdlog::logger> &logger, std::string_view node)
 {
-    const auto logger = spdlog::stderr_logger_mt("state");
     logger->set_pattern(
         std::string("{\"time\":\"%Y-%m-%dT%H:%M:%S.%eZ\",\"level\":\"%l\",\"node\":\"")
             + std::string(node) + "\",%v",
         spdlog::pattern_time_type::utc);
-    logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
 }
 
+} // namespace internal
+
+void initializeEventLog(std::string_view node)
+{
+    internal::useLogger(
+        std::make_shared<spdlog::logger>("events", std::make_shared<internal::BoundedSink>()),
+        node);
+}
+
+void initializeLog(std::string_view node)
+{
+    const auto logger = spdlog::stderr_logger_mt("state");
+    logger->flush_on(spdlog::level::info);
+    internal::useLogger(logger, node);
+}
+
 void logChange(std::string_view event, std::initializer_list<LogField> fields)
 {
     spdlog::info(internal::fieldsOf(event, fields));
--- a/Hibiscus/src/Telemetry/StateLog.h
+++ b/Hibiscus/src/Telemetry/StateLog.h
@@ -17,6 +17,13 @@
 /** \brief Sets up the log of this process: JSON lines on standard error. */
 void initializeLog(std::string_view node);
 
+/** \brief Sets up the log of this process: JSON lines on standard output.
+ *
+ * Lines beyond a rate, and lines that the reader is too slow for, are left out and counted; the
+ * process never waits.
+ */
+void initializeEventLog(std::string_view node);
+
 /** \brief Logs a change of state. What happens often is counted instead; see Metrics. */
 void logChange(std::string_view event, std::initializer_list<LogField> fields = {});
 
