--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -119,7 +119,7 @@
 void GatewayProcess::onCaller(const HttpRequest &request)
 {
     this->lastCallAt = this->loop.now();
-    if (this->rules.standing() == RulesStanding::None) {
+    if (!this->hasRules()) {
         this->refuse(request.token, internal::StatusUnavailable, 1s, "no-rules");
         return;
     }
@@ -410,10 +410,15 @@
         this->loop.stop();
 }
 
+// Version 0 is the state of a system that nobody has given rules yet.
+bool GatewayProcess::hasRules() const
+{
+    return this->rules.standing() != RulesStanding::None && this->rules.file().version > 0;
+}
+
 bool GatewayProcess::isReady() const
 {
-    const bool hasRules = this->rules.standing() != RulesStanding::None;
-    return hasRules && stopRequests() == 0;
+    return this->hasRules() && stopRequests() == 0;
 }
 
 void GatewayProcess::updateMetrics()
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -42,6 +42,7 @@
     void takeRules(const RulesUpdate &update);
     void reload(const NodeProfile &profile);
     void continueStop(TimePoint now);
+    bool hasRules() const;
     bool isReady() const;
     void updateMetrics();
 
--- /dev/null
+++ b/test/support/FleetWorld.cpp
@@ -0,0 +1,556 @@
+#include "test/support/FleetWorld.h"
+
+#include <algorithm>
+
+namespace Hibiscus::Fake {
+
+namespace {
+
+constexpr Duration orderTimeout = 150ms;
+constexpr Duration pollSlack = 300ms;
+constexpr Duration stopTime = 30ms; ///< a target ends a stopped run within it
+constexpr Duration tickInterval = 10ms;
+
+std::int64_t clockOf(TimePoint now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+}
+
+RunName taskOf(const RunName &run)
+{
+    RunName task = run;
+    task.attempt = 0;
+    return task;
+}
+
+std::string domainOf(const std::string &name)
+{
+    return name.substr(name.find('-') + 1, 1);
+}
+
+} // namespace
+
+/** \brief One gateway: its life, and what waits for it while it is frozen. */
+struct FleetWorld::Gateway
+{
+    std::string name;
+    std::unique_ptr<FleetNode> node;
+    std::uint64_t life = 0;
+    bool isFrozen = false;
+    std::vector<std::function<void()>> backlog;
+};
+
+FleetWorld::FleetWorld(const FleetWorldOptions &options) : options(options), random(options.seed)
+{
+    for (const std::string &domain : options.domains) {
+        for (std::uint32_t i = 1; i <= options.gatewaysPerDomain; ++i) {
+            auto gateway = std::make_unique<Gateway>();
+            gateway->name = "g-" + domain + std::to_string(i);
+            this->gateways[gateway->name] = std::move(gateway);
+        }
+        for (std::uint32_t i = 1; i <= options.targetsPerDomain; ++i) {
+            const std::string name = "t-" + domain + std::to_string(i);
+            FleetTarget &target = this->targets[name];
+            target.self.name = TargetName(name);
+            target.self.life = 1;
+            target.self.address = "127.0.0.1:1";
+            target.self.service = ServiceName("s");
+            target.self.domain = DomainName(domain);
+            target.self.kind = "k";
+            target.self.capacity = options.capacity;
+            this->scheduler.after(Duration(1000 * i), [this, name] { this->beat(name); });
+        }
+    }
+    for (const auto &[name, gateway] : this->gateways)
+        this->startGateway(*gateway);
+}
+
+FleetWorld::~FleetWorld() = default;
+
+void FleetWorld::startGateway(Gateway &gateway)
+{
+    FleetNodeOptions nodeOptions;
+    nodeOptions.self = NodeName(gateway.name);
+    nodeOptions.life = ++gateway.life;
+    nodeOptions.domain = DomainName(domainOf(gateway.name));
+    nodeOptions.targetsAddress = gateway.name;
+    gateway.node = std::make_unique<FleetNode>(nodeOptions);
+    gateway.isFrozen = false;
+    gateway.backlog.clear();
+    for (const auto &[name, other] : this->gateways)
+        gateway.node->meet(NodeName(name), this->now());
+    const auto tick = std::make_shared<std::function<void()>>();
+    *tick = [this, &gateway, life = gateway.life, tick] {
+        if (!gateway.node || gateway.life != life)
+            return;
+        if (!gateway.isFrozen) {
+            for (const auto &[name, other] : this->gateways)
+                gateway.node->meet(NodeName(name), this->now());
+            gateway.node->tick(this->now());
+            this->settle(gateway);
+        }
+        this->scheduler.after(tickInterval, *tick);
+    };
+    this->scheduler.after(tickInterval, *tick);
+}
+
+void FleetWorld::deliver(Gateway &gateway, const std::function<void(FleetNode &, TimePoint)> &work)
+{
+    if (!gateway.node)
+        return;
+    const auto act = [this, &gateway, work, life = gateway.life] {
+        if (!gateway.node || gateway.life != life)
+            return;
+        work(*gateway.node, this->now());
+        this->settle(gateway);
+    };
+    if (gateway.isFrozen)
+        gateway.backlog.push_back(act);
+    else
+        act();
+}
+
+void FleetWorld::settle(Gateway &gateway)
+{
+    const FleetOutbox out = gateway.node->settle(this->now());
+    for (const TargetOrder &order : out.orders)
+        this->carryOut(gateway, order);
+    for (const AddressedFleetMessage &item : out.messages)
+        this->send(gateway, item);
+    for (const JobOutcome &outcome : out.outcomes) {
+        for (const std::uint64_t token : outcome.callers) {
+            const auto found = this->callers.find(token);
+            if (found == this->callers.end() || found->second.isOver)
+                continue;
+            found->second.isOver = true;
+            this->answered[outcome.job] = { .job = outcome.job,
+                                            .verdict = outcome.verdict,
+                                            .reason = outcome.reason,
+                                            .took = this->now() - found->second.sentAt };
+        }
+        if (outcome.verdict != JobVerdict::Refused)
+            continue;
+        this->refusedJobs.insert(outcome.job);
+        if (this->startedJobs.contains(outcome.job))
+            this->note("job " + outcome.job + " was refused after a task of it had started");
+    }
+}
+
+void FleetWorld::send(Gateway &from, const AddressedFleetMessage &item)
+{
+    const std::string to = item.to.str();
+    std::uniform_real_distribution<double> chance(0, 1);
+    if (this->isCut(from.name, to) || chance(this->random) < this->options.lostMessages)
+        return;
+    this->scheduler.after(this->delay(from.name, to), [this, to, message = item.message] {
+        this->deliver(*this->gateways.at(to),
+                      [message](FleetNode &node, TimePoint now) { node.receive(message, now); });
+    });
+}
+
+void FleetWorld::carryOut(Gateway &from, const TargetOrder &order)
+{
+    if (const auto *polling = std::get_if<PollOrder>(&order)) {
+        this->poll(from, *polling, this->now() + polling->wait);
+        return;
+    }
+    const OrderAddress &to = std::holds_alternative<StartOrder>(order)
+        ? std::get<StartOrder>(order).to
+        : std::get<StopOrder>(order).to;
+    const std::string targetName = to.target.str();
+    const Duration oneWay = this->delay(from.name, targetName);
+    const bool isReachable = !this->targets.at(targetName).cutFrom.contains(from.name);
+    std::uniform_real_distribution<double> chance(0, 1);
+    const bool isLate = chance(this->random) < this->options.lateOrders;
+    const auto finish = [this, &from, order](const OrderAnswer &answer) {
+        this->deliver(from, [order, answer](FleetNode &node, TimePoint now) {
+            if (const auto *start = std::get_if<StartOrder>(&order))
+                node.finishStart(start->to, start->run, answer, now);
+            if (const auto *stopping = std::get_if<StopOrder>(&order))
+                node.finishStop(stopping->to, stopping->run, answer, now);
+        });
+    };
+    const auto act = [this, order, targetName]() -> std::optional<OrderAnswer> {
+        FleetTarget &target = this->targets.at(targetName);
+        if (!target.isUp)
+            return std::nullopt;
+        this->lapse(target);
+        if (const auto *start = std::get_if<StartOrder>(&order))
+            return this->apply(target, *start);
+        return this->apply(target, std::get<StopOrder>(order));
+    };
+    std::uniform_int_distribution<int> lateness(2'000, 12'000);
+    if (isLate)
+        this->scheduler.after(std::chrono::milliseconds(lateness(this->random)), [act] { act(); });
+    if (isLate || !isReachable) {
+        this->scheduler.after(orderTimeout, [finish] { finish({}); });
+        return;
+    }
+    this->scheduler.after(oneWay, [this, act, finish, oneWay] {
+        const auto answer = act();
+        const Duration back = answer ? oneWay : orderTimeout;
+        this->scheduler.after(back, [finish, answer] { finish(answer.value_or(OrderAnswer {})); });
+    });
+}
+
+bool FleetWorld::obeys(FleetTarget &target, const OrderAddress &to) const
+{
+    if (to.fencingToken < target.token)
+        return false;
+    target.token = to.fencingToken;
+    return true;
+}
+
+OrderAnswer FleetWorld::apply(FleetTarget &target, const StartOrder &order)
+{
+    const std::int64_t clock = clockOf(this->now());
+    if (order.to.life != target.self.life)
+        return { .verdict = OrderVerdict::OtherLife, .clock = clock };
+    if (!this->obeys(target, order.to))
+        return { .verdict = OrderVerdict::Fenced, .clock = clock };
+    if (target.running.contains(order.run))
+        return { .verdict = OrderVerdict::Done, .clock = clock };
+    const auto over = target.highestOver.find(taskOf(order.run));
+    if (over != target.highestOver.end() && order.run.attempt <= over->second)
+        return { .verdict = OrderVerdict::Superseded, .clock = clock };
+    if (order.leaseUntil <= clock)
+        return { .verdict = OrderVerdict::Late, .clock = clock };
+    const Duration lease
+        = std::min<Duration>(std::chrono::milliseconds(order.leaseUntil - clock), 1s);
+    target.leaseUntil = std::max(target.leaseUntil, this->now() + lease);
+    for (const auto &[name, other] : this->targets)
+        for (const auto &[run, held] : other.running)
+            if (other.isUp && run.isSameTask(order.run))
+                this->note("task of job " + run.job + " runs twice: on " + name + " and "
+                           + target.self.name.str());
+    if (this->refusedJobs.contains(order.run.job))
+        this->note("job " + order.run.job + " was refused and a task of it starts");
+    this->startedJobs.insert(order.run.job);
+    ++this->startCount;
+    const std::uint64_t number = this->nextRun++;
+    target.running[order.run] = { .number = number, .startedAt = this->now() };
+    const double seconds = toSeconds(this->taskTimes.at(order.run.job)) / target.speed;
+    this->scheduler.after(fromSeconds(seconds), [this, &target, run = order.run, number] {
+        this->lapse(target);
+        const auto found = target.running.find(run);
+        if (target.isUp && found != target.running.end() && found->second.number == number)
+            this->endRun(target, run, TargetRunEnd::Completed);
+    });
+    return { .verdict = OrderVerdict::Done, .clock = clock };
+}
+
+OrderAnswer FleetWorld::apply(FleetTarget &target, const StopOrder &order)
+{
+    const std::int64_t clock = clockOf(this->now());
+    if (order.to.life != target.self.life)
+        return { .verdict = OrderVerdict::OtherLife, .clock = clock };
+    if (!this->obeys(target, order.to))
+        return { .verdict = OrderVerdict::Fenced, .clock = clock };
+    std::uint64_t &over = target.highestOver[taskOf(order.run)];
+    over = std::max(over, order.run.attempt);
+    if (target.running.contains(order.run))
+        this->scheduler.after(stopTime, [this, &target, run = order.run] {
+            if (target.running.contains(run))
+                this->endRun(target, run, TargetRunEnd::Stopped);
+        });
+    return { .verdict = OrderVerdict::Done, .clock = clock };
+}
+
+void FleetWorld::endRun(FleetTarget &target, const RunName &run, TargetRunEnd end)
+{
+    target.running.erase(run);
+    std::uint64_t &over = target.highestOver[taskOf(run)];
+    over = std::max(over, run.attempt);
+    target.ended.push_back({ .number = target.nextEnd++, .run = run, .end = end });
+}
+
+void FleetWorld::lapse(FleetTarget &target)
+{
+    if (this->now() < target.leaseUntil)
+        return;
+    while (!target.running.empty())
+        this->endRun(target, RunName(target.running.begin()->first), TargetRunEnd::Lapsed);
+}
+
+void FleetWorld::poll(Gateway &from, const PollOrder &order, TimePoint until)
+{
+    const std::string name = order.to.target.str();
+    const Duration oneWay = this->delay(from.name, name);
+    const auto finish = [this, &from, to = order.to](const PollAnswer &answer) {
+        this->deliver(from, [to, answer](FleetNode &node, TimePoint now) {
+            node.finishPoll(to, answer, now);
+        });
+    };
+    FleetTarget &target = this->targets.at(name);
+    if (target.cutFrom.contains(from.name) || !target.isUp) {
+        this->scheduler.after(order.wait + pollSlack, [finish] { finish({}); });
+        return;
+    }
+    const auto look = std::make_shared<std::function<void()>>();
+    *look = [this, order, until, finish, oneWay, &target, look] {
+        PollAnswer answer;
+        answer.clock = clockOf(this->now());
+        if (!target.isUp) {
+            this->scheduler.after(pollSlack, [finish] { finish({}); });
+            return;
+        }
+        this->lapse(target);
+        if (order.to.life != target.self.life)
+            answer.verdict = OrderVerdict::OtherLife;
+        else if (!this->obeys(target, order.to))
+            answer.verdict = OrderVerdict::Fenced;
+        else
+            answer.verdict = OrderVerdict::Done;
+        if (answer.verdict == OrderVerdict::Done) {
+            std::erase_if(target.ended,
+                          [&](const ListedEnd &e) { return e.number <= order.acknowledged; });
+            const bool hasNews = !target.ended.empty() || this->now() >= until;
+            if (!hasNews) {
+                this->scheduler.after(2ms, *look);
+                return;
+            }
+            for (const auto &[run, held] : target.running)
+                answer.running.push_back(run);
+            answer.ended = target.ended;
+        }
+        this->scheduler.after(oneWay, [finish, answer] { finish(answer); });
+    };
+    this->scheduler.after(oneWay, [this, order, &target, look] {
+        if (target.isUp && order.to.life == target.self.life && this->obeys(target, order.to)) {
+            this->lapse(target);
+            target.leaseUntil = std::max(target.leaseUntil, this->now() + 1s);
+        }
+        (*look)();
+    });
+}
+
+void FleetWorld::beat(const std::string &name)
+{
+    FleetTarget &target = this->targets.at(name);
+    this->scheduler.after(this->options.heartbeat, [this, name] { this->beat(name); });
+    if (!target.isUp)
+        return;
+    ++target.self.sequence;
+    target.self.clock = clockOf(this->now());
+    std::string to = target.heartbeatAt;
+    const auto canHear = [&](const std::string &gateway) {
+        const auto found = this->gateways.find(gateway);
+        return found != this->gateways.end() && found->second->node && !found->second->isFrozen
+            && !target.cutFrom.contains(gateway);
+    };
+    // As a registry node would: some gateway of the domain that can be heard, or of any other.
+    std::vector<std::string> near;
+    std::vector<std::string> any;
+    for (const auto &[gateway, held] : this->gateways) {
+        if (!canHear(gateway))
+            continue;
+        any.push_back(gateway);
+        if (domainOf(gateway) == target.self.domain.str())
+            near.push_back(gateway);
+    }
+    const std::vector<std::string> &choice = near.empty() ? any : near;
+    if (!canHear(to)) {
+        if (choice.empty())
+            return;
+        std::uniform_int_distribution<std::size_t> pick(0, choice.size() - 1);
+        to = choice[pick(this->random)];
+    }
+    target.heartbeatAt = to;
+    this->scheduler.after(this->delay(to, name), [this, to, name] {
+        FleetTarget &said = this->targets.at(name);
+        this->deliver(*this->gateways.at(to), [&](FleetNode &node, TimePoint now) {
+            node.hear({ .target = said.self }, now);
+            const std::string next = node.heartbeatAddressOf(said.self.name);
+            if (!next.empty())
+                said.heartbeatAt = next;
+        });
+    });
+}
+
+std::string FleetWorld::submit(const std::string &gateway, std::uint32_t tasks, Duration taskTime,
+                               Duration patience)
+{
+    const std::uint64_t token = this->nextToken++;
+    Caller &caller = this->callers[token];
+    caller.job.id = "job" + std::to_string(token);
+    caller.job.spec = "spec";
+    JobStep step;
+    step.count = tasks;
+    step.demand = { .cpu = 27'000, .memory = 64 };
+    step.estimate = taskTime;
+    caller.job.steps = { step };
+    caller.taskTime = taskTime;
+    caller.sentAt = this->now();
+    caller.deadlineAt = this->now() + patience;
+    this->taskTimes[caller.job.id] = taskTime;
+    this->place(token, gateway);
+    return caller.job.id;
+}
+
+void FleetWorld::place(std::uint64_t token, const std::string &gateway)
+{
+    Caller &caller = this->callers.at(token);
+    caller.gateway = gateway;
+    this->scheduler.after(this->options.toCaller, [this, token, gateway] {
+        Gateway &at = *this->gateways.at(gateway);
+        const Caller &from = this->callers.at(token);
+        if (from.isOver || this->now() >= from.deadlineAt)
+            return;
+        if (!at.node) {
+            this->breakConnections(gateway);
+            return;
+        }
+        JobTerms terms;
+        terms.service = ServiceName("s");
+        terms.mostFailures = 3;
+        terms.stretch = 1.6;
+        terms.slack = 60ms;
+        terms.untilDeadline = from.deadlineAt - this->now();
+        this->deliver(at, [token, terms, job = from.job](FleetNode &node, TimePoint now) {
+            node.submit(job, terms, token, now);
+        });
+    });
+    this->scheduler.at(caller.deadlineAt, [this, token, gateway] {
+        Caller &gone = this->callers.at(token);
+        if (gone.isOver || gone.gateway != gateway)
+            return;
+        gone.isOver = true;
+        Gateway &at = *this->gateways.at(gateway);
+        this->deliver(at, [token](FleetNode &node, TimePoint now) { node.leave(token, now); });
+    });
+}
+
+// Callers whose connection breaks send the job again after a while, to another gateway.
+void FleetWorld::breakConnections(const std::string &gateway)
+{
+    std::vector<std::string> others;
+    for (const auto &[name, other] : this->gateways)
+        if (name != gateway)
+            others.push_back(name);
+    for (auto &[token, caller] : this->callers) {
+        if (caller.isOver || caller.gateway != gateway)
+            continue;
+        if (this->now() + this->options.resend >= caller.deadlineAt)
+            continue;
+        std::uniform_int_distribution<std::size_t> pick(0, others.size() - 1);
+        caller.gateway.clear();
+        this->scheduler.after(
+            this->options.resend,
+            [this, number = token, to = others[pick(this->random)]] { this->place(number, to); });
+    }
+}
+
+void FleetWorld::kill(const std::string &gateway, Duration downFor)
+{
+    Gateway &killed = *this->gateways.at(gateway);
+    killed.node.reset();
+    this->breakConnections(gateway);
+    this->scheduler.after(downFor, [this, &killed] {
+        if (!killed.node)
+            this->startGateway(killed);
+    });
+}
+
+void FleetWorld::freeze(const std::string &gateway, Duration span)
+{
+    Gateway &frozen = *this->gateways.at(gateway);
+    frozen.isFrozen = true;
+    this->scheduler.after(span, [&frozen, life = frozen.life] {
+        if (frozen.life != life)
+            return;
+        frozen.isFrozen = false;
+        for (const auto &work : std::exchange(frozen.backlog, {}))
+            work();
+    });
+}
+
+void FleetWorld::stop(const std::string &gateway)
+{
+    this->deliver(*this->gateways.at(gateway), [](FleetNode &node, TimePoint) { node.drain(); });
+}
+
+void FleetWorld::cut(const std::string &one, const std::string &other)
+{
+    if (this->targets.contains(other))
+        this->targets.at(other).cutFrom.insert(one);
+    else
+        this->cuts.insert(std::minmax(one, other));
+}
+
+void FleetWorld::heal()
+{
+    this->cuts.clear();
+    for (auto &[name, target] : this->targets)
+        target.cutFrom.clear();
+}
+
+void FleetWorld::crash(const std::string &target, Duration downFor)
+{
+    FleetTarget &crashed = this->targets.at(target);
+    crashed.isUp = false;
+    crashed.running.clear();
+    crashed.ended.clear();
+    this->scheduler.after(downFor, [this, &crashed] {
+        FleetTarget fresh;
+        fresh.self = crashed.self;
+        fresh.self.life = crashed.self.life + 1;
+        fresh.self.sequence = 0;
+        fresh.speed = crashed.speed;
+        fresh.cutFrom = crashed.cutFrom;
+        crashed = fresh;
+    });
+}
+
+void FleetWorld::setDraining(const std::string &target)
+{
+    this->targets.at(target).self.standing = TargetStanding::Draining;
+}
+
+std::vector<std::string> FleetWorld::gatewayNames() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, gateway] : this->gateways)
+        names.push_back(name);
+    return names;
+}
+
+std::vector<std::string> FleetWorld::targetNames() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, target] : this->targets)
+        names.push_back(name);
+    return names;
+}
+
+const FleetNode *FleetWorld::gateway(const std::string &name) const
+{
+    return this->gateways.at(name)->node.get();
+}
+
+double FleetWorld::served() const
+{
+    const auto completed = std::ranges::count_if(this->answered, [](const auto &item) {
+        return item.second.verdict == JobVerdict::Completed;
+    });
+    return this->callers.empty()
+        ? 1
+        : static_cast<double>(completed) / static_cast<double>(this->callers.size());
+}
+
+bool FleetWorld::isCut(const std::string &one, const std::string &other) const
+{
+    return this->cuts.contains(std::minmax(one, other));
+}
+
+Duration FleetWorld::delay(const std::string &one, const std::string &other) const
+{
+    return domainOf(one) == domainOf(other) ? this->options.withinDomain
+                                            : this->options.betweenDomains;
+}
+
+void FleetWorld::note(const std::string &promise)
+{
+    this->brokenPromises.push_back(promise);
+}
+
+} // namespace Hibiscus::Fake
--- /dev/null
+++ b/test/support/FleetWorld.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "test/support/Scheduler.h"
+
+#include <Hibiscus/Fleet>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace Hibiscus::Fake {
+
+/** \brief The sizes, times and faults of a FleetWorld. */
+struct FleetWorldOptions
+{
+    std::vector<std::string> domains = { "a", "b", "c" };
+    std::uint32_t gatewaysPerDomain = 2;
+    std::uint32_t targetsPerDomain = 4;
+    Capacity capacity = { .cpu = 64'000, .memory = 262'144 };
+    Duration withinDomain = 200us;
+    Duration betweenDomains = 1ms;
+    Duration toCaller = 3ms;
+    Duration heartbeat = 1500ms;
+    Duration resend = 1300ms; ///< callers send a job again after its connection broke
+    double lateOrders = 0; ///< share of orders that are not answered and carried out late
+    double lostMessages = 0; ///< share of messages between gateways that are lost
+    std::uint64_t seed = 1;
+};
+
+/** \brief A target that keeps the rules of leases, fencing and attempts, in virtual time. */
+struct FleetTarget
+{
+    struct Run
+    {
+        std::uint64_t number = 0; ///< of the event that ends it
+        TimePoint startedAt;
+    };
+
+    LeasedTarget self;
+    bool isUp = true;
+    double speed = 1;
+    std::uint64_t token = 0;
+    TimePoint leaseUntil;
+    std::map<RunName, Run> running;
+    std::vector<ListedEnd> ended;
+    std::map<RunName, std::uint64_t> highestOver; ///< by task, with attempt 0
+    std::uint64_t nextEnd = 1;
+    std::string heartbeatAt; ///< a gateway's name, or empty: any
+    std::set<std::string> cutFrom; ///< gateways that cannot reach it
+};
+
+/** \brief What a caller got. */
+struct FleetAnswer
+{
+    std::string job;
+    JobVerdict verdict = JobVerdict::Failed;
+    OutcomeReason reason = OutcomeReason::None;
+    Duration took {};
+};
+
+/** \brief Gateways, targets and callers in virtual time, and the promises that an observer outside
+ * checks: no two runs of a task at once, nothing started of a job that was refused, no target
+ * filled beyond its capacity.
+ */
+class FleetWorld
+{
+public:
+    explicit FleetWorld(const FleetWorldOptions &options);
+    ~FleetWorld();
+
+    // Commands.
+    void run(Duration span) { this->scheduler.runUntil(this->scheduler.now() + span); }
+    /** \brief Submits a job of \a tasks tasks to a gateway. \returns its id. */
+    std::string submit(const std::string &gateway, std::uint32_t tasks, Duration taskTime,
+                       Duration patience = 1500ms);
+    void kill(const std::string &gateway, Duration downFor);
+    void freeze(const std::string &gateway, Duration span);
+    void stop(const std::string &gateway);
+    void cut(const std::string &one, const std::string &other);
+    void heal();
+    void crash(const std::string &target, Duration downFor);
+    void setDraining(const std::string &target);
+    std::mt19937_64 &dice() { return this->random; }
+
+    // Queries.
+    TimePoint now() const { return this->scheduler.now(); }
+    const std::map<std::string, FleetAnswer> &answers() const { return this->answered; }
+    const std::vector<std::string> &broken() const { return this->brokenPromises; }
+    std::vector<std::string> gatewayNames() const;
+    std::vector<std::string> targetNames() const;
+    const FleetNode *gateway(const std::string &name) const;
+    const FleetTarget &target(const std::string &name) const { return this->targets.at(name); }
+    std::uint64_t starts() const { return this->startCount; }
+    /** \returns the share of the jobs that were answered as completed. */
+    double served() const;
+
+private:
+    struct Gateway;
+    struct Caller
+    {
+        std::string gateway;
+        TransientJob job;
+        Duration taskTime {};
+        TimePoint sentAt;
+        TimePoint deadlineAt;
+        bool isOver = false;
+    };
+
+    void startGateway(Gateway &gateway);
+    void settle(Gateway &gateway);
+    void deliver(Gateway &gateway, const std::function<void(FleetNode &, TimePoint)> &work);
+    void send(Gateway &from, const AddressedFleetMessage &item);
+    void carryOut(Gateway &from, const TargetOrder &order);
+    OrderAnswer apply(FleetTarget &target, const StartOrder &order);
+    OrderAnswer apply(FleetTarget &target, const StopOrder &order);
+    void poll(Gateway &from, const PollOrder &order, TimePoint until);
+    bool obeys(FleetTarget &target, const OrderAddress &to) const;
+    void endRun(FleetTarget &target, const RunName &run, TargetRunEnd end);
+    void lapse(FleetTarget &target);
+    void beat(const std::string &name);
+    void place(std::uint64_t token, const std::string &gateway);
+    void breakConnections(const std::string &gateway);
+    bool isCut(const std::string &one, const std::string &other) const;
+    Duration delay(const std::string &one, const std::string &other) const;
+    void note(const std::string &promise);
+
+    FleetWorldOptions options;
+    Scheduler scheduler { TimePoint(1'800'000'000s) };
+    std::mt19937_64 random;
+    std::map<std::string, std::unique_ptr<Gateway>> gateways;
+    std::map<std::string, FleetTarget> targets;
+    std::map<std::uint64_t, Caller> callers;
+    std::map<std::string, Duration> taskTimes; ///< by job
+    std::map<std::string, FleetAnswer> answered;
+    std::set<std::string> startedJobs;
+    std::set<std::string> refusedJobs;
+    std::set<std::pair<std::string, std::string>> cuts;
+    std::vector<std::string> brokenPromises;
+    std::uint64_t nextToken = 1;
+    std::uint64_t nextRun = 1;
+    std::uint64_t startCount = 0;
+};
+
+} // namespace Hibiscus::Fake
