A job that is late or lost its owner is not called failed

Such jobs end as unfinished (504) now: their runs are stopped, and the caller may send them again. A job that no target can hold is refused (503) instead of failed. Ruled out: keeping them open until the caller goes: the caller gets no word. Test: Fleet.AJobThatIsLateIsNotCalledFailed, which failed before.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -86,10 +86,9 @@
         return;
     }
     if (const auto reason = this->refusalOf(job, terms, owners)) {
-        const bool isHopeless = *reason == OutcomeReason::NeverFits;
         this->outcomes.push_back({ .job = job.id,
                                    .callers = { caller },
-                                   .verdict = isHopeless ? JobVerdict::Failed : JobVerdict::Refused,
+                                   .verdict = JobVerdict::Refused,
                                    .reason = *reason,
                                    .retryAfter = this->retryAfter(terms, owners) });
         return;
@@ -189,7 +188,7 @@
             continue;
         if (now >= job.deadlineAt + this->options.lateAnswer) {
             const bool hasRun = job.attempts > 0;
-            this->answer(job, hasRun ? JobVerdict::Failed : JobVerdict::Refused,
+            this->answer(job, hasRun ? JobVerdict::Unfinished : JobVerdict::Refused,
                          OutcomeReason::DeadlineOver, now);
             continue;
         }
@@ -336,7 +335,7 @@
 {
     const Duration needed = this->options.uncertainty + job.job.steps[step].estimate;
     if (now + needed > job.deadlineAt) {
-        this->answer(job, JobVerdict::Failed, OutcomeReason::OwnerLost, now);
+        this->answer(job, JobVerdict::Unfinished, OutcomeReason::OwnerLost, now);
         return;
     }
     task.stage = Stage::Uncertain;
@@ -353,7 +352,7 @@
                            .retryAfter = this->options.shortestRetry,
                            .took = now - job.arrivedAt,
                            .attempts = job.attempts };
-    if (verdict != JobVerdict::Refused)
+    if (verdict == JobVerdict::Completed || verdict == JobVerdict::Failed)
         this->answered[job.job.id] = { .outcome = outcome, .at = now };
     this->outcomes.push_back(std::move(outcome));
 }
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -23,7 +23,11 @@
 /** \brief How a transient job ended. */
 enum class JobVerdict : std::uint8_t {
     Completed,
-    Failed,
+    Failed, ///< a task has failed too often
+    /** \brief Given up: tasks may have run. What still runs is stopped, so that the job may be sent
+     * again.
+     */
+    Unfinished,
     Refused ///< no task has started, and none will
 };
 
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -35,7 +35,8 @@
     StatusNotAllowed = 405,
     StatusGone = 410,
     StatusTooMany = 429,
-    StatusUnavailable = 503
+    StatusUnavailable = 503,
+    StatusTimeout = 504
 };
 
 static FleetNodeOptions fleetOptions(const ProfiledNode &context)
@@ -60,7 +61,9 @@
 {
     if (verdict == JobVerdict::Completed)
         return "completed";
-    return verdict == JobVerdict::Failed ? "failed" : "refused";
+    if (verdict == JobVerdict::Failed)
+        return "failed";
+    return verdict == JobVerdict::Unfinished ? "unfinished" : "refused";
 }
 
 } // namespace internal
@@ -333,6 +336,8 @@
         if (outcome.verdict == JobVerdict::Refused)
             this->refuse(token, internal::StatusUnavailable, outcome.retryAfter,
                          toString(outcome.reason));
+        else if (outcome.verdict == JobVerdict::Unfinished)
+            this->callers.respond(token, { .status = internal::StatusTimeout });
         else
             this->callers.respond(
                 token, { .body = this->context.protocol.renderVerdict(outcome.verdict) });
