A batch that a loss of power left in pieces is dropped, also with a damaged head

Cause: after a loss of power a write that was not synced may be missing or torn anywhere; a damaged record that was not the last of its batch kept a replica from starting. A record holds a whole batch now, so a torn one is the last. Damage with an intact record behind it stays an error (test unchanged).

--- a/Hibiscus/src/Storage/DiskLog.cpp
+++ b/Hibiscus/src/Storage/DiskLog.cpp
@@ -3,6 +3,8 @@
 #include <cstring>
 #include <fcntl.h>
 #include <fstream>
+#include <optional>
+#include <string_view>
 #include <sys/file.h>
 #include <unistd.h>
 #include <xxhash.h>
@@ -14,7 +16,8 @@
 constexpr const char *logName = "log";
 constexpr const char *nextLogName = "log.next";
 
-/** \brief A record of the file: the whole state at first, then one write after the other. */
+/** \brief The first record of the file: the whole state. Each later one holds the writes of a sync.
+ */
 struct FirstRecord
 {
     MemberId self;
@@ -94,6 +97,30 @@
     std::size_t wholeBytes = 0;
 };
 
+/** \returns the payload of the record that begins at \a begin, if it is whole and intact. */
+static std::optional<std::string_view> recordAt(std::string_view bytes, std::size_t begin)
+{
+    RecordHeader header;
+    if (bytes.size() - begin < sizeof(header))
+        return std::nullopt;
+    std::memcpy(&header, bytes.data() + begin, sizeof(header));
+    const std::size_t payload = begin + sizeof(header);
+    if (header.length == 0 || header.length > bytes.size() - payload)
+        return std::nullopt;
+    const bool isIntact = XXH3_64bits(bytes.data() + payload, header.length) == header.checksum;
+    return isIntact ? std::optional(bytes.substr(payload, header.length)) : std::nullopt;
+}
+
+// A record holds all that was written between two syncs, so what a loss of power tore, left out or
+// filled with zeros is always the last one. Damage with an intact record behind it is another kind.
+static bool hasRecordAfter(std::string_view bytes, std::size_t begin)
+{
+    for (std::size_t offset = begin + 1; offset < bytes.size(); ++offset)
+        if (recordAt(bytes, offset))
+            return true;
+    return false;
+}
+
 static Result<LogContent> readLog(const std::filesystem::path &path)
 {
     std::ifstream stream(path, std::ios::binary);
@@ -101,22 +128,12 @@
         return failure(Errc::Io);
     const Bytes bytes((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
     LogContent content;
-    while (content.wholeBytes + sizeof(RecordHeader) <= bytes.size()) {
-        RecordHeader header;
-        std::memcpy(&header, bytes.data() + content.wholeBytes, sizeof(header));
-        const std::size_t begin = content.wholeBytes + sizeof(header);
-        const std::size_t left = bytes.size() - begin;
-        if (header.length > left)
-            break;
-        const bool isIntact = XXH3_64bits(bytes.data() + begin, header.length) == header.checksum;
-        // A torn write can only be the last one.
-        if (!isIntact && header.length < left)
-            return failure(Errc::MalformedRecord);
-        if (!isIntact)
-            break;
-        content.payloads.push_back(bytes.substr(begin, header.length));
-        content.wholeBytes = begin + header.length;
+    while (const auto payload = recordAt(bytes, content.wholeBytes)) {
+        content.payloads.emplace_back(*payload);
+        content.wholeBytes += sizeof(RecordHeader) + payload->size();
     }
+    if (hasRecordAfter(bytes, content.wholeBytes))
+        return failure(Errc::MalformedRecord);
     return content;
 }
 
@@ -132,10 +149,11 @@
                            .snapshot = first->snapshot,
                            .entries = first->entries };
     for (std::size_t i = 1; i < content.payloads.size(); ++i) {
-        const Result<StorageWrite> write = decode<StorageWrite>(content.payloads[i]);
-        if (!write)
+        const auto writes = decode<std::vector<StorageWrite>>(content.payloads[i]);
+        if (!writes)
             return failure(Errc::MalformedRecord);
-        applyWrite(*write, state);
+        for (const StorageWrite &write : *writes)
+            applyWrite(write, state);
     }
     return state;
 }
@@ -209,18 +227,18 @@
 
 Result<void> DiskLog::write(const std::vector<StorageWrite> &writes)
 {
-    Bytes records;
+    if (writes.empty())
+        return {};
     bool hasSnapshot = false;
     for (const StorageWrite &write : writes) {
         applyWrite(write, this->durable);
         hasSnapshot = hasSnapshot || std::holds_alternative<SaveSnapshot>(write);
-        records += internal::framed(encode(write));
     }
     // A snapshot shortens the log, so the file is written anew with what is left.
     if (hasSnapshot)
         return this->rewrite();
-    this->dirty = this->dirty || !records.empty();
-    return internal::writeAll(this->file, records);
+    this->dirty = true;
+    return internal::writeAll(this->file, internal::framed(encode(writes)));
 }
 
 Result<void> DiskLog::sync()
--- a/Hibiscus/src/Storage/DiskLog.h
+++ b/Hibiscus/src/Storage/DiskLog.h
@@ -30,7 +30,9 @@
     ~DiskLog();
 
     // Commands.
-    /** \brief Appends \a writes; they are durable after the next sync(). */
+    /** \brief Appends \a writes; they are durable after the next sync(), which has to come before
+     * the next write() if a loss of power may tear what is not synced.
+     */
     Result<void> write(const std::vector<StorageWrite> &writes);
     Result<void> sync();
 
--- a/test/StorageTest.cpp
+++ b/test/StorageTest.cpp
@@ -108,6 +108,51 @@
     EXPECT_EQ(damaged.error(), make_error_code(Errc::MalformedRecord));
 }
 
+// After a loss of power any part of what was not synced may be missing, also its beginning.
+TEST(Storage, ABatchThatPowerLossLeftInPiecesIsDropped)
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        Folder folder;
+        std::mt19937_64 random(seed);
+        ASSERT_TRUE(DiskLog::format(folder.path, firstState()).has_value());
+        const std::filesystem::path file = folder.path / "log";
+        DurableState synced;
+        std::uintmax_t syncedSize = 0;
+        {
+            auto log = DiskLog::open(folder.path);
+            for (std::uint64_t i = 0; i < 5; ++i) {
+                synced = log->state();
+                syncedSize = std::filesystem::file_size(file);
+                std::vector<StorageWrite> batch;
+                for (std::uint64_t j = 0; j < 3; ++j) {
+                    const LogEntry entry = { .index = 2 + 3 * i + j,
+                                             .term = 1,
+                                             .body = Command { .bytes = std::string(90, 'y') } };
+                    batch.emplace_back(SaveEntries { .entries = { entry } });
+                }
+                ASSERT_TRUE(log->write(batch).has_value());
+                if (i < 4) {
+                    ASSERT_TRUE(log->sync().has_value());
+                }
+            }
+        }
+        const std::uintmax_t size = std::filesystem::file_size(file);
+        std::uniform_int_distribution<std::uintmax_t> place(syncedSize, size - 1);
+        std::uintmax_t begin = place(random);
+        std::uintmax_t end = place(random);
+        if (begin > end)
+            std::swap(begin, end);
+        std::fstream stream(file, std::ios::in | std::ios::out | std::ios::binary);
+        stream.seekp(static_cast<std::streamoff>(begin));
+        stream << std::string(end - begin + 1, '\0');
+        stream.close();
+        const auto log = DiskLog::open(folder.path);
+        ASSERT_TRUE(log.has_value()) << "seed " << seed;
+        const bool isUntouched = log->state() != synced;
+        EXPECT_TRUE(!isUntouched || log->state().entries.size() == 15U) << "seed " << seed;
+    }
+}
+
 TEST(Storage, AFolderIsFormattedOnceAndOpenedOnce)
 {
     Folder folder;
