--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -27,25 +27,63 @@
         && target.capacity.covers(step.demand);
 }
 
+/** \brief What a task asks of a target, and how the fastest and the slowest would do. */
+struct Wish
+{
+    ServiceName service;
+    JobStep step;
+    RunBounds bounds;
+    double slowest = 0; ///< slowness of the slowest target that is fit, over all owners
+    bool anyIsFit = false; ///< otherwise every target that suits will do
+};
+
+static bool isFit(const OwnedTarget &target, const Wish &wish, TimePoint now)
+{
+    const Duration expected = fromSeconds(target.slowness * toSeconds(wish.step.estimate));
+    return fitnessOf(wish.bounds, expected, now) != Fitness::Hopeless;
+}
+
+/** \brief A target that is so much faster than the slowest fit one is kept for what needs it. */
+constexpr double reservedFaster = 0.75;
+
 /** \brief Room of an owner for tasks of one demand. */
 struct Room
 {
+    std::int64_t plain = 0; ///< tasks that fit now on targets that are not kept for others
     std::int64_t free = 0; ///< tasks that fit now
     std::int64_t all = 0; ///< tasks that fit when nothing runs
 };
 
-static Room roomOf(const OwnerView &owner, const ServiceName &service, const JobStep &step)
+static Room roomOf(const OwnerView &owner, const Wish &wish, TimePoint now)
 {
     Room room;
     for (const OwnedTarget &target : owner.report.targets) {
-        if (!target.takesWork || !suits(target, service, step))
+        if (!target.takesWork || !suits(target, wish.service, wish.step))
             continue;
-        room.free += target.free.copiesOf(step.demand);
-        room.all += target.capacity.copiesOf(step.demand);
+        if (wish.anyIsFit && !isFit(target, wish, now))
+            continue;
+        const std::int64_t free = target.free.copiesOf(wish.step.demand);
+        room.free += free;
+        room.all += target.capacity.copiesOf(wish.step.demand);
+        if (target.slowness >= reservedFaster * wish.slowest)
+            room.plain += free;
     }
     return room;
 }
 
+static void lookAround(Wish &wish, const std::vector<OwnerView> &owners, TimePoint now)
+{
+    for (const OwnerView &owner : owners)
+        for (const OwnedTarget &target : owner.report.targets) {
+            if (!target.takesWork || !suits(target, wish.service, wish.step))
+                continue;
+            if (!isFit(target, wish, now))
+                continue;
+            wish.anyIsFit = true;
+            wish.slowest = std::max(wish.slowest, target.slowness);
+        }
+}
+
 } // namespace internal
 
 const char *toString(OutcomeReason reason)
@@ -99,8 +137,8 @@
     added.callers = { caller };
     added.arrivedAt = now;
     const double chain = toSeconds(longestChain(job));
-    added.objectiveAt = now + fromSeconds(terms.stretch * chain) + terms.slack;
-    added.deadlineAt = now + terms.untilDeadline;
+    added.bounds.objectiveAt = now + fromSeconds(terms.stretch * chain) + terms.slack;
+    added.bounds.deadlineAt = now + terms.untilDeadline;
     for (const JobStep &step : job.steps)
         added.steps.emplace_back(step.count);
     this->unblock(added);
@@ -186,7 +224,7 @@
     for (auto &[id, job] : this->jobs) {
         if (job.isOver)
             continue;
-        if (now >= job.deadlineAt + this->options.lateAnswer) {
+        if (now >= job.bounds.deadlineAt + this->options.lateAnswer) {
             const bool hasRun = job.attempts > 0;
             this->answer(job, hasRun ? JobVerdict::Unfinished : JobVerdict::Refused,
                          OutcomeReason::DeadlineOver, now);
@@ -208,7 +246,8 @@
         if (!job.isOver)
             order.push_back(&job);
     std::ranges::sort(order, {}, [&](const Job *job) {
-        return std::tuple(job->objectiveAt < now, job->terms.priority, job->objectiveAt);
+        return std::tuple(job->bounds.objectiveAt < now, job->terms.priority,
+                          job->bounds.objectiveAt);
     });
     std::vector<RunAssignment> assignments;
     for (Job *job : order) {
@@ -217,7 +256,7 @@
                 Task &task = job->steps[step][index];
                 if (task.stage != Stage::Ready || now < task.readyAt)
                     continue;
-                OwnerView *owner = this->chooseOwner(*job, job->job.steps[step], owners);
+                OwnerView *owner = this->chooseOwner(*job, job->job.steps[step], owners, now);
                 if (owner == nullptr)
                     continue;
                 ++task.attempt;
@@ -334,7 +373,7 @@
 void FleetCoordinator::noteUncertain(Job &job, std::uint32_t step, Task &task, TimePoint now)
 {
     const Duration needed = this->options.uncertainty + job.job.steps[step].estimate;
-    if (now + needed > job.deadlineAt) {
+    if (now + needed > job.bounds.deadlineAt) {
         this->answer(job, JobVerdict::Unfinished, OutcomeReason::OwnerLost, now);
         return;
     }
@@ -381,31 +420,34 @@
              .spec = job.job.spec,
              .demand = step.demand,
              .estimate = step.estimate,
-             .untilObjective = job.objectiveAt - now,
-             .untilDeadline = job.deadlineAt - now,
+             .untilObjective = job.bounds.objectiveAt - now,
+             .untilDeadline = job.bounds.deadlineAt - now,
              .priority = job.terms.priority,
              .requiredLabel = step.requiredLabel,
              .mostPerTarget = step.mostPerTarget };
 }
 
-// Free room nearby first; without any, the shortest queue for its size, at a distance only when it
-// is clearly shorter.
+// Free room nearby first, on targets that are not kept for longer tasks; without any, the shortest
+// queue for its size, at a distance only when it is clearly shorter.
 OwnerView *FleetCoordinator::chooseOwner(const Job &job, const JobStep &step,
-                                         std::vector<OwnerView> &owners) const
+                                         std::vector<OwnerView> &owners, TimePoint now) const
 {
+    internal::Wish wish = { .service = job.terms.service, .step = step, .bounds = job.bounds };
+    internal::lookAround(wish, owners, now);
     OwnerView *best = nullptr;
-    std::tuple<bool, int, double> bestKey;
+    std::tuple<int, int, double> bestKey;
     for (OwnerView &owner : owners) {
-        const internal::Room room = internal::roomOf(owner, job.terms.service, step);
+        const internal::Room room = internal::roomOf(owner, wish, now);
         if (room.all == 0)
             continue;
         const std::int64_t ahead = owner.report.queued + owner.unreported;
-        const bool isFull = room.free <= ahead;
+        const int tier = room.plain > ahead ? 0 : (room.free > ahead ? 1 : 2);
+        const bool isFull = tier == 2;
         const double load = static_cast<double>(ahead - room.free) / static_cast<double>(room.all);
         constexpr double farPenalty = 0.15; // of an owner's room: about a round trip of waiting
         const bool isFar = owner.distance == OwnerView::Distance::OtherDomain;
         const int rank = isFull ? 0 : static_cast<int>(isFar);
-        const std::tuple key(isFull, rank, load + (isFar && isFull ? farPenalty : 0));
+        const std::tuple key(tier, rank, load + (isFar && isFull ? farPenalty : 0));
         if (best != nullptr && key >= bestKey)
             continue;
         best = &owner;
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hibiscus/src/Fleet/Fitness.h"
 #include "Hibiscus/src/Fleet/FleetMessage.h"
 
 #include <map>
@@ -147,8 +148,7 @@
         std::vector<std::uint64_t> callers;
         std::vector<std::vector<Task>> steps;
         TimePoint arrivedAt;
-        TimePoint objectiveAt;
-        TimePoint deadlineAt;
+        RunBounds bounds;
         std::uint32_t attempts = 0;
         bool isOver = false;
     };
@@ -171,8 +171,8 @@
     void answer(Job &job, JobVerdict verdict, OutcomeReason reason, TimePoint now);
     void forgetEnded(TimePoint now);
     RunRequest requestFor(const Job &job, const RunName &run, TimePoint now) const;
-    OwnerView *chooseOwner(const Job &job, const JobStep &step,
-                           std::vector<OwnerView> &owners) const;
+    OwnerView *chooseOwner(const Job &job, const JobStep &step, std::vector<OwnerView> &owners,
+                           TimePoint now) const;
 
     FleetCoordinatorOptions options;
     Jobs jobs;
--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -17,11 +17,13 @@
     std::vector<std::string> labels;
     Capacity capacity;
     Capacity free;
+    double slowness = 1; ///< learned run time over the caller's estimate, for targets of its kind
     bool takesWork = false;
     bool isSettled = false; ///< no run of a former owner is left there
 
     auto operator<=>(const OwnedTarget &other) const = default;
-    HIBISCUS_FIELDS(name, life, fencingToken, service, labels, capacity, free, takesWork, isSettled)
+    HIBISCUS_FIELDS(name, life, fencingToken, service, labels, capacity, free, slowness, takesWork,
+                    isSettled)
 };
 
 /** \brief All that an owner shows of its targets at one time. */
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -70,8 +70,8 @@
     HeldRun run;
     run.request = request;
     run.requester = requester;
-    run.objectiveAt = now + request.untilObjective;
-    run.deadlineAt = now + request.untilDeadline;
+    run.bounds = { .objectiveAt = now + request.untilObjective,
+                   .deadlineAt = now + request.untilDeadline };
     this->held.try_emplace(request.run, std::move(run));
 }
 
@@ -149,6 +149,7 @@
     for (auto &[name, driver] : this->drivers)
         driver.tick(now, this->out);
     this->takeEnds(now);
+    this->stopStragglers(now);
     this->watchTargets(now);
     std::erase_if(this->held, [&](const auto &item) {
         return item.second.stage == Stage::Ended
@@ -166,7 +167,8 @@
         if (run.stage == Stage::Queued)
             waiting.push_back(&run);
     std::ranges::sort(waiting, {}, [&](const HeldRun *run) {
-        return std::tuple(run->objectiveAt < now, run->request.priority, run->objectiveAt);
+        return std::tuple(run->bounds.objectiveAt < now, run->request.priority,
+                          run->bounds.objectiveAt);
     });
     for (HeldRun *run : waiting) {
         if (!isHeard(run->requester) || this->isTaskBusy(run->request.run))
@@ -199,6 +201,7 @@
                                    .labels = driver.target().labels,
                                    .capacity = driver.target().capacity,
                                    .free = driver.free(),
+                                   .slowness = this->runTimes.slowness(driver.target().kind),
                                    .takesWork = driver.takesWork(now),
                                    .isSettled = driver.isSettled() });
     for (const auto &[name, run] : this->held) {
@@ -318,27 +321,67 @@
 {
     TargetDriver *best = nullptr;
     Duration bestTime {};
+    Fitness bestFitness = Fitness::Hopeless;
     for (auto &[name, driver] : this->drivers) {
         if (!this->mayRunOn(driver, run, now))
             continue;
         const Duration time = this->runTimes.expected(driver.target().kind, run.request.estimate);
-        const bool isInTime = now + time <= run.objectiveAt;
-        const bool bestInTime = best != nullptr && now + bestTime <= run.objectiveAt;
+        const Fitness fitness = fitnessOf(run.bounds, time, now);
         bool isBetter = best == nullptr;
-        if (best != nullptr && isInTime != bestInTime)
-            isBetter = isInTime;
+        if (best != nullptr && fitness != bestFitness)
+            isBetter = fitness > bestFitness;
         else if (best != nullptr && time != bestTime)
-            isBetter = isInTime ? time > bestTime : time < bestTime;
+            isBetter = fitness == Fitness::InTime ? time > bestTime : time < bestTime;
         else if (best != nullptr)
             isBetter = driver.free().cpu < best->free().cpu;
         if (!isBetter)
             continue;
         best = &driver;
         bestTime = time;
+        bestFitness = fitness;
     }
+    if (best != nullptr && bestFitness == Fitness::Hopeless && this->waitsForFaster(run, now))
+        return nullptr;
     return best;
 }
 
+// A run that would miss its deadline on what is free waits while a busy target could still do it.
+bool FleetOwner::waitsForFaster(const HeldRun &run, TimePoint now) const
+{
+    return std::ranges::any_of(this->drivers, [&](const auto &item) {
+        const LeasedTarget &target = item.second.target();
+        const Duration time = this->runTimes.expected(target.kind, run.request.estimate);
+        return target.service == run.request.service && item.second.takesWork(now)
+            && target.capacity.covers(run.request.demand)
+            && internal::hasLabel(target, run.request.requiredLabel)
+            && fitnessOf(run.bounds, time, now) != Fitness::Hopeless;
+    });
+}
+
+// Only while there is time to do it again: otherwise the run may as well go on.
+void FleetOwner::stopStragglers(TimePoint now)
+{
+    for (auto &[name, run] : this->held) {
+        if (run.stage != Stage::AtTarget || !run.isWanted || run.isStraggling)
+            continue;
+        const auto found = this->drivers.find(run.target);
+        if (found == this->drivers.end())
+            continue;
+        const Duration time
+            = this->runTimes.expected(found->second.target().kind, run.request.estimate);
+        const Duration bound = fromSeconds(this->options.straggling * toSeconds(time))
+            + this->options.stragglingSlack;
+        const bool isSlow = now >= run.startedAt + bound;
+        if (!isSlow || fitnessOf(run.bounds, time, now) == Fitness::Hopeless)
+            continue;
+        run.isStraggling = true;
+        ++this->counts.stragglers;
+        this->note(found->second, "straggles");
+        found->second.avoid(now + this->options.avoidStraggler);
+        found->second.stop(name, now, this->out);
+    }
+}
+
 bool FleetOwner::mayRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const
 {
     const LeasedTarget &target = driver.target();
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hibiscus/src/Fleet/Fitness.h"
 #include "Hibiscus/src/Fleet/FleetMessage.h"
 #include "Hibiscus/src/Fleet/RunTimes.h"
 #include "Hibiscus/src/Fleet/TargetDriver.h"
@@ -15,6 +16,13 @@
     TargetDriverOptions driver;
     Duration forgetAfter = 10s; ///< a target unheard for longer is gone
     Duration unreachableAfter = 3s; ///< it announces itself, but orders do not reach it
+    /** \brief A run that has taken so many times its expected time is stopped, to be started
+     * elsewhere: its target has turned slow, or stands still.
+     */
+    double straggling = 3;
+    Duration stragglingSlack = 60ms; ///< added to it, for the round trips of short runs
+    Duration avoidStraggler
+        = 1500ms; ///< a target with a straggling run gets no new work for so long
     Duration endLifetime = 30s; ///< an end that nobody asks for any more is dropped
 };
 
@@ -37,6 +45,7 @@
     std::uint64_t stopped = 0;
     std::uint64_t lost = 0;
     std::uint64_t adopted = 0; ///< targets taken over
+    std::uint64_t stragglers = 0; ///< runs stopped for taking too long
     std::uint64_t fenced = 0; ///< targets lost to another owner
 };
 
@@ -113,11 +122,11 @@
         Stage stage = Stage::Queued;
         TargetName target;
         TimePoint startedAt;
-        TimePoint objectiveAt;
-        TimePoint deadlineAt;
+        RunBounds bounds;
         TimePoint endedAt;
         RunEndKind end = RunEndKind::NotStarted;
         bool isWanted = true;
+        bool isStraggling = false;
     };
 
     using Held = std::map<RunName, HeldRun>;
@@ -130,6 +139,8 @@
     TargetDriver *chooseTarget(const HeldRun &run, TimePoint now);
     bool mayRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
     bool isTaskBusy(const RunName &run) const;
+    bool waitsForFaster(const HeldRun &run, TimePoint now) const;
+    void stopStragglers(TimePoint now);
     void watchTargets(TimePoint now);
     void abandonRuns(const TargetName &target, TimePoint now);
 
--- a/Hibiscus/src/Fleet/RunTimes.cpp
+++ b/Hibiscus/src/Fleet/RunTimes.cpp
@@ -1,12 +1,14 @@
 #include "Hibiscus/src/Fleet/RunTimes.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace Hibiscus {
 
 namespace internal {
 
-/** \brief Weight of the newest run: estimates are 40% off, so some tens of runs are averaged. */
+/** \brief Weight of the newest run, once there are enough for a mean: estimates are 40% off, so
+ * some tens of runs are averaged. */
 constexpr double learningRate = 0.03;
 /** \brief Shortest span that says something about speed; below it the round trip dominates. */
 constexpr Duration shortestSpan = 5ms;
@@ -18,17 +20,21 @@
     if (estimate < internal::shortestSpan || taken < internal::shortestSpan)
         return;
     const double factor = std::log(toSeconds(taken) / toSeconds(estimate));
-    const auto [found, isNew] = this->logFactors.try_emplace(kind, factor);
-    if (!isNew)
-        found->second += internal::learningRate * (factor - found->second);
+    Learned &learned = this->kinds[kind];
+    ++learned.runs;
+    const double weight = std::max(internal::learningRate, 1 / static_cast<double>(learned.runs));
+    learned.logFactor += weight * (factor - learned.logFactor);
+}
+
+double RunTimes::slowness(const std::string &kind) const
+{
+    const auto found = this->kinds.find(kind);
+    return found == this->kinds.end() ? 1 : std::exp(found->second.logFactor);
 }
 
 Duration RunTimes::expected(const std::string &kind, Duration estimate) const
 {
-    const auto found = this->logFactors.find(kind);
-    if (found == this->logFactors.end())
-        return estimate;
-    return fromSeconds(toSeconds(estimate) * std::exp(found->second));
+    return fromSeconds(toSeconds(estimate) * this->slowness(kind));
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/RunTimes.h
+++ b/Hibiscus/src/Fleet/RunTimes.h
@@ -16,11 +16,19 @@
     void learn(const std::string &kind, Duration estimate, Duration taken);
 
     // Queries.
+    /** \returns the expected run time over the estimate, on a target of \a kind. */
+    double slowness(const std::string &kind) const;
     /** \returns the expected run time on a target of \a kind. */
     Duration expected(const std::string &kind, Duration estimate) const;
 
 private:
-    std::map<std::string, double> logFactors; ///< natural logarithm of taken / estimate
+    struct Learned
+    {
+        double logFactor = 0; ///< natural logarithm of taken / estimate
+        std::uint64_t runs = 0;
+    };
+
+    std::map<std::string, Learned> kinds;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -59,13 +59,12 @@
     if (answer.verdict == OrderVerdict::Unhealthy || answer.verdict == OrderVerdict::NotSent)
         this->noteRefusal(now);
     if (answer.verdict == OrderVerdict::NoRoom)
-        this->avoidUntil = std::max(this->avoidUntil, now + this->options.roomRefusalPause);
+        this->avoid(now + this->options.roomRefusalPause);
     if (answer.verdict == OrderVerdict::OtherLife)
         this->over = true;
     if (found == this->runs.end())
         return;
     if (answer.verdict == OrderVerdict::Done) {
-        this->avoidance = {};
         if (found->second.phase == Phase::Starting)
             found->second.phase = Phase::Running;
         found->second.confirmedAt = now;
@@ -120,6 +119,7 @@
         if (listed.number <= this->acknowledged)
             continue;
         this->acknowledged = listed.number;
+        this->noteOutcome(listed, now);
         switch (listed.end) {
         case TargetRunEnd::Completed:
             this->end(listed.run, RunEndKind::Completed, out);
@@ -205,7 +205,25 @@
 {
     this->avoidance = std::clamp(2 * this->avoidance, this->options.avoidAfterRefusal,
                                  this->options.longestAvoidance);
-    this->avoidUntil = now + this->avoidance;
+    this->avoid(now + this->avoidance);
+}
+
+// A job that fails by itself fails everywhere, so only failures of different jobs in a row speak
+// against the target.
+void TargetDriver::noteOutcome(const ListedEnd &listed, TimePoint now)
+{
+    if (listed.end == TargetRunEnd::Completed) {
+        this->failuresInRow = 0;
+        this->avoidance = {};
+    }
+    if (listed.end != TargetRunEnd::Failed || listed.run.job == this->lastFailedJob)
+        return;
+    this->lastFailedJob = listed.run.job;
+    if (++this->failuresInRow < this->options.failuresToAvoid)
+        return;
+    this->avoidance = std::clamp(2 * this->avoidance, this->options.avoidAfterFailures,
+                                 this->options.longestAvoidance);
+    this->avoid(now + this->avoidance);
 }
 
 void TargetDriver::poll(TimePoint now, DriverOutbox &out)
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -16,6 +16,8 @@
     Duration stopRetryInterval = 150ms; ///< an unanswered stop is sent again
     Duration avoidAfterRefusal = 250ms; ///< an unhealthy target is left alone, doubled each time
     Duration longestAvoidance = 4s; ///< so that a target that recovered is found again
+    std::uint32_t failuresToAvoid = 2; ///< failed runs in a row, each of another job
+    Duration avoidAfterFailures = 1s; ///< doubled each time, up to the longest avoidance
     Duration roomRefusalPause = 30ms; ///< a target that had no room is believed for so long
 };
 
@@ -48,6 +50,8 @@
                     DriverOutbox &out);
     void finishPoll(const PollAnswer &answer, TimePoint now, DriverOutbox &out);
     void tick(TimePoint now, DriverOutbox &out);
+    /** \brief Gives no new work until \a until. */
+    void avoid(TimePoint until) { this->avoidUntil = std::max(this->avoidUntil, until); }
     /** \brief Gives no new work from now on; what runs goes on. */
     void release() { this->isReleasing = true; }
     /** \brief Takes note that this life of the target has ended, and everything on it. */
@@ -91,6 +95,7 @@
     void noteContact(std::optional<std::int64_t> clock, TimePoint now);
     void noteFence(TimePoint now);
     void noteRefusal(TimePoint now);
+    void noteOutcome(const ListedEnd &listed, TimePoint now);
     void poll(TimePoint now, DriverOutbox &out);
     void sendStop(const RunName &name, DrivenRun &run, TimePoint now, DriverOutbox &out);
     void end(const RunName &run, RunEndKind kind, DriverOutbox &out);
@@ -121,6 +126,8 @@
     bool isReleasing = false;
     TimePoint avoidUntil;
     Duration avoidance {};
+    std::uint32_t failuresInRow = 0;
+    std::string lastFailedJob;
 };
 
 } // namespace Hibiscus
--- a/test/support/FleetWorld.h
+++ b/test/support/FleetWorld.h
@@ -105,6 +105,7 @@
         TimePoint sentAt;
         TimePoint deadlineAt;
         bool isOver = false;
+        std::uint32_t sends = 0;
     };
 
     void startGateway(Gateway &gateway);
