--- /dev/null
+++ b/test/PlatformTest.cpp
@@ -0,0 +1,252 @@
+#include "platform/Wire.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <random>
+
+using namespace Hibiscus;
+using Json = nlohmann::json;
+
+namespace {
+
+const ExternalProtocol protocol = Platform::wireProtocol();
+
+Json heartbeatBody()
+{
+    return { { "service", "s1" },
+             { "address", "10.0.0.9:8080" },
+             { "zone", "a" },
+             { "version", "v1" },
+             { "slots", 8 },
+             { "state", "ready" },
+             { "cold_remaining_ms", 0 },
+             { "capacity", { { "cpu", 64000 }, { "mem_mb", 262144 }, { "gpu", 1 } } },
+             { "labels", { "b", "r1-3" } },
+             { "clock_ms", 482113 },
+             { "born", 1700000000000 },
+             { "seq", 4 } };
+}
+
+ControlCall heartbeat(const std::string &body)
+{
+    return protocol.readControlCall(
+        { .method = "POST", .path = "/api/instances/i-1/heartbeat", .body = body });
+}
+
+Json rulesBody()
+{
+    return { { "version", 7 },
+             { "routes",
+               { { { "name", "r 1" },
+                   { "host", "h.example" },
+                   { "path_prefix", "/p#1/" },
+                   { "route_type", "non_idempotent" },
+                   { "timeout_ms", 1500 },
+                   { "target_latency_ms", 60 },
+                   { "priority", 2 },
+                   { "service", "s1" },
+                   { "max_attempts", 3 },
+                   { "stretch", 1.6 } } } },
+             { "services", { { { "name", "s1" }, { "max_connections", 64 } } } },
+             { "limits", Json::object() } };
+}
+
+ControlCall replacement(const std::string &body)
+{
+    return protocol.readControlCall(
+        { .method = "POST", .path = "/api/config/replace", .body = body });
+}
+
+Json jobBody()
+{
+    return { { "spec", "text" },
+             { "best_effort", true },
+             { "phases",
+               { { { "count", 4 }, { "cpu", 500 }, { "mem_mb", 256 }, { "estimated_ms", 900 } },
+                 { { "count", 2 },
+                   { "cpu", 2000 },
+                   { "estimated_ms", 70.5 },
+                   { "depends_on", { 0 } },
+                   { "requirements", "b" } } } } };
+}
+
+TEST(Platform, AHeartbeatNamesATarget)
+{
+    const ControlCall call = heartbeat(heartbeatBody().dump());
+    ASSERT_TRUE(std::holds_alternative<TargetHeard>(call));
+    const LeasedTarget &target = std::get<TargetHeard>(call).target;
+    EXPECT_EQ(target.name, TargetName("i-1"));
+    EXPECT_EQ(target.life, 1700000000000U);
+    EXPECT_EQ(target.kind, "b");
+    EXPECT_EQ(target.capacity, (Capacity { .cpu = 64000, .memory = 262144, .accelerators = 1 }));
+    EXPECT_EQ(target.standing, TargetStanding::Ready);
+    EXPECT_FALSE(std::get<TargetHeard>(call).isLeaving);
+}
+
+TEST(Platform, AFarewellNamesALeavingTarget)
+{
+    const ControlCall call = protocol.readControlCall(
+        { .method = "POST", .path = "/api/instances/i-1/deregister", .body = "{\"born\":5}" });
+    ASSERT_TRUE(std::holds_alternative<TargetHeard>(call));
+    EXPECT_TRUE(std::get<TargetHeard>(call).isLeaving);
+    EXPECT_EQ(std::get<TargetHeard>(call).target.life, 5U);
+}
+
+// Announcements may come from another writer: they name no target, and nothing breaks.
+TEST(Platform, AHeartbeatOfAnotherWriterIsMalformed)
+{
+    for (const char *field : { "service", "address", "zone", "state", "capacity", "seq" }) {
+        Json missing = heartbeatBody();
+        missing.erase(field);
+        EXPECT_TRUE(std::holds_alternative<Malformed>(heartbeat(missing.dump()))) << field;
+        for (const Json &other : { Json(nullptr), Json(-1.5), Json::array(), Json(true) }) {
+            Json mistyped = heartbeatBody();
+            mistyped[field] = other;
+            EXPECT_TRUE(std::holds_alternative<Malformed>(heartbeat(mistyped.dump())))
+                << field << " " << other.dump();
+        }
+    }
+    Json state = heartbeatBody();
+    state["state"] = "asleep";
+    EXPECT_TRUE(std::holds_alternative<Malformed>(heartbeat(state.dump())));
+}
+
+TEST(Platform, BytesOfAnyKindAreReadWithoutHarm)
+{
+    std::mt19937_64 random(11);
+    const std::vector<std::string> whole
+        = { heartbeatBody().dump(), rulesBody().dump(), jobBody().dump() };
+    for (int i = 0; i < 3000; ++i) {
+        std::string bytes = whole[random() % whole.size()];
+        for (int changes = 0; changes < 3; ++changes)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        bytes.resize(random() % (bytes.size() + 1));
+        heartbeat(bytes);
+        replacement(bytes);
+        protocol.readJob("id", bytes);
+        protocol.readPollAnswer({ .state = HttpCallState::Answered, .status = 200, .body = bytes });
+        protocol.readOrderAnswer(
+            { .state = HttpCallState::Answered, .status = 409, .body = bytes });
+    }
+}
+
+TEST(Platform, RulesAreTranslatedAndKeptAsTheyCame)
+{
+    const std::string body = rulesBody().dump();
+    const ControlCall call = replacement(body);
+    ASSERT_TRUE(std::holds_alternative<ReplaceRulesCall>(call));
+    const auto &replace = std::get<ReplaceRulesCall>(call);
+    EXPECT_EQ(replace.version, 7U);
+    EXPECT_EQ(replace.source, body);
+    const auto rules = RuleSet::parse(replace.rules);
+    ASSERT_TRUE(rules.has_value()) << rules.error().reason;
+    const RouteRule *route = rules->routeFor("h.example", "/p#1/0123");
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->name, "r 1");
+    EXPECT_EQ(route->service, ServiceName("s1"));
+    EXPECT_EQ(route->deadlineMs, 1500U);
+    EXPECT_EQ(route->stretchPercent, 160U);
+    EXPECT_EQ(rules->routeFor("other.example", "/p#1/0123"), nullptr);
+}
+
+TEST(Platform, RulesThatCannotBeReadInFullAreRefused)
+{
+    const std::string body = rulesBody().dump();
+    for (std::size_t length = 0; length < body.size(); ++length)
+        EXPECT_TRUE(std::holds_alternative<Malformed>(replacement(body.substr(0, length))));
+    for (const char *field : { "name", "host", "path_prefix", "service", "timeout_ms" }) {
+        Json missing = rulesBody();
+        missing["routes"][0].erase(field);
+        EXPECT_TRUE(std::holds_alternative<Malformed>(replacement(missing.dump()))) << field;
+    }
+}
+
+TEST(Platform, RulesThatContradictThemselvesAreInvalid)
+{
+    const auto isInvalid = [](const Json &body) {
+        const ControlCall call = replacement(body.dump());
+        return std::holds_alternative<ReplaceRulesCall>(call)
+            && !RuleSet::parse(std::get<ReplaceRulesCall>(call).rules).has_value();
+    };
+    Json service = rulesBody();
+    service["routes"][0]["service"] = "s2";
+    EXPECT_TRUE(isInvalid(service));
+    Json twice = rulesBody();
+    twice["routes"].push_back(twice["routes"][0]);
+    EXPECT_TRUE(isInvalid(twice));
+    Json timeless = rulesBody();
+    timeless["routes"][0]["timeout_ms"] = 0;
+    EXPECT_TRUE(isInvalid(timeless));
+}
+
+TEST(Platform, AJobIsReadWithItsSteps)
+{
+    const JobBody body = protocol.readJob("0123456789abcdef", jobBody().dump());
+    ASSERT_TRUE(std::holds_alternative<TransientJob>(body));
+    const auto &job = std::get<TransientJob>(body);
+    ASSERT_EQ(job.steps.size(), 2U);
+    EXPECT_EQ(job.steps[0].count, 4U);
+    EXPECT_EQ(job.steps[0].estimate, 900ms);
+    EXPECT_EQ(job.steps[1].dependsOn, (std::vector<std::uint32_t> { 0 }));
+    EXPECT_EQ(job.steps[1].requiredLabel, "b");
+}
+
+TEST(Platform, WhatIsNotBuiltIsNotOffered)
+{
+    Json stored = jobBody();
+    stored.erase("best_effort");
+    EXPECT_TRUE(std::holds_alternative<NotOffered>(protocol.readJob("id", stored.dump())));
+    Json gang = jobBody();
+    gang["phases"][1]["gang"] = true;
+    EXPECT_TRUE(std::holds_alternative<NotOffered>(protocol.readJob("id", gang.dump())));
+    Json later = jobBody();
+    later["phases"][0]["depends_on"] = { 1 };
+    EXPECT_TRUE(std::holds_alternative<Malformed>(protocol.readJob("id", later.dump())));
+}
+
+TEST(Platform, AnswersOfTargetsAreRead)
+{
+    const auto answered = [](int status, const std::string &body) {
+        return HttpCallResult { .state = HttpCallState::Answered, .status = status, .body = body };
+    };
+    const auto verdict = [&](int status, const std::string &body) {
+        return protocol.readOrderAnswer(answered(status, body)).verdict;
+    };
+    EXPECT_EQ(verdict(200, "{\"clock_ms\":5}"), OrderVerdict::Done);
+    EXPECT_EQ(verdict(409, "{\"reason\":\"fence\"}"), OrderVerdict::Fenced);
+    EXPECT_EQ(verdict(409, "{\"reason\":\"old\"}"), OrderVerdict::Superseded);
+    EXPECT_EQ(verdict(409, "{\"reason\":\"late\"}"), OrderVerdict::Late);
+    EXPECT_EQ(verdict(409, "{\"reason\":\"room\"}"), OrderVerdict::NoRoom);
+    EXPECT_EQ(verdict(421, ""), OrderVerdict::OtherLife);
+    EXPECT_EQ(verdict(503, ""), OrderVerdict::Unhealthy);
+    EXPECT_EQ(verdict(400, ""), OrderVerdict::Rejected);
+    const PollAnswer poll = protocol.readPollAnswer(answered(
+        200,
+        R"({"clock_ms":9,"running":[["ab.0.1.17",2,"x",41]],"ended_runs":[[58,"cd.0.0.9",1,"done",""],[59,"odd",3,"lapsed",""]]})"));
+    ASSERT_EQ(poll.verdict, OrderVerdict::Done);
+    ASSERT_EQ(poll.running.size(), 1U);
+    EXPECT_EQ(poll.running[0], (RunName { .job = "ab", .step = 1, .index = 17, .attempt = 2 }));
+    ASSERT_EQ(poll.ended.size(), 2U);
+    EXPECT_EQ(poll.ended[0].end, TargetRunEnd::Completed);
+    EXPECT_EQ(poll.ended[1].run.job, "odd");
+    EXPECT_EQ(poll.ended[1].end, TargetRunEnd::Lapsed);
+}
+
+TEST(Platform, OrdersNameTaskAttemptAndToken)
+{
+    StartOrder order;
+    order.to
+        = { .target = TargetName("i-1"), .life = 5, .address = "10.0.0.9:80", .fencingToken = 77 };
+    order.run = { .job = "ab", .step = 1, .index = 17, .attempt = 2 };
+    order.spec = "text";
+    order.leaseUntil = 486000;
+    const HttpCall call = protocol.startCall(order);
+    const Json body = Json::parse(call.body);
+    EXPECT_EQ(body["task"], "ab.0.1.17");
+    EXPECT_EQ(body["run_id"], 2);
+    EXPECT_EQ(body["fencing_token"], 77);
+    EXPECT_EQ(body["expires_ms"], 486000);
+    EXPECT_EQ(call.path, "/api/run-start");
+}
+
+} // namespace
