--- a/Hibiscus/src/Net/Relay.cpp
+++ b/Hibiscus/src/Net/Relay.cpp
@@ -127,7 +127,7 @@
         address = *parsed;
     if (!address)
         return nullptr;
-    const auto link = std::make_shared<Link>();
+    auto link = std::make_shared<Link>();
     link->node = node;
     link->target = "ipv4:" + address->host + ":" + std::to_string(address->port);
     link->connect();
