--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -31,6 +31,7 @@
         former.noteOver();
         former.tick(now, this->out);
         this->note(former, "over");
+        this->runTimes.forget(target.name);
         this->drivers.erase(found);
         this->takeEnds(now);
         found = this->drivers.end();
@@ -201,7 +202,7 @@
                                    .labels = driver.target().labels,
                                    .capacity = driver.target().capacity,
                                    .free = driver.free(),
-                                   .slowness = this->runTimes.slowness(driver.target().kind),
+                                   .slowness = this->runTimes.slowness(driver.target()),
                                    .takesWork = driver.takesWork(now),
                                    .isSettled = driver.isSettled() });
     for (const auto &[name, run] : this->held) {
@@ -267,7 +268,7 @@
         HeldRun &run = found->second;
         const auto driver = this->drivers.find(run.target);
         if (end.kind == RunEndKind::Completed && driver != this->drivers.end())
-            this->runTimes.learn(driver->second.target().kind, run.request.estimate,
+            this->runTimes.learn(driver->second.target(), run.request.estimate,
                                  now - run.startedAt);
         run.stage = Stage::Ended;
         run.end = end.kind;
@@ -325,7 +326,7 @@
     for (auto &[name, driver] : this->drivers) {
         if (!this->mayRunOn(driver, run, now))
             continue;
-        const Duration time = this->runTimes.expected(driver.target().kind, run.request.estimate);
+        const Duration time = this->runTimes.expected(driver.target(), run.request.estimate);
         const Fitness fitness = fitnessOf(run.bounds, time, now);
         bool isBetter = best == nullptr;
         if (best != nullptr && fitness != bestFitness)
@@ -350,7 +351,7 @@
 {
     return std::ranges::any_of(this->drivers, [&](const auto &item) {
         const LeasedTarget &target = item.second.target();
-        const Duration time = this->runTimes.expected(target.kind, run.request.estimate);
+        const Duration time = this->runTimes.expected(target, run.request.estimate);
         return target.service == run.request.service && item.second.takesWork(now)
             && target.capacity.covers(run.request.demand)
             && internal::hasLabel(target, run.request.requiredLabel)
@@ -367,8 +368,7 @@
         const auto found = this->drivers.find(run.target);
         if (found == this->drivers.end())
             continue;
-        const Duration time
-            = this->runTimes.expected(found->second.target().kind, run.request.estimate);
+        const Duration time = this->runTimes.expected(found->second.target(), run.request.estimate);
         const Duration bound = fromSeconds(this->options.straggling * toSeconds(time))
             + this->options.stragglingSlack;
         const bool isSlow = now >= run.startedAt + bound;
@@ -431,6 +431,7 @@
         if (reason == "released")
             this->released.push_back(driver.target());
         this->note(driver, reason);
+        this->runTimes.forget(item->first);
         this->abandonRuns(item->first, now);
         item = this->drivers.erase(item);
     }
