Lost polls do not make targets look slow; ends of dropped runs are kept; late work is dropped

Orders that are never answered include polls; ends were seen 750 ms late, their runs counted as stragglers, and their targets were left alone for 1.5 s in the middle of a burst. Change: polls wait 100 ms while something runs and are given up 100 ms later; a run straggles only if its target has listed it so late; a target is avoided after two stragglers or two silent orders in a row. Queued tasks that cannot end in time are dropped, jobs that cannot be in time are refused at once; 503 only if nothing ran.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -1,6 +1,7 @@
 #include "Hibiscus/src/Fleet/FleetCoordinator.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace Hibiscus {
@@ -175,6 +176,11 @@
         = task.stage == Stage::Assigned && task.attempt == end.run.attempt && task.owner == owner;
     if (!isCurrent)
         return;
+    const bool neverRan = end.kind == RunEndKind::NotStarted || end.kind == RunEndKind::TooLate
+        || end.kind == RunEndKind::Superseded;
+    job.hasRun = job.hasRun || !neverRan;
+    if (end.kind != RunEndKind::Completed)
+        this->setbacks.push_back({ .owner = owner, .end = end });
     switch (end.kind) {
     case RunEndKind::Completed:
         task.stage = Stage::Done;
@@ -194,6 +200,10 @@
     case RunEndKind::NotStarted:
         this->retry(job, task, internal::replacePause, now);
         break;
+    case RunEndKind::TooLate:
+        task.stage = Stage::Ready;
+        this->giveUp(job, OutcomeReason::Overloaded, now);
+        break;
     case RunEndKind::Stopped:
     case RunEndKind::Lost:
         this->retry(job, task, {}, now);
@@ -215,8 +225,10 @@
         for (std::uint32_t step = 0; step < job.steps.size(); ++step)
             for (Task &task : job.steps[step])
                 if (!job.isOver && task.stage == Stage::Assigned && task.owner == owner
-                    && task.ownerLife != life)
+                    && task.ownerLife != life) {
+                    job.hasRun = true;
                     this->noteUncertain(job, step, task, now);
+                }
 }
 
 void FleetCoordinator::tick(TimePoint now)
@@ -225,9 +237,7 @@
         if (job.isOver)
             continue;
         if (now >= job.bounds.deadlineAt + this->options.lateAnswer) {
-            const bool hasRun = job.attempts > 0;
-            this->answer(job, hasRun ? JobVerdict::Unfinished : JobVerdict::Refused,
-                         OutcomeReason::DeadlineOver, now);
+            this->giveUp(job, OutcomeReason::DeadlineOver, now);
             continue;
         }
         for (auto &tasks : job.steps)
@@ -336,15 +346,35 @@
         if (!fits)
             return OutcomeReason::NeverFits;
     }
+    double fastest = std::numeric_limits<double>::max();
+    for (const OwnerView &owner : owners)
+        for (const OwnedTarget &target : owner.report.targets)
+            if (target.service == terms.service && target.takesWork)
+                fastest = std::min(fastest, target.slowness);
+    const Duration chain = fromSeconds(fastest * toSeconds(longestChain(job)));
+    if (!mayFinishIn(terms.untilDeadline - backlog(terms.service, owners), chain))
+        return OutcomeReason::Overloaded;
     return std::nullopt;
 }
 
-Duration FleetCoordinator::retryAfter(const JobTerms &, const std::vector<OwnerView> &owners) const
+Duration FleetCoordinator::backlog(const ServiceName &service, const std::vector<OwnerView> &owners)
 {
-    std::int64_t queued = 0;
-    for (const OwnerView &owner : owners)
-        queued += owner.report.queued;
-    const Duration wait = this->options.shortestRetry + queued * 10ms;
+    double work = 0;
+    double capacity = 0;
+    for (const OwnerView &owner : owners) {
+        work += static_cast<double>(owner.report.queuedWork);
+        for (const OwnedTarget &target : owner.report.targets)
+            if (target.service == service && target.takesWork)
+                capacity += static_cast<double>(target.capacity.cpu) / target.slowness;
+    }
+    return capacity > 0 ? fromSeconds(work / capacity) : Duration();
+}
+
+// When the queues of today have been worked off.
+Duration FleetCoordinator::retryAfter(const JobTerms &terms,
+                                      const std::vector<OwnerView> &owners) const
+{
+    const Duration wait = this->options.shortestRetry + backlog(terms.service, owners);
     return std::min(wait, this->options.longestRetry);
 }
 
@@ -396,6 +426,18 @@
     this->outcomes.push_back(std::move(outcome));
 }
 
+// Only what certainly has not run is refused. A task that an owner still holds may have started.
+void FleetCoordinator::giveUp(Job &job, OutcomeReason reason, TimePoint now)
+{
+    const auto mayRun = [](const Task &task) {
+        return task.stage == Stage::Assigned || task.stage == Stage::Uncertain;
+    };
+    const bool mayHaveRun = job.hasRun || std::ranges::any_of(job.steps, [&](const auto &tasks) {
+                                return std::ranges::any_of(tasks, mayRun);
+                            });
+    this->answer(job, mayHaveRun ? JobVerdict::Unfinished : JobVerdict::Refused, reason, now);
+}
+
 void FleetCoordinator::forgetEnded(TimePoint now)
 {
     for (auto item = this->jobs.begin(); item != this->jobs.end();) {
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -84,6 +84,15 @@
     auto operator<=>(const RunAssignment &other) const = default;
 };
 
+/** \brief A run that did not complete its task, for the log. */
+struct RunSetback
+{
+    NodeName owner;
+    RunEnd end;
+
+    auto operator<=>(const RunSetback &other) const = default;
+};
+
 /** \brief The timing and bounds of a FleetCoordinator. */
 struct FleetCoordinatorOptions
 {
@@ -121,6 +130,8 @@
     std::vector<RunAssignment> place(std::vector<OwnerView> &owners, TimePoint now);
     std::vector<JobOutcome> takeOutcomes() { return std::exchange(this->outcomes, {}); }
 
+    std::vector<RunSetback> takeSetbacks() { return std::exchange(this->setbacks, {}); }
+
     // Queries.
     /** \returns the runs that are wanted at \a owner. */
     std::vector<RunName> wantedAt(const NodeName &owner) const;
@@ -150,6 +161,7 @@
         TimePoint arrivedAt;
         RunBounds bounds;
         std::uint32_t attempts = 0;
+        bool hasRun = false; ///< a task of it has run, or may have
         bool isOver = false;
     };
 
@@ -162,6 +174,8 @@
     using Jobs = std::map<std::string, Job>;
 
     static Duration longestChain(const TransientJob &job);
+    /** \returns how long new work waits for room, as far as the owners' queues tell. */
+    static Duration backlog(const ServiceName &service, const std::vector<OwnerView> &owners);
     std::optional<OutcomeReason> refusalOf(const TransientJob &job, const JobTerms &terms,
                                            const std::vector<OwnerView> &owners) const;
     Duration retryAfter(const JobTerms &terms, const std::vector<OwnerView> &owners) const;
@@ -169,6 +183,7 @@
     void retry(Job &job, Task &task, Duration pause, TimePoint now);
     void noteUncertain(Job &job, std::uint32_t step, Task &task, TimePoint now);
     void answer(Job &job, JobVerdict verdict, OutcomeReason reason, TimePoint now);
+    void giveUp(Job &job, OutcomeReason reason, TimePoint now);
     void forgetEnded(TimePoint now);
     RunRequest requestFor(const Job &job, const RunName &run, TimePoint now) const;
     OwnerView *chooseOwner(const Job &job, const JobStep &step, std::vector<OwnerView> &owners,
@@ -179,6 +194,7 @@
     std::map<std::uint64_t, std::string> jobOfCaller;
     std::map<std::string, Answered> answered;
     std::vector<JobOutcome> outcomes;
+    std::vector<RunSetback> setbacks;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -31,10 +31,10 @@
 {
     std::vector<OwnedTarget> targets;
     std::uint32_t queued = 0; ///< tasks that wait at the owner for room
-    std::int64_t queuedCpu = 0; ///< thousandths of a core that they ask for
+    std::int64_t queuedWork = 0; ///< what they need, in thousandths of a core times seconds
 
     auto operator<=>(const OwnerReport &other) const = default;
-    HIBISCUS_FIELDS(targets, queued, queuedCpu)
+    HIBISCUS_FIELDS(targets, queued, queuedWork)
 };
 
 /** \brief What an entry node says to another one, as coordinator of jobs and owner of targets.
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -193,6 +193,7 @@
     out.orders = this->owning.takeOrders();
     out.outcomes = this->coordinating.takeOutcomes();
     out.changes = this->owning.takeChanges();
+    out.setbacks = this->coordinating.takeSetbacks();
     return out;
 }
 
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -46,6 +46,7 @@
     std::vector<AddressedFleetMessage> messages;
     std::vector<JobOutcome> outcomes;
     std::vector<TargetChange> changes;
+    std::vector<RunSetback> setbacks;
     std::vector<NodeName> forgotten; ///< peers that are gone
 };
 
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -79,27 +79,41 @@
 void FleetOwner::keepOnly(const Requester &requester, const std::set<RunName> &wanted,
                           TimePoint now)
 {
-    for (auto item = this->held.begin(); item != this->held.end();) {
-        HeldRun &run = item->second;
-        const bool isDropped = run.requester == requester && !wanted.contains(item->first);
-        if (isDropped)
-            this->cancel(run, now);
-        item = isDropped && run.stage != Stage::AtTarget ? this->held.erase(item) : ++item;
-    }
+    const auto isMeant = [&](const HeldRun &run) {
+        return run.requester == requester && !wanted.contains(run.request.run);
+    };
+    this->stopAll(isMeant, false, now);
 }
 
 void FleetOwner::dropEarlierLives(const Requester &requester, TimePoint now)
 {
-    for (auto &[name, run] : this->held)
-        if (run.requester.node == requester.node && run.requester.life < requester.life)
-            this->cancel(run, now);
+    const auto isMeant = [&](const HeldRun &run) {
+        return run.requester.node == requester.node && run.requester.life < requester.life;
+    };
+    this->stopAll(isMeant, false, now);
 }
 
+// A node that is not heard may be cut off and alive, so the ends are kept to be told.
 void FleetOwner::dropNode(const NodeName &node, TimePoint now)
 {
-    for (auto &[name, run] : this->held)
-        if (run.requester.node == node)
-            this->cancel(run, now);
+    const auto isMeant = [&](const HeldRun &run) { return run.requester.node == node; };
+    this->stopAll(isMeant, true, now);
+}
+
+void FleetOwner::stopAll(const std::function<bool(const HeldRun &)> &isMeant, bool isWanted,
+                         TimePoint now)
+{
+    for (auto item = this->held.begin(); item != this->held.end();) {
+        HeldRun &run = item->second;
+        if (!isMeant(run)) {
+            ++item;
+            continue;
+        }
+        run.isWanted = run.isWanted && isWanted;
+        this->cancel(run, now);
+        const bool isDone = !run.isWanted && run.stage != Stage::AtTarget;
+        item = isDone ? this->held.erase(item) : ++item;
+    }
 }
 
 void FleetOwner::cancel(HeldRun &run, TimePoint now)
@@ -109,9 +123,9 @@
         run.end = RunEndKind::NotStarted;
         run.endedAt = now;
     }
-    if (run.stage != Stage::AtTarget || !run.isWanted)
+    if (run.stage != Stage::AtTarget || run.isStopping)
         return;
-    run.isWanted = false;
+    run.isStopping = true;
     const auto found = this->drivers.find(run.target);
     HIBISCUS_INVARIANT(found != this->drivers.end(), "a run at a target has a driver");
     found->second.stop(run.request.run, now, this->out);
@@ -163,6 +177,7 @@
 // earlier objective.
 void FleetOwner::place(const IsHeard &isHeard, TimePoint now)
 {
+    this->dropTooLate(now);
     std::vector<HeldRun *> waiting;
     for (auto &[name, run] : this->held)
         if (run.stage == Stage::Queued)
@@ -209,7 +224,8 @@
         if (run.stage != Stage::Queued)
             continue;
         ++report.queued;
-        report.queuedCpu += run.request.demand.cpu;
+        report.queuedWork += static_cast<std::int64_t>(static_cast<double>(run.request.demand.cpu)
+                                                       * toSeconds(run.request.estimate));
     }
     return report;
 }
@@ -288,6 +304,7 @@
         ++this->counts.failed;
         break;
     case RunEndKind::NotStarted:
+    case RunEndKind::TooLate:
     case RunEndKind::Superseded:
         ++this->counts.notStarted;
         break;
@@ -359,27 +376,65 @@
     });
 }
 
-// Only while there is time to do it again: otherwise the run may as well go on.
 void FleetOwner::stopStragglers(TimePoint now)
 {
     for (auto &[name, run] : this->held) {
-        if (run.stage != Stage::AtTarget || !run.isWanted || run.isStraggling)
+        if (run.stage != Stage::AtTarget || run.isStopping || run.isStraggling)
             continue;
         const auto found = this->drivers.find(run.target);
-        if (found == this->drivers.end())
-            continue;
-        const Duration time = this->runTimes.expected(found->second.target(), run.request.estimate);
-        const Duration bound = fromSeconds(this->options.straggling * toSeconds(time))
-            + this->options.stragglingSlack;
-        const bool isSlow = now >= run.startedAt + bound;
-        if (!isSlow || fitnessOf(run.bounds, time, now) == Fitness::Hopeless)
+        if (found == this->drivers.end() || !this->straggles(run, found->second, now))
             continue;
+        TargetDriver &driver = found->second;
         run.isStraggling = true;
         ++this->counts.stragglers;
-        this->note(found->second, "straggles");
-        found->second.avoid(now + this->options.avoidStraggler);
-        found->second.stop(name, now, this->out);
+        this->note(driver, "straggles");
+        driver.noteStraggler();
+        if (driver.stragglers() >= this->options.stragglersToAvoid)
+            driver.avoid(now + this->options.avoidStraggler);
+        driver.stop(name, now, this->out);
+    }
+}
+
+// Only what the target itself has listed as running so late, not what it had no chance to tell;
+// and only while there is time to do it again.
+bool FleetOwner::straggles(const HeldRun &run, const TargetDriver &driver, TimePoint now) const
+{
+    const Duration time = this->runTimes.expected(driver.target(), run.request.estimate);
+    const Duration bound
+        = fromSeconds(this->options.straggling * toSeconds(time)) + this->options.stragglingSlack;
+    const auto listedAt = driver.listedAt(run.request.run);
+    return listedAt && *listedAt >= run.startedAt + bound
+        && fitnessOf(run.bounds, this->shortestTime(run.request), now) != Fitness::Hopeless;
+}
+
+// What cannot end by its deadline on any target any more would only keep others from theirs.
+void FleetOwner::dropTooLate(TimePoint now)
+{
+    for (auto &[name, run] : this->held) {
+        if (run.stage != Stage::Queued)
+            continue;
+        if (mayFinishIn(run.bounds.deadlineAt - now, this->shortestTime(run.request)))
+            continue;
+        run.stage = Stage::Ended;
+        run.end = RunEndKind::TooLate;
+        run.endedAt = now;
+        ++this->counts.notStarted;
+    }
+}
+
+/** \returns the expected time of \a request on the fastest target of its service here. */
+Duration FleetOwner::shortestTime(const RunRequest &request) const
+{
+    Duration shortest = request.estimate;
+    bool isFirst = true;
+    for (const auto &[name, driver] : this->drivers) {
+        if (driver.target().service != request.service)
+            continue;
+        const Duration time = this->runTimes.expected(driver.target(), request.estimate);
+        shortest = isFirst ? time : std::min(shortest, time);
+        isFirst = false;
     }
+    return shortest;
 }
 
 bool FleetOwner::mayRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -21,8 +21,8 @@
      */
     double straggling = 3;
     Duration stragglingSlack = 60ms; ///< added to it, for the round trips of short runs
-    Duration avoidStraggler
-        = 1500ms; ///< a target with a straggling run gets no new work for so long
+    std::uint32_t stragglersToAvoid = 2; ///< in a row: the target, not the estimate, is wrong
+    Duration avoidStraggler = 1500ms; ///< such a target gets no new work for so long
     Duration endLifetime = 30s; ///< an end that nobody asks for any more is dropped
 };
 
@@ -125,13 +125,15 @@
         RunBounds bounds;
         TimePoint endedAt;
         RunEndKind end = RunEndKind::NotStarted;
-        bool isWanted = true;
+        bool isWanted = true; ///< otherwise nobody has to be told of its end
+        bool isStopping = false;
         bool isStraggling = false;
     };
 
     using Held = std::map<RunName, HeldRun>;
 
     void cancel(HeldRun &run, TimePoint now);
+    void stopAll(const std::function<bool(const HeldRun &)> &isMeant, bool isWanted, TimePoint now);
     void takeEnds(TimePoint now);
     void count(RunEndKind kind);
     void note(const TargetDriver &driver, std::string change);
@@ -141,6 +143,9 @@
     bool isTaskBusy(const RunName &run) const;
     bool waitsForFaster(const HeldRun &run, TimePoint now) const;
     void stopStragglers(TimePoint now);
+    bool straggles(const HeldRun &run, const TargetDriver &driver, TimePoint now) const;
+    void dropTooLate(TimePoint now);
+    Duration shortestTime(const RunRequest &request) const;
     void watchTargets(TimePoint now);
     void abandonRuns(const TargetName &target, TimePoint now);
 
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -62,6 +62,8 @@
         this->avoid(now + this->options.roomRefusalPause);
     if (answer.verdict == OrderVerdict::OtherLife)
         this->over = true;
+    if (answer.verdict != OrderVerdict::Unanswered)
+        this->silencesInRow = 0;
     if (found == this->runs.end())
         return;
     if (answer.verdict == OrderVerdict::Done) {
@@ -72,7 +74,7 @@
     }
     // The start may still arrive: only an answered stop makes sure that it does nothing.
     if (answer.verdict == OrderVerdict::Unanswered) {
-        this->noteRefusal(now);
+        this->noteSilence(now);
         found->second.phase = Phase::Unanswered;
         this->stop(run, now, out);
         return;
@@ -115,7 +117,9 @@
         return;
     }
     this->noteContact(answer.clock, now);
-    for (const ListedEnd &listed : answer.ended) {
+    std::vector<ListedEnd> ended = answer.ended;
+    std::ranges::sort(ended, {}, &ListedEnd::number);
+    for (const ListedEnd &listed : ended) {
         if (listed.number <= this->acknowledged)
             continue;
         this->acknowledged = listed.number;
@@ -159,6 +163,12 @@
         && now < this->contactAt + this->options.contactLifetime;
 }
 
+std::optional<TimePoint> TargetDriver::listedAt(const RunName &run) const
+{
+    const auto found = this->runs.find(run);
+    return found == this->runs.end() ? std::nullopt : found->second.listedAt;
+}
+
 std::uint32_t TargetDriver::countOf(const std::string &job, std::uint32_t step) const
 {
     return static_cast<std::uint32_t>(std::ranges::count_if(
@@ -214,6 +224,7 @@
 {
     if (listed.end == TargetRunEnd::Completed) {
         this->failuresInRow = 0;
+        this->stragglersInRow = 0;
         this->avoidance = {};
     }
     if (listed.end != TargetRunEnd::Failed || listed.run.job == this->lastFailedJob)
@@ -226,6 +237,14 @@
     this->avoid(now + this->avoidance);
 }
 
+// One lost order says little; a target that answers none of them should be left alone.
+void TargetDriver::noteSilence(TimePoint now)
+{
+    this->avoid(now + this->options.avoidAfterSilence);
+    if (++this->silencesInRow >= this->options.silencesToAvoid)
+        this->noteRefusal(now);
+}
+
 void TargetDriver::poll(TimePoint now, DriverOutbox &out)
 {
     this->isPolling = true;
@@ -234,10 +253,11 @@
         return r.second.stopAnsweredAt.has_value();
     });
     constexpr Duration shortWait = 20ms; // a stopped run is listed within some tens of these
+    const Duration wait = this->runs.empty() ? this->options.idleWait : this->options.busyWait;
     out.orders.emplace_back(PollOrder { .to = this->address(),
                                         .acknowledged = this->acknowledged,
                                         .leaseUntil = this->leaseUntil(now),
-                                        .wait = hasNoPatience ? shortWait : this->options.pollWait,
+                                        .wait = hasNoPatience ? shortWait : wait,
                                         .usesNewConnection = this->lastPollFailed });
 }
 
@@ -269,9 +289,11 @@
 void TargetDriver::endUnlisted(const PollAnswer &answer, DriverOutbox &out)
 {
     std::vector<RunEnd> over;
-    for (const auto &[name, run] : this->runs) {
-        if (std::ranges::find(answer.running, name) != answer.running.end())
+    for (auto &[name, run] : this->runs) {
+        if (std::ranges::find(answer.running, name) != answer.running.end()) {
+            run.listedAt = this->polledAt;
             continue;
+        }
         if (run.stopAnsweredAt && *run.stopAnsweredAt <= this->polledAt)
             over.push_back({ .run = name, .kind = RunEndKind::Stopped });
         else if (run.phase == Phase::Running && run.confirmedAt < this->polledAt)
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -10,11 +10,16 @@
 struct TargetDriverOptions
 {
     Duration lease = 1s; ///< from the platform: the longest that targets grant
-    Duration pollWait = 450ms; ///< under half of the lease, so that one lost poll does not end it
+    Duration idleWait = 450ms; ///< of a poll; under half of the lease, so that one may be lost
+    /** \brief Of a poll while something runs: an end whose poll was lost is told by the next one.
+     */
+    Duration busyWait = 100ms;
     Duration contactLifetime = 950ms; ///< silent for longer: no new work; a poll and its time-out
     Duration retryInterval = 50ms; ///< between orders to a target that does not answer
     Duration stopRetryInterval = 150ms; ///< an unanswered stop is sent again
     Duration avoidAfterRefusal = 250ms; ///< an unhealthy target is left alone, doubled each time
+    Duration avoidAfterSilence = 50ms; ///< after one order that was not answered
+    std::uint32_t silencesToAvoid = 2; ///< so many in a row count as unhealthy
     Duration longestAvoidance = 4s; ///< so that a target that recovered is found again
     std::uint32_t failuresToAvoid = 2; ///< failed runs in a row, each of another job
     Duration avoidAfterFailures = 1s; ///< doubled each time, up to the longest avoidance
@@ -50,6 +55,8 @@
                     DriverOutbox &out);
     void finishPoll(const PollAnswer &answer, TimePoint now, DriverOutbox &out);
     void tick(TimePoint now, DriverOutbox &out);
+    /** \brief Takes note that a run takes far too long. */
+    void noteStraggler() { ++this->stragglersInRow; }
     /** \brief Gives no new work until \a until. */
     void avoid(TimePoint until) { this->avoidUntil = std::max(this->avoidUntil, until); }
     /** \brief Gives no new work from now on; what runs goes on. */
@@ -74,6 +81,10 @@
     TimePoint contactedAt() const { return std::max(this->ownedAt, this->contactAt); }
     std::size_t runCount() const { return this->runs.size(); }
     bool holds(const RunName &run) const { return this->runs.contains(run); }
+    /** \returns when the target last listed \a run as running; empty if it never did. */
+    std::optional<TimePoint> listedAt(const RunName &run) const;
+    /** \returns the runs in a row that were found to take too long. */
+    std::uint32_t stragglers() const { return this->stragglersInRow; }
     std::uint32_t countOf(const std::string &job, std::uint32_t step) const;
 
 private:
@@ -84,6 +95,7 @@
         Capacity demand;
         Phase phase = Phase::Starting;
         TimePoint confirmedAt; ///< when the target confirmed the start
+        std::optional<TimePoint> listedAt; ///< when a poll that listed it as running was sent
         bool isStopWanted = false;
         bool isStopInFlight = false;
         TimePoint stopAt; ///< not before
@@ -95,6 +107,7 @@
     void noteContact(std::optional<std::int64_t> clock, TimePoint now);
     void noteFence(TimePoint now);
     void noteRefusal(TimePoint now);
+    void noteSilence(TimePoint now);
     void noteOutcome(const ListedEnd &listed, TimePoint now);
     void poll(TimePoint now, DriverOutbox &out);
     void sendStop(const RunName &name, DrivenRun &run, TimePoint now, DriverOutbox &out);
@@ -127,6 +140,8 @@
     TimePoint avoidUntil;
     Duration avoidance {};
     std::uint32_t failuresInRow = 0;
+    std::uint32_t silencesInRow = 0;
+    std::uint32_t stragglersInRow = 0;
     std::string lastFailedJob;
 };
 
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -17,8 +17,8 @@
 /** \brief An order that is not answered for so long counts as unanswered: some tens of round
  * trips, and a small part of a short task's objective.
  */
-constexpr Duration orderTimeout = 150ms;
-constexpr Duration pollSlack = 300ms; ///< beyond the wait that a poll asks for
+constexpr Duration orderTimeout = 80ms;
+constexpr Duration pollSlack = 100ms; ///< beyond the wait that a poll asks for
 /** \brief The balancer looks once a second and takes two misses; then nobody new comes. */
 constexpr Duration balancerTime = 2200ms;
 /** \brief Within this of its forced end a stopping gateway refuses new jobs: the longest
@@ -267,6 +267,14 @@
                   { { "target", change.target.str() },
                     { "life", std::to_string(change.life) },
                     { "fencing_token", std::to_string(change.fencingToken) } });
+    for (const RunSetback &setback : out.setbacks)
+        logChange("run-ended",
+                  { { "job", setback.end.run.job },
+                    { "step", std::to_string(setback.end.run.step) },
+                    { "task", std::to_string(setback.end.run.index) },
+                    { "attempt", std::to_string(setback.end.run.attempt) },
+                    { "owner", setback.owner.str() },
+                    { "end", toString(setback.end.kind) } });
     for (const NodeName &peer : out.forgotten) {
         logChange("peer-forgotten", { { "peer", peer.str() } });
         this->relay.forget(peer);
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -13,11 +13,11 @@
  * out; well under the second after which operators ask another node.
  */
 constexpr Duration changeConfirmation = 700ms;
-constexpr Duration registryHeartbeat = 100ms;
-/** \brief Shortest silence after which a member stands for election: ten heartbeats, since a
- * member may wait for its disk or its share of a processor.
+constexpr Duration registryHeartbeat = 80ms;
+/** \brief Shortest silence after which a member stands for election: five heartbeats, since a
+ * member may wait for its disk or its share of a processor. Callers wait for it after a restart.
  */
-constexpr Duration registryElection = 1s;
+constexpr Duration registryElection = 400ms;
 constexpr std::size_t registryVoters = 3; ///< tolerates the loss of one disk
 constexpr std::uint64_t changesPerSnapshot = 64;
 
