--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -294,9 +294,12 @@
             run.listedAt = this->polledAt;
             continue;
         }
-        if (run.stopAnsweredAt && *run.stopAnsweredAt <= this->polledAt)
+        const bool isStopped
+            = run.stopAnsweredAt && *run.stopAnsweredAt + this->options.stopTime <= this->polledAt;
+        if (isStopped)
             over.push_back({ .run = name, .kind = RunEndKind::Stopped });
-        else if (run.phase == Phase::Running && run.confirmedAt < this->polledAt)
+        else if (!run.isStopWanted && run.phase == Phase::Running
+                 && run.confirmedAt < this->polledAt)
             over.push_back({ .run = name, .kind = RunEndKind::Lost });
     }
     for (const RunEnd &item : over)
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -16,6 +16,10 @@
     Duration busyWait = 100ms;
     Duration contactLifetime = 950ms; ///< silent for longer: no new work; a poll and its time-out
     Duration retryInterval = 50ms; ///< between orders to a target that does not answer
+    /** \brief From a target's answer to a stop until the run is certainly over: the platform allows
+     * 50 ms, and targets need not list a run as running meanwhile.
+     */
+    Duration stopTime = 60ms;
     Duration stopRetryInterval = 150ms; ///< an unanswered stop is sent again
     Duration avoidAfterRefusal = 250ms; ///< an unhealthy target is left alone, doubled each time
     Duration avoidAfterSilence = 50ms; ///< after one order that was not answered
--- /dev/null
+++ b/test/TargetDriverTest.cpp
@@ -0,0 +1,104 @@
+#include <Hibiscus/Fleet>
+#include <gtest/gtest.h>
+
+using namespace Hibiscus;
+
+namespace {
+
+/** \brief A driver that has settled its target and started one run, which the target confirmed. */
+class Driven
+{
+public:
+    Driven() : driver({}, target(), 7, this->now)
+    {
+        this->request.run = { .job = "j", .attempt = 1 };
+        this->request.demand = { .cpu = 1000 };
+        this->driver.tick(this->now, this->out);
+        this->poll({});
+        this->pass(10ms);
+        this->driver.start(this->request, this->now, this->out);
+        this->driver.finishStart(this->request.run, { .verdict = OrderVerdict::Done, .clock = 20 },
+                                 this->now, this->out);
+        this->pass(10ms);
+    }
+
+    static LeasedTarget target()
+    {
+        LeasedTarget target;
+        target.name = TargetName("t");
+        target.life = 1;
+        target.capacity = { .cpu = 64'000 };
+        return target;
+    }
+
+    void pass(Duration span)
+    {
+        this->now += span;
+        this->driver.tick(this->now, this->out);
+    }
+
+    /** \brief The target answers the poll under way, and the next one is sent. */
+    void poll(const std::vector<RunName> &running)
+    {
+        this->driver.finishPoll({ .verdict = OrderVerdict::Done, .clock = 10, .running = running },
+                                this->now, this->out);
+        this->driver.tick(this->now, this->out);
+    }
+
+    TimePoint now { 1'800'000'000s };
+    DriverOutbox out;
+    RunRequest request;
+    TargetDriver driver;
+};
+
+// A target may not list a run any more that it is about to stop, though the run goes on for a
+// while; and the poll may overtake the answer to the stop.
+TEST(TargetDriver, ARunThatIsBeingStoppedIsNotOverBeforeItsTargetHadTheTime)
+{
+    Driven driven;
+    driven.poll({ driven.request.run });
+    driven.driver.stop(driven.request.run, driven.now, driven.out);
+    driven.pass(5ms);
+    driven.poll({});
+    EXPECT_TRUE(driven.out.ends.empty()) << "before the stop was answered";
+    driven.driver.finishStop(driven.request.run, { .verdict = OrderVerdict::Done, .clock = 30 },
+                             driven.now, driven.out);
+    driven.pass(5ms);
+    driven.poll({});
+    driven.pass(20ms);
+    driven.poll({});
+    EXPECT_TRUE(driven.out.ends.empty()) << "25 ms after the stop was answered";
+    driven.pass(60ms);
+    driven.poll({});
+    driven.pass(10ms);
+    driven.poll({});
+    ASSERT_EQ(driven.out.ends.size(), 1U);
+    EXPECT_EQ(driven.out.ends[0].kind, RunEndKind::Stopped);
+}
+
+TEST(TargetDriver, AConfirmedRunThatIsNotListedIsLost)
+{
+    Driven driven;
+    driven.poll({ driven.request.run });
+    driven.pass(10ms);
+    driven.poll({});
+    ASSERT_EQ(driven.out.ends.size(), 1U);
+    EXPECT_EQ(driven.out.ends[0].kind, RunEndKind::Lost);
+}
+
+// A start that was not answered may be carried out later: only an answered stop ends it.
+TEST(TargetDriver, AnUnansweredStartIsNotOverWithoutAStop)
+{
+    Driven driven;
+    RunRequest second = driven.request;
+    second.run.index = 1;
+    driven.driver.start(second, driven.now, driven.out);
+    driven.driver.finishStart(second.run, {}, driven.now, driven.out);
+    for (int i = 0; i < 20; ++i) {
+        driven.pass(100ms);
+        driven.poll({ driven.request.run });
+    }
+    EXPECT_TRUE(driven.out.ends.empty());
+}
+
+} // namespace
--- a/test/support/FleetWorld.cpp
+++ b/test/support/FleetWorld.cpp
@@ -8,7 +8,7 @@
 
 constexpr Duration orderTimeout = 80ms;
 constexpr Duration pollSlack = 100ms;
-constexpr Duration stopTime = 30ms; ///< a target ends a stopped run within it
+constexpr Duration stopTime = 50ms; ///< a target ends a stopped run within it
 constexpr Duration tickInterval = 10ms;
 
 std::int64_t clockOf(TimePoint now)
@@ -252,7 +252,10 @@
         return { .verdict = OrderVerdict::Fenced, .clock = clock };
     std::uint64_t &over = target.highestOver[taskOf(order.run)];
     over = std::max(over, order.run.attempt);
-    if (target.running.contains(order.run))
+    const auto running = target.running.find(order.run);
+    if (running != target.running.end())
+        running->second.isStopping = true;
+    if (running != target.running.end())
         this->scheduler.after(stopTime, [this, &target, run = order.run] {
             if (target.running.contains(run))
                 this->endRun(target, run, TargetRunEnd::Stopped);
@@ -316,7 +319,8 @@
                 return;
             }
             for (const auto &[run, held] : target.running)
-                answer.running.push_back(run);
+                if (!held.isStopping)
+                    answer.running.push_back(run);
             answer.ended = target.ended;
         }
         this->scheduler.after(oneWay, [finish, answer] { finish(answer); });
--- a/test/support/FleetWorld.h
+++ b/test/support/FleetWorld.h
@@ -35,6 +35,7 @@
     {
         std::uint64_t number = 0; ///< of the event that ends it
         TimePoint startedAt;
+        bool isStopping = false;
     };
 
     LeasedTarget self;
