Long tasks go to fast targets when their estimate may be far too low

Change: between in time and late there is 'risky': twice the expected time passes the deadline. Risky tasks go to the fastest free target; the others as before.

--- a/Hibiscus/src/Fleet/Fitness.h
+++ b/Hibiscus/src/Fleet/Fitness.h
@@ -17,6 +17,7 @@
 enum class Fitness : std::uint8_t {
     Hopeless, ///< it would not be over by the deadline, as far as estimates can be trusted
     Late, ///< over by the deadline, but not by the objective
+    Risky, ///< in time, but past the deadline if the estimate is far too low
     InTime
 };
 
@@ -25,6 +26,11 @@
  */
 inline constexpr double deadlineMargin = 1.4;
 
+/** \brief How far beyond the expected run time a run may take without risk for its deadline: one
+ * run in twenty-five takes longer, with estimates that are 40% off.
+ */
+inline constexpr double safeMargin = 2.0;
+
 /** \brief Share of the expected run time that a run may take when its estimate is too high: what
  * could not be in time even then is not worth trying.
  */
@@ -41,7 +47,10 @@
 {
     if (now + fromSeconds(deadlineMargin * toSeconds(expected)) > bounds.deadlineAt)
         return Fitness::Hopeless;
-    return now + expected <= bounds.objectiveAt ? Fitness::InTime : Fitness::Late;
+    if (now + expected > bounds.objectiveAt)
+        return Fitness::Late;
+    const bool isSafe = now + fromSeconds(safeMargin * toSeconds(expected)) <= bounds.deadlineAt;
+    return isSafe ? Fitness::InTime : Fitness::Risky;
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -1,6 +1,7 @@
 #include "Hibiscus/src/Fleet/FleetCoordinator.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <tuple>
 
@@ -28,20 +29,20 @@
         && target.capacity.covers(step.demand);
 }
 
-/** \brief What a task asks of a target, and how the fastest and the slowest would do. */
+/** \brief What a task asks of a target, and how well the best of them would do. */
 struct Wish
 {
     ServiceName service;
     JobStep step;
     RunBounds bounds;
-    double slowest = 0; ///< slowness of the slowest target that is fit, over all owners
-    bool anyIsFit = false; ///< otherwise every target that suits will do
+    Fitness best = Fitness::Hopeless; ///< over all owners
+    double slowest = 0; ///< slowness of the slowest target that is so fit
 };
 
-static bool isFit(const OwnedTarget &target, const Wish &wish, TimePoint now)
+static Fitness fitnessOf(const OwnedTarget &target, const Wish &wish, TimePoint now)
 {
     const Duration expected = fromSeconds(target.slowness * toSeconds(wish.step.estimate));
-    return fitnessOf(wish.bounds, expected, now) != Fitness::Hopeless;
+    return Hibiscus::fitnessOf(wish.bounds, expected, now);
 }
 
 /** \brief A target that is so much faster than the slowest fit one is kept for what needs it. */
@@ -50,9 +51,10 @@
 /** \brief Room of an owner for tasks of one demand. */
 struct Room
 {
-    std::int64_t plain = 0; ///< tasks that fit now on targets that are not kept for others
-    std::int64_t free = 0; ///< tasks that fit now
-    std::int64_t all = 0; ///< tasks that fit when nothing runs
+    std::int64_t plain = 0; ///< tasks that fit now on the fittest that are not kept for others
+    std::int64_t fittest = 0; ///< tasks that fit now on the fittest targets
+    std::int64_t free = 0; ///< tasks that fit now on targets that are not hopeless
+    std::int64_t all = 0; ///< tasks that fit on the fittest targets when nothing runs
 };
 
 static Room roomOf(const OwnerView &owner, const Wish &wish, TimePoint now)
@@ -61,12 +63,15 @@
     for (const OwnedTarget &target : owner.report.targets) {
         if (!target.takesWork || !suits(target, wish.service, wish.step))
             continue;
-        if (wish.anyIsFit && !isFit(target, wish, now))
-            continue;
+        const Fitness fitness = fitnessOf(target, wish, now);
         const std::int64_t free = target.free.copiesOf(wish.step.demand);
-        room.free += free;
+        if (fitness != Fitness::Hopeless)
+            room.free += free;
+        if (fitness != wish.best)
+            continue;
+        room.fittest += free;
         room.all += target.capacity.copiesOf(wish.step.demand);
-        if (target.slowness >= reservedFaster * wish.slowest)
+        if (fitness == Fitness::InTime && target.slowness >= reservedFaster * wish.slowest)
             room.plain += free;
     }
     return room;
@@ -78,10 +83,12 @@
         for (const OwnedTarget &target : owner.report.targets) {
             if (!target.takesWork || !suits(target, wish.service, wish.step))
                 continue;
-            if (!isFit(target, wish, now))
-                continue;
-            wish.anyIsFit = true;
-            wish.slowest = std::max(wish.slowest, target.slowness);
+            const Fitness fitness = fitnessOf(target, wish, now);
+            if (fitness > wish.best)
+                wish.slowest = 0;
+            wish.best = std::max(wish.best, fitness);
+            if (fitness == wish.best)
+                wish.slowest = std::max(wish.slowest, target.slowness);
         }
 }
 
@@ -480,12 +487,16 @@
     std::tuple<int, int, double> bestKey;
     for (OwnerView &owner : owners) {
         const internal::Room room = internal::roomOf(owner, wish, now);
-        if (room.all == 0)
-            continue;
         const std::int64_t ahead = owner.report.queued + owner.unreported;
-        const int tier = room.plain > ahead ? 0 : (room.free > ahead ? 1 : 2);
-        const bool isFull = tier == 2;
-        const double load = static_cast<double>(ahead - room.free) / static_cast<double>(room.all);
+        const std::array rooms = { room.plain, room.fittest, room.free };
+        const auto roomy
+            = std::ranges::find_if(rooms, [&](std::int64_t free) { return free > ahead; });
+        const bool isFull = roomy == rooms.end();
+        if (isFull && room.all == 0)
+            continue;
+        const int tier = static_cast<int>(roomy - rooms.begin());
+        const auto size = static_cast<double>(std::max<std::int64_t>(room.all, 1));
+        const double load = static_cast<double>(ahead - room.free) / size;
         constexpr double farPenalty = 0.15; // of an owner's room: about a round trip of waiting
         const bool isFar = owner.distance == OwnerView::Distance::OtherDomain;
         const int rank = isFull ? 0 : static_cast<int>(isFar);
--- /dev/null
+++ b/test/FleetCoordinatorTest.cpp
@@ -0,0 +1,74 @@
+#include <Hibiscus/Fleet>
+#include <gtest/gtest.h>
+
+using namespace Hibiscus;
+
+namespace {
+
+/** \brief An owner with one target of room for two tasks. */
+OwnerView ownerWith(const std::string &name, double slowness, std::int64_t freeCpu = 54'000)
+{
+    OwnedTarget target;
+    target.name = TargetName("t-" + name);
+    target.service = ServiceName("s");
+    target.capacity = { .cpu = 64'000, .memory = 1'000 };
+    target.free = { .cpu = freeCpu, .memory = 1'000 };
+    target.slowness = slowness;
+    target.takesWork = true;
+    target.isSettled = true;
+    OwnerView view = { .node = NodeName(name), .life = 1 };
+    view.distance = OwnerView::Distance::SameDomain;
+    view.report.targets = { target };
+    return view;
+}
+
+/** \returns the owners of the tasks of a job whose tasks are estimated to take \a estimate. */
+std::vector<std::string> ownersOf(Duration estimate, std::uint32_t tasks,
+                                  std::vector<OwnerView> owners)
+{
+    const TimePoint now(1'800'000'000s);
+    FleetCoordinator coordinator({});
+    TransientJob job = { .id = "j", .spec = "spec" };
+    JobStep step;
+    step.count = tasks;
+    step.demand = { .cpu = 27'000, .memory = 64 };
+    step.estimate = estimate;
+    job.steps = { step };
+    const JobTerms terms
+        = { .service = ServiceName("s"), .stretch = 1.6, .slack = 60ms, .untilDeadline = 1500ms };
+    coordinator.submit(job, terms, 1, owners, now);
+    std::vector<std::string> names;
+    for (const RunAssignment &assignment : coordinator.place(owners, now))
+        names.push_back(assignment.owner.str());
+    return names;
+}
+
+using Names = std::vector<std::string>;
+
+// A long task whose estimate may be far too low would miss its deadline on a slow target.
+TEST(FleetCoordinator, LongTasksGoToFastTargets)
+{
+    EXPECT_EQ(ownersOf(700ms, 2, { ownerWith("slow", 1.4), ownerWith("fast", 0.6) }),
+              (Names { "fast", "fast" }));
+}
+
+TEST(FleetCoordinator, ShortTasksLeaveFastTargetsToLongOnes)
+{
+    EXPECT_EQ(ownersOf(60ms, 2, { ownerWith("slow", 1.4), ownerWith("fast", 0.6) }),
+              (Names { "slow", "slow" }));
+}
+
+TEST(FleetCoordinator, ShortTasksUseFastTargetsWhenTheOthersAreFull)
+{
+    EXPECT_EQ(ownersOf(60ms, 3, { ownerWith("slow", 1.4), ownerWith("fast", 0.6) }),
+              (Names { "slow", "slow", "fast" }));
+}
+
+// Better a risk than a wait, as long as the slow target is not hopeless.
+TEST(FleetCoordinator, LongTasksTakeASlowTargetWhenTheFastOnesAreFull)
+{
+    EXPECT_EQ(ownersOf(700ms, 1, { ownerWith("slow", 1.4), ownerWith("fast", 0.6, 0) }),
+              (Names { "slow" }));
+}
+
+} // namespace
