Runs that wait while another owner has room go back to be placed anew

Cause: coordinators place with reports that are some milliseconds old, so six of them pick the same owner and short tasks wait there behind long ones. Ruled out: shorter estimates (perfect ones leave the same lateness of short tasks); one gateway with all targets shows none of it, so it is the division among owners.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -177,10 +177,10 @@
         = task.stage == Stage::Assigned && task.attempt == end.run.attempt && task.owner == owner;
     if (!isCurrent)
         return;
-    const bool neverRan = end.kind == RunEndKind::NotStarted || end.kind == RunEndKind::TooLate
-        || end.kind == RunEndKind::Superseded;
+    const bool neverRan = end.kind == RunEndKind::NotStarted || end.kind == RunEndKind::Returned
+        || end.kind == RunEndKind::TooLate || end.kind == RunEndKind::Superseded;
     job.hasRun = job.hasRun || !neverRan;
-    if (end.kind != RunEndKind::Completed)
+    if (end.kind != RunEndKind::Completed && end.kind != RunEndKind::Returned)
         this->setbacks.push_back({ .owner = owner, .end = end });
     switch (end.kind) {
     case RunEndKind::Completed:
@@ -205,6 +205,7 @@
         task.stage = Stage::Ready;
         this->giveUp(job, OutcomeReason::Overloaded, now);
         break;
+    case RunEndKind::Returned:
     case RunEndKind::Stopped:
     case RunEndKind::Lost:
         this->retry(task, {}, now);
--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hibiscus/src/Fleet/Fitness.h"
 #include "Hibiscus/src/Fleet/LeasedTarget.h"
 #include "Hibiscus/src/Fleet/Run.h"
 
@@ -37,6 +38,12 @@
     HIBISCUS_FIELDS(targets, queued, queuedWork)
 };
 
+/** \brief Takes room for \a request out of \a report, on a target that may end it in time.
+ * \returns whether there was any.
+ */
+bool takeRoom(OwnerReport &report, const RunRequest &request, const RunBounds &bounds,
+              TimePoint now);
+
 /** \brief What an entry node says to another one, as coordinator of jobs and owner of targets.
  *
  * Each message states in full which runs its sender still wants, and which ends it has to tell, so
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -187,6 +187,7 @@
     this->noteTime(now);
     this->placeTasks(now);
     this->owning.place([&](const Requester &r) { return this->isHeard(r, now); }, now);
+    this->returnWaiting(now);
     this->deliverOwnEnds(now);
     FleetOutbox out;
     this->sendMessages(now, out);
@@ -260,6 +261,25 @@
     }
 }
 
+// Coordinators place with reports that are some milliseconds old, so runs pile up at one owner
+// while another has room. They go back to be placed anew, as many as there is room for.
+void FleetNode::returnWaiting(TimePoint now)
+{
+    if (this->owning.queuedCount() == 0)
+        return;
+    std::vector<OwnerView> others = this->views(now);
+    std::erase_if(others, [](const OwnerView &view) {
+        return view.distance == OwnerView::Distance::Self || view.report.queued > 0;
+    });
+    this->owning.returnWaiting(
+        [&](const RunRequest &request, const RunBounds &bounds) {
+            return std::ranges::any_of(others, [&](OwnerView &view) {
+                return takeRoom(view.report, request, bounds, now);
+            });
+        },
+        now);
+}
+
 void FleetNode::deliverOwnEnds(TimePoint now)
 {
     const std::vector<RunName> names = this->coordinating.wantedAt(this->options.self);
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -139,6 +139,7 @@
     void takeEcho(Peer &peer, const FleetMessage &message);
     void takeWanted(Peer &peer, const FleetMessage &message, TimePoint now);
     void placeTasks(TimePoint now);
+    void returnWaiting(TimePoint now);
     void deliverOwnEnds(TimePoint now);
     void passTargetsOn(TimePoint now);
     std::optional<NodeName> betterOwner(const TargetName &target, TimePoint now) const;
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -64,6 +64,7 @@
     HeldRun run;
     run.request = request;
     run.requester = requester;
+    run.heldSince = now;
     run.bounds = { .objectiveAt = now + request.untilObjective,
                    .deadlineAt = now + request.untilDeadline };
     this->held.try_emplace(request.run, std::move(run));
@@ -168,9 +169,8 @@
 
 // What is late already goes behind what can still be in time; then the more urgent class, then the
 // earlier objective.
-void FleetOwner::place(const IsHeard &isHeard, TimePoint now)
+std::vector<FleetOwner::HeldRun *> FleetOwner::waitingRuns(TimePoint now)
 {
-    this->dropTooLate(now);
     std::vector<HeldRun *> waiting;
     for (auto &[name, run] : this->held)
         if (run.stage == Stage::Queued)
@@ -179,6 +179,13 @@
         return std::tuple(run->bounds.objectiveAt < now, run->request.priority,
                           run->bounds.objectiveAt);
     });
+    return waiting;
+}
+
+void FleetOwner::place(const IsHeard &isHeard, TimePoint now)
+{
+    this->dropTooLate(now);
+    const std::vector<HeldRun *> waiting = this->waitingRuns(now);
     for (HeldRun *run : waiting) {
         if (!isHeard(run->requester) || this->isTaskBusy(run->request.run))
             continue;
@@ -193,6 +200,19 @@
     }
 }
 
+void FleetOwner::returnWaiting(const TakeRoom &takeRoom, TimePoint now)
+{
+    for (HeldRun *run : this->waitingRuns(now)) {
+        if (now < run->heldSince + this->options.returnAfter
+            || !takeRoom(run->request, run->bounds))
+            continue;
+        run->stage = Stage::Ended;
+        run->end = RunEndKind::Returned;
+        run->endedAt = now;
+        ++this->counts.returned;
+    }
+}
+
 void FleetOwner::distrustTargets()
 {
     for (auto &[name, driver] : this->drivers)
@@ -304,6 +324,7 @@
         ++this->counts.failed;
         break;
     case RunEndKind::NotStarted:
+    case RunEndKind::Returned:
     case RunEndKind::TooLate:
     case RunEndKind::Superseded:
         ++this->counts.notStarted;
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -23,6 +23,10 @@
     Duration stragglingSlack = 60ms; ///< added to it, for the round trips of short runs
     std::uint32_t stragglersToAvoid = 2; ///< in a row: the target, not the estimate, is wrong
     Duration avoidStraggler = 1500ms; ///< such a target gets no new work for so long
+    /** \brief A run waits here for so long before it may be given back: a few round trips, so that
+     * room that is free for a moment is not chased.
+     */
+    Duration returnAfter = 10ms;
     Duration endLifetime = 30s; ///< an end that nobody asks for any more is dropped
 };
 
@@ -42,6 +46,7 @@
     std::uint64_t completed = 0;
     std::uint64_t failed = 0;
     std::uint64_t notStarted = 0;
+    std::uint64_t returned = 0; ///< given back, since another owner had room
     std::uint64_t stopped = 0;
     std::uint64_t lost = 0;
     std::uint64_t adopted = 0; ///< targets taken over
@@ -70,6 +75,9 @@
     /** \brief Whether a requester was heard so lately that a run may be started for it. */
     using IsHeard = std::function<bool(const Requester &)>;
 
+    /** \brief Whether another owner has room for a run, which is then taken. */
+    using TakeRoom = std::function<bool(const RunRequest &, const RunBounds &)>;
+
     explicit FleetOwner(const FleetOwnerOptions &options) : options(options) { }
 
     // Commands.
@@ -96,6 +104,10 @@
     void tick(const IsHeard &isHeard, TimePoint now);
     /** \brief Starts what fits. */
     void place(const IsHeard &isHeard, TimePoint now);
+    /** \brief Gives back what has waited here for a while and has room elsewhere.
+     * \a takeRoom names room for a run with a demand, at most once for the same room.
+     */
+    void returnWaiting(const TakeRoom &takeRoom, TimePoint now);
     void distrustTargets();
     std::vector<TargetOrder> takeOrders() { return std::exchange(this->out.orders, {}); }
     std::vector<TargetChange> takeChanges() { return std::exchange(this->changes, {}); }
@@ -122,6 +134,7 @@
         Requester requester;
         Stage stage = Stage::Queued;
         TargetName target;
+        TimePoint heldSince;
         TimePoint startedAt;
         RunBounds bounds;
         TimePoint endedAt;
@@ -133,6 +146,7 @@
 
     using Held = std::map<RunName, HeldRun>;
 
+    std::vector<HeldRun *> waitingRuns(TimePoint now);
     void cancel(HeldRun &run, TimePoint now);
     void stopAll(const std::function<bool(const HeldRun &)> &isMeant, bool isWanted, TimePoint now);
     void takeEnds(TimePoint now);
--- a/Hibiscus/src/Fleet/Run.cpp
+++ b/Hibiscus/src/Fleet/Run.cpp
@@ -11,6 +11,8 @@
         return "failed";
     case RunEndKind::NotStarted:
         return "not-started";
+    case RunEndKind::Returned:
+        return "returned";
     case RunEndKind::TooLate:
         return "too-late";
     case RunEndKind::Superseded:
--- a/Hibiscus/src/Fleet/Run.h
+++ b/Hibiscus/src/Fleet/Run.h
@@ -49,6 +49,7 @@
     Completed,
     Failed, ///< the task ran and failed
     NotStarted, ///< it never ran and never will
+    Returned, ///< it never ran: it waited for room here, and another owner has some
     TooLate, ///< it never ran: it could not have ended by its deadline
     Superseded, ///< it never ran: the target has seen a later attempt of the task
     Stopped, ///< on request
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -57,7 +57,8 @@
 
 TEST(Fleet, AJobThatNoTargetCanHoldIsRefusedAtOnce)
 {
-    FleetWorld world({ .capacity = { .cpu = 20'000, .memory = 262'144 }, .seed = 5 });
+    FleetWorld world(
+        { .kinds = { { .capacity = { .cpu = 20'000, .memory = 262'144 } } }, .seed = 5 });
     world.run(6s);
     const std::string job = world.submit("g-a1", 1, 100ms);
     world.run(20ms);
--- a/test/support/FleetWorld.cpp
+++ b/test/support/FleetWorld.cpp
@@ -56,8 +56,10 @@
             target.self.address = "127.0.0.1:1";
             target.self.service = ServiceName("s");
             target.self.domain = DomainName(domain);
-            target.self.kind = "k";
-            target.self.capacity = options.capacity;
+            const FleetTargetKind &kind = options.kinds[(i - 1) % options.kinds.size()];
+            target.self.kind = kind.name;
+            target.self.capacity = kind.capacity;
+            target.speed = kind.speed;
             this->scheduler.after(Duration(1000 * i), [this, name] { this->beat(name); });
         }
     }
@@ -233,7 +235,7 @@
     ++this->startCount;
     const std::uint64_t number = this->nextRun++;
     target.running[order.run] = { .number = number, .startedAt = this->now() };
-    const double seconds = toSeconds(this->taskTimes.at(order.run.job)) / target.speed;
+    const double seconds = toSeconds(this->taskTimes.at(order.run.job).at(order.run.index)) / target.speed;
     this->scheduler.after(fromSeconds(seconds), [this, &target, run = order.run, number] {
         this->lapse(target);
         const auto found = target.running.find(run);
@@ -379,20 +381,32 @@
 
 std::string FleetWorld::submit(const std::string &gateway, std::uint32_t tasks, Duration taskTime,
                                Duration patience, Duration estimate)
+{
+    return this->submit(gateway,
+                        { .taskTimes = std::vector<Duration>(tasks, taskTime),
+                          .estimate = estimate == Duration() ? taskTime : estimate,
+                          .patience = patience });
+}
+
+std::string FleetWorld::submit(const std::string &gateway, const FleetJob &job)
 {
     const std::uint64_t token = this->nextToken++;
     Caller &caller = this->callers[token];
     caller.job.id = "job" + std::to_string(token);
     caller.job.spec = "spec";
     JobStep step;
-    step.count = tasks;
-    step.demand = { .cpu = 27'000, .memory = 64 };
-    step.estimate = estimate == Duration() ? taskTime : estimate;
+    step.count = static_cast<std::uint32_t>(job.taskTimes.size());
+    step.demand = job.demand;
+    step.estimate = job.estimate;
     caller.job.steps = { step };
-    caller.taskTime = taskTime;
+    caller.terms.service = ServiceName("s");
+    caller.terms.priority = job.priority;
+    caller.terms.mostFailures = 3;
+    caller.terms.stretch = 1.6;
+    caller.terms.slack = 60ms;
     caller.sentAt = this->now();
-    caller.deadlineAt = this->now() + patience;
-    this->taskTimes[caller.job.id] = taskTime;
+    caller.deadlineAt = this->now() + job.patience;
+    this->taskTimes[caller.job.id] = job.taskTimes;
     this->place(token, gateway);
     return caller.job.id;
 }
@@ -411,11 +425,7 @@
             this->breakConnections(gateway);
             return;
         }
-        JobTerms terms;
-        terms.service = ServiceName("s");
-        terms.mostFailures = 3;
-        terms.stretch = 1.6;
-        terms.slack = 60ms;
+        JobTerms terms = from.terms;
         terms.untilDeadline = from.deadlineAt - this->now();
         this->deliver(at, [token, terms, job = from.job](FleetNode &node, TimePoint now) {
             node.submit(job, terms, token, now);
@@ -512,6 +522,11 @@
     });
 }
 
+void FleetWorld::slowDown(const std::string &target, double factor)
+{
+    this->targets.at(target).speed /= factor;
+}
+
 void FleetWorld::setDraining(const std::string &target)
 {
     this->targets.at(target).self.standing = TargetStanding::Draining;
--- a/test/support/FleetWorld.h
+++ b/test/support/FleetWorld.h
@@ -11,13 +11,32 @@
 
 namespace Hibiscus::Fake {
 
+/** \brief Targets with the same hardware. */
+struct FleetTargetKind
+{
+    std::string name = "k";
+    Capacity capacity = { .cpu = 64'000, .memory = 262'144 };
+    double speed = 1;
+};
+
+/** \brief A job as a caller of a FleetWorld sends it. */
+struct FleetJob
+{
+    std::vector<Duration> taskTimes; ///< true run time of each task at speed 1
+    Duration estimate {}; ///< what the caller believes of each
+    Capacity demand = { .cpu = 27'000, .memory = 64 };
+    std::string route = "r";
+    std::uint32_t priority = 0;
+    Duration patience = 1500ms;
+};
+
 /** \brief The sizes, times and faults of a FleetWorld. */
 struct FleetWorldOptions
 {
     std::vector<std::string> domains = { "a", "b", "c" };
     std::uint32_t gatewaysPerDomain = 2;
     std::uint32_t targetsPerDomain = 4;
-    Capacity capacity = { .cpu = 64'000, .memory = 262'144 };
+    std::vector<FleetTargetKind> kinds = { {} }; ///< the targets of a domain take turns
     Duration withinDomain = 200us;
     Duration betweenDomains = 1ms;
     Duration toCaller = 3ms;
@@ -72,7 +91,9 @@
 
     // Commands.
     void run(Duration span) { this->scheduler.runUntil(this->scheduler.now() + span); }
-    /** \brief Submits a job of \a tasks tasks to a gateway. \returns its id. */
+    /** \brief Submits a job to a gateway. \returns its id. */
+    std::string submit(const std::string &gateway, const FleetJob &job);
+    /** \brief Submits a job of \a tasks tasks that take the same time. \returns its id. */
     std::string submit(const std::string &gateway, std::uint32_t tasks, Duration taskTime,
                        Duration patience = 1500ms, Duration estimate = {});
     void kill(const std::string &gateway, Duration downFor);
@@ -81,6 +102,8 @@
     void cut(const std::string &one, const std::string &other);
     void heal();
     void crash(const std::string &target, Duration downFor);
+    /** \brief Makes what \a target starts from now on take \a factor times as long. */
+    void slowDown(const std::string &target, double factor);
     void setDraining(const std::string &target);
     std::mt19937_64 &dice() { return this->random; }
 
@@ -93,6 +116,7 @@
     const FleetNode *gateway(const std::string &name) const;
     const FleetTarget &target(const std::string &name) const { return this->targets.at(name); }
     std::uint64_t starts() const { return this->startCount; }
+    std::size_t taskCount(const std::string &job) const { return this->taskTimes.at(job).size(); }
     /** \returns the share of the jobs that were answered as completed. */
     double served() const;
 
@@ -102,7 +126,7 @@
     {
         std::string gateway;
         TransientJob job;
-        Duration taskTime {};
+        JobTerms terms;
         TimePoint sentAt;
         TimePoint deadlineAt;
         bool isOver = false;
@@ -133,7 +157,7 @@
     std::map<std::string, std::unique_ptr<Gateway>> gateways;
     std::map<std::string, FleetTarget> targets;
     std::map<std::uint64_t, Caller> callers;
-    std::map<std::string, Duration> taskTimes; ///< by job
+    std::map<std::string, std::vector<Duration>> taskTimes; ///< by job
     std::map<std::string, FleetAnswer> answered;
     std::set<std::string> startedJobs;
     std::set<std::string> refusedJobs;
