An answer to a former driver's poll says nothing; estimates are believed as far as they held

EstimateModel: what is expected of a task lies between its estimate and its route's usual time. Safe margin 2 -> 3.

--- a/Hibiscus/src/Core/Name.h
+++ b/Hibiscus/src/Core/Name.h
@@ -45,6 +45,8 @@
 using TeamName = Name<struct TeamNameTag>;
 /** \brief A service offered by targets. */
 using ServiceName = Name<struct ServiceNameTag>;
+/** \brief A route: a kind of job, as the rules name it. */
+using RouteName = Name<struct RouteNameTag>;
 
 } // namespace Hibiscus
 
--- a/Hibiscus/src/Fleet/Fitness.h
+++ b/Hibiscus/src/Fleet/Fitness.h
@@ -26,10 +26,11 @@
  */
 inline constexpr double deadlineMargin = 1.4;
 
-/** \brief How far beyond the expected run time a run may take without risk for its deadline: one
- * run in twenty-five takes longer, with estimates that are 40% off.
+/** \brief How far beyond the expected run time a run may take without risk for its deadline: with
+ * estimates that are 40% off, and tasks of a job that differ, fewer than one run in a hundred takes
+ * longer.
  */
-inline constexpr double safeMargin = 2.0;
+inline constexpr double safeMargin = 3.0;
 
 /** \brief Share of the expected run time that a run may take when its estimate is too high: what
  * could not be in time even then is not worth trying.
--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -138,7 +138,7 @@
     added.terms = terms;
     added.callers = { caller };
     added.arrivedAt = now;
-    const double chain = toSeconds(longestChain(job));
+    const double chain = toSeconds(this->longestChain(job, terms));
     added.bounds.objectiveAt = now + fromSeconds(terms.stretch * chain) + terms.slack;
     added.bounds.deadlineAt = now + terms.untilDeadline;
     for (const JobStep &step : job.steps)
@@ -185,6 +185,7 @@
     switch (end.kind) {
     case RunEndKind::Completed:
         task.stage = Stage::Done;
+        this->learn(job, end);
         this->unblock(job);
         break;
     case RunEndKind::Failed:
@@ -314,7 +315,7 @@
     });
 }
 
-Duration FleetCoordinator::longestChain(const TransientJob &job)
+Duration FleetCoordinator::longestChain(const TransientJob &job, const JobTerms &terms) const
 {
     std::vector<Duration> ends(job.steps.size());
     Duration longest {};
@@ -322,7 +323,7 @@
         Duration begin {};
         for (const std::uint32_t before : job.steps[step].dependsOn)
             begin = std::max(begin, ends.at(before));
-        ends[step] = begin + job.steps[step].estimate;
+        ends[step] = begin + this->expected(terms, job.steps[step]);
         longest = std::max(longest, ends[step]);
     }
     return longest;
@@ -349,7 +350,7 @@
         if (!fits)
             return OutcomeReason::NeverFits;
     }
-    const Duration chain = fromSeconds(*fastest * toSeconds(longestChain(job)));
+    const Duration chain = fromSeconds(*fastest * toSeconds(this->longestChain(job, terms)));
     if (!mayFinishIn(terms.untilDeadline - backlog(terms.service, owners), chain))
         return OutcomeReason::Overloaded;
     return std::nullopt;
@@ -376,6 +377,19 @@
     return std::min(wait, this->options.longestRetry);
 }
 
+void FleetCoordinator::learn(const Job &job, const RunEnd &end)
+{
+    if (this->estimates.size() >= this->options.mostRoutes)
+        this->estimates.clear();
+    this->estimates[job.terms.route].learn(job.job.steps[end.run.step].estimate, end.taken);
+}
+
+Duration FleetCoordinator::expected(const JobTerms &terms, const JobStep &step) const
+{
+    const auto found = this->estimates.find(terms.route);
+    return found == this->estimates.end() ? step.estimate : found->second.corrected(step.estimate);
+}
+
 void FleetCoordinator::unblock(Job &job)
 {
     const auto isDone = [](const Task &task) { return task.stage == Stage::Done; };
@@ -459,7 +473,7 @@
              .service = job.terms.service,
              .spec = job.job.spec,
              .demand = step.demand,
-             .estimate = step.estimate,
+             .estimate = this->expected(job.terms, step),
              .untilObjective = job.bounds.objectiveAt - now,
              .untilDeadline = job.bounds.deadlineAt - now,
              .priority = job.terms.priority,
@@ -473,6 +487,7 @@
                                          std::vector<OwnerView> &owners, TimePoint now) const
 {
     internal::Wish wish = { .service = job.terms.service, .step = step, .bounds = job.bounds };
+    wish.step.estimate = this->expected(job.terms, step);
     internal::lookAround(wish, owners, now);
     OwnerView *best = nullptr;
     std::tuple<int, int, double> bestKey;
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hibiscus/src/Fleet/EstimateModel.h"
 #include "Hibiscus/src/Fleet/Fitness.h"
 #include "Hibiscus/src/Fleet/FleetMessage.h"
 
@@ -11,6 +12,7 @@
 /** \brief What the route of a job asks for. */
 struct JobTerms
 {
+    RouteName route;
     ServiceName service;
     std::uint32_t priority = 0; ///< 0 is the most urgent
     std::uint32_t mostFailures = 1; ///< a task that failed so often has failed for good
@@ -103,6 +105,7 @@
     /** \brief Answers leave a little after the deadline too: callers may still read them. */
     Duration lateAnswer = 250ms;
     Duration answerLifetime = 10s; ///< a job sent again within it gets the same answer
+    std::size_t mostRoutes = 4096; ///< whose run times are learned
     std::size_t mostAnswers = 4096; ///< kept for jobs that are sent again
     Duration shortestRetry = 200ms; ///< of Retry-After; one round of targets freeing room
     Duration longestRetry = 2s;
@@ -173,12 +176,14 @@
 
     using Jobs = std::map<std::string, Job>;
 
-    static Duration longestChain(const TransientJob &job);
+    Duration longestChain(const TransientJob &job, const JobTerms &terms) const;
     /** \returns how long new work waits for room, as far as the owners' queues tell. */
     static Duration backlog(const ServiceName &service, const std::vector<OwnerView> &owners);
     std::optional<OutcomeReason> refusalOf(const TransientJob &job, const JobTerms &terms,
                                            const std::vector<OwnerView> &owners) const;
     Duration retryAfter(const JobTerms &terms, const std::vector<OwnerView> &owners) const;
+    void learn(const Job &job, const RunEnd &end);
+    Duration expected(const JobTerms &terms, const JobStep &step) const;
     void unblock(Job &job);
     void retry(Task &task, Duration pause, TimePoint now);
     void noteUncertain(Job &job, std::uint32_t step, Task &task, TimePoint now);
@@ -193,6 +198,7 @@
     Jobs jobs;
     std::map<std::uint64_t, std::string> jobOfCaller;
     std::map<std::string, Answered> answered;
+    std::map<RouteName, EstimateModel> estimates;
     std::vector<JobOutcome> outcomes;
     std::vector<RunSetback> setbacks;
 };
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -151,10 +151,11 @@
     this->owning.finishStop(from, run, answer, now);
 }
 
-void FleetNode::finishPoll(const OrderAddress &from, const PollAnswer &answer, TimePoint now)
+void FleetNode::finishPoll(const OrderAddress &from, TimePoint sentAt, const PollAnswer &answer,
+                           TimePoint now)
 {
     this->noteTime(now);
-    this->owning.finishPoll(from, answer, now);
+    this->owning.finishPoll(from, sentAt, answer, now);
 }
 
 void FleetNode::meet(const NodeName &peer, TimePoint now)
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -83,7 +83,8 @@
                      TimePoint now);
     void finishStop(const OrderAddress &from, const RunName &run, const OrderAnswer &answer,
                     TimePoint now);
-    void finishPoll(const OrderAddress &from, const PollAnswer &answer, TimePoint now);
+    void finishPoll(const OrderAddress &from, TimePoint sentAt, const PollAnswer &answer,
+                    TimePoint now);
     /** \brief Knows \a peer from now on, as the directory names it. */
     void meet(const NodeName &peer, TimePoint now);
     /** \brief Takes no new jobs, and hands targets over as they become empty. */
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -141,11 +141,12 @@
     this->takeEnds(now);
 }
 
-void FleetOwner::finishPoll(const OrderAddress &from, const PollAnswer &answer, TimePoint now)
+void FleetOwner::finishPoll(const OrderAddress &from, TimePoint sentAt, const PollAnswer &answer,
+                            TimePoint now)
 {
     if (TargetDriver *driver = this->driverOf(from)) {
         const bool wasSettled = driver->isSettled();
-        driver->finishPoll(answer, now, this->out);
+        driver->finishPoll(sentAt, answer, now, this->out);
         driver->tick(now, this->out);
         if (!wasSettled && driver->isSettled())
             this->note(*driver, "settled");
@@ -255,7 +256,7 @@
     std::vector<RunEnd> ends;
     for (const auto &[name, run] : this->held)
         if (run.stage == Stage::Ended && run.requester == requester)
-            ends.push_back({ .run = name, .kind = run.end });
+            ends.push_back({ .run = name, .kind = run.end, .taken = run.taken });
     return ends;
 }
 
@@ -303,9 +304,12 @@
             continue;
         HeldRun &run = found->second;
         const auto driver = this->drivers.find(run.target);
-        if (end.kind == RunEndKind::Completed && driver != this->drivers.end())
-            this->runTimes.learn(driver->second.target(), run.request.estimate,
-                                 now - run.startedAt);
+        if (end.kind == RunEndKind::Completed && driver != this->drivers.end()) {
+            const LeasedTarget &target = driver->second.target();
+            const Duration taken = now - run.startedAt;
+            run.taken = fromSeconds(toSeconds(taken) / this->runTimes.slowness(target));
+            this->runTimes.learn(target, run.request.estimate, taken);
+        }
         run.stage = Stage::Ended;
         run.end = end.kind;
         run.endedAt = now;
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -99,7 +99,8 @@
                      TimePoint now);
     void finishStop(const OrderAddress &from, const RunName &run, const OrderAnswer &answer,
                     TimePoint now);
-    void finishPoll(const OrderAddress &from, const PollAnswer &answer, TimePoint now);
+    void finishPoll(const OrderAddress &from, TimePoint sentAt, const PollAnswer &answer,
+                    TimePoint now);
     /** \brief Starts what fits, renews leases, and forgets what is gone. */
     void tick(const IsHeard &isHeard, TimePoint now);
     /** \brief Starts what fits. */
@@ -139,6 +140,7 @@
         RunBounds bounds;
         TimePoint endedAt;
         RunEndKind end = RunEndKind::NotStarted;
+        Duration taken {}; ///< over the slowness of its target, if it completed
         bool isWanted = true; ///< otherwise nobody has to be told of its end
         bool isStopping = false;
         bool isStraggling = false;
--- a/Hibiscus/src/Fleet/Run.h
+++ b/Hibiscus/src/Fleet/Run.h
@@ -65,9 +65,11 @@
 {
     RunName run;
     RunEndKind kind = RunEndKind::NotStarted;
+    /** \brief How long it took, over the slowness of its target; 0 unless it completed. */
+    Duration taken {};
 
     auto operator<=>(const RunEnd &other) const = default;
-    HIBISCUS_FIELDS(run, kind)
+    HIBISCUS_FIELDS(run, kind, taken)
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -102,8 +102,13 @@
     this->pollAt = now;
 }
 
-void TargetDriver::finishPoll(const PollAnswer &answer, TimePoint now, DriverOutbox &out)
+// When a target is released and comes back, a poll of its former driver may still be under way. Its
+// answer may be older than a start that was confirmed since, so it must not say what has ended.
+void TargetDriver::finishPoll(TimePoint sentAt, const PollAnswer &answer, TimePoint now,
+                              DriverOutbox &out)
 {
+    if (!this->isPolling || sentAt != this->polledAt)
+        return;
     this->isPolling = false;
     this->pollAt = now;
     this->lastPollFailed = answer.verdict != OrderVerdict::Done;
@@ -255,6 +260,7 @@
     constexpr Duration shortWait = 20ms; // a stopped run is listed within some tens of these
     const Duration wait = this->runs.empty() ? this->options.idleWait : this->options.busyWait;
     out.orders.emplace_back(PollOrder { .to = this->address(),
+                                        .sentAt = now,
                                         .acknowledged = this->acknowledged,
                                         .leaseUntil = this->leaseUntil(now),
                                         .wait = hasNoPatience ? shortWait : wait,
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -56,7 +56,8 @@
     void finishStart(const RunName &run, const OrderAnswer &answer, TimePoint now,
                      DriverOutbox &out);
     void finishStop(const RunName &run, const OrderAnswer &answer, TimePoint now);
-    void finishPoll(const PollAnswer &answer, TimePoint now, DriverOutbox &out);
+    /** \brief Takes the answer to the poll of \a sentAt. */
+    void finishPoll(TimePoint sentAt, const PollAnswer &answer, TimePoint now, DriverOutbox &out);
     void tick(TimePoint now, DriverOutbox &out);
     /** \brief Takes note that a run takes far too long. */
     void noteStraggler() { ++this->stragglersInRow; }
--- a/Hibiscus/src/Fleet/TargetOrder.h
+++ b/Hibiscus/src/Fleet/TargetOrder.h
@@ -43,6 +43,7 @@
 struct PollOrder
 {
     OrderAddress to;
+    TimePoint sentAt; ///< tells the polls of one target apart
     std::uint64_t acknowledged = 0; ///< ends up to this number need not be listed again
     std::int64_t leaseUntil = 0; ///< on the target's clock, ms
     Duration wait {}; ///< how long the target may wait for an end
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -171,6 +171,7 @@
         return;
     }
     JobTerms terms;
+    terms.route = RouteName(route.name);
     terms.service = route.service;
     terms.priority = route.priority;
     terms.mostFailures = std::max(1U, route.attempts);
@@ -311,9 +312,11 @@
     HttpCall call = this->context.protocol.pollCall(order);
     call.timeout = order.wait + internal::pollSlack;
     call.usesNewConnection = order.usesNewConnection;
-    this->client.send(call, [this, to = order.to](const HttpCallResult &result) {
-        this->node.finishPoll(to, this->context.protocol.readPollAnswer(result), this->loop.now());
-    });
+    this->client.send(
+        call, [this, to = order.to, sentAt = order.sentAt](const HttpCallResult &result) {
+            this->node.finishPoll(to, sentAt, this->context.protocol.readPollAnswer(result),
+                                  this->loop.now());
+        });
 }
 
 void GatewayProcess::answer(const JobOutcome &outcome)
