--- a/test/FleetLoadTest.cpp
+++ b/test/FleetLoadTest.cpp
@@ -17,7 +17,7 @@
     world.run(6s);
     load.kinds = Fake::filingKinds();
     load.seed = seed;
-    const FleetLoadOutcome outcome = play(world, load);
+    FleetLoadOutcome outcome = play(world, load);
     for (const std::string &promise : world.broken())
         ADD_FAILURE() << promise << " (seed " << seed << ")";
     return outcome;
--- a/test/support/FleetLoad.cpp
+++ b/test/support/FleetLoad.cpp
@@ -36,6 +36,7 @@
 const FleetJobKind &draw(const std::vector<FleetJobKind> &kinds, std::mt19937_64 &dice)
 {
     std::vector<double> shares;
+    shares.reserve(kinds.size());
     for (const FleetJobKind &kind : kinds)
         shares.push_back(kind.share);
     std::discrete_distribution<std::size_t> pick(shares.begin(), shares.end());
