--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -181,7 +181,7 @@
     const bool neverRan = end.kind == RunEndKind::NotStarted || end.kind == RunEndKind::Returned
         || end.kind == RunEndKind::TooLate || end.kind == RunEndKind::Superseded;
     job.hasRun = job.hasRun || !neverRan;
-    if (end.kind != RunEndKind::Completed && end.kind != RunEndKind::Returned)
+    if (end.kind != RunEndKind::Completed)
         this->setbacks.push_back({ .owner = owner, .end = end });
     switch (end.kind) {
     case RunEndKind::Completed:
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -439,6 +439,9 @@
     count("hibiscus_runs_completed_total", "Runs completed.", owner.completed);
     count("hibiscus_runs_failed_total", "Runs failed.", owner.failed);
     count("hibiscus_runs_not_started_total", "Starts that targets refused.", owner.notStarted);
+    count("hibiscus_runs_returned_total", "Waiting runs given back, since another owner had room.",
+          owner.returned);
+    count("hibiscus_runs_straggling_total", "Runs stopped for taking too long.", owner.stragglers);
     count("hibiscus_runs_stopped_total", "Runs stopped on request.", owner.stopped);
     count("hibiscus_runs_lost_total", "Runs lost with a target or its lease.", owner.lost);
     count("hibiscus_targets_adopted_total", "Targets taken over.", owner.adopted);
