A run that waits for another attempt at its task is not given back

Cause: read in the diff: returned runs went round the guard that keeps two coordinators' attempts at one task from running side by side. Test: FleetOwner.ARunThatWaitsForAnotherAttemptIsNotReturned, red without the guard.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -362,7 +362,7 @@
     const Duration wait = backlog(terms.service, owners);
     if (wait + chain > terms.untilDeadline)
         return OutcomeReason::Overloaded;
-    // The objective stands for how long such a job usually takes, queues included.
+    // Most jobs are over by their objective once they have room.
     if (this->endsAt && now + wait + this->objectiveOf(job, terms) > *this->endsAt)
         return OutcomeReason::Draining;
     return std::nullopt;
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -201,9 +201,12 @@
     }
 }
 
+// A run that waits for another attempt at its task stays: elsewhere it would start beside that one.
 void FleetOwner::returnWaiting(const TakeRoom &takeRoom, TimePoint now)
 {
     for (HeldRun *run : this->waitingRuns(now)) {
+        if (this->isTaskBusy(run->request.run))
+            continue;
         if (now < run->heldSince + this->options.returnAfter
             || !takeRoom(run->request, run->bounds))
             continue;
