Waiting runs are matched with room without copying what has none; a target's expected time stands once

Read again, behaviour unchanged: returnWaiting copied the report of every peer, and built this node's own, on each step with a queue; only peers without a queue are looked at now, and nothing is done when there is none. The expected time on a target of a report, and whether it serves a service and label, stood in FleetCoordinator and in takeRoom; both are members of OwnedTarget.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -19,8 +19,7 @@
 
 static bool suits(const OwnedTarget &target, const ServiceName &service, const JobStep &step)
 {
-    return target.service == service && satisfies(target.labels, step.requiredLabel)
-        && target.capacity.covers(step.demand);
+    return target.serves(service, step.requiredLabel) && target.capacity.covers(step.demand);
 }
 
 /** \brief What a task asks of a target, and how well the best of them would do. */
@@ -35,8 +34,7 @@
 
 static Fitness fitnessOf(const OwnedTarget &target, const Wish &wish, TimePoint now)
 {
-    const Duration expected = fromSeconds(target.slowness * toSeconds(wish.step.estimate));
-    return Hibiscus::fitnessOf(wish.bounds, expected, now);
+    return Hibiscus::fitnessOf(wish.bounds, target.expected(wish.step.estimate), now);
 }
 
 /** \brief A target that is so much faster than the slowest fit one is kept for what needs it. */
--- a/Hibiscus/src/Fleet/FleetMessage.cpp
+++ b/Hibiscus/src/Fleet/FleetMessage.cpp
@@ -6,10 +6,9 @@
               TimePoint now)
 {
     const auto found = std::ranges::find_if(report.targets, [&](const OwnedTarget &target) {
-        const Duration expected = fromSeconds(target.slowness * toSeconds(request.estimate));
-        return target.takesWork && target.service == request.service
-            && satisfies(target.labels, request.requiredLabel) && target.free.covers(request.demand)
-            && fitnessOf(bounds, expected, now) != Fitness::Hopeless;
+        return target.takesWork && target.serves(request.service, request.requiredLabel)
+            && target.free.covers(request.demand)
+            && fitnessOf(bounds, target.expected(request.estimate), now) != Fitness::Hopeless;
     });
     if (found == report.targets.end())
         return false;
--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -22,6 +22,18 @@
     bool takesWork = false;
     bool isSettled = false; ///< no run of a former owner is left there
 
+    /** \returns whether it is of \a wanted and has \a label; empty: any label. */
+    bool serves(const ServiceName &wanted, const std::string &label) const
+    {
+        return this->service == wanted && satisfies(this->labels, label);
+    }
+
+    /** \returns how long a task that is estimated to take \a estimate is expected to run there. */
+    Duration expected(Duration estimate) const
+    {
+        return fromSeconds(this->slowness * toSeconds(estimate));
+    }
+
     auto operator<=>(const OwnedTarget &other) const = default;
     HIBISCUS_FIELDS(name, life, fencingToken, service, labels, capacity, free, slowness, takesWork,
                     isSettled)
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -274,14 +274,16 @@
 {
     if (this->owning.queuedCount() == 0)
         return;
-    std::vector<OwnerView> others = this->views(now);
-    std::erase_if(others, [](const OwnerView &view) {
-        return view.distance == OwnerView::Distance::Self || view.report.queued > 0;
-    });
+    std::vector<OwnerReport> others;
+    for (const auto &[name, peer] : this->peers)
+        if (this->isConfirmed(peer, now) && !peer.isDraining && peer.report.queued == 0)
+            others.push_back(peer.report);
+    if (others.empty())
+        return;
     this->owning.returnWaiting(
         [&](const RunRequest &request, const RunBounds &bounds) {
-            return std::ranges::any_of(others, [&](OwnerView &view) {
-                return takeRoom(view.report, request, bounds, now);
+            return std::ranges::any_of(others, [&](OwnerReport &report) {
+                return takeRoom(report, request, bounds, now);
             });
         },
         now);
