--- a/Hibiscus/src/Fleet/Fitness.h
+++ b/Hibiscus/src/Fleet/Fitness.h
@@ -32,17 +32,6 @@
  */
 inline constexpr double safeMargin = 3.0;
 
-/** \brief Share of the expected run time that a run may take when its estimate is too high: what
- * could not be in time even then is not worth trying.
- */
-inline constexpr double hopefulShare = 0.7;
-
-/** \returns whether a run that is expected to take \a expected may still be over in \a left. */
-inline bool mayFinishIn(Duration left, Duration expected)
-{
-    return fromSeconds(hopefulShare * toSeconds(expected)) <= left;
-}
-
 /** \returns how a target suits where the run is expected to take \a expected from \a now. */
 inline Fitness fitnessOf(const RunBounds &bounds, Duration expected, TimePoint now)
 {
--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -125,7 +125,7 @@
         this->outcomes.push_back(outcome);
         return;
     }
-    if (const auto reason = this->refusalOf(job, terms, owners)) {
+    if (const auto reason = this->refusalOf(job, terms, owners, now)) {
         this->outcomes.push_back({ .job = job.id,
                                    .callers = { caller },
                                    .verdict = JobVerdict::Refused,
@@ -138,9 +138,10 @@
     added.terms = terms;
     added.callers = { caller };
     added.arrivedAt = now;
-    const double chain = toSeconds(this->longestChain(job, terms));
-    added.bounds.objectiveAt = now + fromSeconds(terms.stretch * chain) + terms.slack;
+    added.bounds.objectiveAt = now + this->objectiveOf(job, terms);
     added.bounds.deadlineAt = now + terms.untilDeadline;
+    if (this->endsAt)
+        added.bounds.deadlineAt = std::min(added.bounds.deadlineAt, *this->endsAt);
     for (const JobStep &step : job.steps)
         added.steps.emplace_back(step.count);
     this->unblock(added);
@@ -329,9 +330,16 @@
     return longest;
 }
 
+Duration FleetCoordinator::objectiveOf(const TransientJob &job, const JobTerms &terms) const
+{
+    const double chain = toSeconds(this->longestChain(job, terms));
+    return fromSeconds(terms.stretch * chain) + terms.slack;
+}
+
 std::optional<OutcomeReason> FleetCoordinator::refusalOf(const TransientJob &job,
                                                          const JobTerms &terms,
-                                                         const std::vector<OwnerView> &owners) const
+                                                         const std::vector<OwnerView> &owners,
+                                                         TimePoint now) const
 {
     std::optional<double> fastest;
     for (const OwnerView &owner : owners)
@@ -351,8 +359,12 @@
             return OutcomeReason::NeverFits;
     }
     const Duration chain = fromSeconds(*fastest * toSeconds(this->longestChain(job, terms)));
-    if (!mayFinishIn(terms.untilDeadline - backlog(terms.service, owners), chain))
+    const Duration wait = backlog(terms.service, owners);
+    if (wait + chain > terms.untilDeadline)
         return OutcomeReason::Overloaded;
+    // The objective stands for how long such a job usually takes, queues included.
+    if (this->endsAt && now + wait + this->objectiveOf(job, terms) > *this->endsAt)
+        return OutcomeReason::Draining;
     return std::nullopt;
 }
 
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -128,6 +128,8 @@
     void finish(const NodeName &owner, const RunEnd &end, TimePoint now);
     /** \brief Takes note that \a owner lives its life \a life. */
     void noteLife(const NodeName &owner, std::uint64_t life, TimePoint now);
+    /** \brief Takes only jobs that should be answered by \a time, when this node ends. */
+    void endBy(TimePoint time) { this->endsAt = time; }
     void tick(TimePoint now);
     /** \brief Gives tasks that are ready to owners; \a owners is kept up to date meanwhile. */
     std::vector<RunAssignment> place(std::vector<OwnerView> &owners, TimePoint now);
@@ -180,7 +182,10 @@
     /** \returns how long new work waits for room, as far as the owners' queues tell. */
     static Duration backlog(const ServiceName &service, const std::vector<OwnerView> &owners);
     std::optional<OutcomeReason> refusalOf(const TransientJob &job, const JobTerms &terms,
-                                           const std::vector<OwnerView> &owners) const;
+                                           const std::vector<OwnerView> &owners,
+                                           TimePoint now) const;
+    /** \returns how long after its arrival a job should be answered. */
+    Duration objectiveOf(const TransientJob &job, const JobTerms &terms) const;
     Duration retryAfter(const JobTerms &terms, const std::vector<OwnerView> &owners) const;
     void learn(const Job &job, const RunEnd &end);
     Duration expected(const JobTerms &terms, const JobStep &step) const;
@@ -201,6 +206,7 @@
     std::map<RouteName, EstimateModel> estimates;
     std::vector<JobOutcome> outcomes;
     std::vector<RunSetback> setbacks;
+    std::optional<TimePoint> endsAt; ///< of this node, once it is stopping
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -168,6 +168,12 @@
     found->second.heardAt = std::max(found->second.heardAt, found->second.metAt);
 }
 
+void FleetNode::drain(TimePoint endsAt)
+{
+    this->isDraining = true;
+    this->coordinating.endBy(endsAt);
+}
+
 void FleetNode::tick(TimePoint now)
 {
     this->noteTime(now);
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -87,8 +87,10 @@
                     TimePoint now);
     /** \brief Knows \a peer from now on, as the directory names it. */
     void meet(const NodeName &peer, TimePoint now);
-    /** \brief Takes no new jobs, and hands targets over as they become empty. */
-    void drain() { this->isDraining = true; }
+    /** \brief Hands targets over as they become empty, and takes only jobs that should be answered
+     * by \a endsAt.
+     */
+    void drain(TimePoint endsAt);
     /** \brief Renews what is due, and drops who is silent. */
     void tick(TimePoint now);
     /** \brief Places tasks, starts runs and sends messages. */
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -438,7 +438,7 @@
     for (auto &[name, run] : this->held) {
         if (run.stage != Stage::Queued)
             continue;
-        if (mayFinishIn(run.bounds.deadlineAt - now, this->shortestTime(run.request)))
+        if (now + this->shortestTime(run.request) <= run.bounds.deadlineAt)
             continue;
         run.stage = Stage::Ended;
         run.end = RunEndKind::TooLate;
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -21,11 +21,11 @@
 constexpr Duration pollSlack = 100ms; ///< beyond the wait that a poll asks for
 /** \brief The balancer looks once a second and takes two misses; then nobody new comes. */
 constexpr Duration balancerTime = 2200ms;
-/** \brief Within this of its forced end a stopping gateway refuses new jobs: the longest
- * deadline of the routes, and a margin.
- */
-constexpr Duration lastJobMargin = 2s;
 constexpr Duration stopMargin = 500ms; ///< left of the time to stop, to end by itself
+/** \brief Jobs are answered so long before the end, which leaves their late answers and the stops
+ * of their runs the time that they need.
+ */
+constexpr Duration lastAnswerMargin = 500ms;
 constexpr Duration quietTime = 400ms; ///< without calls, before a drained gateway ends
 
 enum HttpStatus : int {
@@ -163,13 +163,6 @@
         return;
     }
     const TimePoint now = this->loop.now();
-    const Duration lastJobAfter
-        = this->context.profile.stopBound - internal::stopMargin - internal::lastJobMargin;
-    if (this->stopAskedAt != TimePoint() && now > this->stopAskedAt + lastJobAfter) {
-        logChange("job-refused", { { "job", id }, { "reason", "draining" } });
-        this->refuse(request.token, internal::StatusUnavailable, {}, "draining");
-        return;
-    }
     JobTerms terms;
     terms.route = RouteName(route.name);
     terms.service = route.service;
@@ -407,7 +400,8 @@
 {
     if (this->stopAskedAt == TimePoint()) {
         logChange("stopping");
-        this->node.drain();
+        const Duration left = this->context.profile.stopBound - internal::stopMargin;
+        this->node.drain(now + left - internal::lastAnswerMargin);
         this->stopAskedAt = now;
     }
     const Duration asked = now - this->stopAskedAt;
--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -53,7 +53,8 @@
     for (const auto &[route, kind] : outcome.kinds)
         std::cout << " | " << route << " credit " << kind.credit() << " late "
                   << 1.0 * kind.late / kind.jobs << " refused " << 1.0 * kind.refused / kind.jobs
-                  << " largest " << 1.0 * kind.largestServed / kind.largest;
+                  << " held " << 1.0 * kind.held / kind.jobs << " largest "
+                  << 1.0 * kind.largestServed / kind.largest;
     std::cout << std::endl;
 }
 
--- a/test/FleetCoordinatorTest.cpp
+++ b/test/FleetCoordinatorTest.cpp
@@ -22,6 +22,11 @@
     return view;
 }
 
+JobTerms terms()
+{
+    return { .service = ServiceName("s"), .stretch = 1.6, .slack = 60ms, .untilDeadline = 1500ms };
+}
+
 /** \returns the owners of the tasks of a job whose tasks are estimated to take \a estimate. */
 std::vector<std::string> ownersOf(Duration estimate, std::uint32_t tasks,
                                   std::vector<OwnerView> owners)
@@ -34,9 +39,7 @@
     step.demand = { .cpu = 27'000, .memory = 64 };
     step.estimate = estimate;
     job.steps = { step };
-    const JobTerms terms
-        = { .service = ServiceName("s"), .stretch = 1.6, .slack = 60ms, .untilDeadline = 1500ms };
-    coordinator.submit(job, terms, 1, owners, now);
+    coordinator.submit(job, terms(), 1, owners, now);
     std::vector<std::string> names;
     for (const RunAssignment &assignment : coordinator.place(owners, now))
         names.push_back(assignment.owner.str());
@@ -71,4 +74,30 @@
               (Names { "slow" }));
 }
 
+/** \returns the answer that a coordinator which ends in \a left gives to a job of \a estimate. */
+std::vector<JobOutcome> answersWithin(Duration left, Duration estimate)
+{
+    const TimePoint now(1'800'000'000s);
+    const std::vector<OwnerView> owners = { ownerWith("a", 1) };
+    FleetCoordinator coordinator({});
+    coordinator.endBy(now + left);
+    TransientJob job = { .id = "j", .spec = "spec" };
+    JobStep step;
+    step.demand = { .cpu = 27'000, .memory = 64 };
+    step.estimate = estimate;
+    job.steps = { step };
+    coordinator.submit(job, terms(), 1, owners, now);
+    return coordinator.takeOutcomes();
+}
+
+// Balancers keep sending to a node that stops while too few others are left in its domain.
+TEST(FleetCoordinator, AStoppingNodeStillTakesJobsThatAreOverBeforeItsEnd)
+{
+    EXPECT_TRUE(answersWithin(1s, 60ms).empty());
+    const std::vector<JobOutcome> refused = answersWithin(1s, 900ms);
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].verdict, JobVerdict::Refused);
+    EXPECT_EQ(refused[0].reason, OutcomeReason::Draining);
+}
+
 } // namespace
--- a/test/support/FleetLoad.cpp
+++ b/test/support/FleetLoad.cpp
@@ -84,9 +84,13 @@
     outcome.owed += sent.worth;
     outcome.largest += isLargest ? 1 : 0;
     const auto found = world.answers().find(sent.id);
-    if (found == world.answers().end())
+    if (found == world.answers().end()) {
+        ++outcome.held;
         return;
+    }
     const FleetAnswer &answer = found->second;
+    const bool isUnserved = answer.verdict != JobVerdict::Completed;
+    outcome.held += isUnserved && answer.took > FleetJob().patience / 2 ? 1 : 0;
     if (answer.verdict == JobVerdict::Refused)
         ++outcome.refused;
     if (answer.verdict != JobVerdict::Completed)
--- a/test/support/FleetLoad.h
+++ b/test/support/FleetLoad.h
@@ -40,6 +40,7 @@
     std::uint32_t inTime = 0;
     std::uint32_t late = 0;
     std::uint32_t refused = 0;
+    std::uint32_t held = 0; ///< not served, and kept waiting for over half of the caller's patience
     std::uint32_t largest = 0; ///< jobs of the largest tenth
     std::uint32_t largestServed = 0;
 
--- a/test/support/FleetWorld.cpp
+++ b/test/support/FleetWorld.cpp
@@ -9,6 +9,7 @@
 constexpr Duration orderTimeout = 80ms;
 constexpr Duration pollSlack = 100ms;
 constexpr Duration stopTime = 50ms; ///< a target ends a stopped run within it
+constexpr Duration stopBound = 5s; ///< a gateway that is stopped ends after it
 constexpr Duration tickInterval = 10ms;
 
 std::int64_t clockOf(TimePoint now)
@@ -490,7 +491,8 @@
 
 void FleetWorld::stop(const std::string &gateway)
 {
-    this->deliver(*this->gateways.at(gateway), [](FleetNode &node, TimePoint) { node.drain(); });
+    this->deliver(*this->gateways.at(gateway),
+                  [](FleetNode &node, TimePoint now) { node.drain(now + stopBound); });
 }
 
 void FleetWorld::cut(const std::string &one, const std::string &other)
