--- a/Hibiscus/src/Net/EventLoop.cpp
+++ b/Hibiscus/src/Net/EventLoop.cpp
@@ -57,8 +57,9 @@
             = std::chrono::duration_cast<std::chrono::milliseconds>(internal::longestTurn);
         h2o_evloop_run(this->loop, static_cast<std::int32_t>(wait.count()));
         this->takeMessages();
-        if (this->now() >= tickAt) {
-            tickAt = this->now() + interval;
+        if (const TimePoint now = this->now(); now >= tickAt) {
+            this->latestDelay = now - tickAt;
+            tickAt = now + interval;
             onTick();
         }
         afterTurn();
--- a/Hibiscus/src/Net/EventLoop.h
+++ b/Hibiscus/src/Net/EventLoop.h
@@ -34,6 +34,8 @@
     // Queries.
     /** \returns the present time; it never goes back while the process lives. */
     TimePoint now() const;
+    /** \returns how far behind its time the latest tick came. */
+    Duration tickDelay() const { return this->latestDelay; }
     h2o_loop_t *native() const { return this->loop; }
 
 private:
@@ -53,6 +55,7 @@
     std::vector<Message> mailbox;
     TimePoint wallStart;
     Duration bootStart {};
+    Duration latestDelay {};
     bool running = false;
 };
 
--- a/Hibiscus/src/Net/Relay.cpp
+++ b/Hibiscus/src/Net/Relay.cpp
@@ -31,6 +31,14 @@
 
 } // namespace internal
 
+LoadTotals loadTotals(const RelayCounters &counters)
+{
+    return { .processorTime = processorTime(),
+             .sentBytes = counters.sentBytes,
+             .sentMessages = counters.sentMessages,
+             .receivedMessages = counters.receivedMessages };
+}
+
 /** \brief The receiving side: its calls end at once, and the messages go to the loop. */
 class Relay::Service final : public ::hibiscus::Relay::CallbackService
 {
--- a/Hibiscus/src/Net/Relay.h
+++ b/Hibiscus/src/Net/Relay.h
@@ -4,6 +4,8 @@
 #include "Hibiscus/src/Net/EventLoop.h"
 #include "Hibiscus/src/Net/WireMessage.h"
 
+#include <Hibiscus/Telemetry>
+
 #include <map>
 #include <memory>
 
@@ -20,6 +22,9 @@
     std::uint64_t brokenBatches = 0; ///< may have arrived or not
 };
 
+/** \brief Running totals of a process: its processor time and the messages in \a counters. */
+LoadTotals loadTotals(const RelayCounters &counters);
+
 /** \brief Carries messages between the processes of the system, over gRPC.
  *
  * To each node at most one batch is on its way, and what comes up meanwhile joins the next one.
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -227,6 +227,7 @@
 void GatewayProcess::onTick()
 {
     const TimePoint now = this->loop.now();
+    noteLoad(this->load, this->loop, this->relay, this->metrics, now);
     this->client.giveUpLate(now);
     this->node.tick(now);
     this->directory.forgetGone(now);
@@ -375,6 +376,8 @@
     const std::uint64_t former = this->rules.file().version;
     const RulesStanding formerStanding = this->rules.standing();
     const auto acknowledged = this->rules.receive(update);
+    if (update.isConfirmed)
+        this->rulesConfirmedAt = this->loop.now();
     if (this->rules.file().version != former || this->rules.standing() != formerStanding)
         logChange(
             "rules-in-force",
@@ -462,6 +465,9 @@
     gauge("hibiscus_targets", "Own targets.", this->node.owner().targets().size());
     gauge("hibiscus_live_peers", "Peers that answer.", this->node.livePeers(this->loop.now()));
     gauge("hibiscus_rules_version", "Version of the rules in force.", this->rules.file().version);
+    this->metrics.setGauge("hibiscus_rules_confirmation_age_seconds",
+                           "Time since a quorum confirmed the rules in force.",
+                           toSeconds(this->loop.now() - this->rulesConfirmedAt));
     updateRelayMetrics(this->metrics, this->relay.counters());
 }
 
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -59,10 +59,12 @@
     HttpClient client;
     Metrics metrics;
     SettingsWatch settings;
+    LoadMeter load { loadLogInterval };
     std::map<std::uint64_t, WaitingCaller> waiting;
     std::map<std::string, std::uint64_t> refusals; ///< counted by reason
     TimePoint startedAt;
     TimePoint fetchAt;
+    TimePoint rulesConfirmedAt; ///< when a quorum last confirmed the rules in force
     TimePoint stopAskedAt;
     TimePoint lastCallAt;
 };
--- a/Hibiscus/src/Process/ProfiledNode.cpp
+++ b/Hibiscus/src/Process/ProfiledNode.cpp
@@ -99,6 +99,21 @@
     return node;
 }
 
+void noteLoad(LoadMeter &meter, const EventLoop &loop, const Relay &relay, Metrics &metrics,
+              TimePoint now)
+{
+    const LoadTotals totals = loadTotals(relay.counters());
+    const auto reading = meter.note(loop.tickDelay(), totals, now);
+    if (!reading)
+        return;
+    logLoad(*reading);
+    metrics.setCounter("hibiscus_processor_seconds_total", "Processor time of all threads.",
+                       toSeconds(totals.processorTime));
+    metrics.observeSeconds("hibiscus_loop_delay_seconds",
+                           "Longest delay of the event loop in each 2 seconds.",
+                           toSeconds(reading->longestDelay));
+}
+
 SettingsWatch::SettingsWatch(std::string path) : path(std::move(path)), text(this->readText()) { }
 
 std::string SettingsWatch::readText() const
--- a/Hibiscus/src/Process/ProfiledNode.h
+++ b/Hibiscus/src/Process/ProfiledNode.h
@@ -2,7 +2,9 @@
 
 #include "Hibiscus/src/Process/ExternalProtocol.h"
 
+#include <Hibiscus/Net>
 #include <Hibiscus/Settings>
+#include <Hibiscus/Telemetry>
 
 namespace Hibiscus {
 
@@ -28,6 +30,13 @@
 std::optional<ProfiledNode> startProfiledNode(int *argc, char ***argv,
                                               const ExternalProtocol &protocol, int &exitCode);
 
+/** \brief Between two lines on what a process uses; a few of them cover an operator's question. */
+inline constexpr Duration loadLogInterval = 2s;
+
+/** \brief Logs and counts what the process uses, once in each interval of \a meter. */
+void noteLoad(LoadMeter &meter, const EventLoop &loop, const Relay &relay, Metrics &metrics,
+              TimePoint now);
+
 /** \brief Notices that a settings file has changed, with or without a signal. */
 class SettingsWatch
 {
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -200,6 +200,7 @@
 void RegistryProcess::onTick()
 {
     const TimePoint now = this->loop.now();
+    noteLoad(this->load, this->loop, this->relay, this->metrics, now);
     const std::vector<NodeName> group = this->directory.registries();
     if (this->lifecycle.tick(this->node, group, now, this->out))
         this->loop.stop();
--- a/Hibiscus/src/Process/RegistryProcess.h
+++ b/Hibiscus/src/Process/RegistryProcess.h
@@ -47,6 +47,7 @@
     HttpServer metricsServer;
     Metrics metrics;
     SettingsWatch settings;
+    LoadMeter load { loadLogInterval };
     ReplicaLifecycle lifecycle;
     std::map<std::uint64_t, std::string> paths; ///< of calls that wait for the group
     std::uint64_t loggedVersion = 0;
--- /dev/null
+++ b/Hibiscus/src/Telemetry/LoadMeter.cpp
@@ -0,0 +1,60 @@
+#include "Hibiscus/src/Telemetry/LoadMeter.h"
+
+#include "Hibiscus/src/Telemetry/StateLog.h"
+
+#include <cmath>
+#include <ctime>
+
+namespace Hibiscus {
+
+namespace internal {
+
+static std::string rounded(double value)
+{
+    return std::to_string(std::lround(value));
+}
+
+} // namespace internal
+
+std::optional<LoadReading> LoadMeter::note(Duration delay, const LoadTotals &totals, TimePoint now)
+{
+    this->longestDelay = std::max(this->longestDelay, delay);
+    if (now < this->readAt + this->interval)
+        return std::nullopt;
+    const double seconds = toSeconds(now - this->readAt);
+    const auto rate = [&](std::uint64_t former, std::uint64_t present) {
+        return static_cast<double>(present - former) / seconds;
+    };
+    LoadReading reading;
+    reading.processorShare = toSeconds(totals.processorTime - this->former.processorTime) / seconds;
+    reading.sentBytesPerSecond = rate(this->former.sentBytes, totals.sentBytes);
+    reading.sentMessagesPerSecond = rate(this->former.sentMessages, totals.sentMessages);
+    reading.receivedMessagesPerSecond
+        = rate(this->former.receivedMessages, totals.receivedMessages);
+    reading.longestDelay = std::exchange(this->longestDelay, Duration());
+    const bool isFirst = this->readAt == TimePoint();
+    this->readAt = now;
+    this->former = totals;
+    return isFirst ? std::nullopt : std::optional(reading);
+}
+
+Duration processorTime()
+{
+    timespec time = {};
+    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+void logLoad(const LoadReading &reading)
+{
+    constexpr double perMille = 1000;
+    logChange("load",
+              { { "processor_per_mille", internal::rounded(perMille * reading.processorShare) },
+                { "sent_bytes_per_s", internal::rounded(reading.sentBytesPerSecond) },
+                { "sent_messages_per_s", internal::rounded(reading.sentMessagesPerSecond) },
+                { "received_messages_per_s", internal::rounded(reading.receivedMessagesPerSecond) },
+                { "longest_delay_ms", std::to_string(toMilliseconds(reading.longestDelay)) } });
+}
+
+} // namespace Hibiscus
