Tests: gateways with small processor shares serve a grown site; talk does not grow with their number

The virtual world charges processor time now; that it did not is why no test saw this. Processor time is read with getrusage: the process clock shows elapsed time where clocks are redirected.

--- a/Hibiscus/src/Telemetry/LoadMeter.cpp
+++ b/Hibiscus/src/Telemetry/LoadMeter.cpp
@@ -3,7 +3,7 @@
 #include "Hibiscus/src/Telemetry/StateLog.h"
 
 #include <cmath>
-#include <ctime>
+#include <sys/resource.h>
 
 namespace Hibiscus {
 
@@ -40,10 +40,13 @@
 
 Duration processorTime()
 {
-    timespec time = {};
-    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
-                                                + std::chrono::nanoseconds(time.tv_nsec));
+    rusage usage = {};
+    ::getrusage(RUSAGE_SELF, &usage);
+    const auto span = [](const timeval &time) {
+        return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                    + std::chrono::microseconds(time.tv_usec));
+    };
+    return span(usage.ru_utime) + span(usage.ru_stime);
 }
 
 void logLoad(const LoadReading &reading)
--- a/test/support/FleetLoad.cpp
+++ b/test/support/FleetLoad.cpp
@@ -145,6 +145,19 @@
     return { .targetsPerDomain = 16, .kinds = { small, small, large }, .seed = seed };
 }
 
+FleetWorldOptions grownWorld(std::uint64_t seed)
+{
+    FleetWorldOptions options = filingWorld(seed);
+    options.gatewaysPerDomain = 13;
+    options.targetsPerDomain = 117;
+    const double small = 0.09;
+    const double large = 0.3;
+    options.processor
+        = FleetProcessor { .shares = { small, small, small, large, small, small, small, small,
+                                       large, small, small, small, large } };
+    return options;
+}
+
 FleetLoadOutcome play(FleetWorld &world, const FleetLoadOptions &load)
 {
     std::mt19937_64 dice(load.seed);
--- a/test/support/FleetLoad.h
+++ b/test/support/FleetLoad.h
@@ -62,6 +62,9 @@
 /** \returns 48 targets in three domains: two small and slow ones for each large and fast one. */
 FleetWorldOptions filingWorld(std::uint64_t seed);
 
+/** \returns a site that has grown: 39 gateways with small shares of a processor, 351 targets. */
+FleetWorldOptions grownWorld(std::uint64_t seed);
+
 /** \brief Plays \a load on \a world, which has settled before, and counts how it was served. */
 FleetLoadOutcome play(FleetWorld &world, const FleetLoadOptions &load);
 
--- a/test/support/FleetWorld.cpp
+++ b/test/support/FleetWorld.cpp
@@ -39,6 +39,9 @@
     std::uint64_t life = 0;
     bool isFrozen = false;
     std::vector<std::function<void()>> backlog;
+    double share = 1; ///< of a core
+    TimePoint busyUntil;
+    FleetTraffic traffic;
 };
 
 FleetWorld::FleetWorld(const FleetWorldOptions &options) : options(options), random(options.seed)
@@ -47,6 +50,9 @@
         for (std::uint32_t i = 1; i <= options.gatewaysPerDomain; ++i) {
             auto gateway = std::make_unique<Gateway>();
             gateway->name = "g-" + domain + std::to_string(i);
+            if (options.processor)
+                gateway->share
+                    = options.processor->shares[(i - 1) % options.processor->shares.size()];
             this->gateways[gateway->name] = std::move(gateway);
         }
         for (std::uint32_t i = 1; i <= options.targetsPerDomain; ++i) {
@@ -77,6 +83,8 @@
     nodeOptions.life = ++gateway.life;
     nodeOptions.domain = DomainName(domainOf(gateway.name));
     nodeOptions.targetsAddress = gateway.name;
+    constexpr double weightsPerCore = 100;
+    nodeOptions.weight = static_cast<std::uint32_t>(weightsPerCore * gateway.share);
     gateway.node = std::make_unique<FleetNode>(nodeOptions);
     gateway.isFrozen = false;
     gateway.backlog.clear();
@@ -86,7 +94,12 @@
     *tick = [this, &gateway, life = gateway.life, tick] {
         if (!gateway.node || gateway.life != life)
             return;
+        if (gateway.busyUntil > this->now()) {
+            this->scheduler.at(gateway.busyUntil, *tick);
+            return;
+        }
         if (!gateway.isFrozen) {
+            this->occupy(gateway, this->costOf(&FleetProcessor::perTick));
             for (const auto &[name, other] : this->gateways)
                 gateway.node->meet(NodeName(name), this->now());
             gateway.node->tick(this->now());
@@ -97,25 +110,52 @@
     this->scheduler.after(tickInterval, *tick);
 }
 
-void FleetWorld::deliver(Gateway &gateway, const std::function<void(FleetNode &, TimePoint)> &work)
+void FleetWorld::deliver(Gateway &gateway, Duration cost, const Work &work)
 {
     if (!gateway.node)
         return;
-    const auto act = [this, &gateway, work, life = gateway.life] {
-        if (!gateway.node || gateway.life != life)
-            return;
-        work(*gateway.node, this->now());
-        this->settle(gateway);
-    };
-    if (gateway.isFrozen)
-        gateway.backlog.push_back(act);
-    else
-        act();
+    if (!this->options.processor) {
+        this->act(gateway, gateway.life, work);
+        return;
+    }
+    this->scheduler.at(this->occupy(gateway, cost), [this, &gateway, life = gateway.life, work] {
+        this->act(gateway, life, work);
+    });
+}
+
+void FleetWorld::act(Gateway &gateway, std::uint64_t life, const Work &work)
+{
+    if (!gateway.node || gateway.life != life)
+        return;
+    if (gateway.isFrozen) {
+        gateway.backlog.emplace_back(
+            [this, &gateway, life, work] { this->act(gateway, life, work); });
+        return;
+    }
+    work(*gateway.node, this->now());
+    this->settle(gateway);
+}
+
+TimePoint FleetWorld::occupy(Gateway &gateway, Duration cost)
+{
+    const Duration taken = fromSeconds(toSeconds(cost) / gateway.share);
+    gateway.busyUntil = std::max(gateway.busyUntil, this->now()) + taken;
+    return gateway.busyUntil;
+}
+
+Duration FleetWorld::costOf(Duration FleetProcessor::*item) const
+{
+    return this->options.processor ? *this->options.processor.*item : Duration();
 }
 
 void FleetWorld::settle(Gateway &gateway)
 {
     const FleetOutbox out = gateway.node->settle(this->now());
+    const auto orders = static_cast<std::int64_t>(out.orders.size());
+    const auto messages = static_cast<std::int64_t>(out.messages.size());
+    this->occupy(gateway,
+                 orders * this->costOf(&FleetProcessor::perOrder)
+                     + messages * this->costOf(&FleetProcessor::perMessage));
     for (const TargetOrder &order : out.orders)
         this->carryOut(gateway, order);
     for (const AddressedFleetMessage &item : out.messages)
@@ -146,11 +186,14 @@
 void FleetWorld::send(Gateway &from, const AddressedFleetMessage &item)
 {
     const std::string to = item.to.str();
+    ++from.traffic.messages;
+    if (this->options.countsBytes)
+        from.traffic.bytes += encode(item.message).size();
     std::uniform_real_distribution<double> chance(0, 1);
     if (this->isCut(from.name, to) || chance(this->random) < this->options.lostMessages)
         return;
     this->scheduler.after(this->delay(from.name, to), [this, to, message = item.message] {
-        this->deliver(*this->gateways.at(to),
+        this->deliver(*this->gateways.at(to), this->costOf(&FleetProcessor::perMessage),
                       [message](FleetNode &node, TimePoint now) { node.receive(message, now); });
     });
 }
@@ -170,12 +213,13 @@
     std::uniform_real_distribution<double> chance(0, 1);
     const bool isLate = chance(this->random) < this->options.lateOrders;
     const auto finish = [this, &from, order](const OrderAnswer &answer) {
-        this->deliver(from, [order, answer](FleetNode &node, TimePoint now) {
-            if (const auto *start = std::get_if<StartOrder>(&order))
-                node.finishStart(start->to, start->run, answer, now);
-            if (const auto *stopping = std::get_if<StopOrder>(&order))
-                node.finishStop(stopping->to, stopping->run, answer, now);
-        });
+        this->deliver(from, this->costOf(&FleetProcessor::perOrder),
+                      [order, answer](FleetNode &node, TimePoint now) {
+                          if (const auto *start = std::get_if<StartOrder>(&order))
+                              node.finishStart(start->to, start->run, answer, now);
+                          if (const auto *stopping = std::get_if<StopOrder>(&order))
+                              node.finishStop(stopping->to, stopping->run, answer, now);
+                      });
     };
     const auto act = [this, order, targetName]() -> std::optional<OrderAnswer> {
         FleetTarget &target = this->targets.at(targetName);
@@ -289,9 +333,10 @@
     const Duration oneWay = this->delay(from.name, name);
     const auto finish
         = [this, &from, to = order.to, sentAt = order.sentAt](const PollAnswer &answer) {
-              this->deliver(from, [to, sentAt, answer](FleetNode &node, TimePoint now) {
-                  node.finishPoll(to, sentAt, answer, now);
-              });
+              this->deliver(from, this->costOf(&FleetProcessor::perOrder),
+                            [to, sentAt, answer](FleetNode &node, TimePoint now) {
+                                node.finishPoll(to, sentAt, answer, now);
+                            });
           };
     FleetTarget &target = this->targets.at(name);
     std::uniform_real_distribution<double> chance(0, 1);
@@ -373,12 +418,13 @@
     target.heartbeatAt = to;
     this->scheduler.after(this->delay(to, name), [this, to, name] {
         FleetTarget &said = this->targets.at(name);
-        this->deliver(*this->gateways.at(to), [&](FleetNode &node, TimePoint now) {
-            node.hear({ .target = said.self }, now);
-            const std::string next = node.heartbeatAddressOf(said.self.name);
-            if (!next.empty())
-                said.heartbeatAt = next;
-        });
+        this->deliver(*this->gateways.at(to), this->costOf(&FleetProcessor::perOrder),
+                      [&said, target = said.self](FleetNode &node, TimePoint now) {
+                          node.hear({ .target = target }, now);
+                          const std::string next = node.heartbeatAddressOf(target.name);
+                          if (!next.empty())
+                              said.heartbeatAt = next;
+                      });
     });
 }
 
@@ -431,9 +477,10 @@
         }
         JobTerms terms = from.terms;
         terms.untilDeadline = from.deadlineAt - this->now();
-        this->deliver(at, [token, terms, job = from.job](FleetNode &node, TimePoint now) {
-            node.submit(job, terms, token, now);
-        });
+        this->deliver(at, this->costOf(&FleetProcessor::perJob),
+                      [token, terms, job = from.job](FleetNode &node, TimePoint now) {
+                          node.submit(job, terms, token, now);
+                      });
     });
     this->scheduler.at(caller.deadlineAt, [this, token, gateway] {
         Caller &gone = this->callers.at(token);
@@ -441,7 +488,7 @@
             return;
         gone.isOver = true;
         Gateway &at = *this->gateways.at(gateway);
-        this->deliver(at, [token](FleetNode &node, TimePoint now) { node.leave(token, now); });
+        this->deliver(at, {}, [token](FleetNode &node, TimePoint now) { node.leave(token, now); });
     });
 }
 
@@ -491,7 +538,7 @@
 
 void FleetWorld::stop(const std::string &gateway)
 {
-    this->deliver(*this->gateways.at(gateway),
+    this->deliver(*this->gateways.at(gateway), {},
                   [](FleetNode &node, TimePoint now) { node.drain(now + stopBound); });
 }
 
@@ -558,6 +605,11 @@
     return this->gateways.at(name)->node.get();
 }
 
+const FleetTraffic &FleetWorld::traffic(const std::string &gateway) const
+{
+    return this->gateways.at(gateway)->traffic;
+}
+
 double FleetWorld::served() const
 {
     const auto completed = std::ranges::count_if(this->answered, [](const auto &item) {
--- a/test/support/FleetWorld.h
+++ b/test/support/FleetWorld.h
@@ -30,6 +30,16 @@
     Duration patience = 1500ms;
 };
 
+/** \brief What gateways' work costs, in time of a whole core. */
+struct FleetProcessor
+{
+    std::vector<double> shares; ///< of a core; the gateways of a domain take turns
+    Duration perMessage = 100us; ///< to another gateway or from it, as measured with gRPC
+    Duration perOrder = 60us; ///< to a target, or its answer
+    Duration perJob = 200us; ///< of a caller
+    Duration perTick = 20us;
+};
+
 /** \brief The sizes, times and faults of a FleetWorld. */
 struct FleetWorldOptions
 {
@@ -44,6 +54,8 @@
     Duration resend = 1300ms; ///< callers send a job again after its connection broke
     double lateOrders = 0; ///< share of orders that are not answered and carried out late
     double lostMessages = 0; ///< share of messages between gateways that are lost
+    std::optional<FleetProcessor> processor; ///< none: work takes no time
+    bool countsBytes = false; ///< of messages between gateways
     std::uint64_t seed = 1;
 };
 
@@ -70,6 +82,13 @@
     std::set<std::string> cutFrom; ///< gateways that cannot reach it
 };
 
+/** \brief Messages of a gateway to the others. */
+struct FleetTraffic
+{
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0; ///< 0 unless they are counted
+};
+
 /** \brief What a caller got. */
 struct FleetAnswer
 {
@@ -116,6 +135,7 @@
     const FleetNode *gateway(const std::string &name) const;
     const FleetTarget &target(const std::string &name) const { return this->targets.at(name); }
     std::uint64_t starts() const { return this->startCount; }
+    const FleetTraffic &traffic(const std::string &gateway) const;
     std::size_t taskCount(const std::string &job) const { return this->taskTimes.at(job).size(); }
     /** \returns the share of the jobs that were answered as completed. */
     double served() const;
@@ -135,7 +155,12 @@
 
     void startGateway(Gateway &gateway);
     void settle(Gateway &gateway);
-    void deliver(Gateway &gateway, const std::function<void(FleetNode &, TimePoint)> &work);
+    using Work = std::function<void(FleetNode &, TimePoint)>;
+    void deliver(Gateway &gateway, Duration cost, const Work &work);
+    void act(Gateway &gateway, std::uint64_t life, const Work &work);
+    /** \brief Keeps the processor of \a gateway busy. \returns when it is done. */
+    TimePoint occupy(Gateway &gateway, Duration cost);
+    Duration costOf(Duration FleetProcessor::*item) const;
     void send(Gateway &from, const AddressedFleetMessage &item);
     void carryOut(Gateway &from, const TargetOrder &order);
     OrderAnswer apply(FleetTarget &target, const StartOrder &order);
