Rules reach gateways through every registry node, listed or not; lists of nodes are not repeated

Callers were served by older rules, or got 404 on a route that had been added, seconds after the change was acknowledged. Cause: rules were pushed by the leader alone, and only to gateways whose hello it had heard within 1.5 s. Now each hello says which version its sender has in force, and each registry node, leader or not, answers with what it holds that is newer (committed, so it cannot be taken back). A change waits for every gateway heard in the last 8 s, not 1.5 s. A gateway that is told of a newer version and does not get it within 1 s says 503 (old-rules) instead of serving by the old one. Lists of nodes leave out what the addressee holds (by digest), so hellos cost the same at any size; they go every 480 ms instead of 300 ms. Ruled out: a lease on rules that stops a gateway without a leader (it must go on serving when cut off).

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -510,7 +510,7 @@
 
 bool FleetNode::isListed(const Peer &peer, TimePoint now) const
 {
-    return now < std::max(peer.listedAt, peer.confirmedAt) + this->options.linkLifetime;
+    return now < std::max(peer.listedAt, peer.confirmedAt) + this->options.listedLifetime;
 }
 
 void FleetNode::refreshReport(TimePoint now)
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -22,6 +22,7 @@
     std::uint32_t farWatchedPeers = 2; ///< at least so many of them in other failure domains
     Duration beatInterval = 190ms; ///< between messages on a link; three in confirmLifetime
     Duration reportInterval = 50ms; ///< between reports of changed room to a peer
+    Duration listedLifetime = 1200ms; ///< of a peer's place in the directory; two lists and more
     Duration linkLifetime = 2s; ///< a peer unheard for longer has no link any more
     /** \brief A peer that has echoed nothing sent within it gets no start and no task. */
     Duration confirmLifetime = 600ms;
--- a/Hibiscus/src/Membership/Directory.cpp
+++ b/Hibiscus/src/Membership/Directory.cpp
@@ -1,5 +1,7 @@
 #include "Hibiscus/src/Membership/Directory.h"
 
+#include <xxhash.h>
+
 namespace Hibiscus {
 
 void Directory::setSeeds(const std::vector<NodeName> &seeds)
@@ -20,6 +22,18 @@
 
 void Directory::learn(const NodeList &list, TimePoint now)
 {
+    ListOf &former = this->lists[list.from];
+    if (list.nodes.empty()) {
+        if (list.digest != former.digest)
+            return;
+        for (const NodeName &node : former.nodes)
+            if (const auto found = this->entries.find(node); found != this->entries.end())
+                found->second.listedAt = now;
+        return;
+    }
+    former = { .digest = list.digest };
+    for (const NodeRecord &record : list.nodes)
+        former.nodes.push_back(record.node);
     for (const NodeRecord &record : list.nodes) {
         if (record.node == this->self)
             continue;
@@ -35,6 +49,8 @@
     std::erase_if(this->entries, [&](const auto &item) {
         return now >= item.second.listedAt + this->options.listedFor;
     });
+    std::erase_if(this->lists,
+                  [&](const auto &item) { return !this->entries.contains(item.first); });
 }
 
 std::vector<NodeName> Directory::takeHellos(TimePoint now)
@@ -45,20 +61,40 @@
     return this->registries();
 }
 
-NodeList Directory::heard(TimePoint now) const
+NodeList Directory::heard(const NodeRecord &own, std::uint64_t heldDigest, TimePoint now) const
 {
-    NodeList list;
+    NodeList list = { .from = this->self, .nodes = { own } };
     for (const auto &[name, entry] : this->entries)
         if (now < entry.heardAt + this->options.liveFor)
             list.nodes.push_back(entry.record);
+    const Bytes bytes = encode(list.nodes);
+    list.digest = XXH3_64bits(bytes.data(), bytes.size());
+    if (list.digest == heldDigest)
+        list.nodes.clear();
     return list;
 }
 
+std::uint64_t Directory::digestOfList(const NodeName &registry) const
+{
+    const auto found = this->lists.find(registry);
+    return found == this->lists.end() ? 0 : found->second.digest;
+}
+
 std::vector<NodeRecord> Directory::liveGateways(TimePoint now) const
+{
+    return this->gatewaysHeardWithin(this->options.liveFor, now);
+}
+
+std::vector<NodeRecord> Directory::knownGateways(TimePoint now) const
+{
+    return this->gatewaysHeardWithin(this->options.listedFor, now);
+}
+
+std::vector<NodeRecord> Directory::gatewaysHeardWithin(Duration span, TimePoint now) const
 {
     std::vector<NodeRecord> records;
     for (const auto &[name, entry] : this->entries) {
-        const bool isLive = now < entry.heardAt + this->options.liveFor;
+        const bool isLive = now < entry.heardAt + span;
         if (isLive && entry.record.kind == MemberKind::Gateway)
             records.push_back(entry.record);
     }
@@ -74,6 +110,19 @@
     return records;
 }
 
+std::vector<NodeRecord> Directory::gatewaysListedBy(const NodeName &registry) const
+{
+    std::vector<NodeRecord> records;
+    const auto list = this->lists.find(registry);
+    if (list == this->lists.end())
+        return records;
+    for (const NodeName &node : list->second.nodes)
+        if (const NodeRecord *record = this->find(node))
+            if (record->kind == MemberKind::Gateway)
+                records.push_back(*record);
+    return records;
+}
+
 std::vector<NodeName> Directory::registries() const
 {
     std::set<NodeName> names = this->seeds;
--- a/Hibiscus/src/Membership/Directory.h
+++ b/Hibiscus/src/Membership/Directory.h
@@ -10,8 +10,8 @@
 /** \brief The timing of a Directory. */
 struct DirectoryOptions
 {
-    Duration helloInterval = 300ms; ///< between a node's announcements to each registry node
-    Duration liveFor = 1500ms; ///< a node unheard for longer is not given targets; five hellos
+    Duration helloInterval = 480ms; ///< between a node's announcements to each registry node
+    Duration liveFor = 1500ms; ///< a node unheard for longer is not given targets; three hellos
     Duration listedFor = 8s; ///< a node unheard for longer is not listed any more
 };
 
@@ -39,11 +39,19 @@
     std::vector<NodeName> takeHellos(TimePoint now);
 
     // Queries.
-    /** \returns the nodes that this one heard itself lately. */
-    NodeList heard(TimePoint now) const;
+    /** \returns the nodes that this one heard itself lately, and \a own, for a node that holds the
+     * list with \a heldDigest.
+     */
+    NodeList heard(const NodeRecord &own, std::uint64_t heldDigest, TimePoint now) const;
+    /** \returns the digest of the latest list of \a registry; 0 if there is none. */
+    std::uint64_t digestOfList(const NodeName &registry) const;
     /** \returns the gateways that were heard directly and live. */
     std::vector<NodeRecord> liveGateways(TimePoint now) const;
+    /** \returns the gateways that were heard directly and may still be there. */
+    std::vector<NodeRecord> knownGateways(TimePoint now) const;
     std::vector<NodeRecord> gateways() const;
+    /** \returns the gateways in the latest list of \a registry. */
+    std::vector<NodeRecord> gatewaysListedBy(const NodeName &registry) const;
     std::vector<NodeName> registries() const;
     const NodeRecord *find(const NodeName &node) const;
 
@@ -55,10 +63,20 @@
         TimePoint listedAt; ///< directly, or by a registry node
     };
 
+    /** \brief A list as a registry node sent it. */
+    struct ListOf
+    {
+        std::uint64_t digest = 0;
+        std::vector<NodeName> nodes;
+    };
+
+    std::vector<NodeRecord> gatewaysHeardWithin(Duration span, TimePoint now) const;
+
     DirectoryOptions options;
     NodeName self;
     std::set<NodeName> seeds;
     std::map<NodeName, Entry> entries;
+    std::map<NodeName, ListOf> lists; ///< by the registry node that sent it
     TimePoint helloAt;
 };
 
--- a/Hibiscus/src/Membership/NodeRecord.h
+++ b/Hibiscus/src/Membership/NodeRecord.h
@@ -32,18 +32,24 @@
 struct NodeHello
 {
     NodeRecord self;
+    std::uint64_t listDigest = 0; ///< of the addressee's latest list that arrived; 0: none
+    std::uint64_t rulesVersion = 0; ///< that the sender has in force
+    std::uint64_t rulesDigest = 0;
 
     auto operator<=>(const NodeHello &other) const = default;
-    HIBISCUS_FIELDS(self)
+    HIBISCUS_FIELDS(self, listDigest, rulesVersion, rulesDigest)
 };
 
 /** \brief The nodes that a registry node heard lately, itself among them. */
 struct NodeList
 {
-    std::vector<NodeRecord> nodes;
+    NodeName from;
+    std::uint64_t digest = 0; ///< of the nodes
+    std::vector<NodeRecord> nodes; ///< empty: as in the former list with this digest
+    std::uint64_t rulesVersion = 0; ///< accepted, as far as the sender knows
 
     auto operator<=>(const NodeList &other) const = default;
-    HIBISCUS_FIELDS(nodes)
+    HIBISCUS_FIELDS(from, digest, nodes, rulesVersion)
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -14,6 +14,10 @@
 constexpr Duration rulesFetchInterval = 300ms;
 /** \brief How long a starting gateway looks for confirmed rules before it takes older ones. */
 constexpr Duration rulesPatience = 3s;
+/** \brief How long older rules are used after a newer version is known to be accepted; a part of
+ * the two seconds or more in which a change has to be in force.
+ */
+constexpr Duration oldRulesLifetime = 1s;
 /** \brief An order that is not answered for so long counts as unanswered: some tens of round
  * trips, and a small part of a short task's objective.
  */
@@ -116,8 +120,10 @@
 void GatewayProcess::onCaller(const HttpRequest &request)
 {
     this->lastCallAt = this->loop.now();
-    if (!this->hasRules()) {
-        this->refuse(request.token, internal::StatusUnavailable, 1s, "no-rules");
+    const TimePoint now = this->loop.now();
+    if (!this->hasRules() || this->hasOldRules(now)) {
+        this->refuse(request.token, internal::StatusUnavailable, 1s,
+                     this->hasRules() ? "old-rules" : "no-rules");
         return;
     }
     const RouteRule *route = this->rules.rules().routeFor(request.host, request.path);
@@ -207,12 +213,7 @@
     std::visit(Overloaded {
                    [&](const FleetMessage &peer) { this->node.receive(peer, now); },
                    [&](const TargetHeard &heard) { this->node.hear(heard, now); },
-                   [&](const NodeList &list) {
-                       this->directory.learn(list, now);
-                       for (const NodeRecord &record : list.nodes)
-                           if (record.kind == MemberKind::Gateway)
-                               this->node.meet(record, now);
-                   },
+                   [&](const NodeList &list) { this->takeList(list, now); },
                    [&](const RulesUpdate &update) { this->takeRules(update); },
                    [&](const FetchRules &fetch) {
                        if (this->rules.standing() != RulesStanding::None)
@@ -224,6 +225,14 @@
                message);
 }
 
+void GatewayProcess::takeList(const NodeList &list, TimePoint now)
+{
+    this->directory.learn(list, now);
+    this->rules.noteAccepted(list.rulesVersion, now);
+    for (const NodeRecord &gateway : this->directory.gatewaysListedBy(list.from))
+        this->node.meet(gateway, now);
+}
+
 void GatewayProcess::onTick()
 {
     const TimePoint now = this->loop.now();
@@ -232,8 +241,15 @@
     this->node.tick(now);
     this->directory.forgetGone(now);
     const NodeRecord self = this->context.record(MemberKind::Gateway, stopRequests() > 0);
-    for (const NodeName &registry : this->directory.takeHellos(now))
-        this->relay.send(registry, NodeHello { .self = self });
+    if (const std::vector<NodeName> due = this->directory.takeHellos(now); !due.empty()) {
+        const RulesAcknowledged held = this->rules.acknowledgement();
+        for (const NodeName &registry : due)
+            this->relay.send(registry,
+                             NodeHello { .self = self,
+                                         .listDigest = this->directory.digestOfList(registry),
+                                         .rulesVersion = held.version,
+                                         .rulesDigest = held.digest });
+    }
     if (this->rules.standing() != RulesStanding::Confirmed && now >= this->fetchAt)
         this->followRules(now);
     if (const auto profile = this->settings.takeChange(now))
@@ -375,6 +391,10 @@
 
 void GatewayProcess::takeRules(const RulesUpdate &update)
 {
+    // A member that may be behind is no source for the first rules of a life.
+    const bool isEarly = this->loop.now() < this->startedAt + internal::rulesPatience;
+    if (update.isOffer && isEarly && this->rules.standing() == RulesStanding::None)
+        return;
     const std::uint64_t former = this->rules.file().version;
     const RulesStanding formerStanding = this->rules.standing();
     const auto acknowledged = this->rules.receive(update);
@@ -425,9 +445,17 @@
     return this->rules.standing() != RulesStanding::None && this->rules.file().version > 0;
 }
 
+// The registry has acknowledged a newer version at the latest some hundreds of milliseconds after
+// it was accepted, so what is missing for longer must not decide any more.
+bool GatewayProcess::hasOldRules(TimePoint now) const
+{
+    const auto since = this->rules.outdatedSince();
+    return since && now >= *since + internal::oldRulesLifetime;
+}
+
 bool GatewayProcess::isReady() const
 {
-    return this->hasRules() && stopRequests() == 0;
+    return this->hasRules() && !this->hasOldRules(this->loop.now()) && stopRequests() == 0;
 }
 
 void GatewayProcess::updateMetrics()
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -31,6 +31,7 @@
     void onTargets(const HttpRequest &request);
     void onMetrics(const HttpRequest &request);
     void onMessage(const WireMessage &message);
+    void takeList(const NodeList &list, TimePoint now);
     void onTick();
     void carryOut();
     void carryOut(const StartOrder &order);
@@ -43,6 +44,7 @@
     void reload(const NodeProfile &profile);
     void continueStop(TimePoint now);
     bool hasRules() const;
+    bool hasOldRules(TimePoint now) const;
     bool isReady() const;
     void updateMetrics();
 
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -185,18 +185,26 @@
                 this->node.receive(acknowledged, now, this->out);
             },
             [&](const FetchRules &fetch) { this->node.receive(fetch, now, this->out); },
-            [&](const NodeHello &hello) {
-                this->directory.hear(hello.self, now);
-                NodeList list = this->directory.heard(now);
-                list.nodes.push_back(this->context.record(MemberKind::Registry, false));
-                this->relay.send(hello.self.node, list);
-            },
+            [&](const NodeHello &hello) { this->answerHello(hello, now); },
             [&](const NodeList &list) { this->directory.learn(list, now); },
             [](const auto &) {},
         },
         message);
 }
 
+void RegistryProcess::answerHello(const NodeHello &hello, TimePoint now)
+{
+    this->directory.hear(hello.self, now);
+    NodeList list = this->directory.heard(this->context.record(MemberKind::Registry, false),
+                                          hello.listDigest, now);
+    list.rulesVersion = this->node.state().version();
+    this->relay.send(hello.self.node, list);
+    if (hello.self.kind == MemberKind::Gateway)
+        this->node.receive(
+            { .node = hello.self.node, .version = hello.rulesVersion, .digest = hello.rulesDigest },
+            now, this->out);
+}
+
 void RegistryProcess::onTick()
 {
     const TimePoint now = this->loop.now();
@@ -205,16 +213,18 @@
     if (this->lifecycle.tick(this->node, group, now, this->out))
         this->loop.stop();
     this->directory.forgetGone(now);
-    const NodeHello hello = { .self = this->context.record(MemberKind::Registry, false) };
+    const NodeRecord self = this->context.record(MemberKind::Registry, false);
     for (const NodeName &registry : this->directory.takeHellos(now))
-        this->relay.send(registry, hello);
-    std::vector<ControlledEntry> live;
-    for (const NodeRecord &gateway : this->directory.liveGateways(now))
-        live.push_back({ .node = gateway.node, .domain = gateway.domain });
-    if (live != this->gateways) {
-        this->gateways = live;
-        this->node.setEntries(live);
-        logChange("gateways-live", { { "count", std::to_string(live.size()) } });
+        this->relay.send(
+            registry,
+            NodeHello { .self = self, .listDigest = this->directory.digestOfList(registry) });
+    std::vector<ControlledEntry> known;
+    for (const NodeRecord &gateway : this->directory.knownGateways(now))
+        known.push_back({ .node = gateway.node, .domain = gateway.domain });
+    if (known != this->gateways) {
+        this->gateways = known;
+        this->node.setEntries(known);
+        logChange("gateways-known", { { "count", std::to_string(known.size()) } });
     }
     if (const auto profile = this->settings.takeChange(now)) {
         this->context.profile.registrySeeds = profile->registrySeeds;
@@ -300,7 +310,7 @@
     updateRelayMetrics(this->metrics, this->relay.counters());
     this->metrics.setGauge("hibiscus_rules_version", "Version of the rules this member holds.",
                            static_cast<double>(this->node.state().version()));
-    this->metrics.setGauge("hibiscus_live_gateways", "Gateways that were heard lately.",
+    this->metrics.setGauge("hibiscus_known_gateways", "Gateways that changes wait for.",
                            static_cast<double>(this->gateways.size()));
 }
 
--- a/Hibiscus/src/Process/RegistryProcess.h
+++ b/Hibiscus/src/Process/RegistryProcess.h
@@ -27,6 +27,7 @@
     void replaceRules(const HttpRequest &request, const ReplaceRulesCall &call);
     void hearTarget(std::uint64_t token, const TargetHeard &heard);
     void onMessage(const WireMessage &message);
+    void answerHello(const NodeHello &hello, TimePoint now);
     void onTick();
     void carryOut();
     void respond(const ApplyReport &report);
--- a/Hibiscus/src/Rules/ControlNode.cpp
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -23,8 +23,14 @@
 
 void ControlNode::receive(const RulesAcknowledged &acknowledged, TimePoint now, Outbox &out)
 {
-    if (!this->replica().isLeader())
+    const bool isListed
+        = std::ranges::any_of(this->options.entries, [&](const ControlledEntry &entry) {
+              return entry.node == acknowledged.node;
+          });
+    if (!this->replica().isLeader() || !isListed) {
+        this->offer(acknowledged, now, out);
         return;
+    }
     EntryView &view = this->views[acknowledged.node];
     const bool differs = view.acknowledged != acknowledged;
     view.acknowledged = acknowledged;
@@ -102,11 +108,11 @@
             out.applied.push_back(report);
     }
     out.log.answers.clear();
+    this->rememberText(now);
     if (!this->replica().isLeader()) {
         this->dropRequests(out);
         return;
     }
-    this->rememberText();
     this->answerReads(out);
     if (this->replica().isLeaderReady())
         this->spread(now, out);
@@ -137,7 +143,7 @@
         const bool isNew = view.sentVersion != version;
         if (isCurrent || (!isNew && !isResendDue))
             continue;
-        out.updates.push_back({ .to = entry.node, .update = this->updateFor(view) });
+        out.updates.push_back({ .to = entry.node, .update = this->updateFor(view.acknowledged) });
         view.sentVersion = version;
         view.sentAt = now;
     }
@@ -179,23 +185,36 @@
     });
 }
 
-void ControlNode::rememberText()
+void ControlNode::rememberText(TimePoint now)
 {
     const std::uint64_t version = this->state().version();
     if (this->recentFiles.contains(version))
         return;
+    this->versionSince = now;
     this->recentFiles[version] = { .version = version, .text = this->state().text() };
     if (this->recentFiles.size() > internal::mostRecentFiles)
         this->recentFiles.erase(this->recentFiles.begin());
 }
 
-RulesUpdate ControlNode::updateFor(const EntryView &view) const
+// What this member holds is committed, so it stays true whether or not this member can reach the
+// others.
+void ControlNode::offer(const RulesAcknowledged &held, TimePoint now, Outbox &out) const
+{
+    const bool isNews = held.version < this->state().version();
+    if (!isNews || now < this->versionSince + this->options.offerAfter)
+        return;
+    RulesUpdate update = this->updateFor(held);
+    update.isOffer = true;
+    out.updates.push_back({ .to = held.node, .update = std::move(update) });
+}
+
+RulesUpdate ControlNode::updateFor(const std::optional<RulesAcknowledged> &held) const
 {
-    if (!view.acknowledged)
+    if (!held)
         return this->wholeFile(false);
-    const auto base = this->recentFiles.find(view.acknowledged->version);
-    const bool hasBase = base != this->recentFiles.end()
-        && digestOf(base->second.text) == view.acknowledged->digest;
+    const auto base = this->recentFiles.find(held->version);
+    const bool hasBase
+        = base != this->recentFiles.end() && digestOf(base->second.text) == held->digest;
     if (!hasBase)
         return this->wholeFile(false);
     const RulesDelta delta = RulesDelta::between(base->second.text, this->state().text());
--- a/Hibiscus/src/Rules/ControlNode.h
+++ b/Hibiscus/src/Rules/ControlNode.h
@@ -22,6 +22,10 @@
     std::vector<ControlledEntry> entries;
     Duration resendInterval = 400ms;
     Duration confirmationWait = 3s; ///< an apply is answered at the latest after this
+    /** \brief A version that is held for so long is offered to whoever says that it holds an older
+     * one; until then the leader's own message is likely on its way.
+     */
+    Duration offerAfter = 200ms;
 };
 
 /** \brief The answer to an apply, with where the version is in force. */
@@ -75,6 +79,9 @@
 
     // Commands.
     void receive(const ReplicaEnvelope &envelope, TimePoint now, Outbox &out);
+    /** \brief Takes note of what an entry node holds. Any member, listed node or not, makes up for
+     * an update that did not arrive.
+     */
     void receive(const RulesAcknowledged &acknowledged, TimePoint now, Outbox &out);
     void receive(const FetchRules &fetch, TimePoint now, Outbox &out);
     void apply(const RequestId &request, ApplyRules command, TimePoint now, Outbox &out);
@@ -109,8 +116,9 @@
     void spread(TimePoint now, Outbox &out);
     void answerReads(Outbox &out);
     void answerApplies(TimePoint now, Outbox &out);
-    void rememberText();
-    RulesUpdate updateFor(const EntryView &view) const;
+    void rememberText(TimePoint now);
+    void offer(const RulesAcknowledged &held, TimePoint now, Outbox &out) const;
+    RulesUpdate updateFor(const std::optional<RulesAcknowledged> &held) const;
     RulesUpdate wholeFile(bool isConfirmed) const;
     bool isInForceAt(const NodeName &node, std::uint64_t version) const;
 
@@ -121,6 +129,7 @@
     std::map<std::uint64_t, RequestId> pendingReads;
     std::map<std::uint64_t, NodeName> pendingFetches;
     std::map<std::uint64_t, RulesFile> recentFiles; ///< bases for deltas
+    TimePoint versionSince; ///< when this member took the present version
     std::uint64_t nextToken = 1;
 };
 
--- a/Hibiscus/src/Rules/RulesFollower.cpp
+++ b/Hibiscus/src/Rules/RulesFollower.cpp
@@ -37,6 +37,23 @@
         this->currentStanding = RulesStanding::LastKnown;
 }
 
+void RulesFollower::noteAccepted(std::uint64_t version, TimePoint now)
+{
+    if (version <= this->newestAccepted)
+        return;
+    const bool wasOutdated = this->outdatedSince().has_value();
+    this->newestAccepted = version;
+    if (!wasOutdated)
+        this->newestSince = now;
+}
+
+std::optional<TimePoint> RulesFollower::outdatedSince() const
+{
+    if (this->newestAccepted <= this->current.version)
+        return std::nullopt;
+    return this->newestSince;
+}
+
 RulesAcknowledged RulesFollower::acknowledgement() const
 {
     return { .node = this->self,
--- a/Hibiscus/src/Rules/RulesFollower.h
+++ b/Hibiscus/src/Rules/RulesFollower.h
@@ -22,12 +22,16 @@
     std::optional<RulesAcknowledged> receive(const RulesUpdate &update);
     /** \brief Takes rules from disk or from a neighbour, unless newer ones are in force. */
     void adoptLastKnown(const RulesFile &file);
+    /** \brief Takes note that \a version has been accepted, whether or not it has arrived here. */
+    void noteAccepted(std::uint64_t version, TimePoint now);
 
     // Queries.
     RulesStanding standing() const { return this->currentStanding; }
     const RulesFile &file() const { return this->current; }
     const RuleSet &rules() const { return this->parsed; }
     RulesAcknowledged acknowledgement() const;
+    /** \returns since when a newer version than the one in force is known to be accepted. */
+    std::optional<TimePoint> outdatedSince() const;
 
 private:
     void adopt(const RulesFile &file);
@@ -36,6 +40,8 @@
     RulesStanding currentStanding = RulesStanding::None;
     RulesFile current;
     RuleSet parsed;
+    std::uint64_t newestAccepted = 0; ///< as far as this node was told
+    TimePoint newestSince;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Rules/RulesMessage.h
+++ b/Hibiscus/src/Rules/RulesMessage.h
@@ -29,9 +29,10 @@
 {
     std::variant<RulesFile, RulesChanged> content;
     bool isConfirmed = false; ///< a quorum confirmed that no newer version was accepted before
+    bool isOffer = false; ///< from a member that may be behind the others
 
     auto operator<=>(const RulesUpdate &other) const = default;
-    HIBISCUS_FIELDS(content, isConfirmed)
+    HIBISCUS_FIELDS(content, isConfirmed, isOffer)
 };
 
 /** \brief An entry node says which version it holds in force. */
--- a/test/LoadMeterTest.cpp
+++ b/test/LoadMeterTest.cpp
@@ -12,10 +12,9 @@
     LoadMeter meter(2s);
     EXPECT_FALSE(meter.note(10ms, {}, begin)); // nothing to compare with yet
     EXPECT_FALSE(meter.note(500ms, { .processorTime = 50ms }, begin + 1s));
-    const LoadTotals totals = { .processorTime = 100ms,
-                                .sentBytes = 4'000,
-                                .sentMessages = 20,
-                                .receivedMessages = 10 };
+    const LoadTotals totals = {
+        .processorTime = 100ms, .sentBytes = 4'000, .sentMessages = 20, .receivedMessages = 10
+    };
     const auto reading = meter.note(10ms, totals, begin + 2s);
     ASSERT_TRUE(reading);
     EXPECT_DOUBLE_EQ(reading->processorShare, 0.05);
--- /dev/null
+++ b/test/RulesSpreadTest.cpp
@@ -0,0 +1,155 @@
+#include <Hibiscus/Rules>
+#include <gtest/gtest.h>
+
+using namespace Hibiscus;
+
+namespace {
+
+const NodeName gateway("g");
+
+DurableState foundingState(const NodeName &self, const std::vector<NodeName> &nodes)
+{
+    DurableState state;
+    state.self = { .node = self, .incarnation = 1 };
+    state.hard.term = 1;
+    state.snapshot.index = 1;
+    state.snapshot.term = 1;
+    for (const NodeName &node : nodes)
+        state.snapshot.membership
+            = state.snapshot.membership.with({ .id = { .node = node, .incarnation = 1 } });
+    state.snapshot.state = RulesState().save();
+    return state;
+}
+
+/** \brief Members of a control group that hear each other at once, and know of no gateway. */
+class Group
+{
+public:
+    explicit Group(const std::vector<std::string> &names)
+    {
+        std::vector<NodeName> nodes;
+        for (const std::string &name : names)
+            nodes.emplace_back(name);
+        for (const NodeName &node : nodes) {
+            this->members.try_emplace(node, ControlOptions(), foundingState(node, nodes),
+                                      this->members.size() + 1, this->now);
+        }
+    }
+
+    void run(Duration span)
+    {
+        const TimePoint end = this->now + span;
+        for (; this->now < end; this->now += 10ms)
+            for (auto &[name, member] : this->members) {
+                ControlNode::Outbox out;
+                member.tick(this->now, out);
+                this->carryOut(name, out);
+            }
+    }
+
+    void apply(std::uint64_t version, const std::string &text)
+    {
+        ApplyRules command = { .applyId = std::to_string(version), .author = "a", .text = text };
+        command.assignedVersion = version;
+        ControlNode::Outbox out;
+        this->leader().apply({ .node = NodeName("o"), .number = version }, command, this->now, out);
+        this->carryOut(this->leaderName(), out);
+    }
+
+    /** \returns what \a member sends when \a gateway says that it holds \a held. */
+    std::vector<AddressedUpdate> updatesAfter(const NodeName &member, const RulesAcknowledged &held)
+    {
+        ControlNode::Outbox out;
+        this->members.at(member).receive(held, this->now, out);
+        std::vector<AddressedUpdate> updates = out.updates;
+        this->carryOut(member, out);
+        return updates;
+    }
+
+    NodeName leaderName() const
+    {
+        for (const auto &[name, member] : this->members)
+            if (member.replica().isLeader())
+                return name;
+        return {};
+    }
+
+    NodeName followerName() const
+    {
+        for (const auto &[name, member] : this->members)
+            if (!member.replica().isLeader())
+                return name;
+        return {};
+    }
+
+    ControlNode &leader() { return this->members.at(this->leaderName()); }
+
+private:
+    void carryOut(const NodeName &from, ControlNode::Outbox &out)
+    {
+        const ReplicaOutbox sent = std::exchange(out.log.replica, {});
+        for (const auto *messages : { &sent.beforeSync, &sent.afterSync })
+            for (const ReplicaEnvelope &envelope : *messages) {
+                if (envelope.to == from || !this->members.contains(envelope.to))
+                    continue;
+                ControlNode::Outbox next;
+                this->members.at(envelope.to).receive(envelope, this->now, next);
+                this->carryOut(envelope.to, next);
+            }
+    }
+
+    TimePoint now { 1'800'000'000s };
+    std::map<NodeName, ControlNode> members;
+};
+
+constexpr const char *rulesText = "refuse service=x # a\n";
+
+// Guards against a gateway that serves by old rules because its hellos came too late to be listed.
+TEST(RulesSpread, AGatewayThatIsNotListedIsToldWhenItIsHeard)
+{
+    Group group({ "r1", "r2", "r3" });
+    group.run(3s);
+    ASSERT_FALSE(group.leaderName().isEmpty());
+    group.apply(5, rulesText);
+    group.run(1s);
+    const RulesAcknowledged old = { .node = gateway, .version = 0, .digest = digestOf("") };
+    const auto updates = group.updatesAfter(group.leaderName(), old);
+    ASSERT_EQ(updates.size(), 1U);
+    EXPECT_EQ(updates[0].to, gateway);
+    RulesFollower follower(gateway);
+    follower.receive(updates[0].update);
+    EXPECT_EQ(follower.file().version, 5U);
+}
+
+// Guards against a single path of rules to a gateway: the leader may be cut off from it.
+TEST(RulesSpread, EveryMemberMakesUpForALostUpdate)
+{
+    Group group({ "r1", "r2", "r3" });
+    group.run(3s);
+    group.apply(5, rulesText);
+    group.run(1s);
+    const RulesAcknowledged old = { .node = gateway, .version = 0, .digest = digestOf("") };
+    const auto updates = group.updatesAfter(group.followerName(), old);
+    ASSERT_EQ(updates.size(), 1U);
+    EXPECT_TRUE(updates[0].update.isOffer);
+    const RulesAcknowledged current
+        = { .node = gateway, .version = 5, .digest = digestOf(rulesText) };
+    EXPECT_TRUE(group.updatesAfter(group.followerName(), current).empty());
+}
+
+TEST(RulesSpread, AGatewayKnowsThatItsRulesAreOld)
+{
+    const TimePoint now(1'800'000'000s);
+    RulesFollower follower(gateway);
+    follower.receive(
+        { .content = RulesFile { .version = 5, .text = rulesText }, .isConfirmed = true });
+    follower.noteAccepted(5, now);
+    EXPECT_FALSE(follower.outdatedSince());
+    follower.noteAccepted(7, now + 1s);
+    follower.noteAccepted(8, now + 2s);
+    EXPECT_EQ(follower.outdatedSince(), now + 1s);
+    follower.receive({ .content = RulesFile { .version = 8, .text = "" }, .isConfirmed = true });
+    EXPECT_FALSE(follower.outdatedSince());
+}
+
+} // namespace
