The group of registry nodes is sized for the disks that may be lost at once

Found while looking for other constants made for small sites: the group had three voters, and the grown deployments may lose two disks at once, right after an acknowledgement. With two of three voters gone a change that was acknowledged would be gone, and so would the quorum. RulesSpread.AnAcknowledgedChangeOutlivesTwoLostDisks fails with three voters (no leader is left) and passes with five.

--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -18,19 +18,25 @@
  * member may wait for its disk or its share of a processor. Callers wait for it after a restart.
  */
 constexpr Duration registryElection = 400ms;
-constexpr std::size_t registryVoters = 3; ///< tolerates the loss of one disk
 constexpr std::uint64_t changesPerSnapshot = 64;
 
 constexpr int statusRedirect = 307;
 constexpr int statusBadRequest = 400;
 constexpr int statusUnavailable = 503;
 
-static ControlOptions registryOptions()
+// With the disks that may be lost at once taken away, a member that has each acknowledged change is
+// left, and so is a quorum.
+static std::size_t votersFor(std::uint32_t toleratedLosses)
+{
+    return 2UL * toleratedLosses + 1;
+}
+
+static ControlOptions registryOptions(const NodeProfile &profile)
 {
     ControlOptions options;
     options.replicated.replica.heartbeatInterval = registryHeartbeat;
     options.replicated.replica.electionTimeout = registryElection;
-    options.replicated.replica.voters = registryVoters;
+    options.replicated.replica.voters = votersFor(profile.toleratedLosses);
     options.replicated.entriesPerSnapshot = changesPerSnapshot;
     options.confirmationWait = changeConfirmation;
     return options;
@@ -55,7 +61,8 @@
 
 RegistryProcess::RegistryProcess(const ProfiledNode &profiled, ReplicaDisk openedDisk)
     : context(profiled), disk(std::move(openedDisk)),
-      node(internal::registryOptions(), this->disk.state(), profiled.life, this->loop.now()),
+      node(internal::registryOptions(profiled.profile), this->disk.state(), profiled.life,
+           this->loop.now()),
       directory({}, profiled.name()), owners({}),
       relay(
           this->loop, profiled.relayOptions(),
--- a/Hibiscus/src/Settings/NodeProfile.cpp
+++ b/Hibiscus/src/Settings/NodeProfile.cpp
@@ -34,6 +34,7 @@
     profile.registrySeeds = json.at("registry_seeds").get<std::vector<std::string>>();
     profile.isFirstStart = json.value("is_first_start", false);
     profile.dataFolder = json.value("data_folder", "");
+    profile.toleratedLosses = json.value("tolerated_losses", profile.toleratedLosses);
     profile.processorShare = json.value("processor_share", profile.processorShare);
     constexpr double millisecondsPerSecond = 1000;
     const auto milliseconds = [&](const char *key, Duration otherwise) {
--- a/Hibiscus/src/Settings/NodeProfile.h
+++ b/Hibiscus/src/Settings/NodeProfile.h
@@ -22,6 +22,7 @@
     std::vector<std::string> registrySeeds; ///< operators' addresses of some registry nodes
     bool isFirstStart = false; ///< of the whole system: the seeds form the group of registries
     std::string dataFolder; ///< registries
+    std::uint32_t toleratedLosses = 1; ///< disks that may be lost at once without losing rules
     double processorShare = 1; ///< of a core
     Duration lease = 1s; ///< longest that targets grant
     Duration stopBound = 6s; ///< after a request to stop
--- a/Hibiscus/src/Settings/NodeProfileSchema.h
+++ b/Hibiscus/src/Settings/NodeProfileSchema.h
@@ -22,6 +22,7 @@
     },
     "is_first_start": { "type": "boolean" },
     "data_folder": { "type": "string" },
+    "tolerated_losses": { "type": "integer", "minimum": 0, "maximum": 3 },
     "processor_share": { "type": "number", "exclusiveMinimum": 0 },
     "lease_ms": { "type": "number", "minimum": 1 },
     "stop_bound_s": { "type": "number", "minimum": 0 },
--- a/test/RulesSpreadTest.cpp
+++ b/test/RulesSpreadTest.cpp
@@ -25,17 +25,29 @@
 class Group
 {
 public:
-    explicit Group(const std::vector<std::string> &names)
+    explicit Group(const std::vector<std::string> &names, std::size_t voters = 3)
     {
+        this->options.replicated.replica.voters = voters;
         std::vector<NodeName> nodes;
         for (const std::string &name : names)
             nodes.emplace_back(name);
         for (const NodeName &node : nodes) {
-            this->members.try_emplace(node, ControlOptions(), foundingState(node, nodes),
+            this->members.try_emplace(node, this->options, foundingState(node, nodes),
                                       this->members.size() + 1, this->now);
         }
     }
 
+    /** \brief Adds a member with an empty disk, which asks the others to take it in. */
+    void join(const std::string &name)
+    {
+        const NodeName node(name);
+        DurableState empty;
+        empty.self = { .node = node, .incarnation = 2 };
+        this->members.try_emplace(node, this->options, empty, this->members.size() + 1, this->now);
+    }
+
+    void lose(const NodeName &name) { this->members.erase(name); }
+
     void run(Duration span)
     {
         const TimePoint end = this->now + span;
@@ -43,6 +55,8 @@
             for (auto &[name, member] : this->members) {
                 ControlNode::Outbox out;
                 member.tick(this->now, out);
+                if (!member.replica().isMember())
+                    member.requestJoin(this->names(), out);
                 this->carryOut(name, out);
             }
     }
@@ -82,6 +96,14 @@
         return {};
     }
 
+    std::vector<NodeName> names() const
+    {
+        std::vector<NodeName> names;
+        for (const auto &[name, member] : this->members)
+            names.push_back(name);
+        return names;
+    }
+
     ControlNode &leader() { return this->members.at(this->leaderName()); }
 
 private:
@@ -98,6 +120,7 @@
             }
     }
 
+    ControlOptions options;
     TimePoint now { 1'800'000'000s };
     std::map<NodeName, ControlNode> members;
 };
@@ -137,6 +160,24 @@
     EXPECT_TRUE(group.updatesAfter(group.followerName(), current).empty());
 }
 
+// Guards against a group that is sized for the loss of one disk where two may be lost.
+TEST(RulesSpread, AnAcknowledgedChangeOutlivesTwoLostDisks)
+{
+    Group group({ "r1", "r2", "r3" }, 5);
+    group.join("r4");
+    group.join("r5");
+    group.join("r6");
+    group.run(8s);
+    EXPECT_EQ(group.leader().replica().membership().voterCount(), 5U);
+    group.apply(7, rulesText);
+    const NodeName former = group.leaderName();
+    group.lose(group.followerName());
+    group.lose(former);
+    group.run(5s);
+    ASSERT_FALSE(group.leaderName().isEmpty());
+    EXPECT_EQ(group.leader().state().version(), 7U);
+}
+
 TEST(RulesSpread, AGatewayKnowsThatItsRulesAreOld)
 {
     const TimePoint now(1'800'000'000s);
