--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -17,6 +17,8 @@
 /** \brief A target that still announces itself here after it was not taken over: three heartbeats.
  */
 constexpr Duration passedOnLifetime = 4500ms;
+/** \brief Between two looks at whether the report has changed; a part of the report interval. */
+constexpr Duration refreshInterval = 20ms;
 /** \brief Between two choices of the peers to watch. */
 constexpr Duration chooseInterval = 100ms;
 /** \brief Ends are gathered for so long before they are told: some round trips. */
@@ -239,6 +241,7 @@
     out.outcomes = this->coordinating.takeOutcomes();
     out.changes = this->owning.takeChanges();
     out.setbacks = this->coordinating.takeSetbacks();
+    this->touched = false;
     return out;
 }
 
@@ -264,6 +267,7 @@
 // others have long given up. Peers and targets have to answer anew before it acts on them.
 void FleetNode::noteTime(TimePoint now)
 {
+    this->touched = true;
     const bool stoodStill
         = this->steppedAt != TimePoint() && now > this->steppedAt + this->options.gap;
     this->steppedAt = now;
@@ -515,6 +519,9 @@
 
 void FleetNode::refreshReport(TimePoint now)
 {
+    if (now < this->refreshedAt + internal::refreshInterval)
+        return;
+    this->refreshedAt = now;
     OwnerReport present = this->owning.report(now);
     if (present == this->report && this->reportVersion != 0)
         return;
@@ -522,13 +529,10 @@
     ++this->reportVersion;
 }
 
-bool FleetNode::hasLink(const Peer &peer, const NodeName &name, const Demand &demand,
-                        TimePoint now) const
+bool FleetNode::hasLink(const Peer &peer, const NodeName &name, TimePoint now) const
 {
     const bool isHeard = now < peer.heardAt + this->options.linkLifetime;
-    return this->selection.watches(name) || (peer.watchesThis && isHeard)
-        || demand.wanted.contains(name)
-        || demand.held.contains({ .node = name, .life = peer.life });
+    return this->selection.watches(name) || (peer.watchesThis && isHeard);
 }
 
 bool FleetNode::isDue(const Peer &peer, const NodeName &name, const Demand &demand,
@@ -547,11 +551,14 @@
         if (state.hasEnds && silence >= internal::endRepeatInterval)
             return true;
     }
-    if (!this->hasLink(peer, name, demand, now))
+    const bool hasRuns = held != demand.held.end() || demand.wanted.contains(name);
+    if (hasRuns && silence >= this->options.beatInterval)
+        return true;
+    if (!this->hasLink(peer, name, now))
         return false;
     const bool isReportDue = peer.watchesThis && peer.reportedVersion != this->reportVersion
         && now >= peer.reportedAt + this->options.reportInterval;
-    return isReportDue || silence >= this->options.beatInterval;
+    return isReportDue || silence >= this->options.idleBeatInterval;
 }
 
 void FleetNode::sendMessages(TimePoint now, FleetOutbox &out)
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -18,10 +18,12 @@
     std::string targetsAddress; ///< IP:port where targets send heartbeats
     FleetCoordinatorOptions coordinator;
     FleetOwnerOptions owner;
-    std::uint32_t watchedPeers = 6; ///< whose room is known, if there are so many
+    std::uint32_t watchedPeers = 5; ///< whose room is known, if there are so many
     std::uint32_t farWatchedPeers = 2; ///< at least so many of them in other failure domains
-    Duration beatInterval = 190ms; ///< between messages on a link; three in confirmLifetime
-    Duration reportInterval = 50ms; ///< between reports of changed room to a peer
+    Duration beatInterval
+        = 190ms; ///< between messages while runs are held; three in confirmLifetime
+    Duration idleBeatInterval = 290ms; ///< between messages on another link; two in confirmLifetime
+    Duration reportInterval = 100ms; ///< between reports of changed room to a peer
     Duration listedLifetime = 1200ms; ///< of a peer's place in the directory; two lists and more
     Duration linkLifetime = 2s; ///< a peer unheard for longer has no link any more
     /** \brief A peer that has echoed nothing sent within it gets no start and no task. */
@@ -110,6 +112,8 @@
     const FleetCoordinator &coordinator() const { return this->coordinating; }
     const FleetOwner &owner() const { return this->owning; }
     const FleetNodeCounters &counters() const { return this->counts; }
+    /** \returns whether anything has happened since the last settle(). */
+    bool isTouched() const { return this->touched; }
     /** \returns where \a target should send its heartbeats instead; empty: to this node. */
     std::string heartbeatAddressOf(const TargetName &target) const;
     bool isIdle() const;
@@ -187,7 +191,7 @@
     void noteUnwatched(const NodeName &name);
     /** \returns whether the directory names \a peer, or it has answered lately. */
     bool isListed(const Peer &peer, TimePoint now) const;
-    bool hasLink(const Peer &peer, const NodeName &name, const Demand &demand, TimePoint now) const;
+    bool hasLink(const Peer &peer, const NodeName &name, TimePoint now) const;
     bool isDue(const Peer &peer, const NodeName &name, const Demand &demand, TimePoint now) const;
     void refreshReport(TimePoint now);
     FleetMessage compose(const NodeName &to, Peer &peer, const Demand &demand, TimePoint now);
@@ -200,6 +204,7 @@
     PeerSelection selection;
     OwnerReport report; ///< of the own targets, as told to peers
     std::uint64_t reportVersion = 0;
+    TimePoint refreshedAt;
     std::map<NodeName, Peer> peers;
     std::map<NodeName, std::vector<RunEnd>> unknown; ///< wanted here, but not known here
     std::map<TargetName, PassedTarget> passedOn;
@@ -208,6 +213,7 @@
     TimePoint passedOnAt;
     TimePoint choseAt;
     bool isDraining = false;
+    bool touched = false;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -260,6 +260,8 @@
 
 void GatewayProcess::carryOut()
 {
+    if (!this->node.isTouched())
+        return;
     const FleetOutbox out = this->node.settle(this->loop.now());
     for (const TargetOrder &order : out.orders)
         std::visit([this](const auto &o) { this->carryOut(o); }, order);
--- a/test/support/FleetWorld.cpp
+++ b/test/support/FleetWorld.cpp
@@ -84,7 +84,7 @@
 
 void FleetWorld::startGateway(Gateway &gateway)
 {
-    FleetNodeOptions nodeOptions;
+    FleetNodeOptions nodeOptions = this->options.node;
     nodeOptions.self = NodeName(gateway.name);
     nodeOptions.life = ++gateway.life;
     nodeOptions.domain = DomainName(domainOf(gateway.name));
--- a/test/support/FleetWorld.h
+++ b/test/support/FleetWorld.h
@@ -54,6 +54,7 @@
     Duration resend = 1300ms; ///< callers send a job again after its connection broke
     double lateOrders = 0; ///< share of orders that are not answered and carried out late
     double lostMessages = 0; ///< share of messages between gateways that are lost
+    FleetNodeOptions node; ///< of each gateway, but for its names and size
     std::optional<FleetProcessor> processor; ///< none: work takes no time
     bool countsBytes = false; ///< of messages between gateways
     std::uint64_t seed = 1;
