Tasks of a job go to few owners, and ends that completed are told with the last one of their step

Messages between gateways are the largest share of what a task costs them. Among owners with room of the same fitness a coordinator now prefers itself, then owners that have other tasks of the job. An owner holds the end of a completed task back while it still holds other tasks of the same step: the job cannot be answered before. Ends of any other kind are told at once.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -69,6 +69,18 @@
     return room;
 }
 
+/** \returns how many messages a task costs at \a owner, as an order: none here, and few where other
+ * tasks of its job are.
+ */
+static int rankOf(const OwnerView &owner, bool isUsed)
+{
+    if (owner.distance == OwnerView::Distance::Self)
+        return 0;
+    if (owner.distance == OwnerView::Distance::SameDomain)
+        return isUsed ? 1 : 2;
+    return isUsed ? 3 : 4;
+}
+
 static void lookAround(Wish &wish, const std::vector<OwnerView> &owners, TimePoint now)
 {
     for (const OwnerView &owner : owners)
@@ -514,6 +526,15 @@
              .mostPerTarget = step.mostPerTarget };
 }
 
+bool FleetCoordinator::isUsedBy(const Job &job, const NodeName &owner)
+{
+    return std::ranges::any_of(job.steps, [&](const auto &tasks) {
+        return std::ranges::any_of(tasks, [&](const Task &task) {
+            return task.stage == Stage::Assigned && task.owner == owner;
+        });
+    });
+}
+
 // Free room nearby first, on targets that are not kept for longer tasks; without any, the shortest
 // queue for its size, at a distance only when it is clearly shorter.
 OwnerView *FleetCoordinator::chooseOwner(const Job &job, const JobStep &step,
@@ -538,7 +559,7 @@
         const double load = static_cast<double>(ahead - room.free) / size;
         constexpr double farPenalty = 0.15; // of an owner's room: about a round trip of waiting
         const bool isFar = owner.distance == OwnerView::Distance::OtherDomain;
-        const int rank = isFull ? 0 : static_cast<int>(isFar);
+        const int rank = isFull ? 0 : internal::rankOf(owner, isUsedBy(job, owner.node));
         const std::tuple key(tier, rank, load + (isFar && isFull ? farPenalty : 0));
         if (best != nullptr && key >= bestKey)
             continue;
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -200,6 +200,7 @@
     void giveUp(Job &job, OutcomeReason reason, TimePoint now);
     void forgetEnded(TimePoint now);
     RunRequest requestFor(const Job &job, const RunName &run, TimePoint now) const;
+    static bool isUsedBy(const Job &job, const NodeName &owner);
     OwnerView *chooseOwner(const Job &job, const JobStep &step, std::vector<OwnerView> &owners,
                            TimePoint now) const;
 
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -262,11 +262,29 @@
         if (run.stage != Stage::Ended)
             continue;
         state.hasEnds = true;
-        state.hasNewEnds = state.hasNewEnds || !run.isTold;
+        state.hasNewEnds = state.hasNewEnds || (!run.isTold && !this->mayWait(run));
     }
     return requesters;
 }
 
+// A step is done when all of its tasks are, so the end of one that completed can go with the last
+// one that is held here.
+bool FleetOwner::mayWait(const HeldRun &ended) const
+{
+    if (ended.end != RunEndKind::Completed)
+        return false;
+    const RunName &name = ended.request.run;
+    const RunName first = { .job = name.job, .step = name.step };
+    for (auto item = this->held.lower_bound(first); item != this->held.end(); ++item) {
+        if (item->first.job != name.job || item->first.step != name.step)
+            return false;
+        const HeldRun &other = item->second;
+        if (other.stage != Stage::Ended && other.isWanted && other.requester == ended.requester)
+            return true;
+    }
+    return false;
+}
+
 std::vector<RunEnd> FleetOwner::endsFor(const Requester &requester) const
 {
     std::vector<RunEnd> ends;
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -164,6 +164,7 @@
     std::vector<HeldRun *> waitingRuns(TimePoint now);
     void cancel(HeldRun &run, TimePoint now);
     void stopAll(const std::function<bool(const HeldRun &)> &isMeant, bool isWanted, TimePoint now);
+    bool mayWait(const HeldRun &ended) const;
     void takeEnds(TimePoint now);
     void count(RunEndKind kind);
     void note(const TargetDriver &driver, std::string change);
