--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -138,13 +138,11 @@
 class FleetSoak : public testing::TestWithParam<std::uint64_t>
 { };
 
-TEST_P(FleetSoak, PromisesHoldUnderFaults)
+void soak(FleetWorldOptions options, double jobsPerSecond, int rounds)
 {
-    const std::uint64_t seed = this->GetParam();
+    const std::uint64_t seed = options.seed;
     std::mt19937_64 random(seed);
     std::uniform_real_distribution<double> share(0, 1);
-    FleetWorldOptions options;
-    options.seed = seed;
     options.lateOrders = share(random) < 0.3 ? 0.02 : 0;
     options.lostMessages = share(random) < 0.3 ? 0.02 : 0;
     FleetWorld world(options);
@@ -159,8 +157,8 @@
         std::uniform_int_distribution<int> milliseconds(least, most);
         return std::chrono::milliseconds(milliseconds(random));
     };
-    for (int round = 0; round < 6; ++round) {
-        load(world, 40, span(300, 1500));
+    for (int round = 0; round < rounds; ++round) {
+        load(world, jobsPerSecond, span(300, 1500));
         const double kind = share(random);
         if (kind < 0.2)
             world.kill(pick(gateways), span(200, 4000));
@@ -175,7 +173,7 @@
         else
             world.heal();
     }
-    load(world, 40, 2s);
+    load(world, jobsPerSecond, 2s);
     world.heal();
     world.run(14s);
     const double servedBefore = world.served();
@@ -185,6 +183,24 @@
     expectPromises(world, seed);
 }
 
+TEST_P(FleetSoak, PromisesHoldUnderFaults)
+{
+    soak({ .seed = this->GetParam() }, 40, 6);
+}
+
+// With more gateways than each watches, runs are held and targets handed over without a lasting
+// link.
+TEST_P(FleetSoak, PromisesHoldUnderFaultsWithManyGateways)
+{
+    FleetWorldOptions options;
+    options.gatewaysPerDomain = 6;
+    options.targetsPerDomain = 12;
+    options.seed = this->GetParam();
+    if (this->GetParam() % 2 == 0)
+        options.processor = Fake::FleetProcessor { .shares = { 0.09, 0.09, 0.3 } };
+    soak(options, 120, 10);
+}
+
 std::vector<std::uint64_t> soakSeeds()
 {
     const char *first = std::getenv("HIBISCUS_FIRST_SEED");
--- a/test/support/FleetWorld.cpp
+++ b/test/support/FleetWorld.cpp
@@ -11,6 +11,7 @@
 constexpr Duration stopTime = 50ms; ///< a target ends a stopped run within it
 constexpr Duration stopBound = 5s; ///< a gateway that is stopped ends after it
 constexpr Duration tickInterval = 10ms;
+constexpr Duration listedFor = 1500ms; ///< a gateway that is gone is listed for so long
 
 std::int64_t clockOf(TimePoint now)
 {
@@ -47,6 +48,7 @@
     std::vector<std::function<void()>> backlog;
     double share = 1; ///< of a core
     TimePoint busyUntil;
+    TimePoint downAt;
     FleetTraffic traffic;
 };
 
@@ -106,7 +108,8 @@
         if (!gateway.isFrozen) {
             this->occupy(gateway, this->costOf(&FleetProcessor::perTick));
             for (const auto &[name, other] : this->gateways)
-                gateway.node->meet(this->recordOf(*other), this->now());
+                if (other->node || this->now() < other->downAt + listedFor)
+                    gateway.node->meet(this->recordOf(*other), this->now());
             gateway.node->tick(this->now());
             this->settle(gateway);
         }
@@ -529,6 +532,7 @@
 {
     Gateway &killed = *this->gateways.at(gateway);
     killed.node.reset();
+    killed.downAt = this->now();
     this->breakConnections(gateway);
     this->scheduler.after(downFor, [this, &killed] {
         if (!killed.node)
