A watched peer is not forgotten while it is watched

Callers would have seen a gateway end that had stood still for over 10 s: it forgot the peers that it had not heard of, and looked one of them up as a watched one on the next job. Found by reading the change; Fleet.AGatewayThatStoodStillForLongerThanItRemembersPeersGoesOn fails without the mend (map::at). The choice of peers, 100 ms later, drops such a peer, and then it is forgotten. Targets that were passed on are forgotten after 4.5 s, so that they do not pile up.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -361,6 +361,9 @@
     if (now < this->passedOnAt + internal::passOnInterval)
         return;
     this->passedOnAt = now;
+    std::erase_if(this->passedOn, [&](const auto &item) {
+        return now >= item.second.at + internal::passedOnLifetime;
+    });
     for (const TargetName &target : this->owning.targets()) {
         const auto next = this->betterOwner(target, now);
         if (!next)
@@ -473,8 +476,8 @@
     return message;
 }
 
-// Peers that serve nobody else are few, so each is looked at again and again; one that has had no
-// room for a while makes way for another.
+// A peer has room while one of its targets is half free: less is likely taken by the time that a
+// start arrives there.
 void FleetNode::choosePeers(TimePoint now)
 {
     if (now < this->choseAt + internal::chooseInterval)
@@ -569,7 +572,8 @@
     for (auto item = this->peers.begin(); item != this->peers.end();) {
         auto &[name, peer] = *item;
         const TimePoint knownAt = std::max({ peer.metAt, peer.heardAt, peer.listedAt });
-        if (now >= knownAt + this->options.forgetPeerAfter) {
+        const bool isInUse = this->selection.watches(name);
+        if (!isInUse && now >= knownAt + this->options.forgetPeerAfter) {
             this->owning.dropNode(name, now);
             out.forgotten.push_back(name);
             item = this->peers.erase(item);
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -134,6 +134,27 @@
     expectPromises(world, 8);
 }
 
+// Guards against a process that ends since a peer that it watches was forgotten while it stood
+// still.
+TEST(Fleet, AGatewayThatStoodStillForLongerThanItRemembersPeersGoesOn)
+{
+    FleetWorld world({ .seed = 10 });
+    world.run(6s);
+    for (const std::string &other : world.gatewayNames())
+        if (other != "g-a1")
+            world.cut("g-a1", other);
+    world.freeze("g-a1", 15s);
+    for (int i = 0; i < 2; ++i)
+        world.submit("g-a1", 2, 100ms, 20s);
+    world.run(16s);
+    world.heal();
+    world.run(3s);
+    load(world, 30, 1s);
+    world.run(3s);
+    EXPECT_GT(world.gateway("g-a1")->livePeers(world.now()), 0U);
+    expectPromises(world, 10);
+}
+
 /** \brief Faults at random times, some at once. */
 class FleetSoak : public testing::TestWithParam<std::uint64_t>
 { };
