--- a/Hibiscus/src/Net/Relay.h
+++ b/Hibiscus/src/Net/Relay.h
@@ -22,7 +22,7 @@
     std::uint64_t brokenBatches = 0; ///< may have arrived or not
 };
 
-/** \brief Running totals of a process: its processor time and the messages in \a counters. */
+/** \returns the running totals of this process, with the messages that \a counters count. */
 LoadTotals loadTotals(const RelayCounters &counters);
 
 /** \brief Carries messages between the processes of the system, over gRPC.
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -122,8 +122,12 @@
     this->lastCallAt = this->loop.now();
     const TimePoint now = this->loop.now();
     if (!this->hasRules() || this->hasOldRules(now)) {
-        this->refuse(request.token, internal::StatusUnavailable, 1s,
-                     this->hasRules() ? "old-rules" : "no-rules");
+        const char *reason = this->hasRules() ? "old-rules" : "no-rules";
+        logChange("request-refused",
+                  { { "path", request.path },
+                    { "reason", reason },
+                    { "rules_version", std::to_string(this->rules.file().version) } });
+        this->refuse(request.token, internal::StatusUnavailable, 1s, reason);
         return;
     }
     const RouteRule *route = this->rules.rules().routeFor(request.host, request.path);
@@ -447,8 +451,8 @@
     return this->rules.standing() != RulesStanding::None && this->rules.file().version > 0;
 }
 
-// The registry has acknowledged a newer version at the latest some hundreds of milliseconds after
-// it was accepted, so what is missing for longer must not decide any more.
+// A change is acknowledged within some hundreds of milliseconds, and callers may rely on it soon
+// after, so rules that have been older for longer must not decide any more.
 bool GatewayProcess::hasOldRules(TimePoint now) const
 {
     const auto since = this->rules.outdatedSince();
