--- a/test/RulesSpreadTest.cpp
+++ b/test/RulesSpreadTest.cpp
@@ -28,9 +28,7 @@
     explicit Group(const std::vector<std::string> &names, std::size_t voters = 3)
     {
         this->options.replicated.replica.voters = voters;
-        std::vector<NodeName> nodes;
-        for (const std::string &name : names)
-            nodes.emplace_back(name);
+        const std::vector<NodeName> nodes(names.begin(), names.end());
         for (const NodeName &node : nodes) {
             this->members.try_emplace(node, this->options, foundingState(node, nodes),
                                       this->members.size() + 1, this->now);
