Log what a task is given away for, and its later attempts

Before: a task that was given away left a line at its coordinator, with neither the target, its incarnation and token, nor the observation that the end was concluded from.

Now the owner logs run-not-completed (end, evidence, incarnation, token, age of the contact) and run-repeated (start of a later attempt), and the lines of starts and stops contain the step, the task, the incarnation, the token and the status of the response.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -251,6 +251,7 @@
     out.outcomes = this->jobCoordinator.takeOutcomes();
     out.targetChanges = this->targetOwner.takeChanges();
     out.unsuccessfulRuns = this->jobCoordinator.takeUnsuccessfulRuns();
+    out.attempts = this->targetOwner.takeAttempts();
     this->hasNewEvents = false;
     return out;
 }
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -66,6 +66,7 @@
     std::vector<JobOutcome> outcomes;
     std::vector<TargetChange> targetChanges;
     std::vector<UnsuccessfulRun> unsuccessfulRuns;
+    std::vector<AttemptRecord> attempts;
     std::vector<NodeName> removedPeers; ///< peers removed after a long silence
     std::vector<NodeName> idlePeers; ///< peers whose connection may be closed for now
 };
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -25,9 +25,9 @@
         previous.markEnded();
         previous.tick(now, this->out);
         this->recordChange(previous, "over");
+        this->processRunEnds(now);
         this->runTimes.remove(target.name);
         this->drivers.erase(found);
-        this->processRunEnds(now);
         found = this->drivers.end();
     }
     if (found != this->drivers.end()) {
@@ -199,6 +199,8 @@
         run->target = driver->target().name;
         run->startedAt = now;
         ++this->counts.started;
+        if (run->request.run.attempt > 1)
+            this->recordAttempt(*run, *driver, std::nullopt, now);
         driver->start(run->request, now, this->out);
     }
 }
@@ -334,8 +336,8 @@
 
 void FleetOwner::processRunEnds(TimePoint now)
 {
-    const std::vector<RunEnd> runEnds = std::exchange(this->out.runEnds, {});
-    for (const RunEnd &end : runEnds) {
+    const std::vector<ObservedRunEnd> runEnds = std::exchange(this->out.runEnds, {});
+    for (const ObservedRunEnd &end : runEnds) {
         this->countRunEnd(end.kind);
         const auto found = this->runs.find(end.run);
         if (found == this->runs.end())
@@ -349,6 +351,8 @@
                 = fromSeconds(toSeconds(runTime) / this->runTimes.slowness(target));
             this->runTimes.addRun(target, run.request.estimate, runTime);
         }
+        if (end.kind != RunEndKind::Completed && driver != this->drivers.end())
+            this->recordAttempt(run, driver->second, end, now);
         run.stage = Stage::Ended;
         run.end = end.kind;
         run.endedAt = now;
@@ -390,6 +394,18 @@
                               .change = std::move(change) });
 }
 
+void FleetOwner::recordAttempt(const HeldRun &run, const TargetDriver &driver,
+                               const std::optional<ObservedRunEnd> &end, TimePoint now)
+{
+    this->attempts.push_back({ .run = run.request.run,
+                               .target = driver.target().name,
+                               .incarnation = driver.target().incarnation,
+                               .fencingToken = driver.fencingToken(),
+                               .requester = run.requester.node,
+                               .end = end,
+                               .sinceStart = now - run.startedAt });
+}
+
 TargetDriver *FleetOwner::findDriver(const OrderAddress &from)
 {
     const auto found = this->drivers.find(from.target);
@@ -555,18 +571,24 @@
             this->releasedTargets.push_back(driver.target());
         this->recordChange(driver, reason);
         this->runTimes.remove(item->first);
-        this->endRunsAsUnknown(item->first, now);
+        this->endRunsAsUnknown(driver, now);
         item = this->drivers.erase(item);
     }
 }
 
 // The next owner of the target stops its runs, but this node does not receive the results.
-void FleetOwner::endRunsAsUnknown(const TargetName &target, TimePoint now)
+void FleetOwner::endRunsAsUnknown(const TargetDriver &driver, TimePoint now)
 {
     for (auto item = this->runs.begin(); item != this->runs.end();) {
         HeldRun &run = item->second;
-        const bool isThere = run.stage == Stage::OnTarget && run.target == target;
+        const bool isThere = run.stage == Stage::OnTarget && run.target == driver.target().name;
         if (isThere) {
+            this->recordAttempt(run, driver,
+                                ObservedRunEnd { .run = run.request.run,
+                                                 .kind = RunEndKind::Unknown,
+                                                 .evidence = RunEndEvidence::TargetRemoved,
+                                                 .contactAge = now - driver.lastContactAt() },
+                                now);
             this->countRunEnd(RunEndKind::Unknown);
             run.stage = Stage::Ended;
             run.end = RunEndKind::Unknown;
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -76,6 +76,23 @@
     auto operator<=>(const TargetChange &other) const = default;
 };
 
+/** \brief Attempt at a task that ended without completing it, or that follows such an attempt, for
+ * the log.
+ */
+struct AttemptRecord
+{
+    RunName run;
+    TargetName target;
+    std::uint64_t incarnation = 0;
+    std::uint64_t fencingToken = 0;
+    NodeName requester; ///< coordinator of the job
+    /** \brief How it ended; empty at its start. */
+    std::optional<ObservedRunEnd> end;
+    Duration sinceStart {};
+
+    auto operator<=>(const AttemptRecord &other) const = default;
+};
+
 /** \brief Targets of one entry node, with the runs on them and the queued runs.
  *
  * \sa TargetDriver
@@ -128,6 +145,8 @@
     void markEndsReported(const Requester &requester);
     std::vector<TargetOrder> takeOrders() { return std::exchange(this->out.orders, {}); }
     std::vector<TargetChange> takeChanges() { return std::exchange(this->changes, {}); }
+    /** \returns the starts of later attempts, and the attempts that ended without completion. */
+    std::vector<AttemptRecord> takeAttempts() { return std::exchange(this->attempts, {}); }
 
     // Queries.
     OwnerReport report(TimePoint now) const;
@@ -175,6 +194,8 @@
     void processRunEnds(TimePoint now);
     void countRunEnd(RunEndKind kind);
     void recordChange(const TargetDriver &driver, std::string change);
+    void recordAttempt(const HeldRun &run, const TargetDriver &driver,
+                       const std::optional<ObservedRunEnd> &end, TimePoint now);
     TargetDriver *findDriver(const OrderAddress &from);
     TargetDriver *selectTarget(const HeldRun &run, TimePoint now);
     bool canRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
@@ -185,7 +206,7 @@
     void endInfeasibleRuns(TimePoint now);
     Duration minExpectedRunTime(const RunRequest &request) const;
     void removeLostTargets(TimePoint now);
-    void endRunsAsUnknown(const TargetName &target, TimePoint now);
+    void endRunsAsUnknown(const TargetDriver &driver, TimePoint now);
 
     FleetOwnerOptions options;
     std::map<TargetName, TargetDriver> drivers;
@@ -194,6 +215,7 @@
     RunTimes runTimes;
     DriverOutbox out;
     std::vector<TargetChange> changes;
+    std::vector<AttemptRecord> attempts;
     FleetOwnerCounters counts;
 };
 
--- a/Hibiscus/src/Fleet/Run.cpp
+++ b/Hibiscus/src/Fleet/Run.cpp
@@ -27,4 +27,23 @@
     return "unknown";
 }
 
+const char *toString(RunEndEvidence evidence)
+{
+    switch (evidence) {
+    case RunEndEvidence::StartResponse:
+        return "start-response";
+    case RunEndEvidence::ListedAsEnded:
+        return "listed-as-ended";
+    case RunEndEvidence::NotListed:
+        return "not-listed";
+    case RunEndEvidence::StopConfirmed:
+        return "stop-confirmed";
+    case RunEndEvidence::TargetEnded:
+        return "target-ended";
+    case RunEndEvidence::TargetRemoved:
+        break;
+    }
+    return "target-removed";
+}
+
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/Run.h
+++ b/Hibiscus/src/Fleet/Run.h
@@ -60,6 +60,19 @@
 /** \returns the name of \a kind for logs. */
 const char *toString(RunEndKind kind);
 
+/** \brief Observation from which an owner concludes that a run has ended. */
+enum class RunEndEvidence : std::uint8_t {
+    StartResponse, ///< the target refused the start
+    ListedAsEnded, ///< a poll response listed it as ended
+    NotListed, ///< a poll response listed it neither as running nor as ended
+    StopConfirmed, ///< the target confirmed its stop and did not list it afterwards
+    TargetEnded, ///< its target has restarted, or has announced its shutdown
+    TargetRemoved ///< this node no longer owns its target
+};
+
+/** \returns the name of \a evidence for logs. */
+const char *toString(RunEndEvidence evidence);
+
 /** \brief End of a run, as the owner of its target reports it. */
 struct RunEnd
 {
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -11,6 +11,21 @@
  */
 constexpr std::uint64_t firstTokenStep = 5'000;
 
+static RunEndKind kindOf(TargetRunEnd end)
+{
+    switch (end) {
+    case TargetRunEnd::Completed:
+        return RunEndKind::Completed;
+    case TargetRunEnd::Failed:
+        return RunEndKind::Failed;
+    case TargetRunEnd::Stopped:
+        return RunEndKind::Stopped;
+    case TargetRunEnd::LeaseExpired:
+        break;
+    }
+    return RunEndKind::Lost;
+}
+
 } // namespace internal
 
 TargetDriver::TargetDriver(const TargetDriverOptions &options, const LeasedTarget &target,
@@ -80,7 +95,8 @@
         return;
     }
     const bool isSuperseded = response.status == OrderStatus::Superseded;
-    this->endRun(run, isSuperseded ? RunEndKind::Superseded : RunEndKind::NotStarted, out);
+    this->endRun(run, isSuperseded ? RunEndKind::Superseded : RunEndKind::NotStarted,
+                 RunEndEvidence::StartResponse, now, out);
 }
 
 void TargetDriver::handleStopResponse(const RunName &run, const OrderResponse &response,
@@ -130,29 +146,17 @@
             continue;
         this->acknowledgedEnd = listed.number;
         this->recordOutcome(listed, now);
-        switch (listed.end) {
-        case TargetRunEnd::Completed:
-            this->endRun(listed.run, RunEndKind::Completed, out);
-            break;
-        case TargetRunEnd::Failed:
-            this->endRun(listed.run, RunEndKind::Failed, out);
-            break;
-        case TargetRunEnd::Stopped:
-            this->endRun(listed.run, RunEndKind::Stopped, out);
-            break;
-        case TargetRunEnd::LeaseExpired:
-            this->endRun(listed.run, RunEndKind::Lost, out);
-            break;
-        }
+        this->endRun(listed.run, internal::kindOf(listed.end), RunEndEvidence::ListedAsEnded, now,
+                     out);
     }
-    this->endUnlistedRuns(response, out);
+    this->endUnlistedRuns(response, now, out);
     this->stopForeignRuns(response, now, out);
 }
 
 void TargetDriver::tick(TimePoint now, DriverOutbox &out)
 {
     if (this->ended)
-        this->endAllRuns(out);
+        this->endAllRuns(now, out);
     if (this->ended || this->fenced)
         return;
     for (auto &[name, run] : this->runs)
@@ -277,28 +281,33 @@
     out.orders.emplace_back(StopOrder { .to = this->address(), .run = name });
 }
 
-void TargetDriver::endRun(const RunName &run, RunEndKind kind, DriverOutbox &out)
+void TargetDriver::endRun(const RunName &run, RunEndKind kind, RunEndEvidence evidence,
+                          TimePoint now, DriverOutbox &out)
 {
     const auto found = this->runs.find(run);
     if (found == this->runs.end())
         return;
     this->usedCapacity = this->usedCapacity.minus(found->second.demand);
     this->runs.erase(found);
-    out.runEnds.push_back({ .run = run, .kind = kind });
+    out.runEnds.push_back({ .run = run,
+                            .kind = kind,
+                            .evidence = evidence,
+                            .contactAge = now - this->lastContactAt() });
 }
 
-void TargetDriver::endAllRuns(DriverOutbox &out)
+void TargetDriver::endAllRuns(TimePoint now, DriverOutbox &out)
 {
     while (!this->runs.empty())
-        this->endRun(RunName(this->runs.begin()->first), RunEndKind::Lost, out);
+        this->endRun(RunName(this->runs.begin()->first), RunEndKind::Lost,
+                     RunEndEvidence::TargetEnded, now, out);
 }
 
 // The response to a poll shows a state later than its sending. A run whose start or stop was
 // confirmed before the poll was sent, and which is listed neither as running nor as ended, has
 // ended.
-void TargetDriver::endUnlistedRuns(const PollResponse &response, DriverOutbox &out)
+void TargetDriver::endUnlistedRuns(const PollResponse &response, TimePoint now, DriverOutbox &out)
 {
-    std::vector<RunEnd> runEnds;
+    std::vector<ObservedRunEnd> runEnds;
     for (auto &[name, run] : this->runs) {
         if (std::ranges::find(response.running, name) != response.running.end()) {
             run.listedAt = this->pollSentAt;
@@ -307,13 +316,16 @@
         const bool isStopped = run.stopConfirmedAt
             && *run.stopConfirmedAt + this->options.maxStopTime <= this->pollSentAt;
         if (isStopped)
-            runEnds.push_back({ .run = name, .kind = RunEndKind::Stopped });
+            runEnds.push_back({ .run = name,
+                                .kind = RunEndKind::Stopped,
+                                .evidence = RunEndEvidence::StopConfirmed });
         else if (!run.isStopWanted && run.phase == Phase::Running
                  && run.confirmedAt < this->pollSentAt)
-            runEnds.push_back({ .run = name, .kind = RunEndKind::Lost });
+            runEnds.push_back(
+                { .run = name, .kind = RunEndKind::Lost, .evidence = RunEndEvidence::NotListed });
     }
-    for (const RunEnd &item : runEnds)
-        this->endRun(item.run, item.kind, out);
+    for (const ObservedRunEnd &item : runEnds)
+        this->endRun(item.run, item.kind, item.evidence, now, out);
 }
 
 void TargetDriver::stopForeignRuns(const PollResponse &response, TimePoint now, DriverOutbox &out)
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -35,11 +35,22 @@
     Duration insufficientCapacityPause = 30ms; ///< pause after a refusal for lack of capacity
 };
 
+/** \brief End of a run on a target, and what it is concluded from. */
+struct ObservedRunEnd
+{
+    RunName run;
+    RunEndKind kind = RunEndKind::NotStarted;
+    RunEndEvidence evidence = RunEndEvidence::StartResponse;
+    Duration contactAge {}; ///< time since the target's latest response
+
+    auto operator<=>(const ObservedRunEnd &other) const = default;
+};
+
 /** \brief Output of a TargetDriver for its process and its owner. */
 struct DriverOutbox
 {
     std::vector<TargetOrder> orders;
-    std::vector<RunEnd> runEnds;
+    std::vector<ObservedRunEnd> runEnds;
 };
 
 /** \brief Drives one incarnation of a target: renews its lease, starts and stops runs, and
@@ -124,10 +135,11 @@
     void recordOutcome(const EndedRun &listed, TimePoint now);
     void poll(TimePoint now, DriverOutbox &out);
     void sendStop(const RunName &name, Run &run, TimePoint now, DriverOutbox &out);
-    void endRun(const RunName &run, RunEndKind kind, DriverOutbox &out);
-    void endAllRuns(DriverOutbox &out);
+    void endRun(const RunName &run, RunEndKind kind, RunEndEvidence evidence, TimePoint now,
+                DriverOutbox &out);
+    void endAllRuns(TimePoint now, DriverOutbox &out);
     void stopForeignRuns(const PollResponse &response, TimePoint now, DriverOutbox &out);
-    void endUnlistedRuns(const PollResponse &response, DriverOutbox &out);
+    void endUnlistedRuns(const PollResponse &response, TimePoint now, DriverOutbox &out);
 
     TargetDriverOptions options;
     LeasedTarget heartbeat;
--- a/Hibiscus/src/Fleet/TargetOrder.h
+++ b/Hibiscus/src/Fleet/TargetOrder.h
@@ -102,6 +102,8 @@
 {
     OrderStatus status = OrderStatus::Unanswered;
     std::optional<std::int64_t> clockMs; ///< the target's clock, ms
+    /** \brief Incarnation that responded; empty if the target does not tell. */
+    std::optional<std::uint64_t> incarnation;
     std::vector<RunName> running;
     std::vector<EndedRun> ended;
 
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -67,6 +67,37 @@
     return status == TransientJobStatus::Unfinished ? "unfinished" : "refused";
 }
 
+// Together with the lines of the job's coordinator these lines tell which observation a task was
+// given away for, and when its next attempt began.
+static void logAttempt(const AttemptRecord &attempt)
+{
+    if (!attempt.end) {
+        logEvent("run-repeated",
+                 { { "job", attempt.run.job },
+                   { "step", std::to_string(attempt.run.step) },
+                   { "task", std::to_string(attempt.run.index) },
+                   { "attempt", std::to_string(attempt.run.attempt) },
+                   { "coordinator", attempt.requester.str() },
+                   { "target", attempt.target.str() },
+                   { "life", std::to_string(attempt.incarnation) },
+                   { "fencing_token", std::to_string(attempt.fencingToken) } });
+        return;
+    }
+    logEvent("run-not-completed",
+             { { "job", attempt.run.job },
+               { "step", std::to_string(attempt.run.step) },
+               { "task", std::to_string(attempt.run.index) },
+               { "attempt", std::to_string(attempt.run.attempt) },
+               { "coordinator", attempt.requester.str() },
+               { "target", attempt.target.str() },
+               { "life", std::to_string(attempt.incarnation) },
+               { "fencing_token", std::to_string(attempt.fencingToken) },
+               { "end", toString(attempt.end->kind) },
+               { "evidence", toString(attempt.end->evidence) },
+               { "since_start_ms", std::to_string(toMilliseconds(attempt.sinceStart)) },
+               { "contact_age_ms", std::to_string(toMilliseconds(attempt.end->contactAge)) } });
+}
+
 } // namespace internal
 
 GatewayProcess::GatewayProcess(const NodeContext &node)
@@ -294,6 +325,8 @@
                    { "attempt", std::to_string(run.end.run.attempt) },
                    { "owner", run.owner.str() },
                    { "end", toString(run.end.kind) } });
+    for (const AttemptRecord &attempt : out.attempts)
+        internal::logAttempt(attempt);
     for (const NodeName &peer : out.idlePeers)
         this->relay.disconnect(peer);
     for (const NodeName &peer : out.removedPeers) {
@@ -311,8 +344,13 @@
         if (response.status != OrderStatus::Done)
             logEvent("start-not-done",
                      { { "job", run.job },
+                       { "step", std::to_string(run.step) },
+                       { "task", std::to_string(run.index) },
                        { "attempt", std::to_string(run.attempt) },
                        { "target", to.target.str() },
+                       { "life", std::to_string(to.incarnation) },
+                       { "fencing_token", std::to_string(to.fencingToken) },
+                       { "status", std::to_string(result.status) },
                        { "verdict", toString(response.status) } });
         this->node.handleStartResponse(to, run, response, this->loop.now());
     });
@@ -326,8 +364,13 @@
         const OrderResponse response = this->context.protocol.readOrderResponse(result);
         logEvent("stop-sent",
                  { { "job", run.job },
+                   { "step", std::to_string(run.step) },
+                   { "task", std::to_string(run.index) },
                    { "attempt", std::to_string(run.attempt) },
                    { "target", to.target.str() },
+                   { "life", std::to_string(to.incarnation) },
+                   { "fencing_token", std::to_string(to.fencingToken) },
+                   { "status", std::to_string(result.status) },
                    { "verdict", toString(response.status) } });
         this->node.handleStopResponse(to, run, response, this->loop.now());
     });
