Simulated targets behave as the protocol says

Orders name the target only, a restarted target knows nothing of before, its clock is its own and begins anew, and the lease is min(expiry of the order, 1 s), taken from refused starts too. Late polls are executed as late starts and stops were, paths may lose requests or responses, targets depart, restart under their name and answer executed starts with errors. Targets have limited capacity.

Responses to a gateway process that has ended no longer reach its next process: their connection has broken. Leases are expired before two runs are compared, so the check is exact in time.

--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -2,16 +2,29 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
 using namespace Hibiscus;
 using Fake::FleetSimulation;
 using Fake::FleetSimulationOptions;
 
 namespace {
 
+bool isTraceWanted()
+{
+    return std::getenv("HIBISCUS_TRACE") != nullptr;
+}
+
 void expectNoViolations(const FleetSimulation &simulation, std::uint64_t seed)
 {
     for (const std::string &violation : simulation.violations())
         ADD_FAILURE() << violation << " (seed " << seed << ")";
+    if (simulation.violations().empty())
+        return;
+    for (const std::string &line : simulation.trace())
+        std::cout << line << '\n';
 }
 
 /** \brief Submits \a jobsPerSecond jobs per second to random gateways for \a span. */
@@ -100,7 +113,9 @@
 TEST(Fleet, BurstWithLostOrdersIsServed)
 {
     for (const std::uint64_t seed : { 1U, 2U, 3U, 4U }) {
-        FleetSimulation simulation({ .lateOrderShare = 0.045, .seed = seed });
+        FleetSimulation simulation(
+            { .lateOrders = { .startShare = 0.045, .stopShare = 0.045, .pollShare = 0.045 },
+              .seed = seed });
         simulation.run(6s);
         submitJobs(simulation, 42, 6s);
         simulation.run(3s);
@@ -155,6 +170,93 @@
     expectNoViolations(simulation, 10);
 }
 
+/** \brief Faults of targets and of the paths to them. */
+class FleetTargetFault : public testing::Test
+{
+protected:
+    static FleetSimulationOptions smallFleet(std::uint64_t seed)
+    {
+        FleetSimulationOptions options;
+        options.domains = { "a" };
+        options.gatewaysPerDomain = 1;
+        options.targetsPerDomain = 3;
+        options.recordsTrace = isTraceWanted();
+        options.seed = seed;
+        return options;
+    }
+
+    /** \returns a gateway that owns no target, or the one that owns the fewest. */
+    static std::string gatewayWithFewestTargets(const FleetSimulation &simulation)
+    {
+        const std::vector<std::string> names = simulation.gatewayNames();
+        return *std::ranges::min_element(names, {}, [&](const std::string &name) {
+            return simulation.gateway(name)->owner().targetNames().size();
+        });
+    }
+
+    static constexpr std::uint64_t seedCount = 4;
+};
+
+// Guards against reporting the runs of a restarted target as lost that it has started since.
+TEST_F(FleetTargetFault, RunStartedOnARestartedTargetBeforeItsHeartbeatIsNotStartedElsewhere)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        FleetSimulation simulation(smallFleet(seed));
+        simulation.run(6s);
+        Duration heartbeatDelay = 250ms;
+        for (const std::string &target : simulation.targetNames()) {
+            simulation.restart(target, 0ms, heartbeatDelay);
+            heartbeatDelay += 250ms;
+        }
+        for (int i = 0; i < 3; ++i)
+            simulation.submit("g-a1", 1, 900ms, 5s);
+        simulation.run(6s);
+        EXPECT_EQ(simulation.servedShare(), 1.0) << "seed " << seed;
+        expectNoViolations(simulation, seed);
+    }
+}
+
+// Guards against polls that keep a run alive whose stop is not answered, until its caller has sent
+// the job to another gateway.
+TEST_F(FleetTargetFault, RunOfAKilledCoordinatorEndsThoughItsStopsAreUnanswered)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        FleetSimulationOptions options = smallFleet(seed);
+        options.domains = { "a", "b" };
+        options.gatewaysPerDomain = 2;
+        options.targetsPerDomain = 2;
+        options.lateOrders.stopShare = 1;
+        FleetSimulation simulation(options);
+        simulation.run(6s);
+        const std::string coordinator = gatewayWithFewestTargets(simulation);
+        for (int i = 0; i < 4; ++i)
+            simulation.submit(coordinator, 1, 3s, 8s);
+        simulation.run(100ms);
+        simulation.kill(coordinator, 20s);
+        simulation.run(8s);
+        expectNoViolations(simulation, seed);
+    }
+}
+
+// Guards against reporting the runs of a departing target as lost before it has ended.
+TEST_F(FleetTargetFault, RunOnADepartingTargetGoesOnUntilTheTargetHasEnded)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        FleetSimulation simulation(smallFleet(seed));
+        simulation.run(6s);
+        for (int i = 0; i < 3; ++i)
+            simulation.submit("g-a1", 1, 1500ms, 6s);
+        simulation.run(100ms);
+        for (const std::string &target : simulation.targetNames())
+            if (!simulation.target(target).running.empty()) {
+                simulation.depart(target, { .isAcknowledged = false });
+                break;
+            }
+        simulation.run(7s);
+        expectNoViolations(simulation, seed);
+    }
+}
+
 /** \brief Random faults at random times, partly at once. */
 class FleetSoak : public testing::TestWithParam<std::uint64_t>
 { };
@@ -168,7 +270,9 @@
     const std::uint64_t seed = options.seed;
     std::mt19937_64 random(seed);
     std::uniform_real_distribution<double> share(0, 1);
-    options.lateOrderShare = share(random) < 0.3 ? 0.02 : 0;
+    const double lateShare = share(random) < 0.3 ? 0.02 : 0;
+    options.lateOrders
+        = { .startShare = lateShare, .stopShare = lateShare, .pollShare = lateShare };
     options.lostMessageShare = share(random) < 0.3 ? 0.02 : 0;
     FleetSimulation simulation(options);
     simulation.run(6s);
--- a/test/support/FleetSimulation.cpp
+++ b/test/support/FleetSimulation.cpp
@@ -1,6 +1,7 @@
 #include "test/support/FleetSimulation.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace Hibiscus::Fake {
 
@@ -12,10 +13,22 @@
 constexpr Duration drainTimeout = 5s; ///< time until a draining gateway shuts down
 constexpr Duration tickInterval = 10ms;
 constexpr Duration listingLifetime = 1500ms; ///< time that a failed gateway stays listed
+constexpr Duration maxLease = 1s; ///< longest lease that a target grants
+constexpr Duration heartbeatTimeout = 1s; ///< time until a target calls the next node
+constexpr Duration initialUptime = 100s; ///< of the targets at the begin of a simulation
+constexpr double slowClockRate = 0.98;
+constexpr int minLatenessMs = 2'000;
+constexpr int maxLatenessMs = 12'000;
 
-std::int64_t toClockMs(TimePoint now)
+std::string toString(const RunName &run)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    return run.job + '.' + std::to_string(run.index) + '#' + std::to_string(run.attempt);
+}
+
+std::string describe(const FleetTarget &target)
+{
+    return target.description.name.str() + " incarnation "
+        + std::to_string(target.description.incarnation);
 }
 
 RunName taskOf(const RunName &run)
@@ -76,7 +89,10 @@
             target.description.kind = kind.name;
             target.description.capacity = kind.capacity;
             target.speed = kind.speed;
-            this->scheduler.after(Duration(1000 * i), [this, name] { this->sendHeartbeat(name); });
+            target.startedAt = this->now() - initialUptime;
+            target.clockRate = this->isDrawn(options.slowClockShare) ? slowClockRate : 1;
+            this->scheduler.after(Duration(1000 * i),
+                                  [this, name] { this->repeatHeartbeats(name); });
         }
     }
     for (const auto &[name, gateway] : this->gateways)
@@ -174,6 +190,14 @@
     this->occupy(gateway,
                  orders * this->costOf(&FleetProcessor::perOrder)
                      + messages * this->costOf(&FleetProcessor::perMessage));
+    for (const TargetChange &change : out.targetChanges)
+        this->recordTrace(gateway.name, " target-", change.change, ' ', change.target.str(),
+                          " incarnation ", change.incarnation, " token ", change.fencingToken);
+    for (const AttemptRecord &attempt : out.attempts)
+        if (attempt.end)
+            this->recordTrace(gateway.name, " run-ended ", toString(attempt.run), " on ",
+                              attempt.target.str(), ' ', Hibiscus::toString(attempt.end->kind),
+                              " by ", Hibiscus::toString(attempt.end->evidence));
     for (const TargetOrder &order : out.orders)
         this->execute(gateway, order);
     for (const AddressedFleetMessage &item : out.messages)
@@ -218,55 +242,128 @@
     });
 }
 
-void FleetSimulation::execute(Gateway &from, const TargetOrder &order)
+FleetSimulation::OrderFate FleetSimulation::drawFate(const Gateway &from, const FleetTarget &target,
+                                                     double lateShare)
 {
-    if (const auto *polling = std::get_if<PollOrder>(&order)) {
-        this->poll(from, *polling, this->now() + polling->maxWait);
-        return;
-    }
-    const OrderAddress &to = std::holds_alternative<StartOrder>(order)
-        ? std::get<StartOrder>(order).to
-        : std::get<StopOrder>(order).to;
-    const std::string targetName = to.target.str();
-    const Duration oneWay = this->delay(from.name, targetName);
-    const bool isReachable = !this->targets.at(targetName).unreachableGateways.contains(from.name);
     std::uniform_real_distribution<double> chance(0, 1);
-    const bool isLate = chance(this->random) < this->options.lateOrderShare;
-    const auto deliverResponse = [this, &from, order](const OrderResponse &response) {
-        this->deliver(from, this->costOf(&FleetProcessor::perOrder),
-                      [order, response](FleetNode &node, TimePoint now) {
-                          if (const auto *start = std::get_if<StartOrder>(&order))
-                              node.handleStartResponse(start->to, start->run, response, now);
-                          if (const auto *stopping = std::get_if<StopOrder>(&order))
-                              node.handleStopResponse(stopping->to, stopping->run, response, now);
-                      });
+    if (chance(this->random) < lateShare) {
+        std::uniform_int_distribution<int> lateness(minLatenessMs, maxLatenessMs);
+        return { .isAnswered = false,
+                 .lateness = std::chrono::milliseconds(lateness(this->random)) };
+    }
+    if (target.unreachableGateways.contains(from.name))
+        return { .arrives = false, .isAnswered = false };
+    const auto loss = target.pathLosses.find(from.name);
+    if (loss == target.pathLosses.end())
+        return {};
+    if (this->isDrawn(loss->second.requestShare))
+        return { .arrives = false, .isAnswered = false };
+    return { .isAnswered = !this->isDrawn(loss->second.responseShare) };
+}
+
+void FleetSimulation::execute(Gateway &from, const TargetOrder &order)
+{
+    const LateOrders &late = this->options.lateOrders;
+    const Sender sender = { .gateway = &from, .incarnation = from.incarnation };
+    const auto fateOf = [&](const OrderAddress &to, double lateShare) {
+        return this->drawFate(from, this->targets.at(to.target.str()), lateShare);
     };
-    const auto execute = [this, order, targetName]() -> std::optional<OrderResponse> {
-        FleetTarget &target = this->targets.at(targetName);
-        if (!target.isUp)
-            return std::nullopt;
-        this->expireLease(target);
-        if (const auto *start = std::get_if<StartOrder>(&order))
-            return this->apply(target, *start);
-        return this->apply(target, std::get<StopOrder>(order));
+    std::visit(Overloaded {
+                   [&](const StartOrder &start) {
+                       this->execute(sender, start, fateOf(start.to, late.startShare));
+                   },
+                   [&](const StopOrder &stop) {
+                       this->execute(sender, stop, fateOf(stop.to, late.stopShare));
+                   },
+                   [&](const PollOrder &poll) {
+                       this->poll(sender, poll, fateOf(poll.to, late.pollShare));
+                   },
+               },
+               order);
+}
+
+template<typename Order>
+void FleetSimulation::execute(const Sender &from, const Order &order, const OrderFate &fate)
+{
+    const auto respondLater = [this, from, order](const OrderResponse &response, Duration delay) {
+        this->scheduler.after(
+            delay, [this, from, order, response] { this->respond(from, order, response); });
     };
-    std::uniform_int_distribution<int> lateness(2'000, 12'000);
-    if (isLate)
-        this->scheduler.after(std::chrono::milliseconds(lateness(this->random)),
-                              [execute] { execute(); });
-    if (isLate || !isReachable) {
-        this->scheduler.after(orderTimeout, [deliverResponse] { deliverResponse({}); });
+    if (fate.lateness > Duration())
+        this->executeLate(from, order, fate.lateness);
+    if (!fate.arrives || fate.lateness > Duration()) {
+        respondLater({}, orderTimeout);
         return;
     }
-    this->scheduler.after(oneWay, [this, execute, deliverResponse, oneWay] {
-        const auto response = execute();
-        const Duration back = response ? oneWay : orderTimeout;
-        this->scheduler.after(back, [deliverResponse, response] {
-            deliverResponse(response.value_or(OrderResponse {}));
-        });
+    const Duration oneWay = this->delay(from.gateway->name, order.to.target.str());
+    this->scheduler.after(oneWay, [this, from, order, fate, oneWay, respondLater] {
+        FleetTarget &target = this->targets.at(order.to.target.str());
+        if (!target.isUp) {
+            respondLater({}, orderTimeout);
+            return;
+        }
+        const OrderResponse response = this->apply(target, order, from);
+        respondLater(fate.isAnswered ? response : OrderResponse {},
+                     fate.isAnswered ? oneWay : orderTimeout);
     });
 }
 
+template<typename Order>
+void FleetSimulation::executeLate(Sender from, Order order, Duration lateness)
+{
+    FleetTarget &target = this->targets.at(order.to.target.str());
+    from.isLate = true;
+    this->scheduler.after(
+        lateness,
+        [this, from, order, &target, incarnation = target.description.incarnation,
+         sentAtMs = this->clockMsOf(target)]() mutable {
+            const bool isSameIncarnation = target.description.incarnation == incarnation;
+            if (!target.isUp
+                || (!isSameIncarnation && !this->options.lateOrders.reachesNextIncarnation))
+                return;
+            if constexpr (!std::is_same_v<Order, StopOrder>) {
+                const std::optional<std::int64_t> expiryMs = order.leaseExpiryMs;
+                if (expiryMs && this->options.lateOrders.grantsFromArrival)
+                    order.leaseExpiryMs = *expiryMs + this->clockMsOf(target) - sentAtMs;
+            }
+            this->apply(target, order, from);
+        });
+}
+
+// The response to a process that has ended is lost with its connection.
+void FleetSimulation::respond(const Sender &to, const StartOrder &order,
+                              const OrderResponse &response)
+{
+    if (to.gateway->incarnation != to.incarnation)
+        return;
+    this->deliver(*to.gateway, this->costOf(&FleetProcessor::perOrder),
+                  [order, response](FleetNode &node, TimePoint now) {
+                      node.handleStartResponse(order.to, order.run, response, now);
+                  });
+}
+
+void FleetSimulation::respond(const Sender &to, const StopOrder &order,
+                              const OrderResponse &response)
+{
+    if (to.gateway->incarnation != to.incarnation)
+        return;
+    this->deliver(*to.gateway, this->costOf(&FleetProcessor::perOrder),
+                  [order, response](FleetNode &node, TimePoint now) {
+                      node.handleStopResponse(order.to, order.run, response, now);
+                  });
+}
+
+void FleetSimulation::respond(const Sender &to, const PollOrder &order,
+                              const PollResponse &response)
+{
+    if (to.gateway->incarnation != to.incarnation)
+        return;
+    this->deliver(*to.gateway, this->costOf(&FleetProcessor::perOrder),
+                  [order, response](FleetNode &node, TimePoint now) {
+                      node.handlePollResponse(order.to, order.sentAt, response, now);
+                  });
+}
+
 bool FleetSimulation::acceptsToken(FleetTarget &target, const OrderAddress &to) const
 {
     if (to.fencingToken < target.highestFencingToken)
@@ -275,36 +372,50 @@
     return true;
 }
 
-OrderResponse FleetSimulation::apply(FleetTarget &target, const StartOrder &order)
+OrderResponse FleetSimulation::apply(FleetTarget &target, const StartOrder &order,
+                                     const Sender &from)
 {
-    const std::int64_t clockMs = toClockMs(this->now());
-    if (order.to.incarnation != target.description.incarnation)
-        return { .status = OrderStatus::StaleIncarnation, .clockMs = clockMs };
+    this->expireLease(target);
+    OrderResponse response = this->start(target, order, from);
+    const bool isError
+        = response.status == OrderStatus::Done && this->isDrawn(target.answeredWithErrorShare);
+    this->recordTrace(describe(target), " start ", toString(order.run), " by ", from.gateway->name,
+                      " token ", order.to.fencingToken, from.isLate ? " late: " : ": ",
+                      Hibiscus::toString(response.status),
+                      isError ? ", answered with an error" : "");
+    return isError ? OrderResponse {} : response;
+}
+
+OrderResponse FleetSimulation::start(FleetTarget &target, const StartOrder &order,
+                                     const Sender &from)
+{
+    const std::int64_t clockMs = this->clockMsOf(target);
     if (!this->acceptsToken(target, order.to))
         return { .status = OrderStatus::Fenced, .clockMs = clockMs };
-    if (target.running.contains(order.run))
-        return { .status = OrderStatus::Done, .clockMs = clockMs };
     const auto endedAttempt = target.highestEndedAttempt.find(taskOf(order.run));
-    if (endedAttempt != target.highestEndedAttempt.end()
-        && order.run.attempt <= endedAttempt->second)
-        return { .status = OrderStatus::Superseded, .clockMs = clockMs };
-    if (order.leaseExpiryMs <= clockMs)
+    const bool isRunning = target.running.contains(order.run);
+    const bool isSuperseded = !isRunning && endedAttempt != target.highestEndedAttempt.end()
+        && order.run.attempt <= endedAttempt->second;
+    if (!isRunning && !isSuperseded && order.leaseExpiryMs <= clockMs)
         return { .status = OrderStatus::LeaseExpired, .clockMs = clockMs };
-    const Duration lease
-        = std::min<Duration>(std::chrono::milliseconds(order.leaseExpiryMs - clockMs), 1s);
-    target.leaseExpiresAt = std::max(target.leaseExpiresAt, this->now() + lease);
-    for (const auto &[name, other] : this->targets)
-        for (const auto &[run, state] : other.running)
-            if (other.isUp && run.isSameTask(order.run))
-                this->recordViolation("task of job " + run.job + " has two concurrent runs: on "
-                                      + name + " and " + target.description.name.str());
+    this->renewLease(target, order.leaseExpiryMs);
+    if (isRunning)
+        return { .status = OrderStatus::Done, .clockMs = clockMs };
+    if (isSuperseded)
+        return { .status = OrderStatus::Superseded, .clockMs = clockMs };
+    if (!this->hasCapacityFor(target, order.run))
+        return { .status = OrderStatus::InsufficientCapacity, .clockMs = clockMs };
+    this->checkConcurrentRuns(target, order.run, from);
     if (this->refusedJobs.contains(order.run.job))
         this->recordViolation("job " + order.run.job
                               + " was refused, but one of its tasks is started");
     this->startedJobs.insert(order.run.job);
     ++this->startCount;
     const std::uint64_t number = this->nextRun++;
-    target.running[order.run] = { .eventNumber = number, .startedAt = this->now() };
+    target.running[order.run] = { .eventNumber = number,
+                                  .startedAt = this->now(),
+                                  .gateway = from.gateway->name,
+                                  .isLate = from.isLate };
     const double seconds
         = toSeconds(this->taskTimes.at(order.run.job).at(order.run.index)) / target.speed;
     this->scheduler.after(fromSeconds(seconds), [this, &target, run = order.run, number] {
@@ -316,28 +427,89 @@
     return { .status = OrderStatus::Done, .clockMs = clockMs };
 }
 
-OrderResponse FleetSimulation::apply(FleetTarget &target, const StopOrder &order)
+void FleetSimulation::checkConcurrentRuns(const FleetTarget &target, const RunName &run,
+                                          const Sender &from)
+{
+    for (auto &[name, other] : this->targets) {
+        this->expireLease(other);
+        for (const auto &[running, state] : other.running)
+            if (other.isUp && running.isSameTask(run))
+                this->recordViolation(
+                    "task of job " + run.job + " has two concurrent runs: " + toString(running)
+                    + " by " + state.gateway + " on " + describe(other) + " since "
+                    + std::to_string(toMilliseconds(this->now() - state.startedAt)) + " ms"
+                    + (state.isLate ? " (late start)" : "")
+                    + (state.isStopping ? " (stopping)" : "") + " and " + toString(run) + " by "
+                    + from.gateway->name + " on " + describe(target)
+                    + (from.isLate ? " (late start)" : "") + " at "
+                    + std::to_string(this->secondsSinceStart()) + " s");
+    }
+}
+
+bool FleetSimulation::hasCapacityFor(const FleetTarget &target, const RunName &run) const
 {
-    const std::int64_t clockMs = toClockMs(this->now());
-    if (order.to.incarnation != target.description.incarnation)
-        return { .status = OrderStatus::StaleIncarnation, .clockMs = clockMs };
-    if (!this->acceptsToken(target, order.to))
+    Capacity used = this->demands.at(run.job);
+    for (const auto &[running, state] : target.running)
+        used = used.plus(this->demands.at(running.job));
+    return target.description.capacity.covers(used);
+}
+
+OrderResponse FleetSimulation::apply(FleetTarget &target, const StopOrder &order,
+                                     const Sender &from)
+{
+    this->expireLease(target);
+    const std::int64_t clockMs = this->clockMsOf(target);
+    const bool isAccepted = this->acceptsToken(target, order.to);
+    this->recordTrace(describe(target), " stop ", toString(order.run), " by ", from.gateway->name,
+                      " token ", order.to.fencingToken, from.isLate ? " late: " : ": ",
+                      isAccepted ? "done" : "fenced");
+    if (!isAccepted)
         return { .status = OrderStatus::Fenced, .clockMs = clockMs };
     std::uint64_t &endedAttempt = target.highestEndedAttempt[taskOf(order.run)];
     endedAttempt = std::max(endedAttempt, order.run.attempt);
     const auto running = target.running.find(order.run);
-    if (running != target.running.end())
+    if (running != target.running.end()) {
         running->second.isStopping = true;
-    if (running != target.running.end())
-        this->scheduler.after(stopTime, [this, &target, run = order.run] {
-            if (target.running.contains(run))
+        const std::uint64_t number = running->second.eventNumber;
+        this->scheduler.after(stopTime, [this, &target, run = order.run, number] {
+            const auto found = target.running.find(run);
+            if (found != target.running.end() && found->second.eventNumber == number)
                 this->endRun(target, run, TargetRunEnd::Stopped);
         });
+    }
+    return { .status = OrderStatus::Done, .clockMs = clockMs };
+}
+
+OrderResponse FleetSimulation::apply(FleetTarget &target, const PollOrder &order,
+                                     const Sender &from)
+{
+    this->expireLease(target);
+    const std::int64_t clockMs = this->clockMsOf(target);
+    if (!this->acceptsToken(target, order.to))
+        return { .status = OrderStatus::Fenced, .clockMs = clockMs };
+    if (from.isLate)
+        this->recordTrace(describe(target), " poll by ", from.gateway->name, " late");
+    this->renewLease(target, order.leaseExpiryMs);
+    std::erase_if(target.ended,
+                  [&](const EndedRun &ended) { return ended.number <= order.acknowledgedEnd; });
     return { .status = OrderStatus::Done, .clockMs = clockMs };
 }
 
+void FleetSimulation::renewLease(FleetTarget &target, std::optional<std::int64_t> expiryMs)
+{
+    if (!expiryMs)
+        return;
+    const Duration expiry = std::min<Duration>(std::chrono::milliseconds(*expiryMs),
+                                               this->clockOf(target) + maxLease);
+    target.leaseExpiry = std::max(target.leaseExpiry, expiry);
+}
+
 void FleetSimulation::endRun(FleetTarget &target, const RunName &run, TargetRunEnd end)
 {
+    this->recordTrace(describe(target), " ended ", toString(run), " as ",
+                      end == TargetRunEnd::Completed     ? "completed"
+                          : end == TargetRunEnd::Stopped ? "stopped"
+                                                         : "lease expired");
     target.running.erase(run);
     std::uint64_t &endedAttempt = target.highestEndedAttempt[taskOf(run)];
     endedAttempt = std::max(endedAttempt, run.attempt);
@@ -346,116 +518,196 @@
 
 void FleetSimulation::expireLease(FleetTarget &target)
 {
-    if (this->now() < target.leaseExpiresAt)
+    if (this->clockOf(target) < target.leaseExpiry)
         return;
     while (!target.running.empty())
         this->endRun(target, RunName(target.running.begin()->first), TargetRunEnd::LeaseExpired);
 }
 
-void FleetSimulation::poll(Gateway &from, const PollOrder &order, TimePoint until)
+Duration FleetSimulation::clockOf(const FleetTarget &target) const
+{
+    return fromSeconds(target.clockRate * toSeconds(this->now() - target.startedAt));
+}
+
+std::int64_t FleetSimulation::clockMsOf(const FleetTarget &target) const
 {
+    return toMilliseconds(this->clockOf(target));
+}
+
+void FleetSimulation::poll(const Sender &from, const PollOrder &order, const OrderFate &fate)
+{
+    if (fate.lateness > Duration())
+        this->executeLate(from, order, fate.lateness);
     const std::string name = order.to.target.str();
-    const Duration oneWay = this->delay(from.name, name);
-    const auto deliverResponse
-        = [this, &from, to = order.to, sentAt = order.sentAt](const PollResponse &response) {
-              this->deliver(from, this->costOf(&FleetProcessor::perOrder),
-                            [to, sentAt, response](FleetNode &node, TimePoint now) {
-                                node.handlePollResponse(to, sentAt, response, now);
-                            });
-          };
     FleetTarget &target = this->targets.at(name);
-    std::uniform_real_distribution<double> chance(0, 1);
-    const bool isLost = chance(this->random) < this->options.lateOrderShare;
-    if (isLost || target.unreachableGateways.contains(from.name) || !target.isUp) {
-        this->scheduler.after(order.maxWait + pollSlack,
-                              [deliverResponse] { deliverResponse({}); });
+    if (!fate.arrives || fate.lateness > Duration() || !target.isUp) {
+        this->respondLater(from, order, {}, order.maxWait + pollSlack);
         return;
     }
-    const auto respondOrWait = std::make_shared<std::function<void()>>();
-    *respondOrWait = [this, order, until, deliverResponse, oneWay, &target, respondOrWait] {
-        PollResponse response;
-        response.clockMs = toClockMs(this->now());
-        if (!target.isUp) {
-            this->scheduler.after(pollSlack, [deliverResponse] { deliverResponse({}); });
+    const auto waiting = std::make_shared<WaitingPoll>(WaitingPoll {
+        .from = from,
+        .order = order,
+        .until = this->now() + order.maxWait,
+        .isAnswered = fate.isAnswered,
+    });
+    this->scheduler.after(this->delay(from.gateway->name, name), [this, waiting, &target] {
+        waiting->targetIncarnation = target.description.incarnation;
+        if (target.isUp)
+            this->apply(target, waiting->order, waiting->from);
+        this->respondOrWait(waiting);
+    });
+}
+
+// A target that ends or restarts while a poll waits breaks its connection.
+void FleetSimulation::respondOrWait(const std::shared_ptr<WaitingPoll> &waiting)
+{
+    const PollOrder &order = waiting->order;
+    FleetTarget &target = this->targets.at(order.to.target.str());
+    if (!target.isUp || target.description.incarnation != waiting->targetIncarnation) {
+        this->respondLater(waiting->from, order, {}, pollSlack);
+        return;
+    }
+    this->expireLease(target);
+    PollResponse response
+        = { .clockMs = this->clockMsOf(target), .incarnation = target.description.incarnation };
+    const bool isAccepted = this->acceptsToken(target, order.to);
+    response.status = isAccepted ? OrderStatus::Done : OrderStatus::Fenced;
+    if (isAccepted) {
+        std::erase_if(target.ended,
+                      [&](const EndedRun &ended) { return ended.number <= order.acknowledgedEnd; });
+        const bool isResponseDue = !target.ended.empty() || this->now() >= waiting->until;
+        if (!isResponseDue) {
+            this->scheduler.after(2ms, [this, waiting] { this->respondOrWait(waiting); });
             return;
         }
-        this->expireLease(target);
-        if (order.to.incarnation != target.description.incarnation)
-            response.status = OrderStatus::StaleIncarnation;
-        else if (!this->acceptsToken(target, order.to))
-            response.status = OrderStatus::Fenced;
-        else
-            response.status = OrderStatus::Done;
-        if (response.status == OrderStatus::Done) {
-            std::erase_if(target.ended,
-                          [&](const EndedRun &e) { return e.number <= order.acknowledgedEnd; });
-            const bool isResponseDue = !target.ended.empty() || this->now() >= until;
-            if (!isResponseDue) {
-                this->scheduler.after(2ms, *respondOrWait);
-                return;
-            }
-            for (const auto &[run, state] : target.running)
-                if (!state.isStopping)
-                    response.running.push_back(run);
-            response.ended = target.ended;
-        }
-        this->scheduler.after(oneWay, [deliverResponse, response] { deliverResponse(response); });
-    };
-    this->scheduler.after(oneWay, [this, order, &target, respondOrWait] {
-        if (target.isUp && order.to.incarnation == target.description.incarnation
-            && this->acceptsToken(target, order.to)) {
-            this->expireLease(target);
-            target.leaseExpiresAt = std::max(target.leaseExpiresAt, this->now() + 1s);
-        }
-        (*respondOrWait)();
-    });
+        for (const auto &[run, state] : target.running)
+            if (!state.isStopping)
+                response.running.push_back(run);
+        response.ended = target.ended;
+    }
+    if (waiting->isAnswered)
+        this->respondLater(waiting->from, order, response,
+                           this->delay(waiting->from.gateway->name, order.to.target.str()));
+    else
+        this->respondLater(waiting->from, order, {},
+                           std::max(waiting->until - this->now(), Duration()) + pollSlack);
+}
+
+void FleetSimulation::respondLater(const Sender &to, const PollOrder &order,
+                                   const PollResponse &response, Duration delay)
+{
+    this->scheduler.after(delay,
+                          [this, to, order, response] { this->respond(to, order, response); });
+}
+
+void FleetSimulation::repeatHeartbeats(const std::string &name)
+{
+    this->scheduler.after(this->options.heartbeatInterval,
+                          [this, name] { this->repeatHeartbeats(name); });
+    if (this->now() >= this->targets.at(name).silentUntil)
+        this->sendHeartbeat(name);
+}
+
+bool FleetSimulation::receivesHeartbeats(const std::string &gateway,
+                                         const FleetTarget &target) const
+{
+    const auto found = this->gateways.find(gateway);
+    return found != this->gateways.end() && found->second->node && !found->second->isFrozen
+        && !target.unreachableGateways.contains(gateway);
 }
 
 void FleetSimulation::sendHeartbeat(const std::string &name)
 {
     FleetTarget &target = this->targets.at(name);
-    this->scheduler.after(this->options.heartbeatInterval,
-                          [this, name] { this->sendHeartbeat(name); });
     if (!target.isUp)
         return;
     ++target.description.sequence;
-    target.description.clockMs = toClockMs(this->now());
+    target.description.clockMs = this->clockMsOf(target);
     std::string to = target.heartbeatGateway;
-    const auto isReachable = [&](const std::string &gateway) {
-        const auto found = this->gateways.find(gateway);
-        return found != this->gateways.end() && found->second->node && !found->second->isFrozen
-            && !target.unreachableGateways.contains(gateway);
-    };
     // Like a registry node, selects a reachable gateway of the domain, or of any domain if none is.
     std::vector<std::string> near;
     std::vector<std::string> any;
     for (const auto &[gateway, state] : this->gateways) {
-        if (!isReachable(gateway))
+        if (!this->receivesHeartbeats(gateway, target))
             continue;
         any.push_back(gateway);
         if (domainOf(gateway) == target.description.domain.str())
             near.push_back(gateway);
     }
     const std::vector<std::string> &choice = near.empty() ? any : near;
-    if (!isReachable(to)) {
+    if (!this->receivesHeartbeats(to, target)) {
+        if (target.description.state == TargetState::Draining) {
+            this->sendHeartbeatToAll({ .target = target.description });
+            return;
+        }
         if (choice.empty())
             return;
         std::uniform_int_distribution<std::size_t> pick(0, choice.size() - 1);
         to = choice[pick(this->random)];
     }
     target.heartbeatGateway = to;
-    this->scheduler.after(this->delay(to, name), [this, to, name] {
+    this->sendHeartbeatTo(to, { .target = target.description }, [] {});
+}
+
+void FleetSimulation::sendHeartbeatTo(const std::string &gateway, const TargetHeartbeat &heartbeat,
+                                      const std::function<void()> &onHandled)
+{
+    const std::string name = heartbeat.target.name.str();
+    this->scheduler.after(this->delay(gateway, name), [this, gateway, name, heartbeat, onHandled] {
         FleetTarget &sender = this->targets.at(name);
-        this->deliver(*this->gateways.at(to), this->costOf(&FleetProcessor::perOrder),
-                      [&sender, target = sender.description](FleetNode &node, TimePoint now) {
-                          node.handleHeartbeat({ .target = target }, now);
-                          const std::string next = node.heartbeatRedirectOf(target.name);
-                          if (!next.empty())
+        this->deliver(*this->gateways.at(gateway), this->costOf(&FleetProcessor::perOrder),
+                      [&sender, heartbeat, onHandled](FleetNode &node, TimePoint now) {
+                          node.handleHeartbeat(heartbeat, now);
+                          onHandled();
+                          const std::string next = node.heartbeatRedirectOf(heartbeat.target.name);
+                          if (!next.empty()
+                              && sender.description.incarnation == heartbeat.target.incarnation)
                               sender.heartbeatGateway = next;
                       });
     });
 }
 
+void FleetSimulation::sendHeartbeatToAll(const TargetHeartbeat &heartbeat)
+{
+    this->targets.at(heartbeat.target.name.str()).heartbeatGateway.clear();
+    for (const auto &[name, gateway] : this->gateways)
+        this->scheduler.after(this->delay(name, heartbeat.target.name.str()),
+                              [this, &gateway = *gateway, heartbeat] {
+                                  this->deliver(gateway, this->costOf(&FleetProcessor::perOrder),
+                                                [heartbeat](FleetNode &node, TimePoint now) {
+                                                    node.handleHeartbeat(heartbeat, now);
+                                                });
+                              });
+}
+
+void FleetSimulation::deregister(const std::string &name, const Departure &departure)
+{
+    FleetTarget &target = this->targets.at(name);
+    this->recordTrace(describe(target), " deregisters at ", target.heartbeatGateway);
+    ++target.description.sequence;
+    target.description.clockMs = this->clockMsOf(target);
+    const TargetHeartbeat heartbeat = { .target = target.description, .isLeaving = true };
+    const auto end = [this, &target, departure] {
+        this->stopTarget(target);
+        if (departure.returnsAfter)
+            this->scheduler.after(*departure.returnsAfter,
+                                  [this, &target] { this->startTarget(target); });
+    };
+    const std::string gateway = target.heartbeatGateway;
+    const Duration oneWay = this->options.intraDomainLatency;
+    if (this->receivesHeartbeats(gateway, target))
+        this->sendHeartbeatTo(gateway, heartbeat, [this, &target, departure, oneWay, end] {
+            if (departure.isAcknowledged)
+                this->afterIfUp(oneWay, target, end);
+        });
+    this->afterIfUp(heartbeatTimeout, target, [this, &target, heartbeat, departure, oneWay, end] {
+        this->sendHeartbeatToAll(heartbeat);
+        if (departure.isAcknowledged)
+            this->afterIfUp(oneWay, target, end);
+    });
+    this->afterIfUp(departure.endsAfter, target, end);
+}
+
 std::string FleetSimulation::submit(const std::string &gateway, std::uint32_t tasks,
                                     Duration taskTime, Duration timeout, Duration estimate)
 {
@@ -485,6 +737,7 @@
     caller.sentAt = this->now();
     caller.deadlineAt = this->now() + job.timeout;
     this->taskTimes[caller.job.id] = job.taskTimes;
+    this->demands[caller.job.id] = job.demand;
     this->sendJob(token, gateway);
     return caller.job.id;
 }
@@ -583,24 +836,83 @@
 void FleetSimulation::heal()
 {
     this->disconnectedPairs.clear();
-    for (auto &[name, target] : this->targets)
+    for (auto &[name, target] : this->targets) {
         target.unreachableGateways.clear();
+        target.pathLosses.clear();
+    }
 }
 
 void FleetSimulation::crash(const std::string &target, Duration downFor)
 {
     FleetTarget &crashed = this->targets.at(target);
-    crashed.isUp = false;
-    crashed.running.clear();
-    crashed.ended.clear();
-    this->scheduler.after(downFor, [this, &crashed] {
-        FleetTarget restarted;
-        restarted.description = crashed.description;
-        restarted.description.incarnation = crashed.description.incarnation + 1;
-        restarted.description.sequence = 0;
-        restarted.speed = crashed.speed;
-        restarted.unreachableGateways = crashed.unreachableGateways;
-        crashed = restarted;
+    this->stopTarget(crashed);
+    this->scheduler.after(downFor, [this, &crashed] { this->startTarget(crashed); });
+}
+
+void FleetSimulation::restart(const std::string &target, Duration downFor, Duration heartbeatDelay)
+{
+    FleetTarget &restarted = this->targets.at(target);
+    this->stopTarget(restarted);
+    this->scheduler.after(downFor, [this, &restarted, target, heartbeatDelay] {
+        this->startTarget(restarted);
+        restarted.silentUntil = this->now() + heartbeatDelay;
+        this->afterIfUp(heartbeatDelay, restarted, [this, target] { this->sendHeartbeat(target); });
+    });
+}
+
+void FleetSimulation::depart(const std::string &target, const Departure &departure)
+{
+    this->recordTrace(target, " drains");
+    this->setDraining(target);
+    this->sendHeartbeat(target);
+    this->afterIfUp(departure.drainTime, this->targets.at(target),
+                    [this, target, departure] { this->deregister(target, departure); });
+}
+
+void FleetSimulation::disturbPath(const std::string &gateway, const std::string &target,
+                                  const PathLoss &loss)
+{
+    this->recordTrace("path of ", gateway, " to ", target, " loses ", loss.requestShare,
+                      " of the requests and ", loss.responseShare, " of the responses");
+    this->targets.at(target).pathLosses[gateway] = loss;
+}
+
+void FleetSimulation::setAnsweredWithErrorShare(const std::string &target, double share)
+{
+    this->targets.at(target).answeredWithErrorShare = share;
+}
+
+void FleetSimulation::stopTarget(FleetTarget &target)
+{
+    this->recordTrace(describe(target), " ends");
+    target.isUp = false;
+    target.running.clear();
+    target.ended.clear();
+}
+
+void FleetSimulation::startTarget(FleetTarget &target)
+{
+    FleetTarget started;
+    started.description = target.description;
+    started.description.incarnation = target.description.incarnation + 1;
+    started.description.sequence = 0;
+    started.description.state = TargetState::Ready;
+    started.speed = target.speed;
+    started.startedAt = this->now();
+    started.clockRate = target.clockRate;
+    started.answeredWithErrorShare = target.answeredWithErrorShare;
+    started.unreachableGateways = target.unreachableGateways;
+    started.pathLosses = target.pathLosses;
+    target = started;
+    this->recordTrace(describe(target), " starts");
+}
+
+void FleetSimulation::afterIfUp(Duration delay, const FleetTarget &target,
+                                std::function<void()> event)
+{
+    this->scheduler.after(delay, [&target, incarnation = target.description.incarnation, event] {
+        if (target.isUp && target.description.incarnation == incarnation)
+            event();
     });
 }
 
@@ -661,8 +973,28 @@
                                             : this->options.interDomainLatency;
 }
 
+bool FleetSimulation::isDrawn(double share)
+{
+    if (share <= 0)
+        return false;
+    std::uniform_real_distribution<double> chance(0, 1);
+    return chance(this->random) < share;
+}
+
+template<typename... Parts>
+void FleetSimulation::recordTrace(const Parts &...parts)
+{
+    if (!this->options.recordsTrace)
+        return;
+    std::ostringstream line;
+    line << std::fixed << this->secondsSinceStart() << ' ';
+    (line << ... << parts);
+    this->recordedTrace.push_back(line.str());
+}
+
 void FleetSimulation::recordViolation(const std::string &violation)
 {
+    this->recordTrace("VIOLATION ", violation);
     this->recordedViolations.push_back(violation);
 }
 
--- a/test/support/FleetSimulation.h
+++ b/test/support/FleetSimulation.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <string>
 
 namespace Hibiscus::Fake {
 
@@ -41,6 +42,33 @@
     Duration perTick = 20us;
 };
 
+/** \brief Shares of the orders that get no response and are executed seconds later. */
+struct LateOrders
+{
+    double startShare = 0;
+    double stopShare = 0;
+    double pollShare = 0;
+    bool reachesNextIncarnation = false; ///< whether a restarted target executes them too
+    bool grantsFromArrival = false; ///< whether their lease time counts from their arrival
+};
+
+/** \brief Shares of the orders that are lost between a gateway and a target. */
+struct PathLoss
+{
+    double requestShare = 0;
+    double responseShare = 0; ///< of the orders that arrive: they are executed
+};
+
+/** \brief Planned end of a target. */
+struct Departure
+{
+    Duration drainTime {}; ///< from the announcement until the target deregisters
+    bool isAcknowledged = true; ///< whether the target receives the acknowledgements of its end
+    Duration endsAfter = 3s; ///< time until it ends without an acknowledgement
+    /** \brief Time until it starts again under its name; empty: never. */
+    std::optional<Duration> returnsAfter;
+};
+
 /** \brief Sizes, times and faults of a simulation. */
 struct FleetSimulationOptions
 {
@@ -54,21 +82,28 @@
     Duration heartbeatInterval = 1500ms;
     /** \brief Delay before a caller sends a job again after its connection broke. */
     Duration resendDelay = 1300ms;
-    double lateOrderShare = 0; ///< share of orders that are executed late and without a response
+    LateOrders lateOrders;
+    double slowClockShare = 0; ///< share of targets whose clock is 2% slow
     double lostMessageShare = 0; ///< share of lost messages between gateways
     FleetNodeOptions node; ///< options of each gateway, except its identity and weight
     std::optional<FleetProcessor> processor; ///< if empty, work takes no time
     bool countsBytes = false; ///< whether messages between gateways are encoded to count bytes
+    bool recordsTrace = false; ///< whether orders and state changes are recorded
     std::uint64_t seed = 1;
 };
 
-/** \brief Simulated target that implements leases, fencing tokens and attempt numbers. */
+/** \brief Simulated target that implements leases, fencing tokens and attempt numbers.
+ *
+ * Orders name the target only: after a restart it executes those for its previous incarnation.
+ */
 struct FleetTarget
 {
     struct Run
     {
         std::uint64_t eventNumber = 0; ///< number of the event that ends the run
         TimePoint startedAt;
+        std::string gateway; ///< sender of the start
+        bool isLate = false; ///< whether the start was executed late
         bool isStopping = false;
     };
 
@@ -76,14 +111,19 @@
     bool isUp = true;
     double speed = 1;
     std::uint64_t highestFencingToken = 0;
-    TimePoint leaseExpiresAt;
+    TimePoint startedAt;
+    double clockRate = 1;
+    Duration leaseExpiry {}; ///< on its own clock
     std::map<RunName, Run> running;
     std::vector<EndedRun> ended;
     /** \brief Highest ended or stopped attempt, by task with attempt 0. */
     std::map<RunName, std::uint64_t> highestEndedAttempt;
     std::uint64_t nextEndNumber = 1;
     std::string heartbeatGateway; ///< name of a gateway; empty: any
+    TimePoint silentUntil; ///< it sends no heartbeats until then
+    double answeredWithErrorShare = 0; ///< share of executed starts that it answers with an error
     std::set<std::string> unreachableGateways; ///< gateways that cannot reach it
+    std::map<std::string, PathLoss> pathLosses; ///< by gateway
 };
 
 /** \brief Messages that a gateway has sent to other gateways. */
@@ -127,12 +167,20 @@
     /** \brief Makes runs that \a target starts from now on take \a factor times as long. */
     void slowDown(const std::string &target, double factor);
     void setDraining(const std::string &target);
+    /** \brief Restarts \a target under its name after \a downFor. Its first heartbeat follows after
+     * \a heartbeatDelay; orders reach it before.
+     */
+    void restart(const std::string &target, Duration downFor, Duration heartbeatDelay);
+    void depart(const std::string &target, const Departure &departure);
+    void disturbPath(const std::string &gateway, const std::string &target, const PathLoss &loss);
+    void setAnsweredWithErrorShare(const std::string &target, double share);
     std::mt19937_64 &randomEngine() { return this->random; }
 
     // Queries.
     TimePoint now() const { return this->scheduler.now(); }
     const std::map<std::string, FleetAnswer> &answers() const { return this->receivedAnswers; }
     const std::vector<std::string> &violations() const { return this->recordedViolations; }
+    const std::vector<std::string> &trace() const { return this->recordedTrace; }
     std::vector<std::string> gatewayNames() const;
     std::vector<std::string> targetNames() const;
     const FleetNode *gateway(const std::string &name) const;
@@ -166,14 +214,70 @@
     TimePoint occupy(Gateway &gateway, Duration cost);
     Duration costOf(Duration FleetProcessor::*item) const;
     void send(Gateway &from, const AddressedFleetMessage &item);
+    /** \brief What happens to an order on its way, and to its response. */
+    struct OrderFate
+    {
+        bool arrives = true;
+        bool isAnswered = true;
+        Duration lateness {}; ///< 0 unless the order is executed late
+    };
+    /** \brief Sender of an order. */
+    struct Sender
+    {
+        Gateway *gateway = nullptr;
+        std::uint64_t incarnation = 0;
+        bool isLate = false; ///< whether its order is executed late
+    };
+    struct WaitingPoll
+    {
+        Sender from;
+        PollOrder order;
+        TimePoint until;
+        std::uint64_t targetIncarnation = 0;
+        bool isAnswered = true;
+    };
+    OrderFate drawFate(const Gateway &from, const FleetTarget &target, double lateShare);
     void execute(Gateway &from, const TargetOrder &order);
-    OrderResponse apply(FleetTarget &target, const StartOrder &order);
-    OrderResponse apply(FleetTarget &target, const StopOrder &order);
-    void poll(Gateway &from, const PollOrder &order, TimePoint until);
+    template<typename Order>
+    void execute(const Sender &from, const Order &order, const OrderFate &fate);
+    /** \brief Executes \a order after \a lateness. */
+    template<typename Order>
+    void executeLate(Sender from, Order order, Duration lateness);
+    OrderResponse apply(FleetTarget &target, const StartOrder &order, const Sender &from);
+    OrderResponse apply(FleetTarget &target, const StopOrder &order, const Sender &from);
+    OrderResponse apply(FleetTarget &target, const PollOrder &order, const Sender &from);
+    OrderResponse start(FleetTarget &target, const StartOrder &order, const Sender &from);
+    void respond(const Sender &to, const StartOrder &order, const OrderResponse &response);
+    void respond(const Sender &to, const StopOrder &order, const OrderResponse &response);
+    void respond(const Sender &to, const PollOrder &order, const PollResponse &response);
+    void poll(const Sender &from, const PollOrder &order, const OrderFate &fate);
+    void respondOrWait(const std::shared_ptr<WaitingPoll> &waiting);
+    void respondLater(const Sender &to, const PollOrder &order, const PollResponse &response,
+                      Duration delay);
     bool acceptsToken(FleetTarget &target, const OrderAddress &to) const;
+    bool hasCapacityFor(const FleetTarget &target, const RunName &run) const;
+    void renewLease(FleetTarget &target, std::optional<std::int64_t> expiryMs);
+    void checkConcurrentRuns(const FleetTarget &target, const RunName &run, const Sender &from);
     void endRun(FleetTarget &target, const RunName &run, TargetRunEnd end);
     void expireLease(FleetTarget &target);
+    Duration clockOf(const FleetTarget &target) const;
+    std::int64_t clockMsOf(const FleetTarget &target) const;
+    void repeatHeartbeats(const std::string &name);
     void sendHeartbeat(const std::string &name);
+    void sendHeartbeatTo(const std::string &gateway, const TargetHeartbeat &heartbeat,
+                         const std::function<void()> &onHandled);
+    /** \brief Sends \a heartbeat to all gateways, as a registry node does. */
+    void sendHeartbeatToAll(const TargetHeartbeat &heartbeat);
+    bool receivesHeartbeats(const std::string &gateway, const FleetTarget &target) const;
+    void deregister(const std::string &name, const Departure &departure);
+    void stopTarget(FleetTarget &target);
+    void startTarget(FleetTarget &target);
+    /** \brief Runs \a event after \a delay, unless \a target has restarted or is down by then. */
+    void afterIfUp(Duration delay, const FleetTarget &target, std::function<void()> event);
+    bool isDrawn(double share);
+    double secondsSinceStart() const { return toSeconds(this->now() - simulationStart); }
+    template<typename... Parts>
+    void recordTrace(const Parts &...parts);
     void sendJob(std::uint64_t token, const std::string &gateway);
     void breakConnections(const std::string &gateway);
     bool isDisconnected(const std::string &one, const std::string &other) const;
@@ -181,17 +285,20 @@
     void recordViolation(const std::string &violation);
 
     FleetSimulationOptions options;
-    Scheduler scheduler { TimePoint(1'800'000'000s) };
+    static constexpr TimePoint simulationStart { 1'800'000'000s };
+    Scheduler scheduler { simulationStart };
     std::mt19937_64 random;
     std::map<std::string, std::unique_ptr<Gateway>> gateways;
     std::map<std::string, FleetTarget> targets;
     std::map<std::uint64_t, Caller> callers;
     std::map<std::string, std::vector<Duration>> taskTimes; ///< run times at speed 1, by job
+    std::map<std::string, Capacity> demands; ///< of each task, by job
     std::map<std::string, FleetAnswer> receivedAnswers;
     std::set<std::string> startedJobs;
     std::set<std::string> refusedJobs;
     std::set<std::pair<std::string, std::string>> disconnectedPairs;
     std::vector<std::string> recordedViolations;
+    std::vector<std::string> recordedTrace;
     std::uint64_t nextToken = 1;
     std::uint64_t nextRun = 1;
     std::uint64_t startCount = 0;
