--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <iostream>
 
@@ -341,7 +342,181 @@
     return seeds;
 }
 
+/** \brief Fault of targets that a soak repeats; faults of gateways occur in each soak. */
+enum class TargetFault : std::uint8_t {
+    Restart, ///< under its name, partly with orders before the first heartbeat
+    Departure, ///< partly without an acknowledgement
+    LateStart,
+    LateStop,
+    LatePoll,
+    LossyPath,
+    OneWayPath, ///< orders arrive, responses do not
+    ErrorAfterStart, ///< executed starts are answered with an error
+    Mixed ///< all of them
+};
+
+constexpr std::array targetFaults
+    = { TargetFault::Restart,    TargetFault::Departure,       TargetFault::LateStart,
+        TargetFault::LateStop,   TargetFault::LatePoll,        TargetFault::LossyPath,
+        TargetFault::OneWayPath, TargetFault::ErrorAfterStart, TargetFault::Mixed };
+
+std::string toString(TargetFault fault)
+{
+    constexpr std::array names
+        = { "Restart",   "Departure",  "LateStart",       "LateStop", "LatePoll",
+            "LossyPath", "OneWayPath", "ErrorAfterStart", "Mixed" };
+    return names.at(static_cast<std::size_t>(fault));
+}
+
+/** \brief Faults of targets and of the paths to them, with faults of gateways, at random times. */
+class FleetTargetFaultSoak : public testing::TestWithParam<std::tuple<TargetFault, std::uint64_t>>
+{
+protected:
+    void run(FleetSimulationOptions options)
+    {
+        this->configure(options);
+        FleetSimulation simulation(options);
+        simulation.run(6s);
+        for (int round = 0; round < roundCount; ++round) {
+            this->submitLongJobs(simulation);
+            if (this->share() < gatewayFaultShare)
+                this->disturbGateway(simulation);
+            this->disturbTarget(simulation, this->fault());
+        }
+        this->submitLongJobs(simulation);
+        simulation.heal();
+        simulation.run(14s);
+        expectNoViolations(simulation, this->seed());
+    }
+
+private:
+    TargetFault fault() const { return std::get<0>(this->GetParam()); }
+    std::uint64_t seed() const { return std::get<1>(this->GetParam()); }
+    double share() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+
+    bool includes(TargetFault wanted) const
+    {
+        return this->fault() == wanted || this->fault() == TargetFault::Mixed;
+    }
+
+    std::chrono::milliseconds span(int least, int most)
+    {
+        return std::chrono::milliseconds(
+            std::uniform_int_distribution<int>(least, most)(this->random));
+    }
+
+    std::string pick(const std::vector<std::string> &names)
+    {
+        return names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(this->random)];
+    }
+
+    void configure(FleetSimulationOptions &options)
+    {
+        options.recordsTrace = isTraceWanted();
+        options.seed = this->seed();
+        options.slowClockShare = 0.3;
+        const double lateShare = this->share() < 0.5 ? 0.02 : 0.4;
+        const double lateStopShare = this->share() < 0.5 ? 0.1 : 0.7;
+        if (this->includes(TargetFault::LateStart))
+            options.lateOrders.startShare = lateShare;
+        if (this->includes(TargetFault::LateStop))
+            options.lateOrders.stopShare = lateStopShare;
+        if (this->includes(TargetFault::LatePoll))
+            options.lateOrders.pollShare = lateShare;
+        options.lateOrders.reachesNextIncarnation = this->share() < 0.3;
+        options.lateOrders.grantsFromArrival = this->share() < 0.3;
+    }
+
+    /** \brief Jobs that outlast the time after which their caller sends them again. */
+    void submitLongJobs(FleetSimulation &simulation)
+    {
+        constexpr Duration interval = 40ms;
+        const Duration end = this->span(300, 1200);
+        for (Duration elapsed {}; elapsed < end; elapsed += interval) {
+            std::uniform_int_distribution<std::uint32_t> tasks(1, 2);
+            const auto taskTime = this->share() < 0.7 ? this->span(40, 400) : this->span(600, 3000);
+            simulation.submit(this->pick(simulation.gatewayNames()), tasks(this->random), taskTime,
+                              2 * taskTime + this->span(1500, 5000));
+            simulation.run(interval);
+        }
+    }
+
+    void disturbGateway(FleetSimulation &simulation)
+    {
+        const std::string gateway = this->pick(simulation.gatewayNames());
+        if (this->share() < 0.6)
+            simulation.kill(gateway, this->span(200, 4000));
+        else if (this->share() < 0.5)
+            simulation.freeze(gateway, this->span(200, 4000));
+        else
+            simulation.disconnect(gateway, this->pick(simulation.gatewayNames()));
+    }
+
+    void disturbTarget(FleetSimulation &simulation, TargetFault kind)
+    {
+        const std::string target = this->pick(simulation.targetNames());
+        const std::string gateway = this->pick(simulation.gatewayNames());
+        switch (kind) {
+        case TargetFault::Restart:
+            simulation.restart(target, this->share() < 0.5 ? 0ms : this->span(1, 1500),
+                               this->span(0, 400));
+            break;
+        case TargetFault::Departure:
+            simulation.depart(target,
+                              { .drainTime = this->span(0, 800),
+                                .isAcknowledged = this->share() < 0.5,
+                                .endsAfter = this->span(200, 3000),
+                                .returnsAfter = this->span(0, 3000) });
+            break;
+        case TargetFault::LossyPath:
+            for (const std::string &sender : simulation.gatewayNames())
+                if (this->share() < 0.5)
+                    simulation.disturbPath(sender, target,
+                                           { .requestShare = 0.3, .responseShare = 0.3 });
+            break;
+        case TargetFault::OneWayPath:
+            simulation.disturbPath(gateway, target, { .responseShare = 1 });
+            break;
+        case TargetFault::ErrorAfterStart:
+            simulation.setAnsweredWithErrorShare(target, 0.4);
+            break;
+        case TargetFault::Mixed:
+            this->disturbTarget(simulation, this->anyFault());
+            break;
+        case TargetFault::LateStart:
+        case TargetFault::LateStop:
+        case TargetFault::LatePoll:
+            break;
+        }
+        if (this->share() < healShare)
+            simulation.heal();
+    }
+
+    TargetFault anyFault()
+    {
+        return targetFaults.at(
+            std::uniform_int_distribution<std::size_t>(0, targetFaults.size() - 2)(this->random));
+    }
+
+    static constexpr int roundCount = 8;
+    static constexpr double gatewayFaultShare = 0.4;
+    static constexpr double healShare = 0.15;
+    std::mt19937_64 random { this->seed() };
+};
+
+TEST_P(FleetTargetFaultSoak, NoTaskHasTwoRuns)
+{
+    this->run({});
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, FleetSoak, testing::ValuesIn(soakSeeds(40)));
 INSTANTIATE_TEST_SUITE_P(Seeds, ManyGatewaysSoak, testing::ValuesIn(soakSeeds(12)));
+INSTANTIATE_TEST_SUITE_P(Seeds, FleetTargetFaultSoak,
+                         testing::Combine(testing::ValuesIn(targetFaults),
+                                          testing::ValuesIn(soakSeeds(6))),
+                         [](const auto &item) {
+                             return toString(std::get<0>(item.param)) + '_'
+                                 + std::to_string(std::get<1>(item.param));
+                         });
 
 } // namespace
--- a/test/support/FleetSimulation.cpp
+++ b/test/support/FleetSimulation.cpp
@@ -908,7 +908,7 @@
 }
 
 void FleetSimulation::afterIfUp(Duration delay, const FleetTarget &target,
-                                std::function<void()> event)
+                                const std::function<void()> &event)
 {
     this->scheduler.after(delay, [&target, incarnation = target.description.incarnation, event] {
         if (target.isUp && target.description.incarnation == incarnation)
--- a/test/support/FleetSimulation.h
+++ b/test/support/FleetSimulation.h
@@ -273,7 +273,7 @@
     void stopTarget(FleetTarget &target);
     void startTarget(FleetTarget &target);
     /** \brief Runs \a event after \a delay, unless \a target has restarted or is down by then. */
-    void afterIfUp(Duration delay, const FleetTarget &target, std::function<void()> event);
+    void afterIfUp(Duration delay, const FleetTarget &target, const std::function<void()> &event);
     bool isDrawn(double share);
     double secondsSinceStart() const { return toSeconds(this->now() - simulationStart); }
     template<typename... Parts>
