Statuses that do not exclude the execution of a start are no refusal

Cause: each status of 500 or more, and each unknown one of 400 or more, ended a run as not started, and its task was started elsewhere 20 ms later. The protocol promises that nothing was done for 400, 409, 421, 429 and 503 only.

The parser of the incarnation in lists of runs gets its test.

--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -222,6 +222,7 @@
     EXPECT_EQ(orderStatus(409, "{\"reason\":\"room\"}"), OrderStatus::InsufficientCapacity);
     EXPECT_EQ(orderStatus(421, ""), OrderStatus::StaleIncarnation);
     EXPECT_EQ(orderStatus(503, ""), OrderStatus::Unhealthy);
+    EXPECT_EQ(orderStatus(429, ""), OrderStatus::Unhealthy);
     EXPECT_EQ(orderStatus(400, ""), OrderStatus::Rejected);
     const PollResponse poll = protocol.readPollResponse(answered(
         200,
@@ -235,6 +236,30 @@
     EXPECT_EQ(poll.ended[1].end, TargetRunEnd::LeaseExpired);
 }
 
+// Guards against two runs of one task: after a status that the protocol does not name the order may
+// have been executed, so the task must not be given away before a stop is confirmed.
+TEST(Platform, StatusThatDoesNotExcludeExecutionIsNoRefusal)
+{
+    for (const int status : { 404, 408, 500, 502, 504 })
+        EXPECT_EQ(protocol.readOrderResponse({ .state = HttpCallState::Answered, .status = status })
+                      .status,
+                  OrderStatus::Unanswered)
+            << status;
+}
+
+TEST(Platform, IncarnationInTheListsOfRunsIsParsed)
+{
+    const auto poll = [](const char *born) {
+        return protocol.readPollResponse(
+            { .state = HttpCallState::Answered,
+              .status = 200,
+              .body = R"({"clock_ms":9,"running":[],"ended_runs":[])" + std::string(born) + "}" });
+    };
+    EXPECT_EQ(poll("").incarnation, std::nullopt);
+    EXPECT_EQ(poll(",\"born\":1700000000000").incarnation, 1700000000000U);
+    EXPECT_EQ(poll(",\"born\":-1").status, OrderStatus::Rejected);
+}
+
 TEST(Platform, AStartCallContainsTaskAttemptAndToken)
 {
     StartOrder order;
