Only its owner handles the heartbeat of a draining target

Each gateway that did not own the target took it over: with tokens that grow from one to the next they fenced the owner, stopped its runs and renewed their leases meanwhile.

A draining target gets no new work, so a gateway that does not own it has no reason to take it over.

Fleet.OtherGatewaysDoNotTakeOverADrainingTarget failed before.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -66,6 +66,10 @@
         return;
     }
     if (!this->targetOwner.ownsTarget(name)) {
+        // Registry nodes send these heartbeats to all gateways, for the owner. A draining target
+        // gets no new work, so nobody else has to take it over.
+        if (heartbeat.target.state == TargetState::Draining)
+            return;
         if (this->isDraining) {
             if (const auto newOwner = this->preferredOwner(name, now))
                 this->recordTransfer(name, *newOwner, now);
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -56,6 +56,29 @@
     expectNoViolations(simulation, 4);
 }
 
+// Guards against runs that were stopped on a draining target: a registry node sends its heartbeats
+// to all gateways, and each of them took it over.
+TEST(Fleet, OtherGatewaysDoNotTakeOverADrainingTarget)
+{
+    FleetNode node({ .self = NodeName("g"), .domain = DomainName("a") });
+    const TimePoint now(1'800'000'000s);
+    LeasedTarget target;
+    target.name = TargetName("t");
+    target.incarnation = 1;
+    target.domain = DomainName("a");
+    target.state = TargetState::Draining;
+    node.handleHeartbeat({ .target = target }, now);
+    EXPECT_FALSE(node.owner().ownsTarget(target.name));
+    target.state = TargetState::Ready;
+    target.sequence = 1;
+    node.handleHeartbeat({ .target = target }, now);
+    EXPECT_TRUE(node.owner().ownsTarget(target.name));
+    target.state = TargetState::Draining;
+    target.sequence = 2;
+    node.handleHeartbeat({ .target = target }, now);
+    EXPECT_EQ(node.owner().findTarget(target.name)->state, TargetState::Draining);
+}
+
 TEST(Fleet, JobTooLargeForAllTargetsIsRefusedAtOnce)
 {
     FleetSimulation simulation(
