A restarted target is driven on; its lists show which runs have ended

Cause: a target may restart under its name at its address, and orders name the target only. Until its first heartbeat arrived, the driver of the former incarnation went on to start runs on the new one. With the heartbeat all runs of the driver were given away as lost, those on the new incarnation too. A start that the former incarnation had not answered was given away as well, though the new one, which has seen no token, may still execute it.

Now a driver keeps its runs over a restart and continues with a higher token: a confirmed run ends when the new lists do not contain it, an unanswered start when its stop is confirmed. The incarnation in lists of runs shows a restart before its heartbeat; such a target gets no new work until that describes it.

--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -18,20 +18,15 @@
 
 void FleetOwner::updateTarget(const LeasedTarget &target, TimePoint now)
 {
-    auto found = this->drivers.find(target.name);
-    if (found != this->drivers.end() && target.incarnation > found->second.target().incarnation) {
-        // The runs of the previous incarnation have ended with it.
-        TargetDriver &previous = found->second;
-        previous.markEnded();
-        previous.tick(now, this->out);
-        this->recordChange(previous, "over");
-        this->processRunEnds(now);
-        this->runTimes.remove(target.name);
-        this->drivers.erase(found);
-        found = this->drivers.end();
-    }
+    const auto found = this->drivers.find(target.name);
     if (found != this->drivers.end()) {
-        found->second.handleHeartbeat(target, now);
+        TargetDriver &driver = found->second;
+        if (target.incarnation <= driver.target().incarnation) {
+            driver.handleHeartbeat(target, now);
+            return;
+        }
+        driver.handleRestart(target, internal::tokenAt(now), now);
+        this->recordRestart(driver, now);
         return;
     }
     const auto [added, isNew] = this->drivers.try_emplace(target.name, this->options.driver, target,
@@ -42,6 +37,13 @@
     added->second.tick(now, this->out);
 }
 
+void FleetOwner::recordRestart(TargetDriver &driver, TimePoint now)
+{
+    this->runTimes.remove(driver.target().name);
+    this->recordChange(driver, "restarted");
+    driver.tick(now, this->out);
+}
+
 void FleetOwner::handleDeparture(const LeasedTarget &target)
 {
     const auto found = this->drivers.find(target.name);
@@ -146,9 +148,17 @@
 void FleetOwner::handlePollResponse(const OrderAddress &from, TimePoint sentAt,
                                     const PollResponse &response, TimePoint now)
 {
-    if (TargetDriver *driver = this->findDriver(from)) {
+    TargetDriver *driver = this->findDriver(from);
+    const std::uint64_t incarnation = response.incarnation.value_or(from.incarnation);
+    if (driver != nullptr && incarnation > from.incarnation) {
+        // A restarted target may respond before its first heartbeat has arrived here.
+        driver->handleUnannouncedRestart(incarnation, internal::tokenAt(now), now);
+        this->recordRestart(*driver, now);
+    } else if (driver != nullptr) {
         const bool wasReconciled = driver->isReconciled();
-        driver->handlePollResponse(sentAt, response, now, this->out);
+        // The response of a former incarnation tells nothing about the present one.
+        const bool isOutdated = incarnation < from.incarnation;
+        driver->handlePollResponse(sentAt, isOutdated ? PollResponse() : response, now, this->out);
         driver->tick(now, this->out);
         if (!wasReconciled && driver->isReconciled())
             this->recordChange(*driver, "settled");
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -197,6 +197,7 @@
     void recordAttempt(const HeldRun &run, const TargetDriver &driver,
                        const std::optional<ObservedRunEnd> &end, TimePoint now);
     TargetDriver *findDriver(const OrderAddress &from);
+    void recordRestart(TargetDriver &driver, TimePoint now);
     TargetDriver *selectTarget(const HeldRun &run, TimePoint now);
     bool canRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
     bool isTaskRunning(const RunName &run) const;
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -37,9 +37,49 @@
 void TargetDriver::handleHeartbeat(const LeasedTarget &target, TimePoint now)
 {
     this->heartbeatAt = now;
-    if (target.incarnation != this->heartbeat.incarnation || !target.isNewerThan(this->heartbeat))
+    if (target.incarnation != this->heartbeat.incarnation
+        || (!this->awaitsHeartbeat && !target.isNewerThan(this->heartbeat)))
         return;
     this->heartbeat = target;
+    this->awaitsHeartbeat = false;
+}
+
+// Restarted targets know nothing of former orders and tokens, and their clocks and counts begin
+// anew.
+void TargetDriver::handleRestart(const LeasedTarget &target, std::uint64_t fencingToken,
+                                 TimePoint now)
+{
+    TargetDriver restarted(this->options, target, std::max(this->token + 1, fencingToken), now);
+    restarted.runs = std::move(this->runs);
+    restarted.usedCapacity = this->usedCapacity;
+    restarted.isReleasing = this->isReleasing;
+    restarted.lastPollFailed = true; // connections to the former process are broken
+    for (auto &[name, run] : restarted.runs)
+        restarted.requireConfirmedStop(run, now);
+    *this = std::move(restarted);
+}
+
+void TargetDriver::handleUnannouncedRestart(std::uint64_t incarnation, std::uint64_t fencingToken,
+                                            TimePoint now)
+{
+    LeasedTarget target = this->heartbeat;
+    target.incarnation = incarnation;
+    target.clockMs = 0;
+    this->handleRestart(target, fencingToken, now);
+    this->awaitsHeartbeat = true;
+}
+
+// The response to a start of the former incarnation is not awaited any more, but the start may
+// still be executed. A confirmed run needs no stop: the lists of runs show whether it goes on.
+void TargetDriver::requireConfirmedStop(Run &run, TimePoint now)
+{
+    if (run.phase == Phase::Starting)
+        run.phase = Phase::Unanswered;
+    run.isStopWanted = run.isStopWanted || run.phase == Phase::Unanswered;
+    run.isStopInFlight = false;
+    run.stopConfirmedAt.reset();
+    run.stopAt = now;
+    run.listedAt.reset();
 }
 
 void TargetDriver::start(const RunRequest &request, TimePoint now, DriverOutbox &out)
@@ -168,9 +208,9 @@
 
 bool TargetDriver::acceptsWork(TimePoint now) const
 {
-    return this->reconciled && !this->fenced && !this->ended && !this->isReleasing
-        && this->heartbeat.state == TargetState::Ready && now >= this->avoidUntil
-        && now < this->lastResponseAt + this->options.contactLifetime;
+    return this->reconciled && !this->awaitsHeartbeat && !this->fenced && !this->ended
+        && !this->isReleasing && this->heartbeat.state == TargetState::Ready
+        && now >= this->avoidUntil && now < this->lastResponseAt + this->options.contactLifetime;
 }
 
 std::optional<TimePoint> TargetDriver::listedAt(const RunName &run) const
@@ -209,10 +249,11 @@
 }
 
 // Before the target is reconciled, a rejected token only means that the previous owner's clock was
-// ahead, since tokens are taken from clocks. Afterwards it means that another node owns the target.
+// ahead, since tokens are taken from clocks. Afterwards, or after a restart that was announced to
+// another node, it means that another node owns the target.
 void TargetDriver::handleFenced(TimePoint now)
 {
-    if (this->reconciled) {
+    if (this->reconciled || this->awaitsHeartbeat) {
         this->fenced = true;
         return;
     }
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -53,11 +53,11 @@
     std::vector<ObservedRunEnd> runEnds;
 };
 
-/** \brief Drives one incarnation of a target: renews its lease, starts and stops runs, and
- * determines their ends.
+/** \brief Drives a target: renews its lease, starts and stops runs, and determines their ends.
  *
  * A run has ended only when that is certain: the target lists it as ended, refused its start, or
- * confirmed its stop and does not list it afterwards.
+ * confirmed its stop and does not list it afterwards. A restart of the target under the same name
+ * is no such evidence: orders name the target only, so the new incarnation may have executed them.
  */
 class TargetDriver
 {
@@ -68,6 +68,15 @@
     // Commands.
     /** \brief Handles a newer heartbeat of the same incarnation. */
     void handleHeartbeat(const LeasedTarget &target, TimePoint now);
+    /** \brief Continues with the newer incarnation in \a target, with a higher fencing token. Its
+     * lists show which runs it has; starts without a response are stopped.
+     */
+    void handleRestart(const LeasedTarget &target, std::uint64_t fencingToken, TimePoint now);
+    /** \brief Continues with \a incarnation, of which no heartbeat has arrived yet: it gets no new
+     * work before that.
+     */
+    void handleUnannouncedRestart(std::uint64_t incarnation, std::uint64_t fencingToken,
+                                  TimePoint now);
     void start(const RunRequest &request, TimePoint now, DriverOutbox &out);
     void stop(const RunName &run, TimePoint now, DriverOutbox &out);
     void handleStartResponse(const RunName &run, const OrderResponse &response, TimePoint now,
@@ -134,6 +143,7 @@
     void recordTimeout(TimePoint now);
     void recordOutcome(const EndedRun &listed, TimePoint now);
     void poll(TimePoint now, DriverOutbox &out);
+    void requireConfirmedStop(Run &run, TimePoint now);
     void sendStop(const RunName &name, Run &run, TimePoint now, DriverOutbox &out);
     void endRun(const RunName &run, RunEndKind kind, RunEndEvidence evidence, TimePoint now,
                 DriverOutbox &out);
@@ -161,6 +171,7 @@
     TimePoint nextPollAt;
     bool lastPollFailed = false;
     bool reconciled = false;
+    bool awaitsHeartbeat = false; ///< the heartbeat is that of a former incarnation
     bool fenced = false;
     bool ended = false;
     bool isReleasing = false;
--- a/test/TargetDriverTest.cpp
+++ b/test/TargetDriverTest.cpp
@@ -55,16 +55,20 @@
             }));
     }
 
-    /** \returns when the latest poll was sent. */
-    TimePoint lastPoll() const
+    /** \returns the latest order of type \a Order, or an empty one. */
+    template<typename Order>
+    Order last() const
     {
-        TimePoint sentAt;
+        Order last;
         for (const TargetOrder &order : this->out.orders)
-            if (const auto *poll = std::get_if<PollOrder>(&order))
-                sentAt = poll->sentAt;
-        return sentAt;
+            if (const auto *found = std::get_if<Order>(&order))
+                last = *found;
+        return last;
     }
 
+    /** \returns when the latest poll was sent. */
+    TimePoint lastPoll() const { return this->last<PollOrder>().sentAt; }
+
     TimePoint now { 1'800'000'000s };
     DriverOutbox out;
     RunRequest request;
@@ -136,4 +140,65 @@
     EXPECT_EQ(fixture.pollCount(), polls) << "a second poll was sent while one was in flight";
 }
 
+// Guards against two runs of one task: a run was given away when its target restarted, although the
+// new incarnation had started it.
+TEST(TargetDriver, RunOnARestartedTargetGoesOn)
+{
+    DriverFixture fixture;
+    LeasedTarget restarted = DriverFixture::target();
+    restarted.incarnation = 2;
+    fixture.driver.handleRestart(restarted, 8, fixture.now);
+    fixture.advance(10ms);
+    EXPECT_TRUE(fixture.out.runEnds.empty());
+    EXPECT_EQ(fixture.last<PollOrder>().to.incarnation, 2U);
+    EXPECT_GE(fixture.last<PollOrder>().to.fencingToken, 8U);
+    fixture.poll({ fixture.request.run });
+    fixture.advance(10ms);
+    EXPECT_TRUE(fixture.out.runEnds.empty()) << "the new incarnation lists it as running";
+    EXPECT_EQ(fixture.last<StopOrder>(), StopOrder()) << "it was started by this driver";
+    fixture.poll({});
+    ASSERT_EQ(fixture.out.runEnds.size(), 1U);
+    EXPECT_EQ(fixture.out.runEnds[0].kind, RunEndKind::Lost);
+}
+
+// Guards against two runs of one task: a start that the former incarnation did not answer may be
+// executed by the new one, which has seen no fencing token.
+TEST(TargetDriver, UnansweredStartOfARestartedTargetIsStoppedThere)
+{
+    DriverFixture fixture;
+    RunRequest second = fixture.request;
+    second.run.index = 1;
+    fixture.driver.start(second, fixture.now, fixture.out);
+    LeasedTarget restarted = DriverFixture::target();
+    restarted.incarnation = 2;
+    fixture.driver.handleRestart(restarted, 8, fixture.now);
+    fixture.advance(10ms);
+    EXPECT_EQ(fixture.last<StopOrder>().run, second.run);
+    EXPECT_EQ(fixture.last<StopOrder>().to.incarnation, 2U);
+    fixture.poll({});
+    ASSERT_EQ(fixture.out.runEnds.size(), 1U) << "only the confirmed run has certainly ended";
+    EXPECT_EQ(fixture.out.runEnds[0].run, fixture.request.run);
+    fixture.driver.handleStopResponse(second.run, { .status = OrderStatus::Done, .clockMs = 30 },
+                                      fixture.now);
+    fixture.advance(100ms);
+    fixture.poll({});
+    fixture.advance(100ms);
+    fixture.poll({});
+    EXPECT_EQ(fixture.out.runEnds.size(), 2U);
+}
+
+TEST(TargetDriver, RestartBeforeItsFirstHeartbeatGetsNoNewWork)
+{
+    DriverFixture fixture;
+    fixture.driver.handleUnannouncedRestart(2, 8, fixture.now);
+    fixture.advance(10ms);
+    fixture.poll({ fixture.request.run });
+    EXPECT_TRUE(fixture.driver.isReconciled());
+    EXPECT_FALSE(fixture.driver.acceptsWork(fixture.now));
+    LeasedTarget restarted = DriverFixture::target();
+    restarted.incarnation = 2;
+    fixture.driver.handleHeartbeat(restarted, fixture.now);
+    EXPECT_TRUE(fixture.driver.acceptsWork(fixture.now));
+}
+
 } // namespace
