Leases are renewed only as long as every run on the target is wanted

Cause: a poll renewed the lease of everything on a target. A run whose stop was not answered, a run of a lost coordinator and the runs of a previous owner went on for as long as the owner polled. Only stops ended them, and with two or three of those late or lost a run outlived the 1.3 s after which its caller sends the job again.

Now each run is valid until 1.2 s after its coordinator was last known to want it (the sending of the latest acknowledged message), and not beyond 1.2 s after its deadline. Renewals go as far as the run with the earliest limit; a target with a run of a previous owner is not renewed at all. So the lease ends a run in time whether a stop arrives or not. The expiry also allows for a clock that is 2% slow, as the platform permits.

TargetDriver.LeaseIsNotRenewedBeyondTheValidityOfARun and LeaseIsNotRenewedBeforeTheTargetIsReconciled guard it.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -237,7 +237,7 @@
         peer.areRunsCancelled = true;
         this->targetOwner.cancelRunsOfNode(name, now);
     }
-    this->targetOwner.tick([&](const Requester &r) { return this->isAlive(r, now); }, now);
+    this->targetOwner.tick([&](const Requester &r) { return this->lastContact(r, now); }, now);
     this->transferTargets(now);
 }
 
@@ -245,7 +245,7 @@
 {
     this->beginEvent(now);
     this->assignTasks(now);
-    this->targetOwner.startQueuedRuns([&](const Requester &r) { return this->isAlive(r, now); },
+    this->targetOwner.startQueuedRuns([&](const Requester &r) { return this->lastContact(r, now); },
                                       now);
     this->returnQueuedRuns(now);
     this->deliverLocalRunEnds(now);
@@ -302,13 +302,17 @@
     return peer.incarnation != 0 && now < peer.confirmedAt + this->options.confirmationLifetime;
 }
 
-bool FleetNode::isAlive(const Requester &requester, TimePoint now) const
+// Each message lists the runs that its sender wants, so the acknowledgement of a message shows that
+// the peer wanted its runs when that was sent.
+std::optional<TimePoint> FleetNode::lastContact(const Requester &requester, TimePoint now) const
 {
     if (requester.node == this->options.self)
-        return true;
+        return now;
     const auto found = this->peers.find(requester.node);
-    return found != this->peers.end() && found->second.incarnation == requester.incarnation
+    const bool isAlive = found != this->peers.end()
+        && found->second.incarnation == requester.incarnation
         && this->isConfirmed(found->second, now);
+    return isAlive ? std::optional(found->second.confirmedAt) : std::nullopt;
 }
 
 void FleetNode::assignTasks(TimePoint now)
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -193,8 +193,10 @@
     void beginEvent(TimePoint now);
     /** \returns whether \a peer has acknowledged a message that was sent recently. */
     bool isConfirmed(const Peer &peer, TimePoint now) const;
-    /** \returns whether a run may be started for \a requester. */
-    bool isAlive(const Requester &requester, TimePoint now) const;
+    /** \returns the latest time at which \a requester is known to have wanted its runs, if a run
+     * may be started for it.
+     */
+    std::optional<TimePoint> lastContact(const Requester &requester, TimePoint now) const;
     void handleAcknowledgement(Peer &peer, const FleetMessage &message);
     void handleWantedRuns(Peer &peer, const FleetMessage &message, TimePoint now);
     void assignTasks(TimePoint now);
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -14,6 +14,11 @@
     return static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch()));
 }
 
+/** \brief Time after which callers send a job again over a new connection; set by the platform. */
+constexpr Duration callerResendDelay = 1300ms;
+static_assert(FleetOwnerOptions {}.maxOrphanTime < callerResendDelay,
+              "a run ends before its job can be sent again");
+
 } // namespace internal
 
 void FleetOwner::updateTarget(const LeasedTarget &target, TimePoint now)
@@ -166,8 +171,9 @@
     this->processRunEnds(now);
 }
 
-void FleetOwner::tick(const IsAlive &isAlive, TimePoint now)
+void FleetOwner::tick(const LastContact &lastContact, TimePoint now)
 {
+    this->extendWantedRuns(lastContact);
     for (auto &[name, driver] : this->drivers)
         driver.tick(now, this->out);
     this->processRunEnds(now);
@@ -177,7 +183,24 @@
         return item.second.stage == Stage::Ended
             && now >= item.second.endedAt + this->options.endLifetime;
     });
-    this->startQueuedRuns(isAlive, now);
+    this->startQueuedRuns(lastContact, now);
+}
+
+TimePoint FleetOwner::validUntil(const HeldRun &run, TimePoint wantedAt) const
+{
+    return std::min(wantedAt, run.bounds.deadlineAt) + this->options.maxOrphanTime;
+}
+
+void FleetOwner::extendWantedRuns(const LastContact &lastContact)
+{
+    for (const auto &[name, run] : this->runs) {
+        if (run.stage != Stage::OnTarget || run.isStopping)
+            continue;
+        const auto driver = this->drivers.find(run.target);
+        const auto wantedAt = lastContact(run.requester);
+        if (driver != this->drivers.end() && wantedAt)
+            driver->second.extendValidity(name, this->validUntil(run, *wantedAt));
+    }
 }
 
 // Runs past their objective come last, after those that can still meet it; then the higher priority
@@ -195,12 +218,13 @@
     return queued;
 }
 
-void FleetOwner::startQueuedRuns(const IsAlive &isAlive, TimePoint now)
+void FleetOwner::startQueuedRuns(const LastContact &lastContact, TimePoint now)
 {
     this->endInfeasibleRuns(now);
     const std::vector<HeldRun *> queued = this->queuedRuns(now);
     for (HeldRun *run : queued) {
-        if (!isAlive(run->requester) || this->isTaskRunning(run->request.run))
+        const auto wantedAt = lastContact(run->requester);
+        if (!wantedAt || this->isTaskRunning(run->request.run))
             continue;
         TargetDriver *driver = this->selectTarget(*run, now);
         if (driver == nullptr)
@@ -211,7 +235,7 @@
         ++this->counts.started;
         if (run->request.run.attempt > 1)
             this->recordAttempt(*run, *driver, std::nullopt, now);
-        driver->start(run->request, now, this->out);
+        driver->start(run->request, this->validUntil(*run, *wantedAt), now, this->out);
     }
 }
 
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -30,6 +30,11 @@
      */
     Duration returnDelay = 10ms;
     Duration endLifetime = 30s; ///< an unacknowledged run end is dropped after it
+    /** \brief Time for which a run may go on after its coordinator was last known to want it, or
+     * after its deadline, whether its stop is answered or not. Shorter than the time after which
+     * callers send a job again over a new connection.
+     */
+    Duration maxOrphanTime = 1200ms;
 };
 
 /** \brief Requester of a run: one incarnation of an entry node. */
@@ -100,8 +105,10 @@
 class FleetOwner
 {
 public:
-    /** \brief Whether the last contact with a requester is recent enough to start a run for it. */
-    using IsAlive = std::function<bool(const Requester &)>;
+    /** \brief Returns the latest time at which a requester is known to have wanted its runs, if
+     * that is recent enough to start a run for it.
+     */
+    using LastContact = std::function<std::optional<TimePoint>(const Requester &)>;
 
     /** \brief Reserves capacity for a run at another owner, and returns whether there was enough.
      */
@@ -132,9 +139,9 @@
     void handlePollResponse(const OrderAddress &from, TimePoint sentAt,
                             const PollResponse &response, TimePoint now);
     /** \brief Renews leases, removes lost targets and starts queued runs. */
-    void tick(const IsAlive &isAlive, TimePoint now);
+    void tick(const LastContact &lastContact, TimePoint now);
     /** \brief Starts queued runs for which there is free capacity. */
-    void startQueuedRuns(const IsAlive &isAlive, TimePoint now);
+    void startQueuedRuns(const LastContact &lastContact, TimePoint now);
     /** \brief Returns runs to their coordinators that have been queued for a while and for which
      * \a reserveCapacity finds capacity elsewhere.
      */
@@ -205,6 +212,10 @@
     void stopStragglers(TimePoint now);
     bool isStragglingOn(const HeldRun &run, const TargetDriver &driver, TimePoint now) const;
     void endInfeasibleRuns(TimePoint now);
+    /** \returns how long \a run may go on if its requester wanted it at \a wantedAt. */
+    TimePoint validUntil(const HeldRun &run, TimePoint wantedAt) const;
+    /** \brief Extends the time that runs may go on which their requesters still want. */
+    void extendWantedRuns(const LastContact &lastContact);
     Duration minExpectedRunTime(const RunRequest &request) const;
     void removeLostTargets(TimePoint now);
     void endRunsAsUnknown(const TargetDriver &driver, TimePoint now);
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -82,17 +82,27 @@
     run.listedAt.reset();
 }
 
-void TargetDriver::start(const RunRequest &request, TimePoint now, DriverOutbox &out)
+void TargetDriver::start(const RunRequest &request, TimePoint validUntil, TimePoint now,
+                         DriverOutbox &out)
 {
     HIBISCUS_INVARIANT(!this->runs.contains(request.run), "an attempt is started once");
     Run run;
     run.demand = request.demand;
+    run.validUntil = validUntil;
     this->runs[request.run] = run;
     this->usedCapacity = this->usedCapacity.plus(request.demand);
-    out.orders.emplace_back(StartOrder { .to = this->address(),
-                                         .run = request.run,
-                                         .spec = request.spec,
-                                         .leaseExpiryMs = this->leaseExpiryMs(now) });
+    out.orders.emplace_back(
+        StartOrder { .to = this->address(),
+                     .run = request.run,
+                     .spec = request.spec,
+                     .leaseExpiryMs = this->leaseExpiryMs(this->leaseLimit(now)) });
+}
+
+void TargetDriver::extendValidity(const RunName &run, TimePoint until)
+{
+    const auto found = this->runs.find(run);
+    if (found != this->runs.end() && !found->second.isStopWanted)
+        found->second.validUntil = std::max(found->second.validUntil, until);
 }
 
 void TargetDriver::stop(const RunName &run, TimePoint now, DriverOutbox &out)
@@ -208,9 +218,10 @@
 
 bool TargetDriver::acceptsWork(TimePoint now) const
 {
-    return this->reconciled && !this->awaitsHeartbeat && !this->fenced && !this->ended
+    return this->hasOnlyOwnRuns() && !this->awaitsHeartbeat && !this->fenced && !this->ended
         && !this->isReleasing && this->heartbeat.state == TargetState::Ready
-        && now >= this->avoidUntil && now < this->lastResponseAt + this->options.contactLifetime;
+        && now >= this->avoidUntil && now < this->lastResponseAt + this->options.contactLifetime
+        && now + this->options.minLeaseForWork <= this->leaseLimit(now);
 }
 
 std::optional<TimePoint> TargetDriver::listedAt(const RunName &run) const
@@ -233,10 +244,20 @@
              .fencingToken = this->token };
 }
 
-std::int64_t TargetDriver::leaseExpiryMs(TimePoint now) const
+TimePoint TargetDriver::leaseLimit(TimePoint now) const
+{
+    TimePoint limit = now + this->options.lease;
+    for (const auto &[name, run] : this->runs)
+        limit = std::min(limit, run.validUntil);
+    return limit;
+}
+
+// A slow clock reaches a reading later, so the time since the clock was read counts for less.
+std::int64_t TargetDriver::leaseExpiryMs(TimePoint limit) const
 {
+    const double elapsed = toSeconds(limit - this->targetClockReadAt);
     return this->targetClockMs
-        + toMilliseconds(now - this->targetClockReadAt + this->options.lease);
+        + toMilliseconds(fromSeconds((1 - this->options.maxClockDrift) * elapsed));
 }
 
 void TargetDriver::recordResponse(std::optional<std::int64_t> clockMs, TimePoint now)
@@ -306,13 +327,16 @@
         || std::ranges::any_of(this->runs,
                                [](const auto &r) { return r.second.stopConfirmedAt.has_value(); });
     constexpr Duration shortWait = 20ms; // a stopped run is listed within tens of ms
+    const TimePoint limit = this->leaseLimit(now);
+    const bool isRenewing = this->hasOnlyOwnRuns() && limit > now;
     const Duration wait = this->runs.empty() ? this->options.idleWait : this->options.busyWait;
-    out.orders.emplace_back(PollOrder { .to = this->address(),
-                                        .sentAt = now,
-                                        .acknowledgedEnd = this->acknowledgedEnd,
-                                        .leaseExpiryMs = this->leaseExpiryMs(now),
-                                        .maxWait = isResultUrgent ? shortWait : wait,
-                                        .usesNewConnection = this->lastPollFailed });
+    out.orders.emplace_back(PollOrder {
+        .to = this->address(),
+        .sentAt = now,
+        .acknowledgedEnd = this->acknowledgedEnd,
+        .leaseExpiryMs = isRenewing ? std::optional(this->leaseExpiryMs(limit)) : std::nullopt,
+        .maxWait = isResultUrgent ? shortWait : wait,
+        .usesNewConnection = this->lastPollFailed });
 }
 
 void TargetDriver::sendStop(const RunName &name, Run &run, TimePoint now, DriverOutbox &out)
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -10,6 +10,12 @@
 struct TargetDriverOptions
 {
     Duration lease = 1s; ///< longest lease that targets grant; set by the platform
+    /** \brief Share by which the steady clocks of targets may be slow; set by the platform. */
+    double maxClockDrift = 0.02;
+    /** \brief A target whose lease is renewed for less than this gets no new work: it has a run
+     * that may outlive its coordinator.
+     */
+    Duration minLeaseForWork = 500ms;
     /** \brief Wait of a poll while the target is idle; under half of the lease, so that one poll
      * may be lost.
      */
@@ -58,6 +64,10 @@
  * A run has ended only when that is certain: the target lists it as ended, refused its start, or
  * confirmed its stop and does not list it afterwards. A restart of the target under the same name
  * is no such evidence: orders name the target only, so the new incarnation may have executed them.
+ *
+ * The lease covers all runs on the target, so it is renewed only as far as each of them may go on:
+ * not beyond the time until which it is valid, and not while a run of a previous owner may be
+ * there.
  */
 class TargetDriver
 {
@@ -77,7 +87,10 @@
      */
     void handleUnannouncedRestart(std::uint64_t incarnation, std::uint64_t fencingToken,
                                   TimePoint now);
-    void start(const RunRequest &request, TimePoint now, DriverOutbox &out);
+    /** \brief Starts a run that may go on until \a validUntil unless that is extended. */
+    void start(const RunRequest &request, TimePoint validUntil, TimePoint now, DriverOutbox &out);
+    /** \brief Extends the time until which \a run may go on, unless it is being stopped. */
+    void extendValidity(const RunName &run, TimePoint until);
     void stop(const RunName &run, TimePoint now, DriverOutbox &out);
     void handleStartResponse(const RunName &run, const OrderResponse &response, TimePoint now,
                              DriverOutbox &out);
@@ -125,6 +138,7 @@
     struct Run
     {
         Capacity demand;
+        TimePoint validUntil; ///< the lease is not renewed beyond it
         Phase phase = Phase::Starting;
         TimePoint confirmedAt; ///< time of the target's response to the start
         std::optional<TimePoint> listedAt; ///< send time of the last poll that listed it
@@ -135,7 +149,11 @@
     };
 
     OrderAddress address() const;
-    std::int64_t leaseExpiryMs(TimePoint now) const;
+    /** \returns whether the latest list showed no run of a previous owner. */
+    bool hasOnlyOwnRuns() const { return this->reconciled && this->foreignRunStopAt.empty(); }
+    /** \returns the latest time until which everything on the target may go on. */
+    TimePoint leaseLimit(TimePoint now) const;
+    std::int64_t leaseExpiryMs(TimePoint limit) const;
     void recordResponse(std::optional<std::int64_t> clockMs, TimePoint now);
     void handleFenced(TimePoint now);
     void extendAvoidance(Duration first, TimePoint now);
--- a/Hibiscus/src/Fleet/TargetOrder.h
+++ b/Hibiscus/src/Fleet/TargetOrder.h
@@ -39,7 +39,7 @@
     auto operator<=>(const StopOrder &other) const = default;
 };
 
-/** \brief Renews the lease and lists running and ended runs.
+/** \brief Lists running and ended runs, and renews the lease if it contains an expiry.
  *
  * The target responds once a run has ended, or when the wait is over.
  */
@@ -48,7 +48,9 @@
     OrderAddress to;
     TimePoint sentAt; ///< identifies the poll among those of one target
     std::uint64_t acknowledgedEnd = 0; ///< ends up to this number are not listed again
-    std::int64_t leaseExpiryMs = 0; ///< on the target's clock, ms
+    /** \brief New expiry of the lease on the target's clock, ms; empty leaves the lease as it is.
+     */
+    std::optional<std::int64_t> leaseExpiryMs;
     Duration maxWait {}; ///< longest time that the target may wait for a run to end
     bool usesNewConnection = false;
 
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -35,7 +35,8 @@
         request.untilObjective = 1s;
         request.untilDeadline = 1s;
         this->owner.requestRun(request, requester, this->now);
-        this->owner.startQueuedRuns([](const Requester &) { return true; }, this->now);
+        this->owner.startQueuedRuns([this](const Requester &) { return std::optional(this->now); },
+                                    this->now);
     }
 
     TimePoint now { 1'800'000'000s };
--- a/test/TargetDriverTest.cpp
+++ b/test/TargetDriverTest.cpp
@@ -16,7 +16,7 @@
         this->driver.tick(this->now, this->out);
         this->poll({});
         this->advance(10ms);
-        this->driver.start(this->request, this->now, this->out);
+        this->driver.start(this->request, this->now + 10s, this->now, this->out);
         this->driver.handleStartResponse(this->request.run,
                                          { .status = OrderStatus::Done, .clockMs = 20 }, this->now,
                                          this->out);
@@ -116,7 +116,7 @@
     DriverFixture fixture;
     RunRequest second = fixture.request;
     second.run.index = 1;
-    fixture.driver.start(second, fixture.now, fixture.out);
+    fixture.driver.start(second, fixture.now + 10s, fixture.now, fixture.out);
     fixture.driver.handleStartResponse(second.run, {}, fixture.now, fixture.out);
     for (int i = 0; i < 20; ++i) {
         fixture.advance(100ms);
@@ -168,7 +168,7 @@
     DriverFixture fixture;
     RunRequest second = fixture.request;
     second.run.index = 1;
-    fixture.driver.start(second, fixture.now, fixture.out);
+    fixture.driver.start(second, fixture.now + 10s, fixture.now, fixture.out);
     LeasedTarget restarted = DriverFixture::target();
     restarted.incarnation = 2;
     fixture.driver.handleRestart(restarted, 8, fixture.now);
@@ -201,4 +201,61 @@
     EXPECT_TRUE(fixture.driver.acceptsWork(fixture.now));
 }
 
+/** \returns the reading at \a time of a clock that is 2% slow and showed \a reading at \a readAt.
+ */
+std::int64_t slowClock(std::int64_t reading, TimePoint readAt, TimePoint time)
+{
+    return reading + toMilliseconds((time - readAt) * 98 / 100);
+}
+
+// Guards against two runs of one task: polls renewed the lease of a run that nobody wanted any
+// more, so that it went on when its stop was not answered and its caller sent the job again.
+TEST(TargetDriver, LeaseIsNotRenewedBeyondTheValidityOfARun)
+{
+    DriverFixture fixture;
+    const TimePoint validUntil = fixture.now + 600ms;
+    RunRequest second = fixture.request;
+    second.run.index = 1;
+    fixture.driver.start(second, validUntil, fixture.now, fixture.out);
+    EXPECT_LE(fixture.last<StartOrder>().leaseExpiryMs,
+              slowClock(20, fixture.now - 10ms, validUntil));
+    fixture.poll({ fixture.request.run });
+    ASSERT_TRUE(fixture.last<PollOrder>().leaseExpiryMs);
+    EXPECT_LE(*fixture.last<PollOrder>().leaseExpiryMs, slowClock(10, fixture.now, validUntil));
+    fixture.driver.stop(second.run, fixture.now, fixture.out);
+    fixture.driver.extendValidity(second.run, fixture.now + 10s);
+    while (fixture.now < validUntil)
+        fixture.advance(100ms);
+    fixture.poll({ fixture.request.run, second.run });
+    EXPECT_FALSE(fixture.last<PollOrder>().leaseExpiryMs) << "a run that is being stopped goes on";
+    EXPECT_FALSE(fixture.driver.acceptsWork(fixture.now));
+}
+
+// Guards against two runs of one task: the polls of a new owner renewed the lease of the runs of
+// the previous one, whose tasks were started again elsewhere.
+TEST(TargetDriver, LeaseIsNotRenewedBeforeTheTargetIsReconciled)
+{
+    const TimePoint now(1'800'000'000s);
+    DriverOutbox out;
+    TargetDriver driver({}, DriverFixture::target(), 7, now);
+    driver.tick(now, out);
+    const RunName foreignRun = { .job = "foreign", .attempt = 1 };
+    const auto poll = [&] {
+        driver.handlePollResponse(
+            now, { .status = OrderStatus::Done, .clockMs = 10, .running = { foreignRun } }, now,
+            out);
+        driver.tick(now, out);
+    };
+    poll();
+    poll();
+    for (const TargetOrder &order : out.orders)
+        if (const auto *sent = std::get_if<PollOrder>(&order)) {
+            EXPECT_FALSE(sent->leaseExpiryMs);
+        }
+    driver.handlePollResponse(now, { .status = OrderStatus::Done, .clockMs = 10 }, now, out);
+    driver.tick(now, out);
+    ASSERT_TRUE(std::holds_alternative<PollOrder>(out.orders.back()));
+    EXPECT_TRUE(std::get<PollOrder>(out.orders.back()).leaseExpiryMs);
+}
+
 } // namespace
