Runs on a departing target end with a confirmed stop or with their lease

Cause: the runs of a target were given away when its announcement of shutdown arrived. A target goes on until it has received the acknowledgement, and some seconds longer if that is lost.

Now its runs are stopped, its lease is not renewed any more, and a run has ended when its stop is confirmed or the last lease has expired. Price: a task whose target is gone by then begins again up to a second later.

TargetDriver.RunOnADepartingTargetEndsOnlyWithProofOrItsLease guards it.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -62,7 +62,7 @@
     this->beginEvent(now);
     const TargetName &name = heartbeat.target.name;
     if (heartbeat.isLeaving) {
-        this->targetOwner.handleDeparture(heartbeat.target);
+        this->targetOwner.handleDeparture(heartbeat.target, now);
         return;
     }
     if (!this->targetOwner.ownsTarget(name)) {
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -49,11 +49,11 @@
     driver.tick(now, this->out);
 }
 
-void FleetOwner::handleDeparture(const LeasedTarget &target)
+void FleetOwner::handleDeparture(const LeasedTarget &target, TimePoint now)
 {
     const auto found = this->drivers.find(target.name);
     if (found != this->drivers.end() && found->second.target().incarnation == target.incarnation)
-        found->second.markEnded();
+        found->second.handleDeparture(now, this->out);
 }
 
 void FleetOwner::releaseTarget(const TargetName &target)
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -119,8 +119,8 @@
     // Commands.
     /** \brief Adds \a target, or updates it from a newer heartbeat. */
     void updateTarget(const LeasedTarget &target, TimePoint now);
-    /** \brief Marks a target that has announced its shutdown as ended. */
-    void handleDeparture(const LeasedTarget &target);
+    /** \brief Stops the runs of a target that has announced its shutdown. */
+    void handleDeparture(const LeasedTarget &target, TimePoint now);
     /** \brief Stops new work for \a target; takeReleasedTargets() returns it once it is empty. */
     void releaseTarget(const TargetName &target);
     std::vector<LeasedTarget> takeReleasedTargets();
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -44,6 +44,16 @@
     this->awaitsHeartbeat = false;
 }
 
+void TargetDriver::handleDeparture(TimePoint now, DriverOutbox &out)
+{
+    if (this->isDeparting)
+        return;
+    this->isDeparting = true;
+    for (auto &[name, run] : this->runs)
+        if (!std::exchange(run.isStopWanted, true))
+            this->sendStop(name, run, now, out);
+}
+
 // Restarted targets know nothing of former orders and tokens, and their clocks and counts begin
 // anew.
 void TargetDriver::handleRestart(const LeasedTarget &target, std::uint64_t fencingToken,
@@ -54,6 +64,8 @@
     restarted.usedCapacity = this->usedCapacity;
     restarted.isReleasing = this->isReleasing;
     restarted.lastPollFailed = true; // connections to the former process are broken
+    // The new clock is behind the expiry in former orders, which then grant the longest lease.
+    restarted.leasedUntil = now + this->longestLease();
     for (auto &[name, run] : restarted.runs)
         restarted.requireConfirmedStop(run, now);
     *this = std::move(restarted);
@@ -95,7 +107,7 @@
         StartOrder { .to = this->address(),
                      .run = request.run,
                      .spec = request.spec,
-                     .leaseExpiryMs = this->leaseExpiryMs(this->leaseLimit(now)) });
+                     .leaseExpiryMs = this->renewLease(this->leaseLimit(now)) });
 }
 
 void TargetDriver::extendValidity(const RunName &run, TimePoint until)
@@ -205,6 +217,8 @@
 
 void TargetDriver::tick(TimePoint now, DriverOutbox &out)
 {
+    if (this->isDeparting && now >= this->leasedUntil)
+        this->ended = true;
     if (this->ended)
         this->endAllRuns(now, out);
     if (this->ended || this->fenced)
@@ -219,7 +233,7 @@
 bool TargetDriver::acceptsWork(TimePoint now) const
 {
     return this->hasOnlyOwnRuns() && !this->awaitsHeartbeat && !this->fenced && !this->ended
-        && !this->isReleasing && this->heartbeat.state == TargetState::Ready
+        && !this->isDeparting && !this->isReleasing && this->heartbeat.state == TargetState::Ready
         && now >= this->avoidUntil && now < this->lastResponseAt + this->options.contactLifetime
         && now + this->options.minLeaseForWork <= this->leaseLimit(now);
 }
@@ -252,9 +266,15 @@
     return limit;
 }
 
+Duration TargetDriver::longestLease() const
+{
+    return fromSeconds(toSeconds(this->options.lease) / (1 - this->options.maxClockDrift));
+}
+
 // A slow clock reaches a reading later, so the time since the clock was read counts for less.
-std::int64_t TargetDriver::leaseExpiryMs(TimePoint limit) const
+std::int64_t TargetDriver::renewLease(TimePoint limit)
 {
+    this->leasedUntil = std::max(this->leasedUntil, limit);
     const double elapsed = toSeconds(limit - this->targetClockReadAt);
     return this->targetClockMs
         + toMilliseconds(fromSeconds((1 - this->options.maxClockDrift) * elapsed));
@@ -328,13 +348,13 @@
                                [](const auto &r) { return r.second.stopConfirmedAt.has_value(); });
     constexpr Duration shortWait = 20ms; // a stopped run is listed within tens of ms
     const TimePoint limit = this->leaseLimit(now);
-    const bool isRenewing = this->hasOnlyOwnRuns() && limit > now;
+    const bool isRenewing = this->hasOnlyOwnRuns() && !this->isDeparting && limit > now;
     const Duration wait = this->runs.empty() ? this->options.idleWait : this->options.busyWait;
     out.orders.emplace_back(PollOrder {
         .to = this->address(),
         .sentAt = now,
         .acknowledgedEnd = this->acknowledgedEnd,
-        .leaseExpiryMs = isRenewing ? std::optional(this->leaseExpiryMs(limit)) : std::nullopt,
+        .leaseExpiryMs = isRenewing ? std::optional(this->renewLease(limit)) : std::nullopt,
         .maxWait = isResultUrgent ? shortWait : wait,
         .usesNewConnection = this->lastPollFailed });
 }
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -105,8 +105,10 @@
     void avoid(TimePoint until) { this->avoidUntil = std::max(this->avoidUntil, until); }
     /** \brief Stops new work from now on; runs on the target continue. */
     void startRelease() { this->isReleasing = true; }
-    /** \brief Marks this incarnation of the target, and all of its runs, as ended. */
-    void markEnded() { this->ended = true; }
+    /** \brief Handles the announcement that the target shuts down. It may go on for a while, so its
+     * runs are stopped, and have ended once that is confirmed or the lease has expired.
+     */
+    void handleDeparture(TimePoint now, DriverOutbox &out);
     /** \brief Stops new work until the target has responded again, after this node stalled. */
     void invalidateContact() { this->lastResponseAt = TimePoint(); }
 
@@ -118,7 +120,8 @@
     /** \returns whether all runs on the target were started by this driver. */
     bool isReconciled() const { return this->reconciled; }
     bool isFenced() const { return this->fenced; }
-    bool isEnded() const { return this->ended; }
+    /** \returns whether the target has ended, or has announced that and has no run left. */
+    bool isEnded() const { return this->ended || (this->isDeparting && this->runs.empty()); }
     bool isReleased() const { return this->isReleasing && this->runs.empty(); }
     TimePoint lastSeenAt() const { return std::max(this->heartbeatAt, this->lastResponseAt); }
     /** \returns the time of the last response, or of the take-over if there was none. */
@@ -153,7 +156,10 @@
     bool hasOnlyOwnRuns() const { return this->reconciled && this->foreignRunStopAt.empty(); }
     /** \returns the latest time until which everything on the target may go on. */
     TimePoint leaseLimit(TimePoint now) const;
-    std::int64_t leaseExpiryMs(TimePoint limit) const;
+    /** \returns the longest lease on the clock of this node. */
+    Duration longestLease() const;
+    /** \returns the reading of the target's clock at \a limit, to which the lease is renewed. */
+    std::int64_t renewLease(TimePoint limit);
     void recordResponse(std::optional<std::int64_t> clockMs, TimePoint now);
     void handleFenced(TimePoint now);
     void extendAvoidance(Duration first, TimePoint now);
@@ -179,6 +185,7 @@
     /** \brief The target's clock in its latest response or first heartbeat, ms. */
     std::int64_t targetClockMs = 0;
     TimePoint targetClockReadAt;
+    TimePoint leasedUntil; ///< latest expiry of the lease that an order contained
     std::map<RunName, Run> runs;
     /** \brief Runs of previous owners, with the time of the next stop order. */
     std::map<RunName, TimePoint> foreignRunStopAt;
@@ -193,6 +200,7 @@
     bool fenced = false;
     bool ended = false;
     bool isReleasing = false;
+    bool isDeparting = false; ///< the target has announced its shutdown
     TimePoint avoidUntil;
     Duration avoidance {};
     std::uint32_t failuresInRow = 0;
--- a/test/TargetDriverTest.cpp
+++ b/test/TargetDriverTest.cpp
@@ -208,8 +208,8 @@
     return reading + toMilliseconds((time - readAt) * 98 / 100);
 }
 
-// Guards against two runs of one task: polls renewed the lease of a run that nobody wanted any
-// more, so that it went on when its stop was not answered and its caller sent the job again.
+// Guards against two runs of one task: polls renewed the lease of a run that nobody wanted any more, so
+// that it went on when its stop was not answered and its caller sent the job again.
 TEST(TargetDriver, LeaseIsNotRenewedBeyondTheValidityOfARun)
 {
     DriverFixture fixture;
@@ -258,4 +258,26 @@
     EXPECT_TRUE(std::get<PollOrder>(out.orders.back()).leaseExpiryMs);
 }
 
+// Guards against two runs of one task: the runs of a departing target were given away when the
+// announcement arrived, although the target goes on until it has received the acknowledgement.
+TEST(TargetDriver, RunOnADepartingTargetEndsOnlyWithProofOrItsLease)
+{
+    DriverFixture fixture;
+    fixture.poll({ fixture.request.run });
+    const TimePoint leasedUntil = fixture.now + 1s;
+    fixture.driver.handleDeparture(fixture.now, fixture.out);
+    EXPECT_EQ(fixture.last<StopOrder>().run, fixture.request.run);
+    EXPECT_FALSE(fixture.driver.acceptsWork(fixture.now));
+    fixture.advance(10ms);
+    EXPECT_TRUE(fixture.out.runEnds.empty());
+    fixture.poll({ fixture.request.run });
+    EXPECT_FALSE(fixture.last<PollOrder>().leaseExpiryMs);
+    fixture.advance(leasedUntil - fixture.now - 10ms);
+    EXPECT_TRUE(fixture.out.runEnds.empty()) << "the lease has not expired";
+    fixture.advance(10ms);
+    ASSERT_EQ(fixture.out.runEnds.size(), 1U);
+    EXPECT_EQ(fixture.out.runEnds[0].kind, RunEndKind::Lost);
+    EXPECT_TRUE(fixture.driver.isEnded());
+}
+
 } // namespace
