--- a/test/TargetDriverTest.cpp
+++ b/test/TargetDriverTest.cpp
@@ -16,7 +16,7 @@
         this->driver.tick(this->now, this->out);
         this->poll({});
         this->advance(10ms);
-        this->driver.start(this->request, this->now, this->out);
+        this->driver.start(this->request, this->now + 10s, this->now, this->out);
         this->driver.handleStartResponse(this->request.run,
                                          { .status = OrderStatus::Done, .clockMs = 20 }, this->now,
                                          this->out);
@@ -55,16 +55,20 @@
             }));
     }
 
-    /** \returns when the latest poll was sent. */
-    TimePoint lastPoll() const
+    /** \returns the latest order of type \a Order, or an empty one. */
+    template<typename Order>
+    Order last() const
     {
-        TimePoint sentAt;
+        Order last;
         for (const TargetOrder &order : this->out.orders)
-            if (const auto *poll = std::get_if<PollOrder>(&order))
-                sentAt = poll->sentAt;
-        return sentAt;
+            if (const auto *found = std::get_if<Order>(&order))
+                last = *found;
+        return last;
     }
 
+    /** \returns when the latest poll was sent. */
+    TimePoint lastPoll() const { return this->last<PollOrder>().sentAt; }
+
     TimePoint now { 1'800'000'000s };
     DriverOutbox out;
     RunRequest request;
@@ -112,7 +116,7 @@
     DriverFixture fixture;
     RunRequest second = fixture.request;
     second.run.index = 1;
-    fixture.driver.start(second, fixture.now, fixture.out);
+    fixture.driver.start(second, fixture.now + 10s, fixture.now, fixture.out);
     fixture.driver.handleStartResponse(second.run, {}, fixture.now, fixture.out);
     for (int i = 0; i < 20; ++i) {
         fixture.advance(100ms);
@@ -136,4 +140,144 @@
     EXPECT_EQ(fixture.pollCount(), polls) << "a second poll was sent while one was in flight";
 }
 
+// Guards against two runs of one task: a run was given away when its target restarted, although the
+// new incarnation had started it.
+TEST(TargetDriver, RunOnARestartedTargetGoesOn)
+{
+    DriverFixture fixture;
+    LeasedTarget restarted = DriverFixture::target();
+    restarted.incarnation = 2;
+    fixture.driver.handleRestart(restarted, 8, fixture.now);
+    fixture.advance(10ms);
+    EXPECT_TRUE(fixture.out.runEnds.empty());
+    EXPECT_EQ(fixture.last<PollOrder>().to.incarnation, 2U);
+    EXPECT_GE(fixture.last<PollOrder>().to.fencingToken, 8U);
+    fixture.poll({ fixture.request.run });
+    fixture.advance(10ms);
+    EXPECT_TRUE(fixture.out.runEnds.empty()) << "the new incarnation lists it as running";
+    EXPECT_EQ(fixture.last<StopOrder>(), StopOrder()) << "it was started by this driver";
+    fixture.poll({});
+    ASSERT_EQ(fixture.out.runEnds.size(), 1U);
+    EXPECT_EQ(fixture.out.runEnds[0].kind, RunEndKind::Lost);
+}
+
+// Guards against two runs of one task: a start that the former incarnation did not answer may be
+// executed by the new one, which has seen no fencing token.
+TEST(TargetDriver, UnansweredStartOfARestartedTargetIsStoppedThere)
+{
+    DriverFixture fixture;
+    RunRequest second = fixture.request;
+    second.run.index = 1;
+    fixture.driver.start(second, fixture.now + 10s, fixture.now, fixture.out);
+    LeasedTarget restarted = DriverFixture::target();
+    restarted.incarnation = 2;
+    fixture.driver.handleRestart(restarted, 8, fixture.now);
+    fixture.advance(10ms);
+    EXPECT_EQ(fixture.last<StopOrder>().run, second.run);
+    EXPECT_EQ(fixture.last<StopOrder>().to.incarnation, 2U);
+    fixture.poll({});
+    ASSERT_EQ(fixture.out.runEnds.size(), 1U) << "only the confirmed run has certainly ended";
+    EXPECT_EQ(fixture.out.runEnds[0].run, fixture.request.run);
+    fixture.driver.handleStopResponse(second.run, { .status = OrderStatus::Done, .clockMs = 30 },
+                                      fixture.now);
+    fixture.advance(100ms);
+    fixture.poll({});
+    fixture.advance(100ms);
+    fixture.poll({});
+    EXPECT_EQ(fixture.out.runEnds.size(), 2U);
+}
+
+TEST(TargetDriver, RestartBeforeItsFirstHeartbeatGetsNoNewWork)
+{
+    DriverFixture fixture;
+    fixture.driver.handleUnannouncedRestart(2, 8, fixture.now);
+    fixture.advance(10ms);
+    fixture.poll({ fixture.request.run });
+    EXPECT_TRUE(fixture.driver.isReconciled());
+    EXPECT_FALSE(fixture.driver.acceptsWork(fixture.now));
+    LeasedTarget restarted = DriverFixture::target();
+    restarted.incarnation = 2;
+    fixture.driver.handleHeartbeat(restarted, fixture.now);
+    EXPECT_TRUE(fixture.driver.acceptsWork(fixture.now));
+}
+
+/** \returns the reading at \a time of a clock that is 2% slow and showed \a reading at \a readAt.
+ */
+std::int64_t slowClock(std::int64_t reading, TimePoint readAt, TimePoint time)
+{
+    return reading + toMilliseconds((time - readAt) * 98 / 100);
+}
+
+// Guards against two runs of one task: polls renewed the lease of a run that nobody wanted any more, so
+// that it went on when its stop was not answered and its caller sent the job again.
+TEST(TargetDriver, LeaseIsNotRenewedBeyondTheValidityOfARun)
+{
+    DriverFixture fixture;
+    const TimePoint validUntil = fixture.now + 600ms;
+    RunRequest second = fixture.request;
+    second.run.index = 1;
+    fixture.driver.start(second, validUntil, fixture.now, fixture.out);
+    EXPECT_LE(fixture.last<StartOrder>().leaseExpiryMs,
+              slowClock(20, fixture.now - 10ms, validUntil));
+    fixture.poll({ fixture.request.run });
+    ASSERT_TRUE(fixture.last<PollOrder>().leaseExpiryMs);
+    EXPECT_LE(*fixture.last<PollOrder>().leaseExpiryMs, slowClock(10, fixture.now, validUntil));
+    fixture.driver.stop(second.run, fixture.now, fixture.out);
+    fixture.driver.extendValidity(second.run, fixture.now + 10s);
+    while (fixture.now < validUntil)
+        fixture.advance(100ms);
+    fixture.poll({ fixture.request.run, second.run });
+    EXPECT_FALSE(fixture.last<PollOrder>().leaseExpiryMs) << "a run that is being stopped goes on";
+    EXPECT_FALSE(fixture.driver.acceptsWork(fixture.now));
+}
+
+// Guards against two runs of one task: the polls of a new owner renewed the lease of the runs of
+// the previous one, whose tasks were started again elsewhere.
+TEST(TargetDriver, LeaseIsNotRenewedBeforeTheTargetIsReconciled)
+{
+    const TimePoint now(1'800'000'000s);
+    DriverOutbox out;
+    TargetDriver driver({}, DriverFixture::target(), 7, now);
+    driver.tick(now, out);
+    const RunName foreignRun = { .job = "foreign", .attempt = 1 };
+    const auto poll = [&] {
+        driver.handlePollResponse(
+            now, { .status = OrderStatus::Done, .clockMs = 10, .running = { foreignRun } }, now,
+            out);
+        driver.tick(now, out);
+    };
+    poll();
+    poll();
+    for (const TargetOrder &order : out.orders)
+        if (const auto *sent = std::get_if<PollOrder>(&order)) {
+            EXPECT_FALSE(sent->leaseExpiryMs);
+        }
+    driver.handlePollResponse(now, { .status = OrderStatus::Done, .clockMs = 10 }, now, out);
+    driver.tick(now, out);
+    ASSERT_TRUE(std::holds_alternative<PollOrder>(out.orders.back()));
+    EXPECT_TRUE(std::get<PollOrder>(out.orders.back()).leaseExpiryMs);
+}
+
+// Guards against two runs of one task: the runs of a departing target were given away when the
+// announcement arrived, although the target goes on until it has received the acknowledgement.
+TEST(TargetDriver, RunOnADepartingTargetEndsOnlyWithProofOrItsLease)
+{
+    DriverFixture fixture;
+    fixture.poll({ fixture.request.run });
+    const TimePoint leasedUntil = fixture.now + 1s;
+    fixture.driver.handleDeparture(fixture.now, fixture.out);
+    EXPECT_EQ(fixture.last<StopOrder>().run, fixture.request.run);
+    EXPECT_FALSE(fixture.driver.acceptsWork(fixture.now));
+    fixture.advance(10ms);
+    EXPECT_TRUE(fixture.out.runEnds.empty());
+    fixture.poll({ fixture.request.run });
+    EXPECT_FALSE(fixture.last<PollOrder>().leaseExpiryMs);
+    fixture.advance(leasedUntil - fixture.now - 10ms);
+    EXPECT_TRUE(fixture.out.runEnds.empty()) << "the lease has not expired";
+    fixture.advance(10ms);
+    ASSERT_EQ(fixture.out.runEnds.size(), 1U);
+    EXPECT_EQ(fixture.out.runEnds[0].kind, RunEndKind::Lost);
+    EXPECT_TRUE(fixture.driver.isEnded());
+}
+
 } // namespace
