--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -281,6 +281,28 @@
     }
 }
 
+// Guards against reporting a run as lost that another owner of its restarted target is stopping: a
+// target does not list it, though it has not ended yet.
+TEST_F(FleetTargetFault, RunStoppedByAnotherOwnerIsNotStartedElsewhereBeforeItHasEnded)
+{
+    constexpr Duration longestHeartbeatDelay = 300ms;
+    constexpr Duration delayStep = 10ms;
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        for (Duration delay = delayStep; delay <= longestHeartbeatDelay; delay += delayStep) {
+            FleetSimulationOptions options = smallFleet(seed);
+            options.gatewaysPerDomain = 2;
+            FleetSimulation simulation(options);
+            simulation.run(8s);
+            for (const std::string &target : simulation.targetNames())
+                simulation.restart(target, 0ms, delay);
+            for (int i = 0; i < 3; ++i)
+                simulation.submit("g-a1", 1, 900ms, 5s);
+            simulation.run(3s);
+            expectNoViolations(simulation, seed);
+        }
+    }
+}
+
 /** \brief Random faults at random times, partly at once. */
 class FleetSoak : public testing::TestWithParam<std::uint64_t>
 { };
