Fencing tokens of two owners are never equal

A target accepts both, so neither learns of the other; each stops the other's runs and acknowledges ends that the other has not seen.

Cause: tokens are the clock in milliseconds. Now their lowest part is a hash of the owner's name.

FleetNode.TwoNodesThatTakeATargetOverAtOnceHaveDifferentTokens guards it.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -1,8 +1,11 @@
 #include "Hibiscus/src/Fleet/FleetNode.h"
 
+#include "Hibiscus/src/Fleet/FencingToken.h"
+
 #include <Hibiscus/Dispatch>
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace Hibiscus {
 
@@ -30,10 +33,19 @@
 /** \brief Run ends are acknowledged within it, earlier if another message is sent anyway. */
 constexpr Duration acknowledgeWithin = 40ms;
 
+static FleetOwnerOptions ownerOptions(const FleetNodeOptions &options)
+{
+    FleetOwnerOptions owner = options.owner;
+    const std::string &name = options.self.str();
+    owner.tokenTag = XXH3_64bits(name.data(), name.size()) % FencingToken::tagCount;
+    return owner;
+}
+
 } // namespace internal
 
 FleetNode::FleetNode(const FleetNodeOptions &options)
-    : options(options), jobCoordinator(options.coordinator), targetOwner(options.owner),
+    : options(options), jobCoordinator(options.coordinator),
+      targetOwner(internal::ownerOptions(options)),
       selection({ .self = options.self,
                   .domain = options.domain,
                   .peerCount = options.selectedPeerCount,
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -1,5 +1,7 @@
 #include "Hibiscus/src/Fleet/FleetOwner.h"
 
+#include "Hibiscus/src/Fleet/FencingToken.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -7,13 +9,6 @@
 
 namespace internal {
 
-// Tokens must grow from owner to owner without communication between them, so they are taken from
-// the clock.
-static std::uint64_t tokenAt(TimePoint now)
-{
-    return static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch()));
-}
-
 /** \brief Time after which callers send a job again over a new connection; set by the platform. */
 constexpr Duration callerResendDelay = 1300ms;
 static_assert(FleetOwnerOptions {}.maxOrphanTime < callerResendDelay,
@@ -30,18 +25,23 @@
             driver.handleHeartbeat(target, now);
             return;
         }
-        driver.handleRestart(target, internal::tokenAt(now), now);
+        driver.handleRestart(target, this->newToken(now), now);
         this->recordRestart(driver, now);
         return;
     }
     const auto [added, isNew] = this->drivers.try_emplace(target.name, this->options.driver, target,
-                                                          internal::tokenAt(now), now);
+                                                          this->newToken(now), now);
     HIBISCUS_INVARIANT(isNew, "a target has one driver");
     ++this->counts.adoptedTargets;
     this->recordChange(added->second, "adopted");
     added->second.tick(now, this->out);
 }
 
+std::uint64_t FleetOwner::newToken(TimePoint now) const
+{
+    return FencingToken::at(now, this->options.tokenTag);
+}
+
 void FleetOwner::recordRestart(TargetDriver &driver, TimePoint now)
 {
     this->runTimes.remove(driver.target().name);
@@ -157,7 +157,7 @@
     const std::uint64_t incarnation = response.incarnation.value_or(from.incarnation);
     if (driver != nullptr && incarnation > from.incarnation) {
         // A restarted target may respond before its first heartbeat has arrived here.
-        driver->handleUnannouncedRestart(incarnation, internal::tokenAt(now), now);
+        driver->handleUnannouncedRestart(incarnation, this->newToken(now), now);
         this->recordRestart(*driver, now);
     } else if (driver != nullptr) {
         const bool wasReconciled = driver->isReconciled();
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -14,6 +14,10 @@
 struct FleetOwnerOptions
 {
     TargetDriverOptions driver;
+    /** \brief Lowest part of the owner's fencing tokens, below FencingToken::tagCount: owners that
+     * take a target over in the same millisecond have different tokens.
+     */
+    std::uint64_t tokenTag = 0;
     /** \brief A target without heartbeat and response is removed after it. */
     Duration targetSilenceTimeout = 10s;
     /** \brief A target with heartbeats but no responses is removed after it. */
@@ -204,6 +208,7 @@
     void recordAttempt(const HeldRun &run, const TargetDriver &driver,
                        const std::optional<ObservedRunEnd> &end, TimePoint now);
     TargetDriver *findDriver(const OrderAddress &from);
+    std::uint64_t newToken(TimePoint now) const;
     void recordRestart(TargetDriver &driver, TimePoint now);
     TargetDriver *selectTarget(const HeldRun &run, TimePoint now);
     bool canRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -1,5 +1,7 @@
 #include "Hibiscus/src/Fleet/TargetDriver.h"
 
+#include "Hibiscus/src/Fleet/FencingToken.h"
+
 #include <algorithm>
 
 namespace Hibiscus {
@@ -7,9 +9,9 @@
 namespace internal {
 
 /** \brief First increment of a fencing token that is too low because a previous owner's clock was
- * ahead, in the token's unit of milliseconds; doubled until the target accepts the token.
+ * ahead: five seconds; doubled until the target accepts the token.
  */
-constexpr std::uint64_t firstTokenStep = 5'000;
+constexpr std::uint64_t firstTokenStep = 5'000 * FencingToken::tagCount;
 
 static RunEndKind kindOf(TargetRunEnd end)
 {
@@ -59,7 +61,8 @@
 void TargetDriver::handleRestart(const LeasedTarget &target, std::uint64_t fencingToken,
                                  TimePoint now)
 {
-    TargetDriver restarted(this->options, target, std::max(this->token + 1, fencingToken), now);
+    TargetDriver restarted(this->options, target,
+                           std::max(this->token + FencingToken::tagCount, fencingToken), now);
     restarted.runs = std::move(this->runs);
     restarted.usedCapacity = this->usedCapacity;
     restarted.isReleasing = this->isReleasing;
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -61,4 +61,21 @@
     EXPECT_EQ(fixture.owner.queuedRunCount(), 1U);
 }
 
+// Guards against a target with two owners: tokens are taken from clocks, so those of two gateways
+// that took a target over in the same millisecond were equal, and neither was fenced.
+TEST(FleetNode, TwoNodesThatTakeATargetOverAtOnceHaveDifferentTokens)
+{
+    const TimePoint now(1'800'000'000s);
+    const auto tokenOf = [&](const std::string &name) {
+        FleetNode node({ .self = NodeName(name), .domain = DomainName("a") });
+        LeasedTarget target;
+        target.name = TargetName("t");
+        target.incarnation = 1;
+        node.handleHeartbeat({ .target = target }, now);
+        return node.owner().report(now).targets.at(0).fencingToken;
+    };
+    EXPECT_NE(tokenOf("10.1.0.4:7100"), tokenOf("10.1.0.5:7100"));
+    EXPECT_LT(tokenOf("10.1.0.4:7100"), 1ULL << 53U) << "not exact as a JSON number";
+}
+
 } // namespace
