--- a/test/support/FleetSimulation.cpp
+++ b/test/support/FleetSimulation.cpp
@@ -379,10 +379,13 @@
     OrderResponse response = this->start(target, order, from);
     const bool isError
         = response.status == OrderStatus::Done && this->isDrawn(target.answeredWithErrorShare);
-    this->recordTrace(describe(target), " start ", toString(order.run), " by ", from.gateway->name,
-                      " token ", order.to.fencingToken, from.isLate ? " late: " : ": ",
-                      Hibiscus::toString(response.status),
-                      isError ? ", answered with an error" : "");
+    this->recordTrace(
+        describe(target), " start ", toString(order.run), " by ", from.gateway->name, " token ",
+        order.to.fencingToken, from.isLate ? " late: " : ": ", Hibiscus::toString(response.status),
+        isError ? ", answered with an error" : "", "; lease for ",
+        toMilliseconds(target.leaseExpiry - this->clockOf(target)), " ms, ",
+        toMilliseconds(std::chrono::milliseconds(order.leaseExpiryMs) - this->clockOf(target)),
+        " ms of it by this start");
     return isError ? OrderResponse {} : response;
 }
 
@@ -797,6 +800,7 @@
 void FleetSimulation::kill(const std::string &gateway, Duration downFor)
 {
     Gateway &killedGateway = *this->gateways.at(gateway);
+    this->recordTrace(gateway, " is killed");
     killedGateway.node.reset();
     killedGateway.stoppedAt = this->now();
     this->breakConnections(gateway);
@@ -809,6 +813,7 @@
 void FleetSimulation::freeze(const std::string &gateway, Duration span)
 {
     Gateway &frozenGateway = *this->gateways.at(gateway);
+    this->recordTrace(gateway, " is frozen");
     frozenGateway.isFrozen = true;
     this->scheduler.after(span, [&frozenGateway, incarnation = frozenGateway.incarnation] {
         if (frozenGateway.incarnation != incarnation)
@@ -827,6 +832,7 @@
 
 void FleetSimulation::disconnect(const std::string &one, const std::string &other)
 {
+    this->recordTrace(one, " is disconnected from ", other);
     if (this->targets.contains(other))
         this->targets.at(other).unreachableGateways.insert(one);
     else
