--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -262,6 +262,35 @@
     }
 }
 
+// Guards against a run of a killed coordinator that starts late and inherits the longer lease that
+// its target was granted for other runs.
+TEST_F(FleetTargetFault, RunStartedAfterItsCoordinatorWasKilledEndsBeforeItsCallerSendsAgain)
+{
+    constexpr Duration killDelay = 50ms;
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        for (Duration busyTime = 300ms; busyTime <= 640ms; busyTime += 20ms) {
+            FleetSimulationOptions options = smallFleet(seed);
+            options.domains = { "a", "b" };
+            options.gatewaysPerDomain = 2;
+            options.targetsPerDomain = 2;
+            options.lateOrders.stopShare = 1;
+            FleetSimulation simulation(options);
+            simulation.run(8s);
+            const std::string coordinator = gatewayWithFewestTargets(simulation);
+            for (const std::string &gateway : simulation.gatewayNames())
+                if (!simulation.gateway(gateway)->owner().targetNames().empty())
+                    simulation.submit(gateway, 8, busyTime, 8s);
+            simulation.run(10ms);
+            for (int i = 0; i < 4; ++i)
+                simulation.submit(coordinator, 1, 3s, 9s);
+            simulation.run(killDelay);
+            simulation.kill(coordinator, 20s);
+            simulation.run(4s);
+            expectNoViolations(simulation, seed);
+        }
+    }
+}
+
 // Guards against reporting the runs of a departing target as lost before it has ended.
 TEST_F(FleetTargetFault, RunOnADepartingTargetGoesOnUntilTheTargetHasEnded)
 {
