A run is started only where the lease ends before its validity does

Now an idle target is not renewed, renewals are 800 ms at most, a run is started only where the lease granted so far ends by its validity, and a new owner allows for the lease of the previous one. A run whose stop is never confirmed ends when its validity is over and a later list does not contain it; it blocked its target for as long as that answered polls. Tests that are cheap come first when a target is selected.

--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -154,7 +154,9 @@
                                     const PollResponse &response, TimePoint now)
 {
     TargetDriver *driver = this->findDriver(from);
-    const std::uint64_t incarnation = response.incarnation.value_or(from.incarnation);
+    // Targets that do not tell their incarnation in heartbeats have incarnation 0.
+    const std::uint64_t incarnation
+        = from.incarnation == 0 ? 0 : response.incarnation.value_or(from.incarnation);
     if (driver != nullptr && incarnation > from.incarnation) {
         // A restarted target may respond before its first heartbeat has arrived here.
         driver->handleUnannouncedRestart(incarnation, this->newToken(now), now);
@@ -188,7 +190,8 @@
 
 TimePoint FleetOwner::validUntil(const HeldRun &run, TimePoint wantedAt) const
 {
-    return std::min(wantedAt, run.bounds.deadlineAt) + this->options.maxOrphanTime;
+    return std::min(wantedAt + this->options.maxOrphanTime,
+                    run.bounds.deadlineAt + this->options.maxOvertime);
 }
 
 void FleetOwner::extendWantedRuns(const LastContact &lastContact)
@@ -226,7 +229,8 @@
         const auto wantedAt = lastContact(run->requester);
         if (!wantedAt || this->isTaskRunning(run->request.run))
             continue;
-        TargetDriver *driver = this->selectTarget(*run, now);
+        const TimePoint validUntil = this->validUntil(*run, *wantedAt);
+        TargetDriver *driver = this->selectTarget(*run, validUntil, now);
         if (driver == nullptr)
             continue;
         run->stage = Stage::OnTarget;
@@ -235,7 +239,7 @@
         ++this->counts.started;
         if (run->request.run.attempt > 1)
             this->recordAttempt(*run, *driver, std::nullopt, now);
-        driver->start(run->request, this->validUntil(*run, *wantedAt), now, this->out);
+        driver->start(run->request, validUntil, now, this->out);
     }
 }
 
@@ -451,13 +455,13 @@
 // Selects the slowest target that still meets the objective, so that fast ones stay free for tasks
 // that need them; if none does, the fastest. Among equals it selects the one with the least free
 // capacity, so that large free blocks stay whole.
-TargetDriver *FleetOwner::selectTarget(const HeldRun &run, TimePoint now)
+TargetDriver *FleetOwner::selectTarget(const HeldRun &run, TimePoint validUntil, TimePoint now)
 {
     TargetDriver *best = nullptr;
     Duration bestTime {};
     Fitness bestFitness = Fitness::Infeasible;
     for (auto &[name, driver] : this->drivers) {
-        if (!this->canRunOn(driver, run, now))
+        if (!this->canRunOn(driver, run, now) || !driver.isLeaseOverBy(validUntil))
             continue;
         const Duration time = this->runTimes.expectedRunTime(driver.target(), run.request.estimate);
         const Fitness fitness = fitnessOf(run.bounds, time, now);
@@ -559,9 +563,8 @@
 {
     const LeasedTarget &target = driver.target();
     const std::uint32_t limit = run.request.maxPerTarget;
-    return target.service == run.request.service && driver.acceptsWork(now)
-        && driver.free().covers(run.request.demand)
-        && satisfies(target.labels, run.request.requiredLabel)
+    return target.service == run.request.service && driver.free().covers(run.request.demand)
+        && satisfies(target.labels, run.request.requiredLabel) && driver.acceptsWork(now)
         && (limit == 0 || driver.runCountOf(run.request.run.job, run.request.run.step) < limit);
 }
 
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -34,11 +34,15 @@
      */
     Duration returnDelay = 10ms;
     Duration endLifetime = 30s; ///< an unacknowledged run end is dropped after it
-    /** \brief Time for which a run may go on after its coordinator was last known to want it, or
-     * after its deadline, whether its stop is answered or not. Shorter than the time after which
-     * callers send a job again over a new connection.
+    /** \brief Time for which a run may go on after its coordinator was last known to want it,
+     * whether its stop is answered or not. Shorter than the time after which callers send a job
+     * again over a new connection.
      */
     Duration maxOrphanTime = 1200ms;
+    /** \brief The same after its deadline, when its caller has stopped waiting; shorter by the time
+     * that the job's messages may have been delayed.
+     */
+    Duration maxOvertime = 900ms;
 };
 
 /** \brief Requester of a run: one incarnation of an entry node. */
@@ -210,7 +214,7 @@
     TargetDriver *findDriver(const OrderAddress &from);
     std::uint64_t newToken(TimePoint now) const;
     void recordRestart(TargetDriver &driver, TimePoint now);
-    TargetDriver *selectTarget(const HeldRun &run, TimePoint now);
+    TargetDriver *selectTarget(const HeldRun &run, TimePoint validUntil, TimePoint now);
     bool canRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
     bool isTaskRunning(const RunName &run) const;
     bool shouldWaitForFasterTarget(const HeldRun &run, TimePoint now) const;
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -33,7 +33,8 @@
 TargetDriver::TargetDriver(const TargetDriverOptions &options, const LeasedTarget &target,
                            std::uint64_t fencingToken, TimePoint now)
     : options(options), heartbeat(target), token(fencingToken), tokenStep(internal::firstTokenStep),
-      takenOverAt(now), heartbeatAt(now), targetClockMs(target.clockMs), targetClockReadAt(now)
+      takenOverAt(now), heartbeatAt(now), targetClockMs(target.clockMs), targetClockReadAt(now),
+      leasedUntil(now + this->longestLease())
 { }
 
 void TargetDriver::handleHeartbeat(const LeasedTarget &target, TimePoint now)
@@ -67,8 +68,6 @@
     restarted.usedCapacity = this->usedCapacity;
     restarted.isReleasing = this->isReleasing;
     restarted.lastPollFailed = true; // connections to the former process are broken
-    // The new clock is behind the expiry in former orders, which then grant the longest lease.
-    restarted.leasedUntil = now + this->longestLease();
     for (auto &[name, run] : restarted.runs)
         restarted.requireConfirmedStop(run, now);
     *this = std::move(restarted);
@@ -264,7 +263,7 @@
 
 TimePoint TargetDriver::leaseLimit(TimePoint now) const
 {
-    TimePoint limit = now + this->options.lease;
+    TimePoint limit = now + std::min(this->options.lease, this->options.maxRenewal);
     for (const auto &[name, run] : this->runs)
         limit = std::min(limit, run.validUntil);
     return limit;
@@ -353,7 +352,8 @@
           });
     constexpr Duration shortWait = 20ms; // a stopped run is listed within tens of ms
     const TimePoint limit = this->leaseLimit(now);
-    const bool isRenewing = this->hasOnlyOwnRuns() && !this->isDeparting && limit > now;
+    const bool isRenewing
+        = !this->runs.empty() && this->hasOnlyOwnRuns() && !this->isDeparting && limit > now;
     const Duration wait = this->runs.empty() ? this->options.idleWait : this->options.busyWait;
     out.orders.emplace_back(PollOrder {
         .to = this->address(),
@@ -423,7 +423,10 @@
         return ObservedRunEnd { .run = name,
                                 .kind = RunEndKind::Stopped,
                                 .evidence = RunEndEvidence::StopConfirmed };
-    if (!run.isStopWanted && isOver(run.missingSince))
+    // The lease was not renewed beyond the validity of the run, nor would the target accept its
+    // start.
+    const bool hasExpired = run.validUntil <= this->pollSentAt;
+    if (hasExpired || (!run.isStopWanted && isOver(run.missingSince)))
         return ObservedRunEnd { .run = name,
                                 .kind = RunEndKind::Lost,
                                 .evidence = RunEndEvidence::NotListed };
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -10,6 +10,10 @@
 struct TargetDriverOptions
 {
     Duration lease = 1s; ///< longest lease that targets grant; set by the platform
+    /** \brief Longest renewal of a lease. A lease can't be shortened, so a run is started only
+     * where it ends before the run's validity does; shorter renewals allow for older contacts.
+     */
+    Duration maxRenewal = 800ms;
     /** \brief Share by which the steady clocks of targets may be slow; set by the platform. */
     double maxClockDrift = 0.02;
     /** \brief A target whose lease is renewed for less than this gets no new work: it has a run
@@ -117,6 +121,8 @@
     std::uint64_t fencingToken() const { return this->token; }
     Capacity free() const { return this->heartbeat.capacity.minus(this->usedCapacity); }
     bool acceptsWork(TimePoint now) const;
+    /** \returns whether the lease ends by \a time even if no further order arrives. */
+    bool isLeaseOverBy(TimePoint time) const { return this->leasedUntil <= time; }
     /** \returns whether all runs on the target were started by this driver. */
     bool isReconciled() const { return this->reconciled; }
     bool isFenced() const { return this->fenced; }
