A repeated stop uses a new connection and is sent sooner

Connections may go silent for good while new ones work, so each repeated stop could be lost in another silent connection.

Now a repeated stop uses a new connection, and is sent 50 ms after the timeout instead of 150 ms.

TargetDriver.RepeatedStopUsesANewConnection guards it.

--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -368,7 +368,10 @@
 {
     run.isStopInFlight = true;
     run.stopAt = now + this->options.stopRetryInterval;
-    out.orders.emplace_back(StopOrder { .to = this->address(), .run = name });
+    out.orders.emplace_back(
+        StopOrder { .to = this->address(),
+                    .run = name,
+                    .usesNewConnection = std::exchange(run.isStopRepeated, true) });
 }
 
 void TargetDriver::endRun(const RunName &run, RunEndKind kind, RunEndEvidence evidence,
@@ -440,11 +443,12 @@
         if (this->runs.contains(name))
             continue;
         hasForeignRun = true;
-        TimePoint &stopAt = this->foreignRunStopAt[name];
-        if (now < stopAt)
+        const auto [known, isNew] = this->foreignRunStopAt.try_emplace(name, now);
+        if (now < known->second)
             continue;
-        stopAt = now + this->options.stopRetryInterval;
-        out.orders.emplace_back(StopOrder { .to = this->address(), .run = name });
+        known->second = now + this->options.foreignStopInterval;
+        out.orders.emplace_back(
+            StopOrder { .to = this->address(), .run = name, .usesNewConnection = !isNew });
     }
     if (hasForeignRun)
         return;
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -35,7 +35,11 @@
      * platform allows 50 ms, in which targets need not list the run as running.
      */
     Duration maxStopTime = 60ms;
-    Duration stopRetryInterval = 150ms; ///< delay before an unconfirmed stop is sent again
+    Duration stopRetryInterval = 50ms; ///< delay before an unconfirmed stop is sent again
+    /** \brief Delay before the stop of a previous owner's run is sent again: it may take
+     * maxStopTime after its response, for which this driver does not wait.
+     */
+    Duration foreignStopInterval = 150ms;
     Duration avoidAfterRefusal = 250ms; ///< pause of an unhealthy target, doubled each time
     Duration avoidAfterTimeout = 50ms; ///< pause after one start without a response
     std::uint32_t timeoutsToAvoid = 2; ///< this many in a row count as unhealthy
@@ -156,6 +160,7 @@
         std::optional<TimePoint> missingSince;
         bool isStopWanted = false;
         bool isStopInFlight = false;
+        bool isStopRepeated = false; ///< whether a stop was sent before
         TimePoint stopAt; ///< earliest time of the next stop order
         std::optional<TimePoint> stopConfirmedAt;
     };
--- a/Hibiscus/src/Fleet/TargetOrder.h
+++ b/Hibiscus/src/Fleet/TargetOrder.h
@@ -35,6 +35,7 @@
 {
     OrderAddress to;
     RunName run;
+    bool usesNewConnection = false; ///< open connections may be silent
 
     auto operator<=>(const StopOrder &other) const = default;
 };
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -360,6 +360,7 @@
 {
     HttpCall call = this->context.protocol.makeStopCall(order);
     call.timeout = internal::orderTimeout;
+    call.usesNewConnection = order.usesNewConnection;
     this->client.send(call, [this, to = order.to, run = order.run](const HttpCallResult &result) {
         const OrderResponse response = this->context.protocol.readOrderResponse(result);
         logEvent("stop-sent",
--- a/test/TargetDriverTest.cpp
+++ b/test/TargetDriverTest.cpp
@@ -350,4 +350,17 @@
     EXPECT_TRUE(fixture.driver.acceptsWork(fixture.now));
 }
 
+// Guards against a run that goes on because each repeated stop was sent over another silent
+// connection.
+TEST(TargetDriver, RepeatedStopUsesANewConnection)
+{
+    DriverFixture fixture;
+    fixture.driver.stop(fixture.request.run, fixture.now, fixture.out);
+    EXPECT_FALSE(fixture.last<StopOrder>().usesNewConnection);
+    fixture.advance(80ms);
+    fixture.driver.handleStopResponse(fixture.request.run, {}, fixture.now);
+    fixture.advance(50ms);
+    EXPECT_TRUE(fixture.last<StopOrder>().usesNewConnection);
+}
+
 } // namespace
