Only the owner of a target acknowledges that it leaves

Found by the review of the fix: since only its owner handles the heartbeat of a draining target, a gateway that is not the owner acknowledged it and dropped it, and the owner would not have learnt of it.

Now such a gateway responds with 503; the target then reports to a registry node, which informs all gateways.

Fleet.OtherGatewaysDoNotTakeOverADrainingTarget checks it.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -278,6 +278,12 @@
     return found == this->transfers.end() ? std::string() : found->second.address;
 }
 
+bool FleetNode::acknowledges(const TargetHeartbeat &heartbeat) const
+{
+    const bool isForOwner = heartbeat.isLeaving || heartbeat.target.state == TargetState::Draining;
+    return !isForOwner || this->targetOwner.ownsTarget(heartbeat.target.name);
+}
+
 bool FleetNode::isIdle() const
 {
     return this->jobCoordinator.jobCount() == 0 && this->targetOwner.runningRunCount() == 0
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -129,6 +129,10 @@
     bool hasPendingOutput() const { return this->hasNewEvents; }
     /** \returns the address for the next heartbeats of \a target; empty if it is this node. */
     std::string heartbeatRedirectOf(const TargetName &target) const;
+    /** \returns whether this node acknowledges \a heartbeat. Only its owner may acknowledge that a
+     * target leaves; without that the target reports to a registry node, which informs all nodes.
+     */
+    bool acknowledges(const TargetHeartbeat &heartbeat) const;
     bool isIdle() const;
     std::size_t livePeerCount(TimePoint now) const;
 
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -236,6 +236,11 @@
     }
     this->node.handleHeartbeat(*heartbeat, this->loop.now());
     const std::string next = this->node.heartbeatRedirectOf(heartbeat->target.name);
+    if (!this->node.acknowledges(*heartbeat)) {
+        logEvent("departure-not-acknowledged", { { "target", heartbeat->target.name.str() } });
+        this->targetServer.respond(request.token, { .status = internal::StatusUnavailable });
+        return;
+    }
     this->targetServer.respond(request.token,
                                { .body = this->context.protocol.renderHeartbeatResponse(next) });
 }
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -69,13 +69,17 @@
     target.state = TargetState::Draining;
     node.handleHeartbeat({ .target = target }, now);
     EXPECT_FALSE(node.owner().ownsTarget(target.name));
+    EXPECT_FALSE(node.acknowledges({ .target = target })) << "its owner does not know of it";
+    EXPECT_FALSE(node.acknowledges({ .target = target, .isLeaving = true }));
     target.state = TargetState::Ready;
     target.sequence = 1;
+    EXPECT_TRUE(node.acknowledges({ .target = target }));
     node.handleHeartbeat({ .target = target }, now);
     EXPECT_TRUE(node.owner().ownsTarget(target.name));
     target.state = TargetState::Draining;
     target.sequence = 2;
     node.handleHeartbeat({ .target = target }, now);
+    EXPECT_TRUE(node.acknowledges({ .target = target }));
     EXPECT_EQ(node.owner().findTarget(target.name)->state, TargetState::Draining);
 }
 
