--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -10,6 +10,10 @@
 struct TargetDriverOptions
 {
     Duration lease = 1s; ///< longest lease that targets grant; set by the platform
+    /** \brief Longest renewal of a lease. A lease can't be shortened, so a run is started only
+     * where it ends before the run's validity does; shorter renewals allow for older contacts.
+     */
+    Duration maxRenewal = 800ms;
     /** \brief Share by which the steady clocks of targets may be slow; set by the platform. */
     double maxClockDrift = 0.02;
     /** \brief A target whose lease is renewed for less than this gets no new work: it has a run
@@ -31,7 +35,11 @@
      * platform allows 50 ms, in which targets need not list the run as running.
      */
     Duration maxStopTime = 60ms;
-    Duration stopRetryInterval = 150ms; ///< delay before an unconfirmed stop is sent again
+    Duration stopRetryInterval = 50ms; ///< delay before an unconfirmed stop is sent again
+    /** \brief Delay before the stop of a previous owner's run is sent again: it may take
+     * maxStopTime after its response, for which this driver does not wait.
+     */
+    Duration foreignStopInterval = 150ms;
     Duration avoidAfterRefusal = 250ms; ///< pause of an unhealthy target, doubled each time
     Duration avoidAfterTimeout = 50ms; ///< pause after one start without a response
     std::uint32_t timeoutsToAvoid = 2; ///< this many in a row count as unhealthy
@@ -117,6 +125,8 @@
     std::uint64_t fencingToken() const { return this->token; }
     Capacity free() const { return this->heartbeat.capacity.minus(this->usedCapacity); }
     bool acceptsWork(TimePoint now) const;
+    /** \returns whether the lease ends by \a time even if no further order arrives. */
+    bool isLeaseOverBy(TimePoint time) const { return this->leasedUntil <= time; }
     /** \returns whether all runs on the target were started by this driver. */
     bool isReconciled() const { return this->reconciled; }
     bool isFenced() const { return this->fenced; }
@@ -150,6 +160,7 @@
         std::optional<TimePoint> missingSince;
         bool isStopWanted = false;
         bool isStopInFlight = false;
+        bool isStopRepeated = false; ///< whether a stop was sent before
         TimePoint stopAt; ///< earliest time of the next stop order
         std::optional<TimePoint> stopConfirmedAt;
     };
