Drop values nested too deep when JSON is read

A body with a list nested 100,000 deep ended an entry node: copies of a document recurse, and json.value() copies. A result or stored rules of another type no longer throw.

--- a/Hibiscus/src/Api/CallerApi.cpp
+++ b/Hibiscus/src/Api/CallerApi.cpp
@@ -1,6 +1,6 @@
 #include "Hibiscus/src/Api/CallerApi.h"
 
-#include <nlohmann/json.hpp>
+#include "Hibiscus/src/Core/Json.h"
 
 namespace Hibiscus {
 
@@ -116,7 +116,7 @@
 tl::expected<JobRequest, ApiError> parseJob(const std::string &body, const Deployment &deployment,
                                             TimePoint now)
 {
-    const internal::Json document = internal::Json::parse(body, nullptr, false);
+    const internal::Json document = parseJson(body);
     if (!document.is_object())
         return internal::badField("/", "expected a JSON object");
     if (const auto path = internal::findUnknownMember(document))
--- a/Hibiscus/src/Api/TargetApi.cpp
+++ b/Hibiscus/src/Api/TargetApi.cpp
@@ -1,6 +1,6 @@
 #include "Hibiscus/src/Api/TargetApi.h"
 
-#include <nlohmann/json.hpp>
+#include "Hibiscus/src/Core/Json.h"
 
 namespace Hibiscus {
 
@@ -38,7 +38,7 @@
 tl::expected<AnnouncementRequest, ApiError> parseAnnouncement(const std::string &body,
                                                               const Deployment &deployment)
 {
-    const internal::Json json = internal::Json::parse(body, nullptr, false);
+    const internal::Json json = parseJson(body);
     if (!json.is_object())
         return internal::badAnnouncement("/");
     for (const char *key : { "target", "address", "service" })
--- a/Hibiscus/src/Process/ControlProcess.cpp
+++ b/Hibiscus/src/Process/ControlProcess.cpp
@@ -1,5 +1,6 @@
 #include "Hibiscus/src/Process/ControlProcess.h"
 
+#include "Hibiscus/src/Core/Json.h"
 #include "Hibiscus/src/Process/ReplicaStatus.h"
 
 #include <nlohmann/json.hpp>
@@ -84,7 +85,7 @@
 
 void ControlProcess::onApply(const HttpRequest &request)
 {
-    const internal::Json json = internal::Json::parse(request.body, nullptr, false);
+    const internal::Json json = parseJson(request.body);
     const auto isString
         = [&](const char *key) { return json.contains(key) && json[key].is_string(); };
     const bool isValid = json.is_object() && isString("apply_id") && isString("author")
--- a/Hibiscus/src/Process/EntryProcess.cpp
+++ b/Hibiscus/src/Process/EntryProcess.cpp
@@ -1,5 +1,6 @@
 #include "Hibiscus/src/Process/EntryProcess.h"
 
+#include "Hibiscus/src/Core/Json.h"
 #include "Hibiscus/src/Process/ReplicaStatus.h"
 
 #include <fstream>
@@ -61,7 +62,9 @@
         return std::nullopt;
     std::ifstream stream(folder / rulesFileName);
     const Json json = Json::parse(stream, nullptr, false);
-    const bool isValid = json.is_object() && json.contains("version") && json.contains("text");
+    const bool isValid = json.is_object() && json.contains("version")
+        && json["version"].is_number_unsigned() && json.contains("text")
+        && json["text"].is_string();
     if (!isValid)
         return std::nullopt;
     return RulesFile { .version = json["version"].get<std::uint64_t>(),
@@ -208,7 +211,7 @@
 
 void EntryProcess::onCancelJobs(const HttpRequest &request)
 {
-    const internal::Json json = internal::Json::parse(request.body, nullptr, false);
+    const internal::Json json = parseJson(request.body);
     const bool isValid = json.is_object() && json.contains("ids") && json["ids"].is_array();
     if (!isValid) {
         const ApiReply reply = renderError({ .status = 400,
@@ -437,8 +440,9 @@
 {
     if (result.state != HttpCallState::Answered || result.status != 200)
         return;
-    const internal::Json json = internal::Json::parse(result.body, nullptr, false);
-    const bool isValid = json.is_object() && json.contains("state") && json["state"].is_string();
+    const internal::Json json = parseJson(result.body);
+    const bool isValid = json.is_object() && json.contains("state") && json["state"].is_string()
+        && (!json.contains("result") || json["result"].is_string());
     if (!isValid)
         return;
     const auto state = json["state"].get<std::string>();
--- a/Hibiscus/src/Settings/Deployment.cpp
+++ b/Hibiscus/src/Settings/Deployment.cpp
@@ -1,5 +1,6 @@
 #include "Hibiscus/src/Settings/Deployment.h"
 
+#include "Hibiscus/src/Core/Json.h"
 #include "Hibiscus/src/Settings/DeploymentSchema.h"
 #include "Hibiscus/src/Settings/SchemaCheck.h"
 
@@ -156,7 +157,7 @@
 
 tl::expected<Deployment, std::vector<SettingsError>> parseDeployment(const std::string &json)
 {
-    const internal::Json document = internal::Json::parse(json, nullptr, false);
+    const internal::Json document = parseJson(json);
     if (document.is_discarded())
         return tl::unexpected(internal::Errors { { .path = "/", .reason = "not valid JSON" } });
     if (internal::Errors errors = internal::checkSchema(internal::deploymentSchema, document);
