Refuse odd entries of other writers where they are read

Numbers out of range were converted with undefined results, names with line breaks or bytes that are not UTF-8 reached headers and dump(), which throws, and an address that does not parse was dereferenced.

Unreadable rows are skipped; such a response ends no unlisted run and reconciles no target. Settings need valid addresses and bounded times.

--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -304,7 +304,7 @@
 
 // The response to a poll shows a state later than its sending. A run whose start or stop was
 // confirmed before the poll was sent, and which is listed neither as running nor as ended, has
-// ended.
+// ended, unless its row may be one that could not be read.
 void TargetDriver::endUnlistedRuns(const PollResponse &response, TimePoint now, DriverOutbox &out)
 {
     std::vector<ObservedRunEnd> runEnds;
@@ -313,6 +313,8 @@
             run.listedAt = this->pollSentAt;
             continue;
         }
+        if (!response.isComplete)
+            continue;
         const bool isStopped = run.stopConfirmedAt
             && *run.stopConfirmedAt + this->options.maxStopTime <= this->pollSentAt;
         if (isStopped)
@@ -341,7 +343,7 @@
         stopAt = now + this->options.stopRetryInterval;
         out.orders.emplace_back(StopOrder { .to = this->address(), .run = name });
     }
-    if (hasForeignRun)
+    if (hasForeignRun || !response.isComplete)
         return;
     this->foreignRunStopAt.clear();
     this->reconciled = true;
--- a/Hibiscus/src/Fleet/TargetOrder.h
+++ b/Hibiscus/src/Fleet/TargetOrder.h
@@ -106,6 +106,10 @@
     std::optional<std::uint64_t> incarnation;
     std::vector<RunName> running;
     std::vector<EndedRun> ended;
+    /** \brief Whether every listed run could be read; if not, a run that is not listed may be
+     * among those that could not.
+     */
+    bool isComplete = true;
 
     auto operator<=>(const PollResponse &other) const = default;
 };
--- a/Hibiscus/src/Net/Address.cpp
+++ b/Hibiscus/src/Net/Address.cpp
@@ -15,7 +15,9 @@
     const char *end = text.data() + text.size();
     const auto parsed = std::from_chars(text.data() + colon + 1, end, address.port);
     in_addr ip;
-    const bool isIp = ::inet_pton(AF_INET, address.host.c_str(), &ip) == 1;
+    // inet_pton() reads up to a NUL, whatever follows.
+    const bool isIp = address.host.find('\0') == std::string::npos
+        && ::inet_pton(AF_INET, address.host.c_str(), &ip) == 1;
     if (!isIp || parsed.ec != std::errc() || parsed.ptr != end)
         return failure(Errc::InvalidAddress);
     return address;
--- a/Hibiscus/src/Settings/NodeProfile.cpp
+++ b/Hibiscus/src/Settings/NodeProfile.cpp
@@ -1,9 +1,11 @@
 #include "Hibiscus/src/Settings/NodeProfile.h"
 
+#include "Hibiscus/src/Core/Json.h"
 #include "Hibiscus/src/Settings/NodeProfileSchema.h"
 #include "Hibiscus/src/Settings/SchemaCheck.h"
 
 #include <fstream>
+#include <sstream>
 
 namespace Hibiscus {
 
@@ -55,7 +57,9 @@
     std::ifstream stream(path);
     if (!stream)
         return tl::unexpected(Errors { { .path = "/", .reason = "cannot read " + path } });
-    const internal::Json document = internal::Json::parse(stream, nullptr, false);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    const internal::Json document = parseJson(text.str());
     if (document.is_discarded())
         return tl::unexpected(Errors { { .path = "/", .reason = "not JSON" } });
     Errors errors = internal::checkSchema(internal::nodeProfileSchema, document);
--- a/Hibiscus/src/Settings/NodeProfileSchema.h
+++ b/Hibiscus/src/Settings/NodeProfileSchema.h
@@ -23,13 +23,17 @@
     "is_first_start": { "type": "boolean" },
     "data_folder": { "type": "string" },
     "tolerated_losses": { "type": "integer", "minimum": 0, "maximum": 3 },
-    "processor_share": { "type": "number", "exclusiveMinimum": 0 },
-    "lease_ms": { "type": "number", "minimum": 1 },
-    "stop_bound_s": { "type": "number", "minimum": 0 },
-    "heartbeat_ms": { "type": "number", "minimum": 1 }
+    "processor_share": { "type": "number", "exclusiveMinimum": 0, "maximum": 10000 },
+    "lease_ms": { "type": "number", "minimum": 1, "maximum": 86400000 },
+    "stop_bound_s": { "type": "number", "minimum": 0, "maximum": 86400 },
+    "heartbeat_ms": { "type": "number", "minimum": 1, "maximum": 86400000 }
   },
   "definitions": {
-    "address": { "type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$" }
+    "address": {
+      "type": "string",
+      "pattern":
+        "^((25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])[.]){3}(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9]):([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])$"
+    }
   }
 })schema";
 
