--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -230,7 +230,11 @@
     const ControlRequest parsed = this->context.protocol.readControlRequest(request);
     const auto *heartbeat = std::get_if<TargetHeartbeat>(&parsed);
     if (heartbeat == nullptr) {
+        const auto *malformed = std::get_if<Malformed>(&parsed);
         ++this->refusalCounts["malformed-announcement"];
+        this->refusalLog.record(request.path,
+                                malformed != nullptr ? malformed->reason : "unknown call",
+                                this->loop.now());
         this->targetServer.respond(request.token, { .status = internal::StatusBadRequest });
         return;
     }
@@ -383,8 +387,11 @@
     call.usesNewConnection = order.usesNewConnection;
     this->client.send(
         call, [this, to = order.to, sentAt = order.sentAt](const HttpCallResult &result) {
-            this->node.handlePollResponse(
-                to, sentAt, this->context.protocol.readPollResponse(result), this->loop.now());
+            const PollResponse response = this->context.protocol.readPollResponse(result);
+            if (!response.isComplete)
+                this->refusalLog.record(to.target.str(), "unreadable row in the list of runs",
+                                        this->loop.now());
+            this->node.handlePollResponse(to, sentAt, response, this->loop.now());
         });
 }
 
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hibiscus/src/Process/NodeContext.h"
+#include "Hibiscus/src/Process/RefusalLog.h"
 
 #include <Hibiscus/Membership>
 #include <Hibiscus/Rules>
@@ -64,6 +65,7 @@
     LoadMeter loadMeter { loadLogInterval };
     std::map<std::uint64_t, WaitingCaller> waitingCallers;
     std::map<std::string, std::uint64_t> refusalCounts; ///< number of refused requests by reason
+    RefusalLog refusalLog;
     TimePoint startedAt;
     TimePoint nextFetchAt;
     TimePoint rulesConfirmedAt; ///< latest time a quorum confirmed the rules in force
