--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -395,7 +395,8 @@
                      RunEndEvidence::TargetEnded, now, out);
 }
 
-// The response to a poll shows a state later than its sending.
+// The response to a poll shows a state later than its sending. If a row could not be read, it may be
+// that of a run that seems to be missing.
 void TargetDriver::endUnlistedRuns(const PollResponse &response, TimePoint now, DriverOutbox &out)
 {
     std::vector<ObservedRunEnd> runEnds;
@@ -405,6 +406,8 @@
             run.missingSince.reset();
             continue;
         }
+        if (!response.isComplete)
+            continue;
         if (!run.missingSince && run.phase == Phase::Running && run.confirmedAt < this->pollSentAt)
             run.missingSince = this->pollSentAt;
         if (const auto end = this->endOfUnlisted(name, run))
@@ -450,7 +453,7 @@
         out.orders.emplace_back(
             StopOrder { .to = this->address(), .run = name, .usesNewConnection = !isNew });
     }
-    if (hasForeignRun)
+    if (hasForeignRun || !response.isComplete)
         return;
     this->foreignRunStopAt.clear();
     this->reconciled = true;
