Keep the log usable after a failed write or sync

What operators saw: after a disk had been full, a replica could refuse to start with "malformed record", or could lose changes that it had acknowledged.

Cause: DiskLog applied writes to its state before they were in the file, and left a half-written record there; records behind it make the file unreadable at the next start. A failed sync was forgotten, so the next one succeeded without the records that the kernel may have dropped.

Why the change works: the log knows the length of its synced part and the records behind it. After a failed write or sync it truncates the file to that length and writes these records again, before anything else.

Once it has replaced the file the log uses the new one, and the sync fails until a replacement with a synced folder has succeeded. Writes reach state() only when they are in the file. Failures carry the error of the system ("No space left on device") instead of "input or output failed".

Files are filled by a limit on their size; failed syncs are made by replacing fdatasync and fsync in the test program.

--- a/Hibiscus/src/Storage/DiskLog.cpp
+++ b/Hibiscus/src/Storage/DiskLog.cpp
@@ -1,5 +1,8 @@
 #include "Hibiscus/src/Storage/DiskLog.h"
 
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
 #include <cstring>
 #include <fcntl.h>
 #include <fstream>
@@ -44,6 +47,11 @@
     return record + payload;
 }
 
+static tl::unexpected<std::error_code> lastError()
+{
+    return tl::unexpected<std::error_code>(std::error_code(errno, std::generic_category()));
+}
+
 static Result<void> writeAll(int file, const Bytes &bytes)
 {
     std::size_t writtenBytes = 0;
@@ -52,7 +60,9 @@
             = ::write(file, bytes.data() + writtenBytes, bytes.size() - writtenBytes);
         if (count < 0 && errno == EINTR)
             continue;
-        if (count <= 0)
+        if (count < 0)
+            return lastError();
+        if (count == 0)
             return failure(Errc::Io);
         writtenBytes += static_cast<std::size_t>(count);
     }
@@ -63,34 +73,55 @@
 {
     const int handle = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (handle < 0)
-        return failure(Errc::Io);
-    const bool isSynced = ::fsync(handle) == 0;
+        return lastError();
+    const Result<void> synced = ::fsync(handle) == 0 ? Result<void>() : lastError();
     ::close(handle);
-    return isSynced ? Result<void>() : failure(Errc::Io);
+    return synced;
 }
 
-/** \brief Writes \a state to a new file, which then atomically replaces the log. */
-static Result<int> replaceLog(const std::filesystem::path &folder, const DurableState &state)
+/** \brief A file that has replaced the log; durable once its folder is synced. */
+struct ReplacedLog
+{
+    int file = -1;
+    std::uint64_t bytes = 0;
+};
+
+/** \brief Writes \a record to \a file, locks it, and renames it to the log. */
+static Result<void> writeAndRename(int file, const Bytes &record,
+                                   const std::filesystem::path &folder)
+{
+    if (const auto written = writeAll(file, record); !written)
+        return written;
+    const bool isReady = ::fsync(file) == 0 && ::flock(file, LOCK_EX | LOCK_NB) == 0;
+    if (!isReady)
+        return lastError();
+    const bool isRenamed
+        = ::rename((folder / nextLogName).c_str(), (folder / logName).c_str()) == 0;
+    return isRenamed ? Result<void>() : lastError();
+}
+
+/** \brief Writes \a state to a new file, which then atomically replaces the log. A failure leaves
+ * the log as it was. The caller syncs the folder.
+ */
+static Result<ReplacedLog> replaceLog(const std::filesystem::path &folder,
+                                      const DurableState &state)
 {
     const std::filesystem::path next = folder / nextLogName;
     const int file
         = ::open(next.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
     if (file < 0)
-        return failure(Errc::Io);
+        return lastError();
     const FirstRecord first = { .self = state.self,
                                 .hardState = state.hardState,
                                 .snapshot = state.snapshot,
                                 .entries = state.entries };
-    const bool isWritten
-        = writeAll(file, frameRecord(encode(first))).has_value() && ::fsync(file) == 0;
-    std::error_code error;
-    if (isWritten)
-        std::filesystem::rename(next, folder / logName, error);
-    if (!isWritten || error || !syncFolder(folder)) {
+    const Bytes record = frameRecord(encode(first));
+    if (const auto replaced = writeAndRename(file, record, folder); !replaced) {
         ::close(file);
-        return failure(Errc::Io);
+        ::unlink(next.c_str());
+        return tl::unexpected<std::error_code>(replaced.error());
     }
-    return file;
+    return ReplacedLog { .file = file, .bytes = record.size() };
 }
 
 /** \brief The payloads of the intact records of a file, and the length of these records. */
@@ -170,11 +201,11 @@
     std::filesystem::create_directories(folder, error);
     if (error || exists(folder))
         return failure(Errc::Io);
-    const Result<int> file = internal::replaceLog(folder, state);
-    if (!file)
-        return failure(Errc::Io);
-    ::close(*file);
-    return {};
+    const Result<internal::ReplacedLog> created = internal::replaceLog(folder, state);
+    if (!created)
+        return tl::unexpected<std::error_code>(created.error());
+    ::close(created->file);
+    return internal::syncFolder(folder);
 }
 
 bool DiskLog::exists(const std::filesystem::path &folder)
@@ -203,16 +234,18 @@
         ::close(file);
         return tl::unexpected<std::error_code>(state ? make_error_code(Errc::Io) : state.error());
     }
-    return DiskLog(folder, file, *state);
+    return DiskLog(folder, file, content->intactBytes, *state);
 }
 
-DiskLog::DiskLog(std::filesystem::path folder, int file, DurableState state)
-    : folder(std::move(folder)), file(file), durable(std::move(state))
+DiskLog::DiskLog(std::filesystem::path folder, int file, std::uint64_t bytes, DurableState state)
+    : folder(std::move(folder)), file(file), durable(std::move(state)), syncedBytes(bytes)
 { }
 
 DiskLog::DiskLog(DiskLog &&other) noexcept
     : folder(std::move(other.folder)), file(std::exchange(other.file, -1)),
-      durable(std::move(other.durable)), isDirty(other.isDirty)
+      durable(std::move(other.durable)), syncedBytes(other.syncedBytes),
+      unsyncedRecords(std::move(other.unsyncedRecords)), isTailIntact(other.isTailIntact),
+      folderError(other.folderError)
 { }
 
 DiskLog &DiskLog::operator=(DiskLog &&other) noexcept
@@ -220,7 +253,10 @@
     std::swap(this->folder, other.folder);
     std::swap(this->file, other.file);
     std::swap(this->durable, other.durable);
-    std::swap(this->isDirty, other.isDirty);
+    std::swap(this->syncedBytes, other.syncedBytes);
+    std::swap(this->unsyncedRecords, other.unsyncedRecords);
+    std::swap(this->isTailIntact, other.isTailIntact);
+    std::swap(this->folderError, other.folderError);
     return *this;
 }
 
@@ -234,35 +270,95 @@
 {
     if (writes.empty())
         return {};
-    bool hasSnapshot = false;
-    for (const StorageWrite &write : writes) {
-        applyWrite(write, this->durable);
-        hasSnapshot = hasSnapshot || std::holds_alternative<SaveSnapshot>(write);
-    }
-    // A snapshot shortens the log, so the file is rewritten with the remaining state.
+    const bool hasSnapshot = std::ranges::any_of(writes, [](const StorageWrite &write) {
+        return std::holds_alternative<SaveSnapshot>(write);
+    });
     if (hasSnapshot)
-        return this->rewrite();
-    this->isDirty = true;
-    return internal::writeAll(this->file, internal::frameRecord(encode(writes)));
+        return this->writeWithSnapshot(writes);
+    if (const auto appended = this->append(internal::frameRecord(encode(writes))); !appended)
+        return appended;
+    for (const StorageWrite &write : writes)
+        applyWrite(write, this->durable);
+    return {};
 }
 
 Result<void> DiskLog::sync()
 {
-    if (!this->isDirty)
+    if (this->folderError)
+        return this->syncReplacement();
+    if (this->unsyncedRecords.empty())
+        return {};
+    if (const auto restored = this->restoreTail(); !restored)
+        return restored;
+    if (::fdatasync(this->file) != 0) {
+        this->isTailIntact = false;
+        return internal::lastError();
+    }
+    this->syncedBytes += this->unsyncedRecords.size();
+    this->unsyncedRecords.clear();
+    return {};
+}
+
+// A snapshot shortens the log, so the file is rewritten with the remaining state.
+Result<void> DiskLog::writeWithSnapshot(const std::vector<StorageWrite> &writes)
+{
+    DurableState next = this->durable;
+    for (const StorageWrite &write : writes)
+        applyWrite(write, next);
+    if (const auto rewritten = this->rewrite(next); !rewritten)
+        return rewritten;
+    this->durable = std::move(next);
+    return {};
+}
+
+Result<void> DiskLog::append(const Bytes &record)
+{
+    if (const auto restored = this->restoreTail(); !restored)
+        return restored;
+    if (const auto written = internal::writeAll(this->file, record); !written) {
+        this->isTailIntact = false;
+        return written;
+    }
+    this->unsyncedRecords += record;
+    return {};
+}
+
+// A failed write leaves a part of its record. After a failed sync, the system may have dropped the
+// records and report the next sync as successful. So all behind the synced part is written again.
+Result<void> DiskLog::restoreTail()
+{
+    if (this->isTailIntact)
         return {};
-    this->isDirty = false;
-    return ::fdatasync(this->file) == 0 ? Result<void>() : failure(Errc::Io);
+    if (::ftruncate(this->file, static_cast<off_t>(this->syncedBytes)) != 0)
+        return internal::lastError();
+    if (const auto written = internal::writeAll(this->file, this->unsyncedRecords); !written)
+        return written;
+    this->isTailIntact = true;
+    return {};
 }
 
-Result<void> DiskLog::rewrite()
+Result<void> DiskLog::rewrite(const DurableState &state)
 {
-    const Result<int> next = internal::replaceLog(this->folder, this->durable);
+    const Result<internal::ReplacedLog> next = internal::replaceLog(this->folder, state);
     if (!next)
-        return failure(Errc::Io);
+        return tl::unexpected<std::error_code>(next.error());
     ::close(this->file);
-    this->file = *next;
-    this->isDirty = false;
-    return ::flock(this->file, LOCK_EX | LOCK_NB) == 0 ? Result<void>() : failure(Errc::Io);
+    this->file = next->file;
+    this->syncedBytes = next->bytes;
+    this->unsyncedRecords.clear();
+    this->isTailIntact = true;
+    const Result<void> synced = internal::syncFolder(this->folder);
+    this->folderError = synced ? std::error_code() : synced.error();
+    return {};
+}
+
+Result<void> DiskLog::syncReplacement()
+{
+    if (const auto rewritten = this->rewrite(this->durable); !rewritten)
+        return rewritten;
+    if (this->folderError)
+        return tl::unexpected<std::error_code>(this->folderError);
+    return {};
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Storage/DiskLog.h
+++ b/Hibiscus/src/Storage/DiskLog.h
@@ -15,7 +15,7 @@
 {
 public:
     /** \brief Creates the log in \a folder with \a state as its initial state.
-     * \returns Errc::Io if the folder already holds a log or cannot be written.
+     * \returns Errc::Io if the folder already holds a log, else the error of the system.
      */
     static Result<void> format(const std::filesystem::path &folder, const DurableState &state);
     /** \returns whether \a folder holds a log. */
@@ -33,25 +33,38 @@
     // Commands.
     /** \brief Appends \a writes as one record; they are durable after the next sync().
      *
-     * If power may be lost, call sync() before the next write(), so that only the last record can
-     * be incomplete.
+     * A failure leaves the log as it was, and the same writes may be written again. If power may be
+     * lost, call sync() before the next write(), so that only the last record can be incomplete.
+     * \returns the error of the system.
      */
     Result<void> write(const std::vector<StorageWrite> &writes);
+    /** \brief Makes all written records durable; after a failure, the next call writes them again.
+     * \returns the error of the system.
+     */
     Result<void> sync();
 
     // Queries.
+    /** \returns the state with all written records, whether synced or not. */
     const DurableState &state() const { return this->durable; }
-    bool hasUnsyncedWrites() const { return this->isDirty; }
+    bool hasUnsyncedWrites() const { return !this->unsyncedRecords.empty() || this->folderError; }
 
 private:
-    DiskLog(std::filesystem::path folder, int file, DurableState state);
+    DiskLog(std::filesystem::path folder, int file, std::uint64_t bytes, DurableState state);
 
-    Result<void> rewrite();
+    Result<void> writeWithSnapshot(const std::vector<StorageWrite> &writes);
+    Result<void> append(const Bytes &record);
+    Result<void> restoreTail();
+    Result<void> rewrite(const DurableState &state);
+    Result<void> syncReplacement();
 
     std::filesystem::path folder;
     int file = -1;
     DurableState durable;
-    bool isDirty = false;
+    std::uint64_t syncedBytes = 0; ///< length of the synced part of the file
+    Bytes unsyncedRecords; ///< the records behind it
+    bool isTailIntact = true; ///< the file ends with unsyncedRecords, and no sync of them failed
+    std::error_code folderError; ///< of the last sync of the folder; set while the name of the
+                                 ///< file may not be durable
 };
 
 } // namespace Hibiscus
--- a/test/StorageTest.cpp
+++ b/test/StorageTest.cpp
@@ -1,14 +1,77 @@
 #include <Hibiscus/Storage>
+#include <csignal>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <optional>
 #include <random>
+#include <sys/resource.h>
+#include <sys/stat.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 using namespace Hibiscus;
 
 namespace {
 
+/** \brief Which syncs of this program fail. */
+struct SyncFaults
+{
+    std::optional<off_t> lostFrom; ///< syncs of files fail and lose the content behind this offset
+    bool ofFolders = false;
+};
+
+SyncFaults syncFaults;
+
+} // namespace
+
+// These replace the functions of the C library in this program. After a failed sync, the kernel
+// may drop what was written and report the next sync as successful.
+extern "C" int fdatasync(int file)
+{
+    if (!syncFaults.lostFrom)
+        return static_cast<int>(::syscall(SYS_fdatasync, file));
+    struct stat status = {};
+    ::fstat(file, &status);
+    const bool isLost
+        = ::ftruncate(file, *syncFaults.lostFrom) == 0 && ::ftruncate(file, status.st_size) == 0;
+    errno = isLost ? EIO : EINVAL;
+    return -1;
+}
+
+extern "C" int fsync(int file)
+{
+    struct stat status = {};
+    ::fstat(file, &status);
+    if (syncFaults.ofFolders && S_ISDIR(status.st_mode)) {
+        errno = EIO;
+        return -1;
+    }
+    return static_cast<int>(::syscall(SYS_fsync, file));
+}
+
+namespace {
+
+/** \brief Limits the size of the files of this process, like a disk with little room. */
+class FileSizeLimit
+{
+public:
+    explicit FileSizeLimit(std::uintmax_t bytes)
+    {
+        ::signal(SIGXFSZ, SIG_IGN);
+        ::getrlimit(RLIMIT_FSIZE, &this->previous);
+        const rlimit limit = { .rlim_cur = bytes, .rlim_max = this->previous.rlim_max };
+        ::setrlimit(RLIMIT_FSIZE, &limit);
+    }
+    ~FileSizeLimit() { ::setrlimit(RLIMIT_FSIZE, &this->previous); }
+    FileSizeLimit(const FileSizeLimit &) = delete;
+    FileSizeLimit &operator=(const FileSizeLimit &) = delete;
+
+private:
+    rlimit previous = {};
+};
+
 /** \brief A temporary folder that is removed at the end of a test. */
 class TemporaryFolder
 {
@@ -164,4 +227,141 @@
     EXPECT_FALSE(DiskLog::open(folder.path).has_value());
 }
 
+SaveEntries commandEntry(std::uint64_t index, std::size_t size)
+{
+    return {
+        .entries
+        = { { .index = index, .term = 1, .body = Command { .bytes = std::string(size, 'x') } } }
+    };
+}
+
+SaveSnapshot snapshotAt(std::uint64_t index, std::size_t size)
+{
+    return { .snapshot = { .index = index, .term = 1, .state = std::string(size, 's') } };
+}
+
+// Guards against a record left half-written by a full disk, behind which later acknowledged records
+// make the file unreadable.
+TEST(Storage, RecordsWrittenAfterAFullDiskAreReadBack)
+{
+    for (std::uintmax_t room = 0; room < 120; room += 7) {
+        TemporaryFolder folder;
+        ASSERT_TRUE(DiskLog::format(folder.path, initialState()).has_value());
+        auto log = DiskLog::open(folder.path);
+        ASSERT_TRUE(log->write({ commandEntry(2, 100) }).has_value());
+        ASSERT_TRUE(log->sync().has_value());
+        const DurableState synced = log->state();
+        const std::uintmax_t syncedSize = std::filesystem::file_size(folder.path / "log");
+        for (int attempt = 0; attempt < 2; ++attempt) {
+            bool isWritten = false;
+            {
+                const FileSizeLimit limit(syncedSize + room);
+                isWritten = log->write({ commandEntry(3, 100) }).has_value();
+            }
+            ASSERT_FALSE(isWritten);
+            EXPECT_EQ(log->state(), synced);
+        }
+        ASSERT_TRUE(log->write({ commandEntry(3, 50) }).has_value());
+        ASSERT_TRUE(log->sync().has_value());
+        ASSERT_TRUE(log->write({ commandEntry(4, 100) }).has_value());
+        ASSERT_TRUE(log->sync().has_value());
+        const DurableState expected = log->state();
+        log = failure(Errc::Io);
+        log = DiskLog::open(folder.path);
+        ASSERT_TRUE(log.has_value()) << "room " << room;
+        EXPECT_EQ(log->state(), expected);
+        EXPECT_EQ(log->state().entries.size(), 3U);
+    }
+}
+
+// Guards against a log that is lost, or cannot be used, because the disk has no room for a
+// snapshot.
+TEST(Storage, LogIsUsableAfterASnapshotFoundNoRoom)
+{
+    TemporaryFolder folder;
+    ASSERT_TRUE(DiskLog::format(folder.path, initialState()).has_value());
+    auto log = DiskLog::open(folder.path);
+    ASSERT_TRUE(log->write({ commandEntry(2, 100) }).has_value());
+    ASSERT_TRUE(log->sync().has_value());
+    const DurableState synced = log->state();
+    bool isSaved = false;
+    bool isAppended = false;
+    {
+        const FileSizeLimit limit(2'000);
+        isSaved = log->write({ commandEntry(3, 100), snapshotAt(3, 5'000) }).has_value();
+        EXPECT_EQ(log->state(), synced);
+        EXPECT_FALSE(std::filesystem::exists(folder.path / "log.next"));
+        isAppended = log->write({ commandEntry(3, 100) }).has_value() && log->sync().has_value();
+    }
+    EXPECT_FALSE(isSaved);
+    EXPECT_TRUE(isAppended);
+    ASSERT_TRUE(log->write({ snapshotAt(3, 5'000) }).has_value());
+    ASSERT_TRUE(log->write({ commandEntry(4, 100) }).has_value());
+    ASSERT_TRUE(log->sync().has_value());
+    const DurableState expected = log->state();
+    log = failure(Errc::Io);
+    log = DiskLog::open(folder.path);
+    ASSERT_TRUE(log.has_value());
+    EXPECT_EQ(log->state(), expected);
+    EXPECT_EQ(log->state().snapshot.index, 3U);
+    EXPECT_EQ(log->state().entries.size(), 1U);
+}
+
+// Guards against records that are acknowledged although a failed sync dropped them: the next sync
+// succeeds without them.
+TEST(Storage, RecordsOfAFailedSyncAreWrittenAgain)
+{
+    for (const bool writesMore : { false, true }) {
+        TemporaryFolder folder;
+        ASSERT_TRUE(DiskLog::format(folder.path, initialState()).has_value());
+        auto log = DiskLog::open(folder.path);
+        ASSERT_TRUE(log->write({ commandEntry(2, 100) }).has_value());
+        ASSERT_TRUE(log->sync().has_value());
+        const auto syncedSize = static_cast<off_t>(std::filesystem::file_size(folder.path / "log"));
+        ASSERT_TRUE(log->write({ commandEntry(3, 100) }).has_value());
+        syncFaults.lostFrom = syncedSize;
+        EXPECT_FALSE(log->sync().has_value());
+        EXPECT_FALSE(log->sync().has_value());
+        syncFaults.lostFrom.reset();
+        EXPECT_TRUE(log->hasUnsyncedWrites());
+        if (writesMore) {
+            ASSERT_TRUE(log->write({ commandEntry(4, 100) }).has_value());
+        }
+        ASSERT_TRUE(log->sync().has_value());
+        EXPECT_FALSE(log->hasUnsyncedWrites());
+        const DurableState expected = log->state();
+        log = failure(Errc::Io);
+        log = DiskLog::open(folder.path);
+        ASSERT_TRUE(log.has_value());
+        EXPECT_EQ(log->state(), expected);
+        EXPECT_EQ(log->state().entries.size(), writesMore ? 3U : 2U);
+    }
+}
+
+// Guards against acknowledged records in a file that no longer has a name: the snapshot's file had
+// replaced it when the sync of the folder failed.
+TEST(Storage, RecordsWrittenAfterAFailedSyncOfTheFolderAreReadBack)
+{
+    TemporaryFolder folder;
+    ASSERT_TRUE(DiskLog::format(folder.path, initialState()).has_value());
+    auto log = DiskLog::open(folder.path);
+    ASSERT_TRUE(log->write({ commandEntry(2, 100), commandEntry(3, 100) }).has_value());
+    ASSERT_TRUE(log->sync().has_value());
+    syncFaults.ofFolders = true;
+    const bool isStored = log->write({ snapshotAt(2, 100) }).has_value() && log->sync().has_value();
+    syncFaults.ofFolders = false;
+    EXPECT_FALSE(isStored);
+    EXPECT_TRUE(log->hasUnsyncedWrites());
+    ASSERT_TRUE(log->write({ commandEntry(4, 100) }).has_value());
+    ASSERT_TRUE(log->sync().has_value());
+    const DurableState expected = log->state();
+    EXPECT_EQ(expected.snapshot.index, 2U);
+    EXPECT_FALSE(DiskLog::open(folder.path).has_value()) << "the file is locked";
+    log = failure(Errc::Io);
+    log = DiskLog::open(folder.path);
+    ASSERT_TRUE(log.has_value());
+    EXPECT_EQ(log->state(), expected);
+    EXPECT_EQ(log->state().entries.size(), 2U);
+}
+
 } // namespace
