Suspend a replica while its disk takes no writes

What operators saw: while the disk of a registry was full, its process ended (code 134, "a replica's writes are synced before messages that depend on them are sent") about every 0.6 s.

Cause: a failed write was treated as a broken invariant. A full disk is a failure of the outside.

Why the change works: DiskGuard decides, without sockets and clocks, what happens to the output of a step. When a write or its sync fails, the writes are kept and tried again every 100 ms. Until they are durable the replica is given no messages and no ticks and sends nothing, so for its group it is a frozen process: no votes, no acknowledgements, no heartbeats. It gives up leadership and forgets the leader at once. Requests in progress, also those whose responses wait for the failed sync, and all later ones are answered at once without a reply (503 to operators, who go on to another node; no request is refused with 4xx, because the change may be in the log of others). Other duties go on: owners of targets, node lists, known rules for gateways, metrics, status. One line when the disk fails (disk-unavailable) and one when it takes writes again (disk-available).

Messages that depend on the failed writes are dropped, not sent later: after seconds a vote or a request for votes is out of date, and the protocol repeats the others.

The tests fail if the guard forgets the writes, acknowledges before they are durable, does not try again, or tries again only with new writes.

--- a/Hibiscus/src/Journal/JournalNode.cpp
+++ b/Hibiscus/src/Journal/JournalNode.cpp
@@ -71,6 +71,12 @@
     this->replicated.requestJoin(nodes, out);
 }
 
+void JournalNode::suspend(TimePoint now, Outbox &out)
+{
+    this->replicated.suspend(now, out);
+    this->sendReplies(now, out);
+}
+
 void JournalNode::sendReplies(TimePoint now, Outbox &out)
 {
     if (!this->replica().isLeader()) {
--- a/Hibiscus/src/Journal/JournalNode.h
+++ b/Hibiscus/src/Journal/JournalNode.h
@@ -31,6 +31,10 @@
     void tick(TimePoint now, Outbox &out);
     void requestJoin(const std::vector<NodeName> &nodes, Outbox &out) const;
     void stepDown(TimePoint now) { this->replicated.stepDown(now); }
+    /** \brief Suspends the replica, whose disk has failed; redirects all requests.
+     * \sa DiskGuard
+     */
+    void suspend(TimePoint now, Outbox &out);
 
     // Queries.
     const Replica &replica() const { return this->replicated.replica(); }
--- a/Hibiscus/src/Process/ControlProcess.cpp
+++ b/Hibiscus/src/Process/ControlProcess.cpp
@@ -109,7 +109,8 @@
 void ControlProcess::onMessage(const WireMessage &message)
 {
     const TimePoint now = this->loop.now();
-    if (const auto *envelope = std::get_if<ReplicaEnvelope>(&message))
+    const auto *envelope = std::get_if<ReplicaEnvelope>(&message);
+    if (envelope != nullptr && this->disk.isAvailable())
         this->node.receive(*envelope, now, this->out);
     if (const auto *acknowledgement = std::get_if<RulesAcknowledgement>(&message))
         this->node.receive(*acknowledgement, now, this->out);
@@ -119,7 +120,8 @@
 
 void ControlProcess::onTick()
 {
-    if (this->lifecycle.tick(this->node, groupMembers(this->context), this->loop.now(), this->out))
+    if (this->lifecycle.tick(this->node, groupMembers(this->context), this->disk.isAvailable(),
+                             this->loop.now(), this->out))
         this->loop.stop();
     const std::uint64_t version = this->node.state().version();
     if (version != this->loggedRulesVersion)
@@ -129,7 +131,9 @@
 
 void ControlProcess::flushOutput()
 {
-    this->disk.storeAndSend(this->out.log.replica, this->relay);
+    const TimePoint now = this->loop.now();
+    if (this->disk.storeAndSend(this->out.log.replica, this->relay, now) == StoreOutcome::Failed)
+        this->node.suspend(now, this->out);
     const ControlNode::Outbox outbox = std::exchange(this->out, {});
     for (const AddressedUpdate &item : outbox.updates)
         this->relay.send(item.to, item.update);
@@ -204,12 +208,14 @@
 {
     return describeReplica(this->node.replica(),
                            { { "role", "control" },
+                             { "disk", this->disk.isAvailable() ? "available" : "unavailable" },
                              { "rules_version", std::to_string(this->node.state().version()) } });
 }
 
 void ControlProcess::updateMetrics()
 {
-    updateReplicaMetrics(this->metrics, this->node.replica(), this->disk.syncs());
+    updateReplicaMetrics(this->metrics, this->node.replica(), this->disk.syncs(),
+                         this->disk.isAvailable());
     updateRelayMetrics(this->metrics, this->relay.counters());
     this->metrics.setGauge("hibiscus_rules_version", "Version of the rules this member holds.",
                            static_cast<double>(this->node.state().version()));
--- a/Hibiscus/src/Process/JournalProcess.cpp
+++ b/Hibiscus/src/Process/JournalProcess.cpp
@@ -62,7 +62,8 @@
 void JournalProcess::onMessage(const WireMessage &message)
 {
     const TimePoint now = this->loop.now();
-    if (const auto *envelope = std::get_if<ReplicaEnvelope>(&message))
+    const auto *envelope = std::get_if<ReplicaEnvelope>(&message);
+    if (envelope != nullptr && this->disk.isAvailable())
         this->node.receive(*envelope, now, this->out);
     if (const auto *request = std::get_if<JournalRequest>(&message))
         this->node.receive(*request, now, this->out);
@@ -70,13 +71,16 @@
 
 void JournalProcess::onTick()
 {
-    if (this->lifecycle.tick(this->node, groupMembers(this->context), this->loop.now(), this->out))
+    if (this->lifecycle.tick(this->node, groupMembers(this->context), this->disk.isAvailable(),
+                             this->loop.now(), this->out))
         this->loop.stop();
 }
 
 void JournalProcess::flushOutput()
 {
-    this->disk.storeAndSend(this->out.replica, this->relay);
+    const TimePoint now = this->loop.now();
+    if (this->disk.storeAndSend(this->out.replica, this->relay, now) == StoreOutcome::Failed)
+        this->node.suspend(now, this->out);
     for (const JournalResponse &response : std::exchange(this->out.responses, {})) {
         ++this->answeredRequests;
         if (!response.request.node.isEmpty())
@@ -88,13 +92,15 @@
 {
     return describeReplica(this->node.replica(),
                            { { "role", "journal" },
+                             { "disk", this->disk.isAvailable() ? "available" : "unavailable" },
                              { "serves", this->context.self.serves.str() },
                              { "jobs", std::to_string(this->node.state().size()) } });
 }
 
 void JournalProcess::updateMetrics()
 {
-    updateReplicaMetrics(this->metrics, this->node.replica(), this->disk.syncs());
+    updateReplicaMetrics(this->metrics, this->node.replica(), this->disk.syncs(),
+                         this->disk.isAvailable());
     updateRelayMetrics(this->metrics, this->relay.counters());
     this->metrics.setGauge("hibiscus_journal_jobs", "Jobs on record.",
                            static_cast<double>(this->node.state().size()));
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -193,20 +193,22 @@
 void RegistryProcess::onMessage(const WireMessage &message)
 {
     const TimePoint now = this->loop.now();
-    std::visit(
-        Overloaded {
-            [&](const ReplicaEnvelope &envelope) { this->node.receive(envelope, now, this->out); },
-            [&](const RulesAcknowledgement &acknowledgement) {
-                this->node.receive(acknowledgement, now, this->out);
-            },
-            [&](const FetchRules &fetch) { this->node.receive(fetch, now, this->out); },
-            [&](const NodeAnnouncement &announcement) {
-                this->handleAnnouncement(announcement, now);
-            },
-            [&](const NodeList &list) { this->directory.mergeList(list, now); },
-            [](const auto &) {},
-        },
-        message);
+    std::visit(Overloaded {
+                   [&](const ReplicaEnvelope &envelope) {
+                       if (this->disk.isAvailable())
+                           this->node.receive(envelope, now, this->out);
+                   },
+                   [&](const RulesAcknowledgement &acknowledgement) {
+                       this->node.receive(acknowledgement, now, this->out);
+                   },
+                   [&](const FetchRules &fetch) { this->node.receive(fetch, now, this->out); },
+                   [&](const NodeAnnouncement &announcement) {
+                       this->handleAnnouncement(announcement, now);
+                   },
+                   [&](const NodeList &list) { this->directory.mergeList(list, now); },
+                   [](const auto &) {},
+               },
+               message);
 }
 
 void RegistryProcess::handleAnnouncement(const NodeAnnouncement &announcement, TimePoint now)
@@ -228,7 +230,7 @@
     const TimePoint now = this->loop.now();
     reportLoad(this->loadMeter, this->loop, this->relay, this->metrics, now);
     const std::vector<NodeName> group = this->directory.registries();
-    if (this->lifecycle.tick(this->node, group, now, this->out))
+    if (this->lifecycle.tick(this->node, group, this->disk.isAvailable(), now, this->out))
         this->loop.stop();
     this->directory.removeExpired(now);
     const NodeRecord self = this->context.record(NodeKind::Registry, false);
@@ -256,7 +258,9 @@
 
 void RegistryProcess::flushOutput()
 {
-    this->disk.storeAndSend(this->out.log.replica, this->relay);
+    const TimePoint now = this->loop.now();
+    if (this->disk.storeAndSend(this->out.log.replica, this->relay, now) == StoreOutcome::Failed)
+        this->node.suspend(now, this->out);
     const ControlNode::Outbox outbox = std::exchange(this->out, {});
     for (const AddressedUpdate &item : outbox.updates)
         this->relay.send(item.to, item.update);
@@ -324,7 +328,8 @@
 
 void RegistryProcess::updateMetrics()
 {
-    updateReplicaMetrics(this->metrics, this->node.replica(), this->disk.syncs());
+    updateReplicaMetrics(this->metrics, this->node.replica(), this->disk.syncs(),
+                         this->disk.isAvailable());
     updateRelayMetrics(this->metrics, this->relay.counters());
     this->metrics.setGauge("hibiscus_rules_version", "Version of the rules this member holds.",
                            static_cast<double>(this->node.state().version()));
--- a/Hibiscus/src/Process/ReplicaDisk.cpp
+++ b/Hibiscus/src/Process/ReplicaDisk.cpp
@@ -74,20 +74,40 @@
     return ReplicaDisk(std::move(*log));
 }
 
-void ReplicaDisk::storeAndSend(ReplicaOutbox &out, Relay &relay)
+StoreOutcome ReplicaDisk::storeAndSend(ReplicaOutbox &out, Relay &relay, TimePoint now)
 {
-    for (const ReplicaEnvelope &envelope : out.sendBeforeSync)
-        relay.send(envelope.to, envelope);
-    const bool written = this->log.write(out.writes).has_value();
-    if (this->log.hasUnsyncedWrites())
-        ++this->syncCount;
-    const bool synced = written && this->log.sync().has_value();
-    // A replica that cannot persist its votes and entries must not continue to acknowledge them.
-    HIBISCUS_INVARIANT(
-        synced, "a replica's writes are synced before messages that depend on them are sent");
-    for (const ReplicaEnvelope &envelope : out.sendAfterSync)
-        relay.send(envelope.to, envelope);
-    out = ReplicaOutbox();
+    const std::optional<TimePoint> failedAt = this->guard.unavailableSince();
+    const StoreOutcome outcome = this->guard.storeAndSend(
+        out,
+        { .store = [this](std::vector<StorageWrite> &writes) { return this->store(writes); },
+          .send = [&](const ReplicaEnvelope &envelope) { relay.send(envelope.to, envelope); } },
+        now);
+    if (outcome == StoreOutcome::Failed)
+        logError("disk-unavailable", { { "reason", this->guard.error().message() } });
+    if (outcome == StoreOutcome::Regained)
+        logEvent("disk-available",
+                 { { "unavailable_ms", std::to_string(toMilliseconds(now - *failedAt)) } });
+    return outcome;
+}
+
+// The first sync makes records durable whose own sync has failed, so that no more than one record
+// is not synced.
+Result<void> ReplicaDisk::store(std::vector<StorageWrite> &writes)
+{
+    if (const auto synced = this->sync(); !synced)
+        return synced;
+    if (const auto written = this->log.write(writes); !written)
+        return written;
+    writes.clear();
+    return this->sync();
+}
+
+Result<void> ReplicaDisk::sync()
+{
+    if (!this->log.hasUnsyncedWrites())
+        return {};
+    ++this->syncCount;
+    return this->log.sync();
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Process/ReplicaDisk.h
+++ b/Hibiscus/src/Process/ReplicaDisk.h
@@ -20,6 +20,8 @@
 
 /** \brief The log of a replica on disk, with the order of steps that safety requires: messages that
  * do not depend on the writes are sent first, then the disk is synced, then the others are sent.
+ *
+ * \sa DiskGuard for a disk that takes no writes
  */
 class ReplicaDisk
 {
@@ -32,17 +34,27 @@
     static Result<ReplicaDisk> open(const std::filesystem::path &folder, const NodeName &self);
 
     // Commands.
-    /** \brief Stores the writes of \a out with one sync, sends its messages, and clears it. */
-    void storeAndSend(ReplicaOutbox &out, Relay &relay);
+    /** \brief Stores the writes of \a out with one sync, sends its messages, and clears it. Logs
+     * when the disk fails and when it takes writes again.
+     */
+    StoreOutcome storeAndSend(ReplicaOutbox &out, Relay &relay, TimePoint now);
 
     // Queries.
+    /** \returns whether the disk takes writes; otherwise the replica must be given no messages and
+     * no ticks.
+     */
+    bool isAvailable() const { return this->guard.isAvailable(); }
     const DurableState &state() const { return this->log.state(); }
     std::uint64_t syncs() const { return this->syncCount; }
 
 private:
     explicit ReplicaDisk(DiskLog log) : log(std::move(log)) { }
 
+    Result<void> store(std::vector<StorageWrite> &writes);
+    Result<void> sync();
+
     DiskLog log;
+    DiskGuard guard;
     std::uint64_t syncCount = 0;
 };
 
--- a/Hibiscus/src/Process/ReplicaLifecycle.h
+++ b/Hibiscus/src/Process/ReplicaLifecycle.h
@@ -13,14 +13,16 @@
 {
 public:
     /** \brief Performs a timer tick of \a node, a member of \a group; its messages go to \a out.
+     * While \a isDiskAvailable is false, the node itself is not ticked.
      * \returns whether the process should stop now.
      */
     template<typename Node>
-    bool tick(Node &node, const std::vector<NodeName> &group, TimePoint now,
+    bool tick(Node &node, const std::vector<NodeName> &group, bool isDiskAvailable, TimePoint now,
               typename Node::Outbox &out)
     {
-        node.tick(now, out);
-        if (now >= this->nextJoinAt) {
+        if (isDiskAvailable)
+            node.tick(now, out);
+        if (isDiskAvailable && now >= this->nextJoinAt) {
             this->nextJoinAt = now + joinInterval;
             node.requestJoin(group, out);
         }
--- a/Hibiscus/src/Process/ReplicaStatus.cpp
+++ b/Hibiscus/src/Process/ReplicaStatus.cpp
@@ -54,8 +54,11 @@
     return { .status = 404, .body = "{\"error\":\"not-found\"}\n" };
 }
 
-void updateReplicaMetrics(Metrics &metrics, const Replica &replica, std::uint64_t syncs)
+void updateReplicaMetrics(Metrics &metrics, const Replica &replica, std::uint64_t syncs,
+                          bool isDiskAvailable)
 {
+    metrics.setGauge("hibiscus_replica_disk_available", "1 while the disk takes writes, else 0.",
+                     isDiskAvailable ? 1 : 0);
     metrics.setGauge("hibiscus_replica_is_leader", "1 on the leader of the group, else 0.",
                      replica.isLeader() ? 1 : 0);
     metrics.setGauge("hibiscus_replica_term", "Term of the group as this member knows it.",
--- a/Hibiscus/src/Process/ReplicaStatus.h
+++ b/Hibiscus/src/Process/ReplicaStatus.h
@@ -16,7 +16,8 @@
                                 const std::string &status);
 
 /** \brief Updates the metrics that all processes of replicas have. */
-void updateReplicaMetrics(Metrics &metrics, const Replica &replica, std::uint64_t syncs);
+void updateReplicaMetrics(Metrics &metrics, const Replica &replica, std::uint64_t syncs,
+                          bool isDiskAvailable);
 
 /** \brief Updates the metrics that all processes with a relay have. */
 void updateRelayMetrics(Metrics &metrics, const RelayCounters &counters);
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -70,6 +70,10 @@
     void requestJoin(const std::vector<NodeName> &nodes, ReplicaOutbox &out) const;
     /** \brief Gives up leadership, and delays its next candidacy so that another is elected. */
     void stepDown(TimePoint now);
+    /** \brief Gives up leadership, candidacy and the known leader, for the time in which the
+     * replica is given neither messages nor ticks.
+     */
+    void suspend(TimePoint now) { this->becomeFollower(now); }
 
     // Queries.
     bool isLeader() const { return this->replicaRole == ReplicaRole::Leader; }
--- a/Hibiscus/src/Replication/Replicated.h
+++ b/Hibiscus/src/Replication/Replicated.h
@@ -123,6 +123,17 @@
 
     void stepDown(TimePoint now) { this->localReplica.stepDown(now); }
 
+    /** \brief Suspends the replica, whose latest writes are not durable: answers all requests, also
+     * those whose responses are in \a out, without a reply.
+     */
+    void suspend(TimePoint now, Outbox &out)
+    {
+        this->localReplica.suspend(now);
+        for (Response &response : out.responses)
+            response = this->redirect(response.request);
+        this->redirectPendingRequests(out);
+    }
+
     // Queries.
     const Replica &replica() const { return this->localReplica; }
     const Machine &stateMachine() const { return this->state; }
--- a/Hibiscus/src/Rules/ControlNode.cpp
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -85,6 +85,21 @@
     this->replicated.requestJoin(nodes, out.log);
 }
 
+// A change whose request is redirected may still be committed by the others. The operator sends it
+// again, which is safe because changes are idempotent.
+void ControlNode::suspend(TimePoint now, Outbox &out)
+{
+    this->replicated.suspend(now, out.log);
+    out.updates.clear();
+    for (ApplyResponse &response : out.applyResponses)
+        response = { .request = response.request };
+    for (RulesReadResponse &response : out.readResponses)
+        response = { .request = response.request };
+    for (const auto &response : std::exchange(out.log.responses, {}))
+        out.applyResponses.push_back({ .request = response.request });
+    this->redirectPendingRequests(out);
+}
+
 void ControlNode::setRecipients(const std::vector<RulesRecipient> &recipients)
 {
     this->options.recipients = recipients;
--- a/Hibiscus/src/Rules/ControlNode.h
+++ b/Hibiscus/src/Rules/ControlNode.h
@@ -91,6 +91,11 @@
     /** \brief Replaces the list of entry nodes to which versions are distributed. */
     void setRecipients(const std::vector<RulesRecipient> &recipients);
     void stepDown(TimePoint now) { this->replicated.stepDown(now); }
+    /** \brief Suspends the replica, whose disk has failed: drops the updates in \a out and
+     * redirects all requests. It goes on to send the version it holds to entry nodes that ask for
+     * it. \sa DiskGuard
+     */
+    void suspend(TimePoint now, Outbox &out);
 
     // Queries.
     const Replica &replica() const { return this->replicated.replica(); }
