Treat a file size limit like a full disk

What operators saw: nothing yet; found while looking for further ends of a process caused from outside.

Cause: a write beyond a limit on the size of files (ulimit -f, a service manager's LimitFSIZE) sends SIGXFSZ, which ends the process.

Why the change works: the signal is ignored, so the write fails and the replica is suspended until there is room.

Measured: a test of whole processes limits the files of the three control members in turn, and then those of the leader: each change is accepted, each member reports the loss, catches up, and none ends.

--- a/Hibiscus/src/Process/ProcessContext.cpp
+++ b/Hibiscus/src/Process/ProcessContext.cpp
@@ -153,6 +153,7 @@
     ::sigaction(SIGHUP, &action, nullptr);
     action.sa_handler = SIG_IGN;
     ::sigaction(SIGPIPE, &action, nullptr);
+    ::sigaction(SIGXFSZ, &action, nullptr);
 }
 
 bool takeReloadRequest()
--- a/Hibiscus/src/Process/ProcessContext.h
+++ b/Hibiscus/src/Process/ProcessContext.h
@@ -45,7 +45,8 @@
 std::uint64_t newIncarnation(const std::string &node);
 
 /** \brief Installs the handlers of the signals to stop (SIGTERM, SIGINT) and to reload the settings
- * (SIGHUP); ignores SIGPIPE.
+ * (SIGHUP); ignores SIGPIPE, and SIGXFSZ so that a write beyond a size limit fails like one on a
+ * full disk.
  */
 void installSignals();
 
--- a/test/process_test.py
+++ b/test/process_test.py
@@ -6,6 +6,7 @@
 """
 import json
 import os
+import resource
 import shutil
 import signal
 import subprocess
@@ -158,6 +159,31 @@
         outcomes = self.finish_load(caller)
         self.assertEqual(set(outcomes), {"jobs", "complete"}, outcomes)
 
+    def limit_file_size(self, name, size):
+        pid = self.deployment.processes[name].pid
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY))
+
+    # Guards against members that end, or stay out of their group, after their disks were full.
+    def test_rules_change_while_the_disks_of_the_control_group_are_full_in_turn(self):
+        names = [n["name"] for n in self.deployment.nodes("control")]
+        version = 0
+        for name in names + [self.leader("control")]:
+            self.limit_file_size(name, 64)
+            version += 1
+            answer = self.apply_rules(f"quota team=t tasks={version} # test\n")
+            self.assertEqual(answer.returncode, 0, answer.stdout)
+            self.deployment.wait(
+                f"{name} without a disk",
+                lambda n=name: self.deployment.status(n)["disk"] == "unavailable")
+            self.assertFalse(self.deployment.is_ready(name))
+            self.limit_file_size(name, resource.RLIM_INFINITY)
+            self.deployment.wait(
+                f"{name} with the newest rules",
+                lambda n=name, v=str(version): self.deployment.status(n)["rules_version"] == v)
+            self.assertEqual(self.deployment.status(name)["disk"], "available")
+        for name in names:
+            self.assertIsNone(self.deployment.processes[name].poll(), name)
+
     def test_rules_are_in_force_everywhere_and_never_revert(self):
         for version in range(1, 4):
             answer = self.apply_rules(f"quota team=t tasks={version} # test\n")
