Keep an entry node's last known rules when its disk is full

What operators saw: nothing yet; found while looking for the same class of faults.

Cause: the node wrote the new rules to a second file without checking the result, and renamed the incomplete file over the previous one.

Why the change works: the file replaces the previous one only if it was written completely; otherwise the line rules-not-stored says so. The next version is stored again.

Measured: the new test of processes failed before (the file held 16 bytes that are not JSON) and passed three times out of three after.

--- a/Hibiscus/src/Process/EntryProcess.cpp
+++ b/Hibiscus/src/Process/EntryProcess.cpp
@@ -75,8 +75,14 @@
     std::error_code error;
     std::filesystem::create_directories(folder, error);
     const std::filesystem::path next = folder / "rules.json.next";
-    std::ofstream(next) << Json({ { "version", file.version }, { "text", file.text } }).dump();
-    std::filesystem::rename(next, folder / rulesFileName, error);
+    std::ofstream stream(next);
+    stream << Json({ { "version", file.version }, { "text", file.text } }).dump();
+    stream.close();
+    // On a full disk, the previous file is better than an incomplete one.
+    if (stream)
+        std::filesystem::rename(next, folder / rulesFileName, error);
+    if (!stream || error)
+        logError("rules-not-stored", { { "version", std::to_string(file.version) } });
 }
 
 static bool startsWith(const std::string &text, const std::string &prefix)
--- a/test/process_test.py
+++ b/test/process_test.py
@@ -184,6 +184,24 @@
         for name in names:
             self.assertIsNone(self.deployment.processes[name].poll(), name)
 
+    # Guards against an incomplete file in place of the last known rules.
+    def test_full_disk_leaves_an_entry_node_its_last_known_rules(self):
+        entry = self.deployment.nodes("entry")[0]["name"]
+        self.assertEqual(self.apply_rules("quota team=t tasks=1 # test\n").returncode, 0)
+        self.limit_file_size(entry, 16)
+        self.assertEqual(self.apply_rules("quota team=t tasks=2 # test\n").returncode, 0)
+        self.deployment.wait("rules in force",
+                             lambda: self.deployment.status(entry)["rules_version"] == 2)
+        path = os.path.join(self.deployment.data_folder(entry), "rules.json")
+        with open(path, encoding="utf-8") as file:
+            self.assertEqual(json.load(file)["version"], 1)
+        self.limit_file_size(entry, resource.RLIM_INFINITY)
+        self.assertEqual(self.apply_rules("quota team=t tasks=3 # test\n").returncode, 0)
+        self.deployment.wait("rules in force",
+                             lambda: self.deployment.status(entry)["rules_version"] == 3)
+        with open(path, encoding="utf-8") as file:
+            self.assertEqual(json.load(file)["version"], 3)
+
     def test_rules_are_in_force_everywhere_and_never_revert(self):
         for version in range(1, 4):
             answer = self.apply_rules(f"quota team=t tasks={version} # test\n")
