--- a/test/process_test.py
+++ b/test/process_test.py
@@ -6,6 +6,7 @@
 """
 import json
 import os
+import resource
 import shutil
 import signal
 import subprocess
@@ -158,6 +159,49 @@
         outcomes = self.finish_load(caller)
         self.assertEqual(set(outcomes), {"jobs", "complete"}, outcomes)
 
+    def limit_file_size(self, name, size):
+        pid = self.deployment.processes[name].pid
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY))
+
+    # Guards against members that end, or stay out of their group, after their disks were full.
+    def test_rules_change_while_the_disks_of_the_control_group_are_full_in_turn(self):
+        names = [n["name"] for n in self.deployment.nodes("control")]
+        version = 0
+        for name in names + [self.leader("control")]:
+            self.limit_file_size(name, 64)
+            version += 1
+            answer = self.apply_rules(f"quota team=t tasks={version} # test\n")
+            self.assertEqual(answer.returncode, 0, answer.stdout)
+            self.deployment.wait(
+                f"{name} without a disk",
+                lambda n=name: self.deployment.status(n)["disk"] == "unavailable")
+            self.assertFalse(self.deployment.is_ready(name))
+            self.limit_file_size(name, resource.RLIM_INFINITY)
+            self.deployment.wait(
+                f"{name} with the newest rules",
+                lambda n=name, v=str(version): self.deployment.status(n)["rules_version"] == v)
+            self.assertEqual(self.deployment.status(name)["disk"], "available")
+        for name in names:
+            self.assertIsNone(self.deployment.processes[name].poll(), name)
+
+    # Guards against an incomplete file in place of the last known rules.
+    def test_full_disk_leaves_an_entry_node_its_last_known_rules(self):
+        entry = self.deployment.nodes("entry")[0]["name"]
+        self.assertEqual(self.apply_rules("quota team=t tasks=1 # test\n").returncode, 0)
+        self.limit_file_size(entry, 16)
+        self.assertEqual(self.apply_rules("quota team=t tasks=2 # test\n").returncode, 0)
+        self.deployment.wait("rules in force",
+                             lambda: self.deployment.status(entry)["rules_version"] == 2)
+        path = os.path.join(self.deployment.data_folder(entry), "rules.json")
+        with open(path, encoding="utf-8") as file:
+            self.assertEqual(json.load(file)["version"], 1)
+        self.limit_file_size(entry, resource.RLIM_INFINITY)
+        self.assertEqual(self.apply_rules("quota team=t tasks=3 # test\n").returncode, 0)
+        self.deployment.wait("rules in force",
+                             lambda: self.deployment.status(entry)["rules_version"] == 3)
+        with open(path, encoding="utf-8") as file:
+            self.assertEqual(json.load(file)["version"], 3)
+
     def test_rules_are_in_force_everywhere_and_never_revert(self):
         for version in range(1, 4):
             answer = self.apply_rules(f"quota team=t tasks={version} # test\n")
