--- a/test/HostileInputTest.cpp
+++ b/test/HostileInputTest.cpp
@@ -421,7 +421,7 @@
         this->tick();
         this->answer("", "");
         this->driver.start({ .run = { .job = "ab", .step = 1, .index = 17, .attempt = 2 } },
-                           this->now, this->out);
+                           this->now + 10s, this->now, this->out);
         this->driver.handleStartResponse({ .job = "ab", .step = 1, .index = 17, .attempt = 2 },
                                          { .status = OrderStatus::Done, .clockMs = 20 }, this->now,
                                          this->out);
