--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -14,24 +14,24 @@
     return static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch()));
 }
 
+/** \brief Time after which callers send a job again over a new connection; set by the platform. */
+constexpr Duration callerResendDelay = 1300ms;
+static_assert(FleetOwnerOptions {}.maxOrphanTime < callerResendDelay,
+              "a run ends before its job can be sent again");
+
 } // namespace internal
 
 void FleetOwner::updateTarget(const LeasedTarget &target, TimePoint now)
 {
-    auto found = this->drivers.find(target.name);
-    if (found != this->drivers.end() && target.incarnation > found->second.target().incarnation) {
-        // The runs of the previous incarnation have ended with it.
-        TargetDriver &previous = found->second;
-        previous.markEnded();
-        previous.tick(now, this->out);
-        this->recordChange(previous, "over");
-        this->processRunEnds(now);
-        this->runTimes.remove(target.name);
-        this->drivers.erase(found);
-        found = this->drivers.end();
-    }
+    const auto found = this->drivers.find(target.name);
     if (found != this->drivers.end()) {
-        found->second.handleHeartbeat(target, now);
+        TargetDriver &driver = found->second;
+        if (target.incarnation <= driver.target().incarnation) {
+            driver.handleHeartbeat(target, now);
+            return;
+        }
+        driver.handleRestart(target, internal::tokenAt(now), now);
+        this->recordRestart(driver, now);
         return;
     }
     const auto [added, isNew] = this->drivers.try_emplace(target.name, this->options.driver, target,
@@ -42,11 +42,18 @@
     added->second.tick(now, this->out);
 }
 
-void FleetOwner::handleDeparture(const LeasedTarget &target)
+void FleetOwner::recordRestart(TargetDriver &driver, TimePoint now)
+{
+    this->runTimes.remove(driver.target().name);
+    this->recordChange(driver, "restarted");
+    driver.tick(now, this->out);
+}
+
+void FleetOwner::handleDeparture(const LeasedTarget &target, TimePoint now)
 {
     const auto found = this->drivers.find(target.name);
     if (found != this->drivers.end() && found->second.target().incarnation == target.incarnation)
-        found->second.markEnded();
+        found->second.handleDeparture(now, this->out);
 }
 
 void FleetOwner::releaseTarget(const TargetName &target)
@@ -146,9 +153,17 @@
 void FleetOwner::handlePollResponse(const OrderAddress &from, TimePoint sentAt,
                                     const PollResponse &response, TimePoint now)
 {
-    if (TargetDriver *driver = this->findDriver(from)) {
+    TargetDriver *driver = this->findDriver(from);
+    const std::uint64_t incarnation = response.incarnation.value_or(from.incarnation);
+    if (driver != nullptr && incarnation > from.incarnation) {
+        // A restarted target may respond before its first heartbeat has arrived here.
+        driver->handleUnannouncedRestart(incarnation, internal::tokenAt(now), now);
+        this->recordRestart(*driver, now);
+    } else if (driver != nullptr) {
         const bool wasReconciled = driver->isReconciled();
-        driver->handlePollResponse(sentAt, response, now, this->out);
+        // The response of a former incarnation tells nothing about the present one.
+        const bool isOutdated = incarnation < from.incarnation;
+        driver->handlePollResponse(sentAt, isOutdated ? PollResponse() : response, now, this->out);
         driver->tick(now, this->out);
         if (!wasReconciled && driver->isReconciled())
             this->recordChange(*driver, "settled");
@@ -156,8 +171,9 @@
     this->processRunEnds(now);
 }
 
-void FleetOwner::tick(const IsAlive &isAlive, TimePoint now)
+void FleetOwner::tick(const LastContact &lastContact, TimePoint now)
 {
+    this->extendWantedRuns(lastContact);
     for (auto &[name, driver] : this->drivers)
         driver.tick(now, this->out);
     this->processRunEnds(now);
@@ -167,7 +183,24 @@
         return item.second.stage == Stage::Ended
             && now >= item.second.endedAt + this->options.endLifetime;
     });
-    this->startQueuedRuns(isAlive, now);
+    this->startQueuedRuns(lastContact, now);
+}
+
+TimePoint FleetOwner::validUntil(const HeldRun &run, TimePoint wantedAt) const
+{
+    return std::min(wantedAt, run.bounds.deadlineAt) + this->options.maxOrphanTime;
+}
+
+void FleetOwner::extendWantedRuns(const LastContact &lastContact)
+{
+    for (const auto &[name, run] : this->runs) {
+        if (run.stage != Stage::OnTarget || run.isStopping)
+            continue;
+        const auto driver = this->drivers.find(run.target);
+        const auto wantedAt = lastContact(run.requester);
+        if (driver != this->drivers.end() && wantedAt)
+            driver->second.extendValidity(name, this->validUntil(run, *wantedAt));
+    }
 }
 
 // Runs past their objective come last, after those that can still meet it; then the higher priority
@@ -185,12 +218,13 @@
     return queued;
 }
 
-void FleetOwner::startQueuedRuns(const IsAlive &isAlive, TimePoint now)
+void FleetOwner::startQueuedRuns(const LastContact &lastContact, TimePoint now)
 {
     this->endInfeasibleRuns(now);
     const std::vector<HeldRun *> queued = this->queuedRuns(now);
     for (HeldRun *run : queued) {
-        if (!isAlive(run->requester) || this->isTaskRunning(run->request.run))
+        const auto wantedAt = lastContact(run->requester);
+        if (!wantedAt || this->isTaskRunning(run->request.run))
             continue;
         TargetDriver *driver = this->selectTarget(*run, now);
         if (driver == nullptr)
@@ -201,7 +235,7 @@
         ++this->counts.started;
         if (run->request.run.attempt > 1)
             this->recordAttempt(*run, *driver, std::nullopt, now);
-        driver->start(run->request, now, this->out);
+        driver->start(run->request, this->validUntil(*run, *wantedAt), now, this->out);
     }
 }
 
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -37,22 +37,84 @@
 void TargetDriver::handleHeartbeat(const LeasedTarget &target, TimePoint now)
 {
     this->heartbeatAt = now;
-    if (target.incarnation != this->heartbeat.incarnation || !target.isNewerThan(this->heartbeat))
+    if (target.incarnation != this->heartbeat.incarnation
+        || (!this->awaitsHeartbeat && !target.isNewerThan(this->heartbeat)))
         return;
     this->heartbeat = target;
+    this->awaitsHeartbeat = false;
 }
 
-void TargetDriver::start(const RunRequest &request, TimePoint now, DriverOutbox &out)
+void TargetDriver::handleDeparture(TimePoint now, DriverOutbox &out)
+{
+    if (this->isDeparting)
+        return;
+    this->isDeparting = true;
+    for (auto &[name, run] : this->runs)
+        if (!std::exchange(run.isStopWanted, true))
+            this->sendStop(name, run, now, out);
+}
+
+// Restarted targets know nothing of former orders and tokens, and their clocks and counts begin
+// anew.
+void TargetDriver::handleRestart(const LeasedTarget &target, std::uint64_t fencingToken,
+                                 TimePoint now)
+{
+    TargetDriver restarted(this->options, target, std::max(this->token + 1, fencingToken), now);
+    restarted.runs = std::move(this->runs);
+    restarted.usedCapacity = this->usedCapacity;
+    restarted.isReleasing = this->isReleasing;
+    restarted.lastPollFailed = true; // connections to the former process are broken
+    // The new clock is behind the expiry in former orders, which then grant the longest lease.
+    restarted.leasedUntil = now + this->longestLease();
+    for (auto &[name, run] : restarted.runs)
+        restarted.requireConfirmedStop(run, now);
+    *this = std::move(restarted);
+}
+
+void TargetDriver::handleUnannouncedRestart(std::uint64_t incarnation, std::uint64_t fencingToken,
+                                            TimePoint now)
+{
+    LeasedTarget target = this->heartbeat;
+    target.incarnation = incarnation;
+    target.clockMs = 0;
+    this->handleRestart(target, fencingToken, now);
+    this->awaitsHeartbeat = true;
+}
+
+// The response to a start of the former incarnation is not awaited any more, but the start may
+// still be executed. A confirmed run needs no stop: the lists of runs show whether it goes on.
+void TargetDriver::requireConfirmedStop(Run &run, TimePoint now)
+{
+    if (run.phase == Phase::Starting)
+        run.phase = Phase::Unanswered;
+    run.isStopWanted = run.isStopWanted || run.phase == Phase::Unanswered;
+    run.isStopInFlight = false;
+    run.stopConfirmedAt.reset();
+    run.stopAt = now;
+    run.listedAt.reset();
+}
+
+void TargetDriver::start(const RunRequest &request, TimePoint validUntil, TimePoint now,
+                         DriverOutbox &out)
 {
     HIBISCUS_INVARIANT(!this->runs.contains(request.run), "an attempt is started once");
     Run run;
     run.demand = request.demand;
+    run.validUntil = validUntil;
     this->runs[request.run] = run;
     this->usedCapacity = this->usedCapacity.plus(request.demand);
-    out.orders.emplace_back(StartOrder { .to = this->address(),
-                                         .run = request.run,
-                                         .spec = request.spec,
-                                         .leaseExpiryMs = this->leaseExpiryMs(now) });
+    out.orders.emplace_back(
+        StartOrder { .to = this->address(),
+                     .run = request.run,
+                     .spec = request.spec,
+                     .leaseExpiryMs = this->renewLease(this->leaseLimit(now)) });
+}
+
+void TargetDriver::extendValidity(const RunName &run, TimePoint until)
+{
+    const auto found = this->runs.find(run);
+    if (found != this->runs.end() && !found->second.isStopWanted)
+        found->second.validUntil = std::max(found->second.validUntil, until);
 }
 
 void TargetDriver::stop(const RunName &run, TimePoint now, DriverOutbox &out)
@@ -155,6 +217,8 @@
 
 void TargetDriver::tick(TimePoint now, DriverOutbox &out)
 {
+    if (this->isDeparting && now >= this->leasedUntil)
+        this->ended = true;
     if (this->ended)
         this->endAllRuns(now, out);
     if (this->ended || this->fenced)
@@ -168,9 +232,10 @@
 
 bool TargetDriver::acceptsWork(TimePoint now) const
 {
-    return this->reconciled && !this->fenced && !this->ended && !this->isReleasing
-        && this->heartbeat.state == TargetState::Ready && now >= this->avoidUntil
-        && now < this->lastResponseAt + this->options.contactLifetime;
+    return this->hasOnlyOwnRuns() && !this->awaitsHeartbeat && !this->fenced && !this->ended
+        && !this->isDeparting && !this->isReleasing && this->heartbeat.state == TargetState::Ready
+        && now >= this->avoidUntil && now < this->lastResponseAt + this->options.contactLifetime
+        && now + this->options.minLeaseForWork <= this->leaseLimit(now);
 }
 
 std::optional<TimePoint> TargetDriver::listedAt(const RunName &run) const
@@ -193,10 +258,26 @@
              .fencingToken = this->token };
 }
 
-std::int64_t TargetDriver::leaseExpiryMs(TimePoint now) const
+TimePoint TargetDriver::leaseLimit(TimePoint now) const
+{
+    TimePoint limit = now + this->options.lease;
+    for (const auto &[name, run] : this->runs)
+        limit = std::min(limit, run.validUntil);
+    return limit;
+}
+
+Duration TargetDriver::longestLease() const
+{
+    return fromSeconds(toSeconds(this->options.lease) / (1 - this->options.maxClockDrift));
+}
+
+// A slow clock reaches a reading later, so the time since the clock was read counts for less.
+std::int64_t TargetDriver::renewLease(TimePoint limit)
 {
+    this->leasedUntil = std::max(this->leasedUntil, limit);
+    const double elapsed = toSeconds(limit - this->targetClockReadAt);
     return this->targetClockMs
-        + toMilliseconds(now - this->targetClockReadAt + this->options.lease);
+        + toMilliseconds(fromSeconds((1 - this->options.maxClockDrift) * elapsed));
 }
 
 void TargetDriver::recordResponse(std::optional<std::int64_t> clockMs, TimePoint now)
@@ -209,10 +290,11 @@
 }
 
 // Before the target is reconciled, a rejected token only means that the previous owner's clock was
-// ahead, since tokens are taken from clocks. Afterwards it means that another node owns the target.
+// ahead, since tokens are taken from clocks. Afterwards, or after a restart that was announced to
+// another node, it means that another node owns the target.
 void TargetDriver::handleFenced(TimePoint now)
 {
-    if (this->reconciled) {
+    if (this->reconciled || this->awaitsHeartbeat) {
         this->fenced = true;
         return;
     }
@@ -265,13 +347,16 @@
         || std::ranges::any_of(this->runs,
                                [](const auto &r) { return r.second.stopConfirmedAt.has_value(); });
     constexpr Duration shortWait = 20ms; // a stopped run is listed within tens of ms
+    const TimePoint limit = this->leaseLimit(now);
+    const bool isRenewing = this->hasOnlyOwnRuns() && !this->isDeparting && limit > now;
     const Duration wait = this->runs.empty() ? this->options.idleWait : this->options.busyWait;
-    out.orders.emplace_back(PollOrder { .to = this->address(),
-                                        .sentAt = now,
-                                        .acknowledgedEnd = this->acknowledgedEnd,
-                                        .leaseExpiryMs = this->leaseExpiryMs(now),
-                                        .maxWait = isResultUrgent ? shortWait : wait,
-                                        .usesNewConnection = this->lastPollFailed });
+    out.orders.emplace_back(PollOrder {
+        .to = this->address(),
+        .sentAt = now,
+        .acknowledgedEnd = this->acknowledgedEnd,
+        .leaseExpiryMs = isRenewing ? std::optional(this->renewLease(limit)) : std::nullopt,
+        .maxWait = isResultUrgent ? shortWait : wait,
+        .usesNewConnection = this->lastPollFailed });
 }
 
 void TargetDriver::sendStop(const RunName &name, Run &run, TimePoint now, DriverOutbox &out)
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -10,6 +10,12 @@
 struct TargetDriverOptions
 {
     Duration lease = 1s; ///< longest lease that targets grant; set by the platform
+    /** \brief Share by which the steady clocks of targets may be slow; set by the platform. */
+    double maxClockDrift = 0.02;
+    /** \brief A target whose lease is renewed for less than this gets no new work: it has a run
+     * that may outlive its coordinator.
+     */
+    Duration minLeaseForWork = 500ms;
     /** \brief Wait of a poll while the target is idle; under half of the lease, so that one poll
      * may be lost.
      */
@@ -53,11 +59,15 @@
     std::vector<ObservedRunEnd> runEnds;
 };
 
-/** \brief Drives one incarnation of a target: renews its lease, starts and stops runs, and
- * determines their ends.
+/** \brief Drives a target: renews its lease, starts and stops runs, and determines their ends.
  *
  * A run has ended only when that is certain: the target lists it as ended, refused its start, or
- * confirmed its stop and does not list it afterwards.
+ * confirmed its stop and does not list it afterwards. A restart of the target under the same name
+ * is no such evidence: orders name the target only, so the new incarnation may have executed them.
+ *
+ * The lease covers all runs on the target, so it is renewed only as far as each of them may go on:
+ * not beyond the time until which it is valid, and not while a run of a previous owner may be
+ * there.
  */
 class TargetDriver
 {
@@ -68,7 +78,19 @@
     // Commands.
     /** \brief Handles a newer heartbeat of the same incarnation. */
     void handleHeartbeat(const LeasedTarget &target, TimePoint now);
-    void start(const RunRequest &request, TimePoint now, DriverOutbox &out);
+    /** \brief Continues with the newer incarnation in \a target, with a higher fencing token. Its
+     * lists show which runs it has; starts without a response are stopped.
+     */
+    void handleRestart(const LeasedTarget &target, std::uint64_t fencingToken, TimePoint now);
+    /** \brief Continues with \a incarnation, of which no heartbeat has arrived yet: it gets no new
+     * work before that.
+     */
+    void handleUnannouncedRestart(std::uint64_t incarnation, std::uint64_t fencingToken,
+                                  TimePoint now);
+    /** \brief Starts a run that may go on until \a validUntil unless that is extended. */
+    void start(const RunRequest &request, TimePoint validUntil, TimePoint now, DriverOutbox &out);
+    /** \brief Extends the time until which \a run may go on, unless it is being stopped. */
+    void extendValidity(const RunName &run, TimePoint until);
     void stop(const RunName &run, TimePoint now, DriverOutbox &out);
     void handleStartResponse(const RunName &run, const OrderResponse &response, TimePoint now,
                              DriverOutbox &out);
@@ -83,8 +105,10 @@
     void avoid(TimePoint until) { this->avoidUntil = std::max(this->avoidUntil, until); }
     /** \brief Stops new work from now on; runs on the target continue. */
     void startRelease() { this->isReleasing = true; }
-    /** \brief Marks this incarnation of the target, and all of its runs, as ended. */
-    void markEnded() { this->ended = true; }
+    /** \brief Handles the announcement that the target shuts down. It may go on for a while, so its
+     * runs are stopped, and have ended once that is confirmed or the lease has expired.
+     */
+    void handleDeparture(TimePoint now, DriverOutbox &out);
     /** \brief Stops new work until the target has responded again, after this node stalled. */
     void invalidateContact() { this->lastResponseAt = TimePoint(); }
 
@@ -96,7 +120,8 @@
     /** \returns whether all runs on the target were started by this driver. */
     bool isReconciled() const { return this->reconciled; }
     bool isFenced() const { return this->fenced; }
-    bool isEnded() const { return this->ended; }
+    /** \returns whether the target has ended, or has announced that and has no run left. */
+    bool isEnded() const { return this->ended || (this->isDeparting && this->runs.empty()); }
     bool isReleased() const { return this->isReleasing && this->runs.empty(); }
     TimePoint lastSeenAt() const { return std::max(this->heartbeatAt, this->lastResponseAt); }
     /** \returns the time of the last response, or of the take-over if there was none. */
@@ -116,6 +141,7 @@
     struct Run
     {
         Capacity demand;
+        TimePoint validUntil; ///< the lease is not renewed beyond it
         Phase phase = Phase::Starting;
         TimePoint confirmedAt; ///< time of the target's response to the start
         std::optional<TimePoint> listedAt; ///< send time of the last poll that listed it
@@ -126,7 +152,14 @@
     };
 
     OrderAddress address() const;
-    std::int64_t leaseExpiryMs(TimePoint now) const;
+    /** \returns whether the latest list showed no run of a previous owner. */
+    bool hasOnlyOwnRuns() const { return this->reconciled && this->foreignRunStopAt.empty(); }
+    /** \returns the latest time until which everything on the target may go on. */
+    TimePoint leaseLimit(TimePoint now) const;
+    /** \returns the longest lease on the clock of this node. */
+    Duration longestLease() const;
+    /** \returns the reading of the target's clock at \a limit, to which the lease is renewed. */
+    std::int64_t renewLease(TimePoint limit);
     void recordResponse(std::optional<std::int64_t> clockMs, TimePoint now);
     void handleFenced(TimePoint now);
     void extendAvoidance(Duration first, TimePoint now);
@@ -134,6 +167,7 @@
     void recordTimeout(TimePoint now);
     void recordOutcome(const EndedRun &listed, TimePoint now);
     void poll(TimePoint now, DriverOutbox &out);
+    void requireConfirmedStop(Run &run, TimePoint now);
     void sendStop(const RunName &name, Run &run, TimePoint now, DriverOutbox &out);
     void endRun(const RunName &run, RunEndKind kind, RunEndEvidence evidence, TimePoint now,
                 DriverOutbox &out);
@@ -151,6 +185,7 @@
     /** \brief The target's clock in its latest response or first heartbeat, ms. */
     std::int64_t targetClockMs = 0;
     TimePoint targetClockReadAt;
+    TimePoint leasedUntil; ///< latest expiry of the lease that an order contained
     std::map<RunName, Run> runs;
     /** \brief Runs of previous owners, with the time of the next stop order. */
     std::map<RunName, TimePoint> foreignRunStopAt;
@@ -161,9 +196,11 @@
     TimePoint nextPollAt;
     bool lastPollFailed = false;
     bool reconciled = false;
+    bool awaitsHeartbeat = false; ///< the heartbeat is that of a former incarnation
     bool fenced = false;
     bool ended = false;
     bool isReleasing = false;
+    bool isDeparting = false; ///< the target has announced its shutdown
     TimePoint avoidUntil;
     Duration avoidance {};
     std::uint32_t failuresInRow = 0;
