--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -1,8 +1,11 @@
 #include "Hibiscus/src/Fleet/FleetNode.h"
 
+#include "Hibiscus/src/Fleet/FencingToken.h"
+
 #include <Hibiscus/Dispatch>
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace Hibiscus {
 
@@ -30,10 +33,19 @@
 /** \brief Run ends are acknowledged within it, earlier if another message is sent anyway. */
 constexpr Duration acknowledgeWithin = 40ms;
 
+static FleetOwnerOptions ownerOptions(const FleetNodeOptions &options)
+{
+    FleetOwnerOptions owner = options.owner;
+    const std::string &name = options.self.str();
+    owner.tokenTag = XXH3_64bits(name.data(), name.size()) % FencingToken::tagCount;
+    return owner;
+}
+
 } // namespace internal
 
 FleetNode::FleetNode(const FleetNodeOptions &options)
-    : options(options), jobCoordinator(options.coordinator), targetOwner(options.owner),
+    : options(options), jobCoordinator(options.coordinator),
+      targetOwner(internal::ownerOptions(options)),
       selection({ .self = options.self,
                   .domain = options.domain,
                   .peerCount = options.selectedPeerCount,
@@ -266,6 +278,12 @@
     return found == this->transfers.end() ? std::string() : found->second.address;
 }
 
+bool FleetNode::acknowledges(const TargetHeartbeat &heartbeat) const
+{
+    const bool isForOwner = heartbeat.isLeaving || heartbeat.target.state == TargetState::Draining;
+    return !isForOwner || this->targetOwner.ownsTarget(heartbeat.target.name);
+}
+
 bool FleetNode::isIdle() const
 {
     return this->jobCoordinator.jobCount() == 0 && this->targetOwner.runningRunCount() == 0
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -1,5 +1,7 @@
 #include "Hibiscus/src/Fleet/FleetOwner.h"
 
+#include "Hibiscus/src/Fleet/FencingToken.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -7,13 +9,6 @@
 
 namespace internal {
 
-// Tokens must grow from owner to owner without communication between them, so they are taken from
-// the clock.
-static std::uint64_t tokenAt(TimePoint now)
-{
-    return static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch()));
-}
-
 /** \brief Time after which callers send a job again over a new connection; set by the platform. */
 constexpr Duration callerResendDelay = 1300ms;
 static_assert(FleetOwnerOptions {}.maxOrphanTime < callerResendDelay,
@@ -30,18 +25,23 @@
             driver.handleHeartbeat(target, now);
             return;
         }
-        driver.handleRestart(target, internal::tokenAt(now), now);
+        driver.handleRestart(target, this->newToken(now), now);
         this->recordRestart(driver, now);
         return;
     }
     const auto [added, isNew] = this->drivers.try_emplace(target.name, this->options.driver, target,
-                                                          internal::tokenAt(now), now);
+                                                          this->newToken(now), now);
     HIBISCUS_INVARIANT(isNew, "a target has one driver");
     ++this->counts.adoptedTargets;
     this->recordChange(added->second, "adopted");
     added->second.tick(now, this->out);
 }
 
+std::uint64_t FleetOwner::newToken(TimePoint now) const
+{
+    return FencingToken::at(now, this->options.tokenTag);
+}
+
 void FleetOwner::recordRestart(TargetDriver &driver, TimePoint now)
 {
     this->runTimes.remove(driver.target().name);
@@ -154,10 +154,12 @@
                                     const PollResponse &response, TimePoint now)
 {
     TargetDriver *driver = this->findDriver(from);
-    const std::uint64_t incarnation = response.incarnation.value_or(from.incarnation);
+    // Targets that do not tell their incarnation in heartbeats have incarnation 0.
+    const std::uint64_t incarnation
+        = from.incarnation == 0 ? 0 : response.incarnation.value_or(from.incarnation);
     if (driver != nullptr && incarnation > from.incarnation) {
         // A restarted target may respond before its first heartbeat has arrived here.
-        driver->handleUnannouncedRestart(incarnation, internal::tokenAt(now), now);
+        driver->handleUnannouncedRestart(incarnation, this->newToken(now), now);
         this->recordRestart(*driver, now);
     } else if (driver != nullptr) {
         const bool wasReconciled = driver->isReconciled();
@@ -188,7 +190,8 @@
 
 TimePoint FleetOwner::validUntil(const HeldRun &run, TimePoint wantedAt) const
 {
-    return std::min(wantedAt, run.bounds.deadlineAt) + this->options.maxOrphanTime;
+    return std::min(wantedAt + this->options.maxOrphanTime,
+                    run.bounds.deadlineAt + this->options.maxOvertime);
 }
 
 void FleetOwner::extendWantedRuns(const LastContact &lastContact)
@@ -226,7 +229,8 @@
         const auto wantedAt = lastContact(run->requester);
         if (!wantedAt || this->isTaskRunning(run->request.run))
             continue;
-        TargetDriver *driver = this->selectTarget(*run, now);
+        const TimePoint validUntil = this->validUntil(*run, *wantedAt);
+        TargetDriver *driver = this->selectTarget(*run, validUntil, now);
         if (driver == nullptr)
             continue;
         run->stage = Stage::OnTarget;
@@ -235,7 +239,7 @@
         ++this->counts.started;
         if (run->request.run.attempt > 1)
             this->recordAttempt(*run, *driver, std::nullopt, now);
-        driver->start(run->request, this->validUntil(*run, *wantedAt), now, this->out);
+        driver->start(run->request, validUntil, now, this->out);
     }
 }
 
@@ -451,13 +455,13 @@
 // Selects the slowest target that still meets the objective, so that fast ones stay free for tasks
 // that need them; if none does, the fastest. Among equals it selects the one with the least free
 // capacity, so that large free blocks stay whole.
-TargetDriver *FleetOwner::selectTarget(const HeldRun &run, TimePoint now)
+TargetDriver *FleetOwner::selectTarget(const HeldRun &run, TimePoint validUntil, TimePoint now)
 {
     TargetDriver *best = nullptr;
     Duration bestTime {};
     Fitness bestFitness = Fitness::Infeasible;
     for (auto &[name, driver] : this->drivers) {
-        if (!this->canRunOn(driver, run, now))
+        if (!this->canRunOn(driver, run, now) || !driver.isLeaseOverBy(validUntil))
             continue;
         const Duration time = this->runTimes.expectedRunTime(driver.target(), run.request.estimate);
         const Fitness fitness = fitnessOf(run.bounds, time, now);
@@ -559,9 +563,8 @@
 {
     const LeasedTarget &target = driver.target();
     const std::uint32_t limit = run.request.maxPerTarget;
-    return target.service == run.request.service && driver.acceptsWork(now)
-        && driver.free().covers(run.request.demand)
-        && satisfies(target.labels, run.request.requiredLabel)
+    return target.service == run.request.service && driver.free().covers(run.request.demand)
+        && satisfies(target.labels, run.request.requiredLabel) && driver.acceptsWork(now)
         && (limit == 0 || driver.runCountOf(run.request.run.job, run.request.run.step) < limit);
 }
 
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -14,6 +14,10 @@
 struct FleetOwnerOptions
 {
     TargetDriverOptions driver;
+    /** \brief Lowest part of the owner's fencing tokens, below FencingToken::tagCount: owners that
+     * take a target over in the same millisecond have different tokens.
+     */
+    std::uint64_t tokenTag = 0;
     /** \brief A target without heartbeat and response is removed after it. */
     Duration targetSilenceTimeout = 10s;
     /** \brief A target with heartbeats but no responses is removed after it. */
@@ -30,11 +34,15 @@
      */
     Duration returnDelay = 10ms;
     Duration endLifetime = 30s; ///< an unacknowledged run end is dropped after it
-    /** \brief Time for which a run may go on after its coordinator was last known to want it, or
-     * after its deadline, whether its stop is answered or not. Shorter than the time after which
-     * callers send a job again over a new connection.
+    /** \brief Time for which a run may go on after its coordinator was last known to want it,
+     * whether its stop is answered or not. Shorter than the time after which callers send a job
+     * again over a new connection.
      */
     Duration maxOrphanTime = 1200ms;
+    /** \brief The same after its deadline, when its caller has stopped waiting; shorter by the time
+     * that the job's messages may have been delayed.
+     */
+    Duration maxOvertime = 900ms;
 };
 
 /** \brief Requester of a run: one incarnation of an entry node. */
@@ -204,8 +212,9 @@
     void recordAttempt(const HeldRun &run, const TargetDriver &driver,
                        const std::optional<ObservedRunEnd> &end, TimePoint now);
     TargetDriver *findDriver(const OrderAddress &from);
+    std::uint64_t newToken(TimePoint now) const;
     void recordRestart(TargetDriver &driver, TimePoint now);
-    TargetDriver *selectTarget(const HeldRun &run, TimePoint now);
+    TargetDriver *selectTarget(const HeldRun &run, TimePoint validUntil, TimePoint now);
     bool canRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
     bool isTaskRunning(const RunName &run) const;
     bool shouldWaitForFasterTarget(const HeldRun &run, TimePoint now) const;
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -1,5 +1,7 @@
 #include "Hibiscus/src/Fleet/TargetDriver.h"
 
+#include "Hibiscus/src/Fleet/FencingToken.h"
+
 #include <algorithm>
 
 namespace Hibiscus {
@@ -7,9 +9,9 @@
 namespace internal {
 
 /** \brief First increment of a fencing token that is too low because a previous owner's clock was
- * ahead, in the token's unit of milliseconds; doubled until the target accepts the token.
+ * ahead: five seconds; doubled until the target accepts the token.
  */
-constexpr std::uint64_t firstTokenStep = 5'000;
+constexpr std::uint64_t firstTokenStep = 5'000 * FencingToken::tagCount;
 
 static RunEndKind kindOf(TargetRunEnd end)
 {
@@ -31,7 +33,8 @@
 TargetDriver::TargetDriver(const TargetDriverOptions &options, const LeasedTarget &target,
                            std::uint64_t fencingToken, TimePoint now)
     : options(options), heartbeat(target), token(fencingToken), tokenStep(internal::firstTokenStep),
-      takenOverAt(now), heartbeatAt(now), targetClockMs(target.clockMs), targetClockReadAt(now)
+      takenOverAt(now), heartbeatAt(now), targetClockMs(target.clockMs), targetClockReadAt(now),
+      leasedUntil(now + this->longestLease())
 { }
 
 void TargetDriver::handleHeartbeat(const LeasedTarget &target, TimePoint now)
@@ -59,13 +62,12 @@
 void TargetDriver::handleRestart(const LeasedTarget &target, std::uint64_t fencingToken,
                                  TimePoint now)
 {
-    TargetDriver restarted(this->options, target, std::max(this->token + 1, fencingToken), now);
+    TargetDriver restarted(this->options, target,
+                           std::max(this->token + FencingToken::tagCount, fencingToken), now);
     restarted.runs = std::move(this->runs);
     restarted.usedCapacity = this->usedCapacity;
     restarted.isReleasing = this->isReleasing;
     restarted.lastPollFailed = true; // connections to the former process are broken
-    // The new clock is behind the expiry in former orders, which then grant the longest lease.
-    restarted.leasedUntil = now + this->longestLease();
     for (auto &[name, run] : restarted.runs)
         restarted.requireConfirmedStop(run, now);
     *this = std::move(restarted);
@@ -92,6 +94,7 @@
     run.stopConfirmedAt.reset();
     run.stopAt = now;
     run.listedAt.reset();
+    run.missingSince.reset();
 }
 
 void TargetDriver::start(const RunRequest &request, TimePoint validUntil, TimePoint now,
@@ -260,7 +263,7 @@
 
 TimePoint TargetDriver::leaseLimit(TimePoint now) const
 {
-    TimePoint limit = now + this->options.lease;
+    TimePoint limit = now + std::min(this->options.lease, this->options.maxRenewal);
     for (const auto &[name, run] : this->runs)
         limit = std::min(limit, run.validUntil);
     return limit;
@@ -343,12 +346,14 @@
 {
     this->isPolling = true;
     this->pollSentAt = now;
-    const bool isResultUrgent = !this->reconciled
-        || std::ranges::any_of(this->runs,
-                               [](const auto &r) { return r.second.stopConfirmedAt.has_value(); });
+    const bool isResultUrgent
+        = !this->reconciled || std::ranges::any_of(this->runs, [](const auto &r) {
+              return r.second.stopConfirmedAt || r.second.missingSince;
+          });
     constexpr Duration shortWait = 20ms; // a stopped run is listed within tens of ms
     const TimePoint limit = this->leaseLimit(now);
-    const bool isRenewing = this->hasOnlyOwnRuns() && !this->isDeparting && limit > now;
+    const bool isRenewing
+        = !this->runs.empty() && this->hasOnlyOwnRuns() && !this->isDeparting && limit > now;
     const Duration wait = this->runs.empty() ? this->options.idleWait : this->options.busyWait;
     out.orders.emplace_back(PollOrder {
         .to = this->address(),
@@ -363,7 +368,10 @@
 {
     run.isStopInFlight = true;
     run.stopAt = now + this->options.stopRetryInterval;
-    out.orders.emplace_back(StopOrder { .to = this->address(), .run = name });
+    out.orders.emplace_back(
+        StopOrder { .to = this->address(),
+                    .run = name,
+                    .usesNewConnection = std::exchange(run.isStopRepeated, true) });
 }
 
 void TargetDriver::endRun(const RunName &run, RunEndKind kind, RunEndEvidence evidence,
@@ -387,32 +395,47 @@
                      RunEndEvidence::TargetEnded, now, out);
 }
 
-// The response to a poll shows a state later than its sending. A run whose start or stop was
-// confirmed before the poll was sent, and which is listed neither as running nor as ended, has
-// ended.
+// The response to a poll shows a state later than its sending.
 void TargetDriver::endUnlistedRuns(const PollResponse &response, TimePoint now, DriverOutbox &out)
 {
     std::vector<ObservedRunEnd> runEnds;
     for (auto &[name, run] : this->runs) {
         if (std::ranges::find(response.running, name) != response.running.end()) {
             run.listedAt = this->pollSentAt;
+            run.missingSince.reset();
             continue;
         }
-        const bool isStopped = run.stopConfirmedAt
-            && *run.stopConfirmedAt + this->options.maxStopTime <= this->pollSentAt;
-        if (isStopped)
-            runEnds.push_back({ .run = name,
-                                .kind = RunEndKind::Stopped,
-                                .evidence = RunEndEvidence::StopConfirmed });
-        else if (!run.isStopWanted && run.phase == Phase::Running
-                 && run.confirmedAt < this->pollSentAt)
-            runEnds.push_back(
-                { .run = name, .kind = RunEndKind::Lost, .evidence = RunEndEvidence::NotListed });
+        if (!run.missingSince && run.phase == Phase::Running && run.confirmedAt < this->pollSentAt)
+            run.missingSince = this->pollSentAt;
+        if (const auto end = this->endOfUnlisted(name, run))
+            runEnds.push_back(*end);
     }
     for (const ObservedRunEnd &item : runEnds)
         this->endRun(item.run, item.kind, item.evidence, now, out);
 }
 
+// Targets need not list a run that is being stopped. Not only this driver stops runs: another owner
+// may do so just before this one learns of it. So a run that is missing goes on for up to the time
+// that a stop takes.
+std::optional<ObservedRunEnd> TargetDriver::endOfUnlisted(const RunName &name, const Run &run) const
+{
+    const auto isOver = [&](const std::optional<TimePoint> &since) {
+        return since && *since + this->options.maxStopTime <= this->pollSentAt;
+    };
+    if (isOver(run.stopConfirmedAt))
+        return ObservedRunEnd { .run = name,
+                                .kind = RunEndKind::Stopped,
+                                .evidence = RunEndEvidence::StopConfirmed };
+    // The lease was not renewed beyond the validity of the run, nor would the target accept its
+    // start.
+    const bool hasExpired = run.validUntil <= this->pollSentAt;
+    if (hasExpired || (!run.isStopWanted && isOver(run.missingSince)))
+        return ObservedRunEnd { .run = name,
+                                .kind = RunEndKind::Lost,
+                                .evidence = RunEndEvidence::NotListed };
+    return std::nullopt;
+}
+
 void TargetDriver::stopForeignRuns(const PollResponse &response, TimePoint now, DriverOutbox &out)
 {
     bool hasForeignRun = false;
@@ -420,11 +443,12 @@
         if (this->runs.contains(name))
             continue;
         hasForeignRun = true;
-        TimePoint &stopAt = this->foreignRunStopAt[name];
-        if (now < stopAt)
+        const auto [known, isNew] = this->foreignRunStopAt.try_emplace(name, now);
+        if (now < known->second)
             continue;
-        stopAt = now + this->options.stopRetryInterval;
-        out.orders.emplace_back(StopOrder { .to = this->address(), .run = name });
+        known->second = now + this->options.foreignStopInterval;
+        out.orders.emplace_back(
+            StopOrder { .to = this->address(), .run = name, .usesNewConnection = !isNew });
     }
     if (hasForeignRun)
         return;
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -236,6 +236,11 @@
     }
     this->node.handleHeartbeat(*heartbeat, this->loop.now());
     const std::string next = this->node.heartbeatRedirectOf(heartbeat->target.name);
+    if (!this->node.acknowledges(*heartbeat)) {
+        logEvent("departure-not-acknowledged", { { "target", heartbeat->target.name.str() } });
+        this->targetServer.respond(request.token, { .status = internal::StatusUnavailable });
+        return;
+    }
     this->targetServer.respond(request.token,
                                { .body = this->context.protocol.renderHeartbeatResponse(next) });
 }
@@ -360,6 +365,7 @@
 {
     HttpCall call = this->context.protocol.makeStopCall(order);
     call.timeout = internal::orderTimeout;
+    call.usesNewConnection = order.usesNewConnection;
     this->client.send(call, [this, to = order.to, run = order.run](const HttpCallResult &result) {
         const OrderResponse response = this->context.protocol.readOrderResponse(result);
         logEvent("stop-sent",
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -2,16 +2,30 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <iostream>
+
 using namespace Hibiscus;
 using Fake::FleetSimulation;
 using Fake::FleetSimulationOptions;
 
 namespace {
 
+bool isTraceWanted()
+{
+    return std::getenv("HIBISCUS_TRACE") != nullptr;
+}
+
 void expectNoViolations(const FleetSimulation &simulation, std::uint64_t seed)
 {
     for (const std::string &violation : simulation.violations())
         ADD_FAILURE() << violation << " (seed " << seed << ")";
+    if (simulation.violations().empty())
+        return;
+    for (const std::string &line : simulation.trace())
+        std::cout << line << '\n';
 }
 
 /** \brief Submits \a jobsPerSecond jobs per second to random gateways for \a span. */
@@ -69,13 +83,17 @@
     target.state = TargetState::Draining;
     node.handleHeartbeat({ .target = target }, now);
     EXPECT_FALSE(node.owner().ownsTarget(target.name));
+    EXPECT_FALSE(node.acknowledges({ .target = target })) << "its owner does not know of it";
+    EXPECT_FALSE(node.acknowledges({ .target = target, .isLeaving = true }));
     target.state = TargetState::Ready;
     target.sequence = 1;
+    EXPECT_TRUE(node.acknowledges({ .target = target }));
     node.handleHeartbeat({ .target = target }, now);
     EXPECT_TRUE(node.owner().ownsTarget(target.name));
     target.state = TargetState::Draining;
     target.sequence = 2;
     node.handleHeartbeat({ .target = target }, now);
+    EXPECT_TRUE(node.acknowledges({ .target = target }));
     EXPECT_EQ(node.owner().findTarget(target.name)->state, TargetState::Draining);
 }
 
@@ -123,7 +141,9 @@
 TEST(Fleet, BurstWithLostOrdersIsServed)
 {
     for (const std::uint64_t seed : { 1U, 2U, 3U, 4U }) {
-        FleetSimulation simulation({ .lateOrderShare = 0.045, .seed = seed });
+        FleetSimulation simulation(
+            { .lateOrders = { .startShare = 0.045, .stopShare = 0.045, .pollShare = 0.045 },
+              .seed = seed });
         simulation.run(6s);
         submitJobs(simulation, 42, 6s);
         simulation.run(3s);
@@ -178,6 +198,144 @@
     expectNoViolations(simulation, 10);
 }
 
+/** \brief Faults of targets and of the paths to them. */
+class FleetTargetFault : public testing::Test
+{
+protected:
+    static FleetSimulationOptions smallFleet(std::uint64_t seed)
+    {
+        FleetSimulationOptions options;
+        options.domains = { "a" };
+        options.gatewaysPerDomain = 1;
+        options.targetsPerDomain = 3;
+        options.recordsTrace = isTraceWanted();
+        options.seed = seed;
+        return options;
+    }
+
+    /** \returns a gateway that owns no target, or the one that owns the fewest. */
+    static std::string gatewayWithFewestTargets(const FleetSimulation &simulation)
+    {
+        const std::vector<std::string> names = simulation.gatewayNames();
+        return *std::ranges::min_element(names, {}, [&](const std::string &name) {
+            return simulation.gateway(name)->owner().targetNames().size();
+        });
+    }
+
+    static constexpr std::uint64_t seedCount = 4;
+};
+
+// Guards against reporting the runs of a restarted target as lost that it has started since.
+TEST_F(FleetTargetFault, RunStartedOnARestartedTargetBeforeItsHeartbeatIsNotStartedElsewhere)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        FleetSimulation simulation(smallFleet(seed));
+        simulation.run(6s);
+        Duration heartbeatDelay = 250ms;
+        for (const std::string &target : simulation.targetNames()) {
+            simulation.restart(target, 0ms, heartbeatDelay);
+            heartbeatDelay += 250ms;
+        }
+        for (int i = 0; i < 3; ++i)
+            simulation.submit("g-a1", 1, 900ms, 5s);
+        simulation.run(6s);
+        EXPECT_EQ(simulation.servedShare(), 1.0) << "seed " << seed;
+        expectNoViolations(simulation, seed);
+    }
+}
+
+// Guards against polls that keep a run alive whose stop is not answered, until its caller has sent
+// the job to another gateway.
+TEST_F(FleetTargetFault, RunOfAKilledCoordinatorEndsThoughItsStopsAreUnanswered)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        FleetSimulationOptions options = smallFleet(seed);
+        options.domains = { "a", "b" };
+        options.gatewaysPerDomain = 2;
+        options.targetsPerDomain = 2;
+        options.lateOrders.stopShare = 1;
+        FleetSimulation simulation(options);
+        simulation.run(6s);
+        const std::string coordinator = gatewayWithFewestTargets(simulation);
+        for (int i = 0; i < 4; ++i)
+            simulation.submit(coordinator, 1, 3s, 8s);
+        simulation.run(100ms);
+        simulation.kill(coordinator, 20s);
+        simulation.run(8s);
+        expectNoViolations(simulation, seed);
+    }
+}
+
+// Guards against a run of a killed coordinator that starts late and inherits the longer lease that
+// its target was granted for other runs.
+TEST_F(FleetTargetFault, RunStartedAfterItsCoordinatorWasKilledEndsBeforeItsCallerSendsAgain)
+{
+    constexpr Duration killDelay = 50ms;
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        for (Duration busyTime = 300ms; busyTime <= 640ms; busyTime += 20ms) {
+            FleetSimulationOptions options = smallFleet(seed);
+            options.domains = { "a", "b" };
+            options.gatewaysPerDomain = 2;
+            options.targetsPerDomain = 2;
+            options.lateOrders.stopShare = 1;
+            FleetSimulation simulation(options);
+            simulation.run(8s);
+            const std::string coordinator = gatewayWithFewestTargets(simulation);
+            for (const std::string &gateway : simulation.gatewayNames())
+                if (!simulation.gateway(gateway)->owner().targetNames().empty())
+                    simulation.submit(gateway, 8, busyTime, 8s);
+            simulation.run(10ms);
+            for (int i = 0; i < 4; ++i)
+                simulation.submit(coordinator, 1, 3s, 9s);
+            simulation.run(killDelay);
+            simulation.kill(coordinator, 20s);
+            simulation.run(4s);
+            expectNoViolations(simulation, seed);
+        }
+    }
+}
+
+// Guards against reporting the runs of a departing target as lost before it has ended.
+TEST_F(FleetTargetFault, RunOnADepartingTargetGoesOnUntilTheTargetHasEnded)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        FleetSimulation simulation(smallFleet(seed));
+        simulation.run(6s);
+        for (int i = 0; i < 3; ++i)
+            simulation.submit("g-a1", 1, 1500ms, 6s);
+        simulation.run(100ms);
+        for (const std::string &target : simulation.targetNames())
+            if (!simulation.target(target).running.empty()) {
+                simulation.depart(target, { .isAcknowledged = false });
+                break;
+            }
+        simulation.run(7s);
+        expectNoViolations(simulation, seed);
+    }
+}
+
+// Guards against reporting a run as lost that another owner of its restarted target is stopping: a
+// target does not list it, though it has not ended yet.
+TEST_F(FleetTargetFault, RunStoppedByAnotherOwnerIsNotStartedElsewhereBeforeItHasEnded)
+{
+    constexpr Duration longestHeartbeatDelay = 300ms;
+    constexpr Duration delayStep = 10ms;
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        for (Duration delay = delayStep; delay <= longestHeartbeatDelay; delay += delayStep) {
+            FleetSimulationOptions options = smallFleet(seed);
+            options.gatewaysPerDomain = 2;
+            FleetSimulation simulation(options);
+            simulation.run(8s);
+            for (const std::string &target : simulation.targetNames())
+                simulation.restart(target, 0ms, delay);
+            for (int i = 0; i < 3; ++i)
+                simulation.submit("g-a1", 1, 900ms, 5s);
+            simulation.run(3s);
+            expectNoViolations(simulation, seed);
+        }
+    }
+}
+
 /** \brief Random faults at random times, partly at once. */
 class FleetSoak : public testing::TestWithParam<std::uint64_t>
 { };
@@ -191,7 +349,9 @@
     const std::uint64_t seed = options.seed;
     std::mt19937_64 random(seed);
     std::uniform_real_distribution<double> share(0, 1);
-    options.lateOrderShare = share(random) < 0.3 ? 0.02 : 0;
+    const double lateShare = share(random) < 0.3 ? 0.02 : 0;
+    options.lateOrders
+        = { .startShare = lateShare, .stopShare = lateShare, .pollShare = lateShare };
     options.lostMessageShare = share(random) < 0.3 ? 0.02 : 0;
     FleetSimulation simulation(options);
     simulation.run(6s);
@@ -260,7 +420,181 @@
     return seeds;
 }
 
+/** \brief Fault of targets that a soak repeats; faults of gateways occur in each soak. */
+enum class TargetFault : std::uint8_t {
+    Restart, ///< under its name, partly with orders before the first heartbeat
+    Departure, ///< partly without an acknowledgement
+    LateStart,
+    LateStop,
+    LatePoll,
+    LossyPath,
+    OneWayPath, ///< orders arrive, responses do not
+    ErrorAfterStart, ///< executed starts are answered with an error
+    Mixed ///< all of them
+};
+
+constexpr std::array targetFaults
+    = { TargetFault::Restart,    TargetFault::Departure,       TargetFault::LateStart,
+        TargetFault::LateStop,   TargetFault::LatePoll,        TargetFault::LossyPath,
+        TargetFault::OneWayPath, TargetFault::ErrorAfterStart, TargetFault::Mixed };
+
+std::string toString(TargetFault fault)
+{
+    constexpr std::array names
+        = { "Restart",   "Departure",  "LateStart",       "LateStop", "LatePoll",
+            "LossyPath", "OneWayPath", "ErrorAfterStart", "Mixed" };
+    return names.at(static_cast<std::size_t>(fault));
+}
+
+/** \brief Faults of targets and of the paths to them, with faults of gateways, at random times. */
+class FleetTargetFaultSoak : public testing::TestWithParam<std::tuple<TargetFault, std::uint64_t>>
+{
+protected:
+    void run(FleetSimulationOptions options)
+    {
+        this->configure(options);
+        FleetSimulation simulation(options);
+        simulation.run(6s);
+        for (int round = 0; round < roundCount; ++round) {
+            this->submitLongJobs(simulation);
+            if (this->share() < gatewayFaultShare)
+                this->disturbGateway(simulation);
+            this->disturbTarget(simulation, this->fault());
+        }
+        this->submitLongJobs(simulation);
+        simulation.heal();
+        simulation.run(14s);
+        expectNoViolations(simulation, this->seed());
+    }
+
+private:
+    TargetFault fault() const { return std::get<0>(this->GetParam()); }
+    std::uint64_t seed() const { return std::get<1>(this->GetParam()); }
+    double share() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+
+    bool includes(TargetFault wanted) const
+    {
+        return this->fault() == wanted || this->fault() == TargetFault::Mixed;
+    }
+
+    std::chrono::milliseconds span(int least, int most)
+    {
+        return std::chrono::milliseconds(
+            std::uniform_int_distribution<int>(least, most)(this->random));
+    }
+
+    std::string pick(const std::vector<std::string> &names)
+    {
+        return names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(this->random)];
+    }
+
+    void configure(FleetSimulationOptions &options)
+    {
+        options.recordsTrace = isTraceWanted();
+        options.seed = this->seed();
+        options.slowClockShare = 0.3;
+        const double lateShare = this->share() < 0.5 ? 0.02 : 0.4;
+        const double lateStopShare = this->share() < 0.5 ? 0.1 : 0.7;
+        if (this->includes(TargetFault::LateStart))
+            options.lateOrders.startShare = lateShare;
+        if (this->includes(TargetFault::LateStop))
+            options.lateOrders.stopShare = lateStopShare;
+        if (this->includes(TargetFault::LatePoll))
+            options.lateOrders.pollShare = lateShare;
+        options.lateOrders.reachesNextIncarnation = this->share() < 0.3;
+        options.lateOrders.grantsFromArrival = this->share() < 0.3;
+    }
+
+    /** \brief Jobs that outlast the time after which their caller sends them again. */
+    void submitLongJobs(FleetSimulation &simulation)
+    {
+        constexpr Duration interval = 40ms;
+        const Duration end = this->span(300, 1200);
+        for (Duration elapsed {}; elapsed < end; elapsed += interval) {
+            std::uniform_int_distribution<std::uint32_t> tasks(1, 2);
+            const auto taskTime = this->share() < 0.7 ? this->span(40, 400) : this->span(600, 3000);
+            simulation.submit(this->pick(simulation.gatewayNames()), tasks(this->random), taskTime,
+                              2 * taskTime + this->span(1500, 5000));
+            simulation.run(interval);
+        }
+    }
+
+    void disturbGateway(FleetSimulation &simulation)
+    {
+        const std::string gateway = this->pick(simulation.gatewayNames());
+        if (this->share() < 0.6)
+            simulation.kill(gateway, this->span(200, 4000));
+        else if (this->share() < 0.5)
+            simulation.freeze(gateway, this->span(200, 4000));
+        else
+            simulation.disconnect(gateway, this->pick(simulation.gatewayNames()));
+    }
+
+    void disturbTarget(FleetSimulation &simulation, TargetFault kind)
+    {
+        const std::string target = this->pick(simulation.targetNames());
+        const std::string gateway = this->pick(simulation.gatewayNames());
+        switch (kind) {
+        case TargetFault::Restart:
+            simulation.restart(target, this->share() < 0.5 ? 0ms : this->span(1, 1500),
+                               this->span(0, 400));
+            break;
+        case TargetFault::Departure:
+            simulation.depart(target,
+                              { .drainTime = this->span(0, 800),
+                                .isAcknowledged = this->share() < 0.5,
+                                .endsAfter = this->span(200, 3000),
+                                .returnsAfter = this->span(0, 3000) });
+            break;
+        case TargetFault::LossyPath:
+            for (const std::string &sender : simulation.gatewayNames())
+                if (this->share() < 0.5)
+                    simulation.disturbPath(sender, target,
+                                           { .requestShare = 0.3, .responseShare = 0.3 });
+            break;
+        case TargetFault::OneWayPath:
+            simulation.disturbPath(gateway, target, { .responseShare = 1 });
+            break;
+        case TargetFault::ErrorAfterStart:
+            simulation.setAnsweredWithErrorShare(target, 0.4);
+            break;
+        case TargetFault::Mixed:
+            this->disturbTarget(simulation, this->anyFault());
+            break;
+        case TargetFault::LateStart:
+        case TargetFault::LateStop:
+        case TargetFault::LatePoll:
+            break;
+        }
+        if (this->share() < healShare)
+            simulation.heal();
+    }
+
+    TargetFault anyFault()
+    {
+        return targetFaults.at(
+            std::uniform_int_distribution<std::size_t>(0, targetFaults.size() - 2)(this->random));
+    }
+
+    static constexpr int roundCount = 8;
+    static constexpr double gatewayFaultShare = 0.4;
+    static constexpr double healShare = 0.15;
+    std::mt19937_64 random { this->seed() };
+};
+
+TEST_P(FleetTargetFaultSoak, NoTaskHasTwoRuns)
+{
+    this->run({});
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, FleetSoak, testing::ValuesIn(soakSeeds(40)));
 INSTANTIATE_TEST_SUITE_P(Seeds, ManyGatewaysSoak, testing::ValuesIn(soakSeeds(12)));
+INSTANTIATE_TEST_SUITE_P(Seeds, FleetTargetFaultSoak,
+                         testing::Combine(testing::ValuesIn(targetFaults),
+                                          testing::ValuesIn(soakSeeds(6))),
+                         [](const auto &item) {
+                             return toString(std::get<0>(item.param)) + '_'
+                                 + std::to_string(std::get<1>(item.param));
+                         });
 
 } // namespace
