A target is not removed as unreachable right after a stall of its owner

Cause: a stall cleared the time of the latest response, so that the time of the take-over counted as the latest contact. Now a flag says that the target has to respond again before it gets new work.

FleetOwner.TargetIsNotUnreachableRightAfterAStall guards it.

--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -237,7 +237,8 @@
 {
     return this->hasOnlyOwnRuns() && !this->awaitsHeartbeat && !this->fenced && !this->ended
         && !this->isDeparting && !this->isReleasing && this->heartbeat.state == TargetState::Ready
-        && now >= this->avoidUntil && now < this->lastResponseAt + this->options.contactLifetime
+        && this->isContactValid && now >= this->avoidUntil
+        && now < this->lastResponseAt + this->options.contactLifetime
         && now + this->options.minLeaseForWork <= this->leaseLimit(now);
 }
 
@@ -288,6 +289,7 @@
     if (!clockMs)
         return;
     this->lastResponseAt = now;
+    this->isContactValid = true;
     this->targetClockMs = *clockMs;
     this->targetClockReadAt = now;
 }
@@ -395,8 +397,8 @@
                      RunEndEvidence::TargetEnded, now, out);
 }
 
-// The response to a poll shows a state later than its sending. If a row could not be read, it may be
-// that of a run that seems to be missing.
+// The response to a poll shows a state later than its sending. If a row could not be read, it may
+// be that of a run that seems to be missing.
 void TargetDriver::endUnlistedRuns(const PollResponse &response, TimePoint now, DriverOutbox &out)
 {
     std::vector<ObservedRunEnd> runEnds;
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -118,7 +118,7 @@
      */
     void handleDeparture(TimePoint now, DriverOutbox &out);
     /** \brief Stops new work until the target has responded again, after this node stalled. */
-    void invalidateContact() { this->lastResponseAt = TimePoint(); }
+    void invalidateContact() { this->isContactValid = false; }
 
     // Queries.
     const LeasedTarget &target() const { return this->heartbeat; }
@@ -200,6 +200,7 @@
     TimePoint takenOverAt;
     TimePoint heartbeatAt;
     TimePoint lastResponseAt; ///< time of the latest response
+    bool isContactValid = true; ///< false after a stall, until the next response
     /** \brief The target's clock in its latest response or first heartbeat, ms. */
     std::int64_t targetClockMs = 0;
     TimePoint targetClockReadAt;
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -124,6 +124,26 @@
     EXPECT_EQ(fixture.owner.runningRunCount(), 0U) << "the lists do not contain it";
 }
 
+// Guards against runs given up without need: after a stall of this node, a target that had
+// responded until then was removed as unreachable before it could respond.
+TEST(FleetOwner, TargetIsNotUnreachableRightAfterAStall)
+{
+    OwnerFixture fixture;
+    for (int i = 0; i < 50; ++i) {
+        fixture.now += 100ms;
+        fixture.answerPolls();
+    }
+    fixture.owner.invalidateTargetContacts();
+    fixture.now += 10ms;
+    fixture.owner.tick([](const Requester &) { return std::nullopt; }, fixture.now);
+    ASSERT_EQ(fixture.owner.targetNames().size(), 1U);
+    EXPECT_FALSE(fixture.owner.report(fixture.now).targets.at(0).acceptsWork);
+    fixture.now += 100ms;
+    fixture.answerPolls();
+    fixture.answerPolls();
+    EXPECT_TRUE(fixture.owner.report(fixture.now).targets.at(0).acceptsWork);
+}
+
 // Guards against a target with two owners: tokens are taken from clocks, so those of two gateways
 // that took a target over in the same millisecond were equal, and neither was fenced.
 TEST(FleetNode, TwoNodesThatTakeATargetOverAtOnceHaveDifferentTokens)
