--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -20,8 +20,8 @@
      * that may outlive its coordinator.
      */
     Duration minLeaseForWork = 500ms;
-    /** \brief Wait of a poll while the target is idle; under half of the lease, so that one poll
-     * may be lost.
+    /** \brief Wait of a poll while the target is idle; under half of contactLifetime, so that one
+     * poll may be lost.
      */
     Duration idleWait = 450ms;
     /** \brief Wait of a poll while a run is on the target: if the response with a run's end is
