An owner raises its fencing token each second

Cause: orders without a response may be executed 2 to 12 s later.

Now the token grows each second, while no start or stop is in flight, so the target rejects orders that are older.

TargetDriver.TokenIsRaisedEachSecondUnlessAnOrderIsInFlight guards it.

--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -33,8 +33,8 @@
 TargetDriver::TargetDriver(const TargetDriverOptions &options, const LeasedTarget &target,
                            std::uint64_t fencingToken, TimePoint now)
     : options(options), heartbeat(target), token(fencingToken), tokenStep(internal::firstTokenStep),
-      takenOverAt(now), heartbeatAt(now), targetClockMs(target.clockMs), targetClockReadAt(now),
-      leasedUntil(now + this->longestLease())
+      tokenRaisedAt(now), takenOverAt(now), heartbeatAt(now), targetClockMs(target.clockMs),
+      targetClockReadAt(now), leasedUntil(now + this->longestLease())
 { }
 
 void TargetDriver::handleHeartbeat(const LeasedTarget &target, TimePoint now)
@@ -344,8 +344,27 @@
         this->recordRefusal(now);
 }
 
+bool TargetDriver::hasOrderInFlight() const
+{
+    return std::ranges::any_of(this->runs, [](const auto &r) {
+        return r.second.phase == Phase::Starting || r.second.isStopInFlight;
+    });
+}
+
+// Orders without a response may be executed seconds later; a late poll would renew the lease of a
+// run that nobody wants any more. An order in flight must not be fenced, so the token waits for it.
+void TargetDriver::raiseToken(TimePoint now)
+{
+    const bool isDue = now >= this->tokenRaisedAt + this->options.tokenInterval;
+    if (!isDue || !this->hasOnlyOwnRuns() || this->hasOrderInFlight())
+        return;
+    this->token += FencingToken::tagCount;
+    this->tokenRaisedAt = now;
+}
+
 void TargetDriver::poll(TimePoint now, DriverOutbox &out)
 {
+    this->raiseToken(now);
     this->isPolling = true;
     this->pollSentAt = now;
     const bool isResultUrgent
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -35,6 +35,10 @@
      * platform allows 50 ms, in which targets need not list the run as running.
      */
     Duration maxStopTime = 60ms;
+    /** \brief Interval of higher fencing tokens, with which later orders fence those that are
+     * executed late; the platform executes them 2 s late or more.
+     */
+    Duration tokenInterval = 1s;
     Duration stopRetryInterval = 50ms; ///< delay before an unconfirmed stop is sent again
     /** \brief Delay before the stop of a previous owner's run is sent again: it may take
      * maxStopTime after its response, for which this driver does not wait.
@@ -180,6 +184,9 @@
     void recordRefusal(TimePoint now);
     void recordTimeout(TimePoint now);
     void recordOutcome(const EndedRun &listed, TimePoint now);
+    /** \returns whether the target may yet respond to a start or stop. */
+    bool hasOrderInFlight() const;
+    void raiseToken(TimePoint now);
     void poll(TimePoint now, DriverOutbox &out);
     void requireConfirmedStop(Run &run, TimePoint now);
     void sendStop(const RunName &name, Run &run, TimePoint now, DriverOutbox &out);
@@ -197,6 +204,7 @@
     LeasedTarget heartbeat;
     std::uint64_t token;
     std::uint64_t tokenStep;
+    TimePoint tokenRaisedAt;
     TimePoint takenOverAt;
     TimePoint heartbeatAt;
     TimePoint lastResponseAt; ///< time of the latest response
--- a/test/TargetDriverTest.cpp
+++ b/test/TargetDriverTest.cpp
@@ -363,4 +363,29 @@
     EXPECT_TRUE(fixture.last<StopOrder>().usesNewConnection);
 }
 
+// Guards against two runs of one task: a poll that was executed late renewed the lease of a run
+// after its owner had died. Later orders of the owner fence it.
+TEST(TargetDriver, TokenIsRaisedEachSecondUnlessAnOrderIsInFlight)
+{
+    DriverFixture fixture;
+    const std::uint64_t first = fixture.last<PollOrder>().to.fencingToken;
+    fixture.advance(1s);
+    fixture.poll({ fixture.request.run });
+    const std::uint64_t second = fixture.last<PollOrder>().to.fencingToken;
+    EXPECT_GT(second, first);
+    fixture.advance(100ms);
+    fixture.poll({ fixture.request.run });
+    EXPECT_EQ(fixture.last<PollOrder>().to.fencingToken, second);
+    RunRequest other = fixture.request;
+    other.run.index = 1;
+    fixture.advance(1s);
+    fixture.driver.start(other, fixture.now + 10s, fixture.now, fixture.out);
+    fixture.poll({ fixture.request.run });
+    EXPECT_EQ(fixture.last<PollOrder>().to.fencingToken, second) << "it would fence the start";
+    fixture.driver.handleStartResponse(other.run, { .status = OrderStatus::Done, .clockMs = 30 },
+                                       fixture.now, fixture.out);
+    fixture.poll({ fixture.request.run, other.run });
+    EXPECT_GT(fixture.last<PollOrder>().to.fencingToken, second);
+}
+
 } // namespace
