--- a/test/HostileInputTest.cpp
+++ b/test/HostileInputTest.cpp
@@ -365,16 +365,13 @@
     deployment.services.emplace_back().name = ServiceName("s");
     for (const std::size_t depth : { 10UL, 1'000UL, 100'000UL, 2'000'000UL }) {
         const std::string list = nested(depth);
-        EXPECT_FALSE(parseAnnouncement("{\"target\":\"t\",\"address\":\"10.0.0.9:80\",\"service\":"
-                                       "\"s\",\"slots\":1,\"lease\":1,\"running\":"
-                                           + list + ",\"avoid\":" + list + "}",
-                                       deployment)
-                         .has_value());
-        EXPECT_FALSE(parseJob("{\"id\":\"a.1796378400000.b1\",\"deadline_ms\":1000,\"service\":"
-                              "\"s\",\"team\":\"t\",\"tasks\":"
-                                  + list + "}",
-                              deployment, TimePoint())
-                         .has_value());
+        std::string announcement = R"({"target":"t","address":"10.0.0.9:80","service":"s",)";
+        announcement.append(R"("slots":1,"lease":1,"running":)").append(list);
+        announcement.append(R"(,"avoid":)").append(list).append("}");
+        EXPECT_FALSE(parseAnnouncement(announcement, deployment).has_value());
+        std::string job = R"({"id":"a.1796378400000.b1","deadline_ms":1000,"service":"s",)";
+        job.append(R"("team":"t","tasks":)").append(list).append("}");
+        EXPECT_FALSE(parseJob(job, deployment, TimePoint()).has_value());
     }
 }
 
