Raised tokens are not reported to peers

FleetScale.MessagesOfAnIdleGatewayDoNotGrowWithTheNumberOfGateways failed on: the report of a gateway's targets contains their tokens, so raising them each second sent the reports again (56,922 bytes in 2 s; bound 46,000).

Now the raise is kept apart from the token and is in orders only. The test passes with its bounds unchanged.

--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -62,8 +62,9 @@
 void TargetDriver::handleRestart(const LeasedTarget &target, std::uint64_t fencingToken,
                                  TimePoint now)
 {
-    TargetDriver restarted(this->options, target,
-                           std::max(this->token + FencingToken::tagCount, fencingToken), now);
+    TargetDriver restarted(
+        this->options, target,
+        std::max(this->token + this->raisedBy + FencingToken::tagCount, fencingToken), now);
     restarted.runs = std::move(this->runs);
     restarted.usedCapacity = this->usedCapacity;
     restarted.isReleasing = this->isReleasing;
@@ -259,7 +260,7 @@
     return { .target = this->heartbeat.name,
              .incarnation = this->heartbeat.incarnation,
              .address = this->heartbeat.address,
-             .fencingToken = this->token };
+             .fencingToken = this->token + this->raisedBy };
 }
 
 TimePoint TargetDriver::leaseLimit(TimePoint now) const
@@ -358,7 +359,7 @@
     const bool isDue = now >= this->tokenRaisedAt + this->options.tokenInterval;
     if (!isDue || !this->hasOnlyOwnRuns() || this->hasOrderInFlight())
         return;
-    this->token += FencingToken::tagCount;
+    this->raisedBy += FencingToken::tagCount;
     this->tokenRaisedAt = now;
 }
 
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -204,6 +204,7 @@
     LeasedTarget heartbeat;
     std::uint64_t token;
     std::uint64_t tokenStep;
+    std::uint64_t raisedBy = 0; ///< added to the token in orders; peers are told the token only
     TimePoint tokenRaisedAt;
     TimePoint takenOverAt;
     TimePoint heartbeatAt;
