Codec: refuse sizes beyond the input, and encode without streams

Each message also went through a stream with a locale. Change: an archive of our own with the same format. It checks each size against the bytes that are left, and reads elements one by one. Result: HostileInput.CorruptedMessagesBetweenNodesAreDecodedOrRefused passes (before: not over after 60 s); Codec.* compares the bytes with those of the library's archive.

--- a/Hibiscus/src/Core/Codec.h
+++ b/Hibiscus/src/Core/Codec.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "Hibiscus/src/Core/BinaryArchive.h"
 #include "Hibiscus/src/Core/Error.h"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
@@ -10,7 +10,6 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
-#include <sstream>
 #include <string>
 
 namespace Hibiscus {
@@ -18,16 +17,16 @@
 /** \brief Encoded bytes. */
 using Bytes = std::string;
 
-/** \returns \a value in the portable binary format of messages and records. */
+/** \returns \a value in the binary format of messages and records, which is that of cereal's
+ * portable archives on a little-endian machine.
+ */
 template<typename Value>
 Bytes encode(const Value &value)
 {
-    std::ostringstream stream(std::ios::binary);
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(value);
-    }
-    return std::move(stream).str();
+    Bytes bytes;
+    internal::BinaryWriter archive(bytes);
+    archive(value);
+    return bytes;
 }
 
 /** \returns the value encoded in \a bytes, or Errc::MalformedMessage.
@@ -38,8 +37,7 @@
 Result<Value> decode(const Bytes &bytes)
 {
     try {
-        std::istringstream stream(bytes, std::ios::binary);
-        cereal::PortableBinaryInputArchive archive(stream);
+        internal::BinaryReader archive(bytes);
         Value value;
         archive(value);
         return value;
--- a/Hibiscus/src/Journal/JournalState.cpp
+++ b/Hibiscus/src/Journal/JournalState.cpp
@@ -43,18 +43,15 @@
 
 Bytes JournalState::save() const
 {
-    std::ostringstream stream(std::ios::binary);
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(this->createdAt, this->latest, this->records);
-    }
-    return std::move(stream).str();
+    Bytes bytes;
+    internal::BinaryWriter archive(bytes);
+    archive(this->createdAt, this->latest, this->records);
+    return bytes;
 }
 
 void JournalState::restore(const Bytes &bytes)
 {
-    std::istringstream stream(bytes, std::ios::binary);
-    cereal::PortableBinaryInputArchive archive(stream);
+    internal::BinaryReader archive(bytes);
     archive(this->createdAt, this->latest, this->records);
 }
 
--- a/Hibiscus/src/Rules/RulesState.cpp
+++ b/Hibiscus/src/Rules/RulesState.cpp
@@ -73,18 +73,15 @@
 
 Bytes RulesState::save() const
 {
-    std::ostringstream stream(std::ios::binary);
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(this->currentVersion, this->currentText, this->currentSource, this->changes);
-    }
-    return std::move(stream).str();
+    Bytes bytes;
+    internal::BinaryWriter archive(bytes);
+    archive(this->currentVersion, this->currentText, this->currentSource, this->changes);
+    return bytes;
 }
 
 void RulesState::restore(const Bytes &bytes)
 {
-    std::istringstream stream(bytes, std::ios::binary);
-    cereal::PortableBinaryInputArchive archive(stream);
+    internal::BinaryReader archive(bytes);
     const std::uint64_t previousVersion = this->currentVersion;
     archive(this->currentVersion, this->currentText, this->currentSource, this->changes);
     HIBISCUS_INVARIANT(this->currentVersion >= previousVersion,
