A response from before a stall does not make a target's contact valid

Cause: after a stall of a gateway its targets get no work before they have responded anew, but the response to a poll from before the stall, which had waited in a socket, counted as well. Change: only the answer to a poll that was sent after the stall counts.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -312,7 +312,7 @@
         peer.confirmedAt = TimePoint();
         peer.unacknowledged.clear();
     }
-    this->targetOwner.invalidateTargetContacts();
+    this->targetOwner.invalidateTargetContacts(now);
 }
 
 bool FleetNode::isConfirmed(const Peer &peer, TimePoint now) const
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -260,10 +260,10 @@
     }
 }
 
-void FleetOwner::invalidateTargetContacts()
+void FleetOwner::invalidateTargetContacts(TimePoint now)
 {
     for (auto &[name, driver] : this->drivers)
-        driver.invalidateContact();
+        driver.invalidateContact(now);
 }
 
 OwnerReport FleetOwner::report(TimePoint now) const
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -155,7 +155,7 @@
      */
     void returnQueuedRuns(const ReserveCapacity &reserveCapacity, TimePoint now);
     /** \brief Stops new work until each target has responded again, after this node stalled. */
-    void invalidateTargetContacts();
+    void invalidateTargetContacts(TimePoint now);
     /** \brief Marks all run ends of \a requester as reported. */
     void markEndsReported(const Requester &requester);
     std::vector<TargetOrder> takeOrders() { return std::exchange(this->out.orders, {}); }
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -205,6 +205,8 @@
         return;
     }
     this->recordResponse(response.clockMs, now);
+    if (response.clockMs && sentAt >= this->contactInvalidatedAt)
+        this->isContactValid = true;
     std::vector<EndedRun> ended = response.ended;
     std::ranges::sort(ended, {}, &EndedRun::number);
     for (const EndedRun &listed : ended) {
@@ -285,12 +287,17 @@
         + toMilliseconds(fromSeconds((1 - this->options.maxClockDrift) * elapsed));
 }
 
+void TargetDriver::invalidateContact(TimePoint now)
+{
+    this->isContactValid = false;
+    this->contactInvalidatedAt = now;
+}
+
 void TargetDriver::recordResponse(std::optional<std::int64_t> clockMs, TimePoint now)
 {
     if (!clockMs)
         return;
     this->lastResponseAt = now;
-    this->isContactValid = true;
     this->targetClockMs = *clockMs;
     this->targetClockReadAt = now;
 }
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -121,8 +121,10 @@
      * runs are stopped, and have ended once that is confirmed or the lease has expired.
      */
     void handleDeparture(TimePoint now, DriverOutbox &out);
-    /** \brief Stops new work until the target has responded again, after this node stalled. */
-    void invalidateContact() { this->isContactValid = false; }
+    /** \brief Stops new work until the target has answered a poll that was sent at \a now or later,
+     * after this node stalled: an earlier response may have waited in a socket.
+     */
+    void invalidateContact(TimePoint now);
 
     // Queries.
     const LeasedTarget &target() const { return this->heartbeat; }
@@ -209,7 +211,8 @@
     TimePoint takenOverAt;
     TimePoint heartbeatAt;
     TimePoint lastResponseAt; ///< time of the latest response
-    bool isContactValid = true; ///< false after a stall, until the next response
+    bool isContactValid = true; ///< false after a stall, until a later poll is answered
+    TimePoint contactInvalidatedAt; ///< time of the latest stall
     /** \brief The target's clock in its latest response or first heartbeat, ms. */
     std::int64_t targetClockMs = 0;
     TimePoint targetClockReadAt;
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -133,7 +133,7 @@
         fixture.now += 100ms;
         fixture.answerPolls();
     }
-    fixture.owner.invalidateTargetContacts();
+    fixture.owner.invalidateTargetContacts(fixture.now);
     fixture.now += 10ms;
     fixture.owner.tick([](const Requester &) { return std::nullopt; }, fixture.now);
     ASSERT_EQ(fixture.owner.targetNames().size(), 1U);
@@ -144,6 +144,22 @@
     EXPECT_TRUE(fixture.owner.report(fixture.now).targets.at(0).acceptsWork);
 }
 
+// Guards against work for a target that has not responded since a stall of this node: the response
+// to an earlier poll had waited in a socket meanwhile.
+TEST(FleetOwner, ResponseThatWaitedDuringAStallDoesNotMakeContactValid)
+{
+    OwnerFixture fixture;
+    fixture.answerPolls();
+    EXPECT_TRUE(fixture.owner.report(fixture.now).targets.at(0).acceptsWork);
+    fixture.now += 600ms;
+    fixture.owner.invalidateTargetContacts(fixture.now);
+    fixture.answerPolls();
+    EXPECT_FALSE(fixture.owner.report(fixture.now).targets.at(0).acceptsWork);
+    fixture.now += 10ms;
+    fixture.answerPolls();
+    EXPECT_TRUE(fixture.owner.report(fixture.now).targets.at(0).acceptsWork);
+}
+
 // Guards against a target with two owners: tokens are taken from clocks, so those of two gateways
 // that took a target over in the same millisecond were equal, and neither was fenced.
 TEST(FleetNode, TwoNodesThatTakeATargetOverAtOnceHaveDifferentTokens)
