Work of ticks that grows with the number of nodes is done less often

Cause: each tick of 10 ms built the list of recipients of rules, looked for expired nodes, searched the selected peers by name for each known node, and read the processor time; each announcement encoded the whole list of nodes.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -312,27 +312,38 @@
     return assignments;
 }
 
-std::vector<RunName> FleetCoordinator::wantedRunsAt(const NodeName &owner) const
-{
-    std::map<NodeName, std::vector<RunName>> all = this->wantedRuns();
-    const auto found = all.find(owner);
-    return found == all.end() ? std::vector<RunName>() : std::move(found->second);
-}
-
-std::map<NodeName, std::vector<RunName>> FleetCoordinator::wantedRuns() const
+template<typename Visit>
+void FleetCoordinator::forEachAssignedTask(const Visit &visit) const
 {
-    std::map<NodeName, std::vector<RunName>> wantedRuns;
     for (const auto &[id, job] : this->jobs) {
         if (job.isFinished)
             continue;
-        for (std::uint32_t step = 0; step < job.tasks.size(); ++step)
-            for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
-                const Task &task = job.tasks[step][index];
+        RunName run = { .job = id };
+        for (run.step = 0; run.step < job.tasks.size(); ++run.step)
+            for (run.index = 0; run.index < job.tasks[run.step].size(); ++run.index) {
+                const Task &task = job.tasks[run.step][run.index];
+                run.attempt = task.attempt;
                 if (task.stage == Stage::Assigned)
-                    wantedRuns[task.owner].push_back(
-                        { .job = id, .step = step, .index = index, .attempt = task.attempt });
+                    visit(run, task.owner);
             }
     }
+}
+
+std::vector<RunName> FleetCoordinator::wantedRunsAt(const NodeName &owner) const
+{
+    std::vector<RunName> wantedRuns;
+    this->forEachAssignedTask([&](const RunName &task, const NodeName &taskOwner) {
+        if (taskOwner == owner)
+            wantedRuns.push_back(task);
+    });
+    return wantedRuns;
+}
+
+std::map<NodeName, std::vector<RunName>> FleetCoordinator::wantedRuns() const
+{
+    std::map<NodeName, std::vector<RunName>> wantedRuns;
+    this->forEachAssignedTask(
+        [&](const RunName &task, const NodeName &owner) { wantedRuns[owner].push_back(task); });
     return wantedRuns;
 }
 
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -188,6 +188,9 @@
 
     using Jobs = std::map<std::string, Job>;
 
+    /** \brief Calls \a visit with the run and the owner of each assigned task. */
+    template<typename Visit>
+    void forEachAssignedTask(const Visit &visit) const;
     /** \returns the expected duration of the longest chain of dependent tasks. */
     Duration criticalPath(const TransientJob &job, const RoutePolicy &policy) const;
     /** \returns the expected wait of new work for free capacity, from the owners' queues. */
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -543,6 +543,8 @@
                              .weight = peer.weight,
                              .isDraining = peer.isDraining });
     this->selection.select(live, this->options.weight);
+    for (auto &[name, peer] : this->peers)
+        peer.isSelected = this->selection.isSelected(name);
     for (const NodeName &name : previous)
         if (!this->selection.isSelected(name))
             this->handleDeselected(name);
@@ -574,10 +576,20 @@
     ++this->reportVersion;
 }
 
-bool FleetNode::hasLink(const Peer &peer, const NodeName &name, TimePoint now) const
+bool FleetNode::hasLink(const Peer &peer, TimePoint now) const
 {
     const bool isRecentlySeen = now < peer.lastSeenAt + this->options.linkTimeout;
-    return this->selection.isSelected(name) || (peer.wantsReports && isRecentlySeen);
+    return peer.isSelected || (peer.wantsReports && isRecentlySeen);
+}
+
+const RequesterState *FleetNode::runsFor(const Peer &peer, const NodeName &name,
+                                         const RunsByPeer &runsByPeer)
+{
+    if (peer.incarnation == 0 || runsByPeer.requesters.empty())
+        return nullptr;
+    const auto found
+        = runsByPeer.requesters.find({ .node = name, .incarnation = peer.incarnation });
+    return found == runsByPeer.requesters.end() ? nullptr : &found->second;
 }
 
 bool FleetNode::isMessageDue(const Peer &peer, const NodeName &name, const RunsByPeer &runsByPeer,
@@ -588,19 +600,15 @@
     if (peer.acknowledgeEndsAt && now >= *peer.acknowledgeEndsAt)
         return true;
     const Duration silence = now - peer.sentAt;
-    const auto held = runsByPeer.requesters.find({ .node = name, .incarnation = peer.incarnation });
-    if (peer.incarnation != 0 && held != runsByPeer.requesters.end()) {
-        const RequesterState &state = held->second;
-        if (state.hasUnreportedEnds && silence >= internal::endBatchInterval)
-            return true;
-        if (state.hasEndedRuns && silence >= internal::endRepeatInterval)
-            return true;
-    }
-    const bool hasRuns
-        = held != runsByPeer.requesters.end() || runsByPeer.wantedRuns.contains(name);
-    if (hasRuns && silence >= this->options.activeMessageInterval)
+    const RequesterState *held = runsFor(peer, name, runsByPeer);
+    if (held != nullptr && held->hasUnreportedEnds && silence >= internal::endBatchInterval)
+        return true;
+    if (held != nullptr && held->hasEndedRuns && silence >= internal::endRepeatInterval)
+        return true;
+    if (silence >= this->options.activeMessageInterval
+        && (held != nullptr || runsByPeer.wantedRuns.contains(name)))
         return true;
-    if (!this->hasLink(peer, name, now))
+    if (!this->hasLink(peer, now))
         return false;
     const bool isReportDue = peer.wantsReports && peer.sentReportVersion != this->reportVersion
         && now >= peer.reportSentAt + this->options.reportInterval;
@@ -615,8 +623,7 @@
     for (auto item = this->peers.begin(); item != this->peers.end();) {
         auto &[name, peer] = *item;
         const TimePoint knownAt = std::max({ peer.addedAt, peer.lastSeenAt, peer.listedAt });
-        const bool isInUse = this->selection.isSelected(name);
-        if (!isInUse && now >= knownAt + this->options.peerRemovalTimeout) {
+        if (!peer.isSelected && now >= knownAt + this->options.peerRemovalTimeout) {
             this->targetOwner.cancelRunsOfNode(name, now);
             out.removedPeers.push_back(name);
             item = this->peers.erase(item);
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -168,6 +168,7 @@
         /** \brief Highest sequence number that the peer has received. */
         std::uint64_t lastAcknowledgedSequence = 0;
         bool wantsReports = false; ///< whether its latest message requests reports
+        bool isSelected = false; ///< whether this node requests its reports
         bool isConnected = false;
         bool areRunsCancelled = false;
         bool hasPendingMessage = false;
@@ -217,7 +218,10 @@
     void handleDeselected(const NodeName &name);
     /** \returns whether the directory lists \a peer, or it has sent an acknowledgement recently. */
     bool isListed(const Peer &peer, TimePoint now) const;
-    bool hasLink(const Peer &peer, const NodeName &name, TimePoint now) const;
+    bool hasLink(const Peer &peer, TimePoint now) const;
+    /** \returns the state of the runs that this node has for \a peer, if there are any. */
+    static const RequesterState *runsFor(const Peer &peer, const NodeName &name,
+                                         const RunsByPeer &runsByPeer);
     bool isMessageDue(const Peer &peer, const NodeName &name, const RunsByPeer &runsByPeer,
                       TimePoint now) const;
     void refreshReport(TimePoint now);
--- a/Hibiscus/src/Membership/Directory.cpp
+++ b/Hibiscus/src/Membership/Directory.cpp
@@ -17,6 +17,8 @@
     Entry &entry = this->entries[record.node];
     if (record.incarnation < entry.record.incarnation)
         return;
+    const bool wasListed = now < entry.lastSeenAt + this->options.liveTimeout;
+    this->hasChanged = this->hasChanged || !wasListed || entry.record != record;
     entry = { .record = record, .lastSeenAt = now, .listedAt = now };
 }
 
@@ -38,14 +40,19 @@
         if (record.node == this->self)
             continue;
         Entry &entry = this->entries[record.node];
-        if (record.incarnation >= entry.record.incarnation)
+        if (record.incarnation >= entry.record.incarnation && record != entry.record) {
             entry.record = record;
+            this->hasChanged = true;
+        }
         entry.listedAt = now;
     }
 }
 
 void Directory::removeExpired(TimePoint now)
 {
+    if (now < this->expiryCheckedAt + this->options.expiryCheckInterval)
+        return;
+    this->expiryCheckedAt = now;
     std::erase_if(this->entries, [&](const auto &item) {
         return now >= item.second.listedAt + this->options.expiryTimeout;
     });
@@ -61,17 +68,28 @@
     return this->registries();
 }
 
-NodeList Directory::buildList(const NodeRecord &own, std::uint64_t heldDigest, TimePoint now) const
+// Many nodes ask for the list, and it rarely changes between their requests.
+NodeList Directory::buildList(const NodeRecord &own, std::uint64_t heldDigest, TimePoint now)
+{
+    const bool isCurrent = now < this->builtListAt + this->options.listInterval && !this->hasChanged
+        && this->builtList.nodes.front() == own;
+    if (!isCurrent)
+        this->rebuildList(own, now);
+    if (this->builtList.digest != heldDigest)
+        return this->builtList;
+    return { .sender = this->self, .digest = heldDigest };
+}
+
+void Directory::rebuildList(const NodeRecord &own, TimePoint now)
 {
-    NodeList list = { .sender = this->self, .nodes = { own } };
+    this->builtListAt = now;
+    this->hasChanged = false;
+    this->builtList = { .sender = this->self, .nodes = { own } };
     for (const auto &[name, entry] : this->entries)
         if (now < entry.lastSeenAt + this->options.liveTimeout)
-            list.nodes.push_back(entry.record);
-    const Bytes bytes = encode(list.nodes);
-    list.digest = XXH3_64bits(bytes.data(), bytes.size());
-    if (list.digest == heldDigest)
-        list.nodes.clear();
-    return list;
+            this->builtList.nodes.push_back(entry.record);
+    const Bytes bytes = encode(this->builtList.nodes);
+    this->builtList.digest = XXH3_64bits(bytes.data(), bytes.size());
 }
 
 std::uint64_t Directory::digestOfList(const NodeName &registry) const
--- a/Hibiscus/src/Membership/Directory.h
+++ b/Hibiscus/src/Membership/Directory.h
@@ -13,6 +13,9 @@
     Duration announcementInterval = 480ms; ///< interval of announcements to each registry node
     Duration liveTimeout = 1500ms; ///< three announcements; then a silent node gets no targets
     Duration expiryTimeout = 8s; ///< a node silent for longer is removed
+    Duration expiryCheckInterval = 100ms;
+    /** \brief Time for which an unchanged list is sent again without looking for silent nodes. */
+    Duration listInterval = 50ms;
 };
 
 /** \brief The known nodes, from seeds, announcements and the lists of registry nodes.
@@ -37,12 +40,12 @@
     void removeExpired(TimePoint now);
     /** \returns the registry nodes to announce this node to; empty until the interval is over. */
     std::vector<NodeName> takeDueAnnouncements(TimePoint now);
-
-    // Queries.
     /** \returns the live nodes that have announced themselves here, and \a own; without the records
      * if the receiver already holds the list, as \a heldDigest shows.
      */
-    NodeList buildList(const NodeRecord &own, std::uint64_t heldDigest, TimePoint now) const;
+    NodeList buildList(const NodeRecord &own, std::uint64_t heldDigest, TimePoint now);
+
+    // Queries.
     /** \returns the digest of the latest list from \a registry; 0 if there is none. */
     std::uint64_t digestOfList(const NodeName &registry) const;
     /** \returns the gateways whose own announcement is recent enough to give them targets. */
@@ -71,6 +74,7 @@
     };
 
     std::vector<NodeRecord> gatewaysSeenWithin(Duration span, TimePoint now) const;
+    void rebuildList(const NodeRecord &own, TimePoint now);
 
     DirectoryOptions options;
     NodeName self;
@@ -78,6 +82,10 @@
     std::map<NodeName, Entry> entries;
     std::map<NodeName, ReceivedList> lists; ///< keyed by the registry node that sent the list
     TimePoint announcementDueAt;
+    TimePoint expiryCheckedAt;
+    NodeList builtList; ///< the list that buildList() sends
+    TimePoint builtListAt;
+    bool hasChanged = false; ///< whether a node has appeared or changed since builtListAt
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Process/NodeContext.cpp
+++ b/Hibiscus/src/Process/NodeContext.cpp
@@ -106,6 +106,9 @@
 void reportLoad(LoadMeter &meter, const EventLoop &loop, const Relay &relay, Metrics &metrics,
                 TimePoint now)
 {
+    meter.recordTick(loop.tickDelay());
+    if (!meter.isDue(now))
+        return;
     const LoadTotals totals = loadTotals(relay.counters());
     const auto reading = meter.record(loop.tickDelay(), totals, now);
     if (!reading)
--- a/Hibiscus/src/Telemetry/LoadMeter.cpp
+++ b/Hibiscus/src/Telemetry/LoadMeter.cpp
@@ -19,8 +19,8 @@
 std::optional<LoadReading> LoadMeter::record(Duration delay, const LoadTotals &totals,
                                              TimePoint now)
 {
-    this->maxTickDelay = std::max(this->maxTickDelay, delay);
-    if (now < this->previousReadAt + this->interval)
+    this->recordTick(delay);
+    if (!this->isDue(now))
         return std::nullopt;
     const double seconds = toSeconds(now - this->previousReadAt);
     const auto rate = [&](std::uint64_t previous, std::uint64_t current) {
--- a/Hibiscus/src/Telemetry/LoadMeter.h
+++ b/Hibiscus/src/Telemetry/LoadMeter.h
@@ -2,6 +2,7 @@
 
 #include <Hibiscus/Core>
 
+#include <algorithm>
 #include <optional>
 
 namespace Hibiscus {
@@ -35,7 +36,11 @@
 public:
     explicit LoadMeter(Duration interval) : interval(interval) { }
 
-    /** \brief Records a tick that ran \a delay after its scheduled time.
+    /** \brief Records a tick that ran \a delay after its scheduled time. */
+    void recordTick(Duration delay) { this->maxTickDelay = std::max(this->maxTickDelay, delay); }
+    /** \returns whether the interval has ended, so that the next record() gives a reading. */
+    bool isDue(TimePoint now) const { return now >= this->previousReadAt + this->interval; }
+    /** \brief Records a tick, and starts the next interval if the present one has ended.
      * \returns a reading when the interval has ended, except for the first one.
      */
     std::optional<LoadReading> record(Duration delay, const LoadTotals &totals, TimePoint now);
