--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,4 +4,5 @@
 build=$1
 git ls-files '*.h' '*.cpp' | grep -v '^generated/' | xargs clang-format --dry-run --Werror
 git ls-files '*.cpp' | grep -v '^generated/' | xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p "$build"
+scripts/red-runs --check
 echo "lint: clean"
