Relay tests use an address of their own process

Shards of the tests run in parallel, and two of them bound the same port: one of three runs failed in RefusesMalformedBatchesOverHttp after 1 ms, since it could not listen.

--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -160,25 +160,42 @@
     node.shutDown();
 }
 
+/** \returns an address of the loopback network that only this process uses: tests run in parallel.
+ */
+Address ownAddress(std::uint16_t port)
+{
+    const auto pid = static_cast<std::uint32_t>(::getpid());
+    const std::uint32_t second = 64 + (pid >> 8U) % 128;
+    return { .host = "127." + std::to_string(second) + "." + std::to_string(pid & 255U) + ".1",
+             .port = port };
+}
+
 /** \brief A pair of relays on one event loop. */
 class RelayPair
 {
 public:
     explicit RelayPair(const RelayTransportFactory &makeTransport)
         : first(
-            this->loop, optionsOf("127.0.0.1:27801"), makeTransport, [](const WireMessage &) {},
+            this->loop, optionsOf(ownAddress(27801)), makeTransport, [](const WireMessage &) {},
             [](const NodeName &) {}),
           second(
-              this->loop, optionsOf("127.0.0.1:27802"), makeTransport,
+              this->loop, optionsOf(ownAddress(27802)), makeTransport,
               [this](const WireMessage &message) { this->received.push_back(message); },
               [](const NodeName &) {})
     { }
 
-    static Relay::Options optionsOf(const std::string &address)
+    static NodeName nameOf(const Address &address)
+    {
+        return NodeName(address.host + ":" + std::to_string(address.port));
+    }
+
+    static NodeName receiver() { return nameOf(ownAddress(27802)); }
+
+    static Relay::Options optionsOf(const Address &address)
     {
         Relay::Options options;
-        options.self = NodeName(address);
-        options.address = *Address::parse(address);
+        options.self = nameOf(address);
+        options.address = address;
         options.namesAreAddresses = true;
         options.batchTimeout = 500ms;
         return options;
@@ -209,7 +226,7 @@
 {
     RelayPair relays(makeHttpTransport);
     ASSERT_TRUE(relays.first.listen() && relays.second.listen());
-    const NodeName receiver("127.0.0.1:27802");
+    const NodeName receiver = RelayPair::receiver();
     constexpr std::uint64_t count = 2'000;
     for (std::uint64_t i = 0; i < count; ++i)
         relays.first.send(receiver, RulesAcknowledgement { .node = receiver, .version = i });
@@ -226,7 +243,7 @@
 {
     RelayPair relays(makeHttpTransport);
     ASSERT_TRUE(relays.first.listen() && relays.second.listen());
-    const Address address = *Address::parse("127.0.0.1:27802");
+    const Address address = ownAddress(27802);
     HttpClient client(relays.loop, {});
     std::vector<int> statuses;
     const auto post = [&](const std::string &path, const std::string &body) {
@@ -242,7 +259,7 @@
     std::ranges::sort(statuses);
     EXPECT_EQ(statuses, std::vector({ 204, 400, 400, 400 }));
     EXPECT_EQ(relays.second.counters().malformedMessages, 1U);
-    relays.first.send(NodeName("127.0.0.1:27802"), FetchRules());
+    relays.first.send(RelayPair::receiver(), FetchRules());
     relays.run(300ms);
     EXPECT_EQ(relays.received.size(), 1U);
 }
@@ -250,7 +267,7 @@
 // A node that was stopped and starts again gets messages without a new link.
 TEST(Relay, ReconnectsOverHttpAfterARestart)
 {
-    const NodeName receiver("127.0.0.1:27802");
+    const NodeName receiver = RelayPair::receiver();
     RelayPair relays(makeHttpTransport);
     ASSERT_TRUE(relays.first.listen());
     relays.first.send(receiver, FetchRules());
