--- a/Hibiscus/src/Net/HttpClient.h
+++ b/Hibiscus/src/Net/HttpClient.h
@@ -96,7 +96,6 @@
     EventLoop &loop;
     Options options;
     h2o_timeout_t ioTimeout;
-    h2o_timeout_t poolTimeout;
     h2o_multithread_queue_t *queue;
     h2o_multithread_receiver_t receiver;
     h2o_http1client_ctx_t context;
