--- a/Hibiscus/src/Net/Relay.h
+++ b/Hibiscus/src/Net/Relay.h
@@ -57,7 +57,7 @@
     /** \returns Errc::InvalidAddress if the address cannot be bound. */
     Result<void> listen();
     void send(const NodeName &to, const WireMessage &message);
-    /** \brief Closes the connection to \a node; a later message opens a new one. */
+    /** \brief Closes the connection to \a node, now or once it has been unused for a while. */
     void disconnect(const NodeName &node);
     /** \brief Handles batches without a receipt; must be called every few tens of milliseconds. */
     void tick(TimePoint now) { this->transport.tick(now); }
--- a/Hibiscus/src/Net/RelayTransport.h
+++ b/Hibiscus/src/Net/RelayTransport.h
@@ -48,7 +48,9 @@
     /** \returns Errc::InvalidAddress if the address cannot be bound. */
     std::function<Result<void>()> listen;
     std::function<void(const Address &, Batch, DeliveryHandler)> deliver;
-    /** \brief Closes the connection to an address; a later batch opens a new one. */
+    /** \brief Forgets an address that gets no batches for now; its connection is closed at once or
+     * when it has been unused for a while. The result of a batch in flight may be dropped.
+     */
     std::function<void(const Address &)> disconnect;
     /** \brief Handles timeouts; must be called every few tens of milliseconds. */
     std::function<void(TimePoint)> tick;
