--- a/test/fuzz/FuzzMain.cpp
+++ b/test/fuzz/FuzzMain.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 
 /** \brief Writes the valid inputs to the folder corpus, from which the fuzzer starts. */
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer prescribes the name.
 extern "C" int LLVMFuzzerInitialize(int *, char ***)
 {
     int number = 0;
@@ -13,6 +14,7 @@
 }
 
 /** \brief Entry point of libFuzzer; see scripts/fuzz. */
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer prescribes the name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     Hibiscus::Fuzz::decodeAny(std::string(reinterpret_cast<const char *>(data), size));
