Simulation: targets of a lost gateway wait for their next owner as on the platform

Cause: simulated targets found another living gateway with the first heartbeat after a loss. On the platform a registry node lists a dead gateway for 1.5 s more and may assign the target to it again, and a gateway without power or that is frozen lets the heartbeat time out. Callers also send jobs again that ended as unfinished.

Change: heartbeats go through the registry's OwnerAssignment and its list; losePower(); the fate of late orders can be changed while a simulation runs.

--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -336,6 +336,98 @@
     }
 }
 
+/** \brief Starts that are executed seconds late, with their lease time counted from then. */
+class FleetLateStart : public FleetTargetFault
+{
+protected:
+    static FleetSimulationOptions options(std::uint64_t seed)
+    {
+        FleetSimulationOptions options = smallFleet(seed);
+        options.domains = { "a", "b" };
+        options.gatewaysPerDomain = 2;
+        options.targetsPerDomain = 4;
+        return options;
+    }
+
+    /** \brief Submits jobs to \a gateway; their starts have no response and are executed late. */
+    static void submitWithLateStarts(FleetSimulation &simulation, const std::string &gateway)
+    {
+        simulation.setLateOrders({ .startShare = 1, .grantsFromArrival = true });
+        for (int i = 0; i < 8; ++i)
+            simulation.submit(gateway, 1, 3s, 9s);
+        simulation.run(20ms);
+        simulation.setLateOrders({});
+    }
+
+    /** \returns the gateway that owns the most targets. */
+    static std::string gatewayWithMostTargets(const FleetSimulation &simulation)
+    {
+        const std::vector<std::string> names = simulation.gatewayNames();
+        return *std::ranges::max_element(names, {}, [&](const std::string &name) {
+            return simulation.gateway(name)->owner().targetNames().size();
+        });
+    }
+
+    static constexpr std::uint64_t lateStartSeedCount = 20;
+};
+
+// Guards against starts of a lost owner that are executed before the next owner of the target has
+// fenced them: it may take three seconds until it hears of the target.
+TEST_F(FleetLateStart, IsFencedAfterItsOwnerWasKilled)
+{
+    for (std::uint64_t seed = 1; seed <= lateStartSeedCount; ++seed) {
+        FleetSimulation simulation(options(seed));
+        simulation.run(8s);
+        const std::string owner = gatewayWithMostTargets(simulation);
+        submitWithLateStarts(simulation, owner);
+        simulation.kill(owner, 20s);
+        simulation.run(6s);
+        expectNoViolations(simulation, seed);
+    }
+}
+
+TEST_F(FleetLateStart, IsFencedAfterItsOwnerLostPower)
+{
+    for (std::uint64_t seed = 1; seed <= lateStartSeedCount; ++seed) {
+        FleetSimulation simulation(options(seed));
+        simulation.run(8s);
+        const std::string owner = gatewayWithMostTargets(simulation);
+        submitWithLateStarts(simulation, owner);
+        simulation.losePower(owner, 20s);
+        simulation.run(6s);
+        expectNoViolations(simulation, seed);
+    }
+}
+
+TEST_F(FleetLateStart, IsFencedAfterItsOwnerRestartedAtOnce)
+{
+    for (std::uint64_t seed = 1; seed <= lateStartSeedCount; ++seed) {
+        FleetSimulation simulation(options(seed));
+        simulation.run(8s);
+        const std::string owner = gatewayWithMostTargets(simulation);
+        submitWithLateStarts(simulation, owner);
+        simulation.kill(owner, 100ms);
+        simulation.run(6s);
+        expectNoViolations(simulation, seed);
+    }
+}
+
+// The owner is alive, but neither its stops nor its polls reach the target.
+TEST_F(FleetLateStart, IsFencedWhileItsOwnerCannotReachTheTarget)
+{
+    for (std::uint64_t seed = 1; seed <= lateStartSeedCount; ++seed) {
+        FleetSimulation simulation(options(seed));
+        simulation.run(8s);
+        const std::string owner = gatewayWithMostTargets(simulation);
+        submitWithLateStarts(simulation, owner);
+        for (const std::string &target : simulation.targetNames())
+            simulation.disconnect(owner, target);
+        simulation.breakConnections(owner);
+        simulation.run(6s);
+        expectNoViolations(simulation, seed);
+    }
+}
+
 /** \brief Random faults at random times, partly at once. */
 class FleetSoak : public testing::TestWithParam<std::uint64_t>
 { };
--- a/test/support/FleetSimulation.cpp
+++ b/test/support/FleetSimulation.cpp
@@ -58,10 +58,11 @@
     std::unique_ptr<FleetNode> node;
     std::uint64_t incarnation = 0;
     bool isFrozen = false;
+    bool isDark = false; ///< without power: nothing refuses connections to it
     std::vector<std::function<void()>> deferredWork;
     double cpuShare = 1; ///< share of a core
     TimePoint busyUntil;
-    TimePoint stoppedAt;
+    TimePoint stoppedAt; ///< of the latest end or freeze
     FleetTraffic traffic;
 };
 
@@ -111,6 +112,7 @@
     nodeOptions.weight = weightOf(gateway.cpuShare);
     gateway.node = std::make_unique<FleetNode>(nodeOptions);
     gateway.isFrozen = false;
+    gateway.isDark = false;
     gateway.deferredWork.clear();
     for (const auto &[name, other] : this->gateways)
         gateway.node->updatePeer(this->recordOf(*other), this->now());
@@ -207,6 +209,8 @@
             const auto found = this->callers.find(token);
             if (found == this->callers.end() || found->second.isFinished)
                 continue;
+            if (outcome.status == TransientJobStatus::Unfinished && this->sendAgainLater(token))
+                continue;
             found->second.isFinished = true;
             this->receivedAnswers[outcome.job] = { .job = outcome.job,
                                                    .status = outcome.status,
@@ -626,30 +630,45 @@
         return;
     ++target.description.sequence;
     target.description.clockMs = this->clockMsOf(target);
-    std::string to = target.heartbeatGateway;
-    // Like a registry node, selects a reachable gateway of the domain, or of any domain if none is.
-    std::vector<std::string> near;
-    std::vector<std::string> any;
-    for (const auto &[gateway, state] : this->gateways) {
-        if (!this->receivesHeartbeats(gateway, target))
-            continue;
-        any.push_back(gateway);
-        if (domainOf(gateway) == target.description.domain.str())
-            near.push_back(gateway);
+    const std::string to = target.heartbeatGateway;
+    if (this->receivesHeartbeats(to, target)) {
+        this->sendHeartbeatTo(to, { .target = target.description }, [] {});
+        return;
     }
-    const std::vector<std::string> &choice = near.empty() ? any : near;
-    if (!this->receivesHeartbeats(to, target)) {
-        if (target.description.state == TargetState::Draining) {
-            this->sendHeartbeatToAll({ .target = target.description });
-            return;
-        }
-        if (choice.empty())
-            return;
-        std::uniform_int_distribution<std::size_t> pick(0, choice.size() - 1);
-        to = choice[pick(this->random)];
+    // A process that has ended refuses the connection; any other fault shows by the timeout.
+    const auto found = this->gateways.find(to);
+    const bool isRefused
+        = found == this->gateways.end() || (!found->second->node && !found->second->isDark);
+    this->afterIfUp(isRefused ? Duration() : heartbeatTimeout, target,
+                    [this, &target] { this->sendHeartbeatToRegistry(target); });
+}
+
+// The registry node lists a failed gateway for a while, and may assign the target to it; the target
+// then calls it with its next heartbeat only.
+void FleetSimulation::sendHeartbeatToRegistry(FleetTarget &target)
+{
+    const TargetHeartbeat heartbeat = { .target = target.description };
+    if (target.description.state == TargetState::Draining) {
+        this->sendHeartbeatToAll(heartbeat);
+        return;
+    }
+    std::vector<NodeRecord> listed;
+    for (const auto &[name, gateway] : this->gateways) {
+        const bool isResponsive = gateway->node && !gateway->isFrozen;
+        if (isResponsive || this->now() < gateway->stoppedAt + listingLifetime)
+            listed.push_back(this->recordOf(*gateway));
     }
-    target.heartbeatGateway = to;
-    this->sendHeartbeatTo(to, { .target = target.description }, [] {});
+    const auto owner = this->ownerAssignment.assign(target.description.name,
+                                                    target.description.domain, listed, this->now());
+    if (!owner)
+        return;
+    target.heartbeatGateway = owner->node.str();
+    Gateway &gateway = *this->gateways.at(target.heartbeatGateway);
+    this->scheduler.after(this->options.intraDomainLatency, [this, &gateway, heartbeat] {
+        this->deliver(
+            gateway, this->costOf(&FleetProcessor::perOrder),
+            [heartbeat](FleetNode &node, TimePoint now) { node.handleHeartbeat(heartbeat, now); });
+    });
 }
 
 void FleetSimulation::sendHeartbeatTo(const std::string &gateway, const TargetHeartbeat &heartbeat,
@@ -777,31 +796,48 @@
     });
 }
 
-// Callers whose connection breaks send the job again to another gateway after a delay.
 void FleetSimulation::breakConnections(const std::string &gateway)
 {
+    for (const auto &[token, caller] : this->callers)
+        if (!caller.isFinished && caller.gateway == gateway)
+            this->sendAgainLater(token);
+}
+
+// Callers whose connection breaks, or whose job ended as unfinished, send it again to another
+// gateway after a delay.
+bool FleetSimulation::sendAgainLater(std::uint64_t token)
+{
+    Caller &caller = this->callers.at(token);
     std::vector<std::string> others;
     for (const auto &[name, other] : this->gateways)
-        if (name != gateway)
+        if (name != caller.gateway)
             others.push_back(name);
-    for (auto &[token, caller] : this->callers) {
-        if (caller.isFinished || caller.gateway != gateway)
-            continue;
-        if (this->now() + this->options.resendDelay >= caller.deadlineAt)
-            continue;
-        std::uniform_int_distribution<std::size_t> pick(0, others.size() - 1);
-        caller.gateway.clear();
-        this->scheduler.after(
-            this->options.resendDelay,
-            [this, number = token, to = others[pick(this->random)]] { this->sendJob(number, to); });
-    }
+    if (others.empty() || this->now() + this->options.resendDelay >= caller.deadlineAt)
+        return false;
+    std::uniform_int_distribution<std::size_t> pick(0, others.size() - 1);
+    caller.gateway.clear();
+    this->scheduler.after(
+        this->options.resendDelay,
+        [this, token, to = others[pick(this->random)]] { this->sendJob(token, to); });
+    return true;
 }
 
 void FleetSimulation::kill(const std::string &gateway, Duration downFor)
+{
+    this->stop(gateway, downFor, false);
+}
+
+void FleetSimulation::losePower(const std::string &gateway, Duration downFor)
+{
+    this->stop(gateway, downFor, true);
+}
+
+void FleetSimulation::stop(const std::string &gateway, Duration downFor, bool isDark)
 {
     Gateway &killedGateway = *this->gateways.at(gateway);
-    this->recordTrace(gateway, " is killed");
+    this->recordTrace(gateway, isDark ? " loses power" : " is killed");
     killedGateway.node.reset();
+    killedGateway.isDark = isDark;
     killedGateway.stoppedAt = this->now();
     this->breakConnections(gateway);
     this->scheduler.after(downFor, [this, &killedGateway] {
@@ -815,6 +851,7 @@
     Gateway &frozenGateway = *this->gateways.at(gateway);
     this->recordTrace(gateway, " is frozen");
     frozenGateway.isFrozen = true;
+    frozenGateway.stoppedAt = this->now();
     this->scheduler.after(span, [&frozenGateway, incarnation = frozenGateway.incarnation] {
         if (frozenGateway.incarnation != incarnation)
             return;
--- a/test/support/FleetSimulation.h
+++ b/test/support/FleetSimulation.h
@@ -159,10 +159,14 @@
     std::string submit(const std::string &gateway, std::uint32_t tasks, Duration taskTime,
                        Duration timeout = 1500ms, Duration estimate = {});
     void kill(const std::string &gateway, Duration downFor);
+    /** \brief Like kill(), but connections to the gateway are not refused while it is down. */
+    void losePower(const std::string &gateway, Duration downFor);
     void freeze(const std::string &gateway, Duration span);
     void drain(const std::string &gateway);
     void disconnect(const std::string &one, const std::string &other);
     void heal();
+    /** \brief Breaks the connections of callers; \a gateway itself does not learn of it. */
+    void breakConnections(const std::string &gateway);
     void crash(const std::string &target, Duration downFor);
     /** \brief Makes runs that \a target starts from now on take \a factor times as long. */
     void slowDown(const std::string &target, double factor);
@@ -174,6 +178,8 @@
     void depart(const std::string &target, const Departure &departure);
     void disturbPath(const std::string &gateway, const std::string &target, const PathLoss &loss);
     void setAnsweredWithErrorShare(const std::string &target, double share);
+    /** \brief Sets the fate of the orders that are sent from now on. */
+    void setLateOrders(const LateOrders &late) { this->options.lateOrders = late; }
     std::mt19937_64 &randomEngine() { return this->random; }
 
     // Queries.
@@ -263,7 +269,9 @@
     Duration clockOf(const FleetTarget &target) const;
     std::int64_t clockMsOf(const FleetTarget &target) const;
     void repeatHeartbeats(const std::string &name);
+    void stop(const std::string &gateway, Duration downFor, bool isDark);
     void sendHeartbeat(const std::string &name);
+    void sendHeartbeatToRegistry(FleetTarget &target);
     void sendHeartbeatTo(const std::string &gateway, const TargetHeartbeat &heartbeat,
                          const std::function<void()> &onHandled);
     /** \brief Sends \a heartbeat to all gateways, as a registry node does. */
@@ -279,7 +287,8 @@
     template<typename... Parts>
     void recordTrace(const Parts &...parts);
     void sendJob(std::uint64_t token, const std::string &gateway);
-    void breakConnections(const std::string &gateway);
+    /** \returns whether the caller with \a token has time to send its job again. */
+    bool sendAgainLater(std::uint64_t token);
     bool isDisconnected(const std::string &one, const std::string &other) const;
     Duration delay(const std::string &one, const std::string &other) const;
     void recordViolation(const std::string &violation);
@@ -290,6 +299,7 @@
     std::mt19937_64 random;
     std::map<std::string, std::unique_ptr<Gateway>> gateways;
     std::map<std::string, FleetTarget> targets;
+    OwnerAssignment ownerAssignment { OwnerAssignmentOptions {} }; ///< of the registry node
     std::map<std::uint64_t, Caller> callers;
     std::map<std::string, std::vector<Duration>> taskTimes; ///< run times at speed 1, by job
     std::map<std::string, Capacity> demands; ///< of each task, by job
