Guardians fence the targets of a lost owner

Its owner stops it; once the owner is lost, only a higher fencing token rejects it, and the target's next owner may take 3 s to show one. The caller has sent the job again after 1.3 s. Class: what a lost process has left behind is bounded by nobody.

Change: a gateway's selected peers are its guardians. They know its targets and tokens, and show each target a higher token (a poll that renews and acknowledges nothing) after 0.8 s without a message of the owner, at once if it has restarted, or if it asks since it cannot reach a target. An owner that was only cut off goes on with a slightly higher token; before, any rejected token made it give the target up. A rejection of an earlier token of its own says nothing any more, so tokens are raised beside stops too. Logs: peer-target-fenced, target-regained, foreign-run-found.

--- a/Hibiscus/src/Fleet/FencingToken.h
+++ b/Hibiscus/src/Fleet/FencingToken.h
@@ -21,6 +21,33 @@
             = static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch()));
         return milliseconds * tagCount + tag;
     }
+
+    /** \brief An owner reports its token anew when it has raised it so many times. */
+    static constexpr std::uint64_t maxUnreportedRaises = 32;
+
+    /** \returns \a token raised \a times times; each raise is as large as a millisecond. */
+    static constexpr std::uint64_t raised(std::uint64_t token, std::uint64_t times)
+    {
+        return token + times * tagCount;
+    }
+
+    /** \returns a token above all orders of the owner that has reported \a token, also while its
+     * latest reports are missing. Far below that of an owner that takes the target over seconds
+     * later.
+     */
+    static constexpr std::uint64_t fenceOf(std::uint64_t token)
+    {
+        constexpr std::uint64_t raises = 4 * maxUnreportedRaises;
+        return raised(token, raises);
+    }
+
+    /** \returns the token with which an owner goes on whose orders with \a token were fenced by
+     * fenceOf() one of its earlier tokens.
+     */
+    static constexpr std::uint64_t afterFence(std::uint64_t token)
+    {
+        return raised(fenceOf(token), maxUnreportedRaises);
+    }
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hibiscus/src/Fleet/DrivenTarget.h"
 #include "Hibiscus/src/Fleet/Fitness.h"
 #include "Hibiscus/src/Fleet/LeasedTarget.h"
 #include "Hibiscus/src/Fleet/Run.h"
@@ -75,9 +76,12 @@
     std::uint64_t receiverIncarnation = 0; ///< 0 until a message of the receiver has arrived
     std::uint64_t acknowledgedSequence = 0; ///< highest sequence number received from the receiver
     bool isDraining = false;
-    bool wantsReports = false; ///< whether the receiver should send its reports
+    /** \brief Whether the receiver should send its reports; it is then a guardian of the sender. */
+    bool wantsReports = false;
     bool requestsResponse = false; ///< whether the receiver should respond at once
     std::optional<OwnerReport> report; ///< absent if nothing has changed
+    /** \brief All targets of the sender, for a guardian; absent if nothing has changed. */
+    std::optional<std::vector<DrivenTarget>> drivenTargets;
     std::vector<RunRequest> runRequests;
     std::vector<RunName> wantedRuns; ///< all runs that the sender wants at the receiver
     std::vector<RunEnd> runEnds; ///< each is repeated until the receiver no longer wants the run
@@ -86,7 +90,8 @@
     auto operator<=>(const FleetMessage &other) const = default;
     HIBISCUS_FIELDS(from, incarnation, domain, weight, targetsAddress, sequence,
                     receiverIncarnation, acknowledgedSequence, isDraining, wantsReports,
-                    requestsResponse, report, runRequests, wantedRuns, runEnds, transferredTargets)
+                    requestsResponse, report, drivenTargets, runRequests, wantedRuns, runEnds,
+                    transferredTargets)
 };
 
 /** \brief Heartbeat of a target, forwarded to the entry node that should own it. */
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -49,7 +49,8 @@
       selection({ .self = options.self,
                   .domain = options.domain,
                   .peerCount = options.selectedPeerCount,
-                  .minOtherDomainPeers = options.minOtherDomainPeers })
+                  .minOtherDomainPeers = options.minOtherDomainPeers }),
+      ownerFence(options.fence)
 { }
 
 void FleetNode::submit(const TransientJob &job, const RoutePolicy &policy, std::uint64_t caller,
@@ -120,9 +121,12 @@
     }
     ++this->counts.receivedMessages;
     if (message.incarnation != peer.incarnation) {
+        this->ownerFence.handleLoss(message.from, FenceCause::OwnerRestarted, now);
+        this->ownerFence.removeOwner(message.from);
         peer.lastReceivedSequence = 0;
         peer.report = {};
         peer.sentReportVersion = 0;
+        peer.sentTargetsVersion = 0;
         peer.incarnation = message.incarnation;
         this->targetOwner.dropOlderIncarnations(
             { .node = message.from, .incarnation = message.incarnation }, now);
@@ -141,6 +145,7 @@
     peer.hasPendingMessage = peer.hasPendingMessage || message.requestsResponse;
     if (message.report && this->selection.isSelected(message.from))
         peer.report = *message.report;
+    this->guard(message, now);
     this->handleAcknowledgement(peer, message);
     if (message.receiverIncarnation == this->options.incarnation
         || message.receiverIncarnation == 0)
@@ -206,7 +211,8 @@
                                    const PollResponse &response, TimePoint now)
 {
     this->beginEvent(now);
-    this->targetOwner.handlePollResponse(from, sentAt, response, now);
+    if (!this->ownerFence.handlePollResponse(from, sentAt, response, now))
+        this->targetOwner.handlePollResponse(from, sentAt, response, now);
 }
 
 void FleetNode::updatePeer(const NodeRecord &record, TimePoint now)
@@ -251,6 +257,29 @@
     }
     this->targetOwner.tick([&](const Requester &r) { return this->lastContact(r, now); }, now);
     this->transferTargets(now);
+    this->fenceLostOwners(now);
+}
+
+void FleetNode::guard(const FleetMessage &message, TimePoint now)
+{
+    if (!message.wantsReports) {
+        this->ownerFence.removeOwner(message.from);
+        return;
+    }
+    this->ownerFence.handleContact(message.from, message.incarnation);
+    if (message.drivenTargets)
+        this->ownerFence.setTargets(message.from, message.incarnation, *message.drivenTargets, now);
+}
+
+// Messages that waited while this node was stalled say nothing of their senders' present state, but
+// neither does the silence before.
+void FleetNode::fenceLostOwners(TimePoint now)
+{
+    for (const auto &[name, peer] : this->peers) {
+        const TimePoint contactAt = std::max(peer.lastSeenAt, this->lastStallAt);
+        if (now >= contactAt + this->options.fence.silenceTimeout)
+            this->ownerFence.handleLoss(name, FenceCause::OwnerSilent, now);
+    }
 }
 
 FleetOutbox FleetNode::flush(TimePoint now)
@@ -264,6 +293,12 @@
     FleetOutbox out;
     this->sendMessages(now, out);
     out.orders = this->targetOwner.takeOrders();
+    for (PollOrder &poll : this->ownerFence.takeDuePolls(now))
+        out.orders.emplace_back(std::move(poll));
+    out.foreignRuns = this->targetOwner.takeForeignRuns();
+    out.fences = this->ownerFence.takeRecords();
+    this->counts.fencedForPeers += static_cast<std::uint64_t>(
+        std::ranges::count(out.fences, OrderStatus::Done, &FenceRecord::status));
     out.outcomes = this->jobCoordinator.takeOutcomes();
     out.targetChanges = this->targetOwner.takeChanges();
     out.unsuccessfulRuns = this->jobCoordinator.takeUnsuccessfulRuns();
@@ -308,6 +343,7 @@
     if (!isStalled)
         return;
     ++this->counts.stalls;
+    this->lastStallAt = now;
     for (auto &[name, peer] : this->peers) {
         peer.confirmedAt = TimePoint();
         peer.unacknowledged.clear();
@@ -494,6 +530,13 @@
         peer.sentReportVersion = this->reportVersion;
         peer.reportSentAt = now;
     }
+    const bool areTargetsNew = peer.sentTargetsVersion != this->targetsVersion;
+    if (message.wantsReports && (areTargetsNew || areTargetsLost(peer, now))) {
+        message.drivenTargets = this->drivenTargets;
+        peer.targetsMessageSequence = message.sequence;
+        peer.sentTargetsVersion = this->targetsVersion;
+        peer.targetsSentAt = now;
+    }
     message.runRequests = std::exchange(peer.runRequests, {});
     if (const auto found = runsByPeer.wantedRuns.find(to); found != runsByPeer.wantedRuns.end())
         message.wantedRuns = found->second;
@@ -556,6 +599,7 @@
     if (found == this->peers.end())
         return;
     found->second.report = {};
+    found->second.sentTargetsVersion = 0;
     found->second.hasPendingMessage = true;
 }
 
@@ -569,6 +613,7 @@
     if (now < this->reportRefreshedAt + internal::refreshInterval)
         return;
     this->reportRefreshedAt = now;
+    this->refreshDrivenTargets(now);
     OwnerReport current = this->targetOwner.report(now);
     if (current == this->report && this->reportVersion != 0)
         return;
@@ -576,6 +621,30 @@
     ++this->reportVersion;
 }
 
+void FleetNode::refreshDrivenTargets(TimePoint now)
+{
+    std::vector<DrivenTarget> current = this->targetOwner.drivenTargets(now);
+    if (current == this->drivenTargets && this->targetsVersion != 0)
+        return;
+    const auto differsOnlyInToken = [](const DrivenTarget &one, const DrivenTarget &other) {
+        return one.isFenceWanted == other.isFenceWanted
+            && one.address.target == other.address.target
+            && one.address.incarnation == other.address.incarnation
+            && one.address.address == other.address.address;
+    };
+    const bool isUrgent = !std::ranges::equal(current, this->drivenTargets, differsOnlyInToken);
+    this->drivenTargets = std::move(current);
+    ++this->targetsVersion;
+    if (isUrgent)
+        this->urgentTargetsVersion = this->targetsVersion;
+}
+
+bool FleetNode::areTargetsLost(const Peer &peer, TimePoint now)
+{
+    return peer.lastAcknowledgedSequence < peer.targetsMessageSequence
+        && now >= peer.targetsSentAt + internal::reportLifetime;
+}
+
 bool FleetNode::hasLink(const Peer &peer, TimePoint now) const
 {
     const bool isRecentlySeen = now < peer.lastSeenAt + this->options.linkTimeout;
@@ -599,6 +668,8 @@
         return true;
     if (peer.acknowledgeEndsAt && now >= *peer.acknowledgeEndsAt)
         return true;
+    if (peer.isSelected && peer.sentTargetsVersion < this->urgentTargetsVersion)
+        return true;
     const Duration silence = now - peer.sentAt;
     const RequesterState *held = runsFor(peer, name, runsByPeer);
     if (held != nullptr && held->hasUnreportedEnds && silence >= internal::endBatchInterval)
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -2,6 +2,7 @@
 
 #include "Hibiscus/src/Fleet/FleetCoordinator.h"
 #include "Hibiscus/src/Fleet/FleetOwner.h"
+#include "Hibiscus/src/Fleet/OwnerFence.h"
 #include "Hibiscus/src/Fleet/PeerSelection.h"
 
 #include <deque>
@@ -18,6 +19,7 @@
     std::string targetsAddress; ///< IP:port where targets send heartbeats
     FleetCoordinatorOptions coordinator;
     FleetOwnerOptions owner;
+    OwnerFenceOptions fence;
     std::uint32_t selectedPeerCount = 5; ///< selected peers, if there are enough
     /** \brief At least this many of them are in other failure domains. */
     std::uint32_t minOtherDomainPeers = 2;
@@ -67,6 +69,8 @@
     std::vector<TargetChange> targetChanges;
     std::vector<UnsuccessfulRun> unsuccessfulRuns;
     std::vector<AttemptRecord> attempts;
+    std::vector<ForeignRun> foreignRuns;
+    std::vector<FenceRecord> fences;
     std::vector<NodeName> removedPeers; ///< peers removed after a long silence
     std::vector<NodeName> idlePeers; ///< peers whose connection may be closed for now
 };
@@ -78,6 +82,7 @@
     std::uint64_t receivedMessages = 0;
     std::uint64_t staleMessages = 0; ///< not newer than the last message received
     std::uint64_t stalls = 0; ///< stalls of this node
+    std::uint64_t fencedForPeers = 0; ///< targets of lost peers that were fenced
 };
 
 /** \brief Entry node: coordinates transient jobs, owns targets, and offers their free capacity to
@@ -85,7 +90,8 @@
  *
  * Two nodes have a link, and exchange messages, while one has selected the other for its reports of
  * free capacity or has runs there. A node selects a fixed number of peers, so its cost for messages
- * depends on its own work and not on the number of nodes.
+ * depends on its own work and not on the number of nodes. The selected peers are also its
+ * guardians: they know its targets, and fence them if it is lost (see OwnerFence).
  *
  * Its input is events and the current time, its output orders and messages; it uses no socket,
  * clock or thread. After any number of events, flush() returns the resulting output.
@@ -165,6 +171,10 @@
         std::uint64_t sentReportVersion = 0; ///< version of the latest report sent; 0: none
         /** \brief Sequence number of the message with the latest report. */
         std::uint64_t reportMessageSequence = 0;
+        /** \brief Version of the latest own targets sent to it as a guardian; 0: none. */
+        std::uint64_t sentTargetsVersion = 0;
+        std::uint64_t targetsMessageSequence = 0; ///< of the message with them
+        TimePoint targetsSentAt;
         /** \brief Highest sequence number that the peer has received. */
         std::uint64_t lastAcknowledgedSequence = 0;
         bool wantsReports = false; ///< whether its latest message requests reports
@@ -225,6 +235,12 @@
     bool isMessageDue(const Peer &peer, const NodeName &name, const RunsByPeer &runsByPeer,
                       TimePoint now) const;
     void refreshReport(TimePoint now);
+    void refreshDrivenTargets(TimePoint now);
+    /** \returns whether the message with the latest own targets seems lost. */
+    static bool areTargetsLost(const Peer &peer, TimePoint now);
+    /** \brief Records what \a message says of its sender's targets, if this node guards them. */
+    void guard(const FleetMessage &message, TimePoint now);
+    void fenceLostOwners(TimePoint now);
     FleetMessage composeMessage(const NodeName &to, Peer &peer, const RunsByPeer &runsByPeer,
                                 TimePoint now);
     void sendMessages(TimePoint now, FleetOutbox &out);
@@ -237,6 +253,11 @@
     FleetCoordinator jobCoordinator;
     FleetOwner targetOwner;
     PeerSelection selection;
+    OwnerFence ownerFence;
+    std::vector<DrivenTarget> drivenTargets; ///< own targets, as reported to guardians
+    std::uint64_t targetsVersion = 0;
+    /** \brief Version since which only tokens have changed; they may wait for the next message. */
+    std::uint64_t urgentTargetsVersion = 0;
     OwnerReport report; ///< state of the own targets, as reported to peers
     std::uint64_t reportVersion = 0;
     TimePoint reportRefreshedAt;
@@ -246,6 +267,7 @@
     std::map<TargetName, TargetTransfer> transfers;
     FleetNodeCounters counts;
     TimePoint lastStepAt;
+    TimePoint lastStallAt; ///< time at which the latest stall was noticed
     TimePoint transfersCheckedAt;
     TimePoint peersSelectedAt;
     bool isDraining = false;
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -137,16 +137,22 @@
 void FleetOwner::handleStartResponse(const OrderAddress &from, const RunName &run,
                                      const OrderResponse &response, TimePoint now)
 {
-    if (TargetDriver *driver = this->findDriver(from))
-        driver->handleStartResponse(run, response, now, this->out);
+    if (TargetDriver *driver = this->findDriver(from)) {
+        const bool wasRegaining = driver->isRegaining();
+        driver->handleStartResponse(run, from.fencingToken, response, now, this->out);
+        this->recordEffects(*driver, wasRegaining);
+    }
     this->processRunEnds(now);
 }
 
 void FleetOwner::handleStopResponse(const OrderAddress &from, const RunName &run,
                                     const OrderResponse &response, TimePoint now)
 {
-    if (TargetDriver *driver = this->findDriver(from))
-        driver->handleStopResponse(run, response, now);
+    if (TargetDriver *driver = this->findDriver(from)) {
+        const bool wasRegaining = driver->isRegaining();
+        driver->handleStopResponse(run, from.fencingToken, response, now);
+        this->recordEffects(*driver, wasRegaining);
+    }
     this->processRunEnds(now);
 }
 
@@ -163,12 +169,14 @@
         this->recordRestart(*driver, now);
     } else if (driver != nullptr) {
         const bool wasReconciled = driver->isReconciled();
+        const bool wasRegaining = driver->isRegaining();
         // The response of a former incarnation tells nothing about the present one.
         const bool isOutdated = incarnation < from.incarnation;
         driver->handlePollResponse(sentAt, isOutdated ? PollResponse() : response, now, this->out);
         driver->tick(now, this->out);
         if (!wasReconciled && driver->isReconciled())
             this->recordChange(*driver, "settled");
+        this->recordEffects(*driver, wasRegaining);
     }
     this->processRunEnds(now);
 }
@@ -329,6 +337,14 @@
     return false;
 }
 
+std::vector<DrivenTarget> FleetOwner::drivenTargets(TimePoint now) const
+{
+    std::vector<DrivenTarget> targets;
+    for (const auto &[name, driver] : this->drivers)
+        targets.push_back(driver.describe(now));
+    return targets;
+}
+
 std::vector<RunEnd> FleetOwner::runEndsFor(const Requester &requester) const
 {
     std::vector<RunEnd> runEnds;
@@ -372,6 +388,19 @@
     return count;
 }
 
+void FleetOwner::recordEffects(TargetDriver &driver, bool wasRegaining)
+{
+    for (RunName &run : std::exchange(this->out.foreignRuns, {}))
+        this->foreignRuns.push_back({ .run = std::move(run),
+                                      .target = driver.target().name,
+                                      .incarnation = driver.target().incarnation,
+                                      .fencingToken = driver.fencingToken() });
+    if (!wasRegaining || driver.isRegaining() || driver.isFenced())
+        return;
+    ++this->counts.regainedTargets;
+    this->recordChange(driver, "regained");
+}
+
 void FleetOwner::processRunEnds(TimePoint now)
 {
     const std::vector<ObservedRunEnd> runEnds = std::exchange(this->out.runEnds, {});
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -76,6 +76,7 @@
     std::uint64_t adoptedTargets = 0; ///< targets taken over
     std::uint64_t stragglers = 0; ///< runs stopped for taking too long
     std::uint64_t fencedTargets = 0; ///< targets lost to another owner
+    std::uint64_t regainedTargets = 0; ///< targets kept after a guardian had fenced them
 };
 
 /** \brief Change of an owner's state of a target, for the log. */
@@ -106,6 +107,17 @@
     auto operator<=>(const AttemptRecord &other) const = default;
 };
 
+/** \brief Run of another owner that was found on a target, for the log. */
+struct ForeignRun
+{
+    RunName run;
+    TargetName target;
+    std::uint64_t incarnation = 0;
+    std::uint64_t fencingToken = 0;
+
+    auto operator<=>(const ForeignRun &other) const = default;
+};
+
 /** \brief Targets of one entry node, with the runs on them and the queued runs.
  *
  * \sa TargetDriver
@@ -163,8 +175,12 @@
     /** \returns the starts of later attempts, and the attempts that ended without completion. */
     std::vector<AttemptRecord> takeAttempts() { return std::exchange(this->attempts, {}); }
 
+    std::vector<ForeignRun> takeForeignRuns() { return std::exchange(this->foreignRuns, {}); }
+
     // Queries.
     OwnerReport report(TimePoint now) const;
+    /** \returns all targets, for the guardians of this node. */
+    std::vector<DrivenTarget> drivenTargets(TimePoint now) const;
     /** \returns the requesters of all queued, running and ended runs. */
     std::map<Requester, RequesterState> requesters() const;
     /** \returns the run ends that \a requester has not acknowledged. */
@@ -206,6 +222,10 @@
     void cancelMatching(const std::function<bool(const HeldRun &)> &matches, bool isWanted,
                         TimePoint now);
     bool canDeferReport(const HeldRun &ended) const;
+    /** \brief Handles the effects of a response to \a driver, which was regaining its target before
+     * it if \a wasRegaining.
+     */
+    void recordEffects(TargetDriver &driver, bool wasRegaining);
     void processRunEnds(TimePoint now);
     void countRunEnd(RunEndKind kind);
     void recordChange(const TargetDriver &driver, std::string change);
@@ -237,6 +257,7 @@
     DriverOutbox out;
     std::vector<TargetChange> changes;
     std::vector<AttemptRecord> attempts;
+    std::vector<ForeignRun> foreignRuns;
     FleetOwnerCounters counts;
 };
 
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -33,8 +33,8 @@
 TargetDriver::TargetDriver(const TargetDriverOptions &options, const LeasedTarget &target,
                            std::uint64_t fencingToken, TimePoint now)
     : options(options), heartbeat(target), token(fencingToken), tokenStep(internal::firstTokenStep),
-      tokenRaisedAt(now), takenOverAt(now), heartbeatAt(now), targetClockMs(target.clockMs),
-      targetClockReadAt(now), leasedUntil(now + this->longestLease())
+      tokenRaisedAt(now), tenureSince(now), takenOverAt(now), heartbeatAt(now),
+      targetClockMs(target.clockMs), targetClockReadAt(now), leasedUntil(now + this->longestLease())
 { }
 
 void TargetDriver::handleHeartbeat(const LeasedTarget &target, TimePoint now)
@@ -62,9 +62,9 @@
 void TargetDriver::handleRestart(const LeasedTarget &target, std::uint64_t fencingToken,
                                  TimePoint now)
 {
-    TargetDriver restarted(
-        this->options, target,
-        std::max(this->token + this->raisedBy + FencingToken::tagCount, fencingToken), now);
+    TargetDriver restarted(this->options, target,
+                           std::max(FencingToken::raised(this->orderToken(), 1), fencingToken),
+                           now);
     restarted.runs = std::move(this->runs);
     restarted.usedCapacity = this->usedCapacity;
     restarted.isReleasing = this->isReleasing;
@@ -88,8 +88,10 @@
 // still be executed. A confirmed run needs no stop: the lists of runs show whether it goes on.
 void TargetDriver::requireConfirmedStop(Run &run, TimePoint now)
 {
-    if (run.phase == Phase::Starting)
+    if (run.phase == Phase::Starting) {
         run.phase = Phase::Unanswered;
+        run.unansweredAt = now;
+    }
     run.isStopWanted = run.isStopWanted || run.phase == Phase::Unanswered;
     run.isStopInFlight = false;
     run.stopConfirmedAt.reset();
@@ -130,13 +132,14 @@
     this->sendStop(found->first, found->second, now, out);
 }
 
-void TargetDriver::handleStartResponse(const RunName &run, const OrderResponse &response,
-                                       TimePoint now, DriverOutbox &out)
+void TargetDriver::handleStartResponse(const RunName &run, std::uint64_t sentToken,
+                                       const OrderResponse &response, TimePoint now,
+                                       DriverOutbox &out)
 {
     this->recordResponse(response.clockMs, now);
     const auto found = this->runs.find(run);
     if (response.status == OrderStatus::Fenced)
-        this->handleFenced(now);
+        this->handleFenced(sentToken, now);
     if (response.status == OrderStatus::Unhealthy || response.status == OrderStatus::NotSent)
         this->recordRefusal(now);
     if (response.status == OrderStatus::InsufficientCapacity)
@@ -157,6 +160,7 @@
     if (response.status == OrderStatus::Unanswered) {
         this->recordTimeout(now);
         found->second.phase = Phase::Unanswered;
+        found->second.unansweredAt = now;
         this->stop(run, now, out);
         return;
     }
@@ -165,12 +169,12 @@
                  RunEndEvidence::StartResponse, now, out);
 }
 
-void TargetDriver::handleStopResponse(const RunName &run, const OrderResponse &response,
-                                      TimePoint now)
+void TargetDriver::handleStopResponse(const RunName &run, std::uint64_t sentToken,
+                                      const OrderResponse &response, TimePoint now)
 {
     this->recordResponse(response.clockMs, now);
     if (response.status == OrderStatus::Fenced)
-        this->handleFenced(now);
+        this->handleFenced(sentToken, now);
     if (response.status == OrderStatus::StaleIncarnation)
         this->ended = true;
     const auto found = this->runs.find(run);
@@ -196,14 +200,15 @@
     this->isPolling = false;
     this->nextPollAt = now;
     this->lastPollFailed = response.status != OrderStatus::Done;
-    if (response.status == OrderStatus::Fenced)
-        this->handleFenced(now);
     if (response.status == OrderStatus::StaleIncarnation)
         this->ended = true;
-    if (this->lastPollFailed) {
+    if (this->lastPollFailed)
         this->nextPollAt = now + this->options.retryInterval;
+    if (response.status == OrderStatus::Fenced)
+        this->handleFenced(this->orderToken(), now);
+    if (this->lastPollFailed)
         return;
-    }
+    this->regaining = false;
     this->recordResponse(response.clockMs, now);
     if (response.clockMs && sentAt >= this->contactInvalidatedAt)
         this->isContactValid = true;
@@ -238,10 +243,10 @@
 
 bool TargetDriver::acceptsWork(TimePoint now) const
 {
-    return this->hasOnlyOwnRuns() && !this->awaitsHeartbeat && !this->fenced && !this->ended
-        && !this->isDeparting && !this->isReleasing && this->heartbeat.state == TargetState::Ready
-        && this->isContactValid && now >= this->avoidUntil
-        && now < this->lastResponseAt + this->options.contactLifetime
+    return this->hasOnlyOwnRuns() && !this->awaitsHeartbeat && !this->fenced && !this->regaining
+        && !this->ended && !this->isDeparting && !this->isReleasing
+        && this->heartbeat.state == TargetState::Ready && this->isContactValid
+        && now >= this->avoidUntil && now < this->lastResponseAt + this->options.contactLifetime
         && now + this->options.minLeaseForWork <= this->leaseLimit(now);
 }
 
@@ -257,12 +262,28 @@
         this->runs, [&](const auto &r) { return r.first.job == job && r.first.step == step; }));
 }
 
+DrivenTarget TargetDriver::describe(TimePoint now) const
+{
+    OrderAddress address = this->address();
+    address.fencingToken = this->token;
+    const bool isFenceWanted = std::ranges::any_of(this->runs, [&](const auto &r) {
+        return r.second.phase == Phase::Unanswered && !r.second.stopConfirmedAt
+            && now >= r.second.unansweredAt + this->options.fenceDelay;
+    });
+    return { .address = address, .isFenceWanted = isFenceWanted };
+}
+
+std::uint64_t TargetDriver::orderToken() const
+{
+    return FencingToken::raised(this->token, this->raises);
+}
+
 OrderAddress TargetDriver::address() const
 {
     return { .target = this->heartbeat.name,
              .incarnation = this->heartbeat.incarnation,
              .address = this->heartbeat.address,
-             .fencingToken = this->token + this->raisedBy };
+             .fencingToken = this->orderToken() };
 }
 
 TimePoint TargetDriver::leaseLimit(TimePoint now) const
@@ -303,17 +324,29 @@
 }
 
 // Before the target is reconciled, a rejected token only means that the previous owner's clock was
-// ahead, since tokens are taken from clocks. Afterwards, or after a restart that was announced to
-// another node, it means that another node owns the target.
-void TargetDriver::handleFenced(TimePoint now)
+// ahead, since tokens are taken from clocks. Afterwards, a guardian may have taken this owner for
+// lost: its token is passed by a small step, that of another owner is not. After a restart that was
+// announced to another node, that node owns the target.
+void TargetDriver::handleFenced(std::uint64_t sentToken, TimePoint now)
 {
-    if (this->reconciled || this->awaitsHeartbeat) {
+    if (sentToken < this->orderToken())
+        return;
+    const bool isTenureShort = now < this->tenureSince + this->options.minTenure;
+    if (this->awaitsHeartbeat || (this->reconciled && (this->regaining || isTenureShort))) {
         this->fenced = true;
         return;
     }
-    this->token += this->tokenStep;
-    this->tokenStep *= 2;
     this->nextPollAt = now;
+    this->isPolling = false;
+    if (!this->reconciled) {
+        this->token += this->tokenStep;
+        this->tokenStep *= 2;
+        return;
+    }
+    this->token = FencingToken::afterFence(this->orderToken());
+    this->raises = 0;
+    this->tenureSince = now;
+    this->regaining = true;
 }
 
 // Doubles the previous pause, and starts with \a first.
@@ -352,22 +385,25 @@
         this->recordRefusal(now);
 }
 
-bool TargetDriver::hasOrderInFlight() const
+bool TargetDriver::hasStartInFlight() const
 {
-    return std::ranges::any_of(this->runs, [](const auto &r) {
-        return r.second.phase == Phase::Starting || r.second.isStopInFlight;
-    });
+    return std::ranges::any_of(this->runs,
+                               [](const auto &r) { return r.second.phase == Phase::Starting; });
 }
 
 // Orders without a response may be executed seconds later; a late poll would renew the lease of a
-// run that nobody wants any more. An order in flight must not be fenced, so the token waits for it.
+// run that nobody wants any more. A start in flight must not be fenced, so the token waits for it;
+// a stop is sent again.
 void TargetDriver::raiseToken(TimePoint now)
 {
     const bool isDue = now >= this->tokenRaisedAt + this->options.tokenInterval;
-    if (!isDue || !this->hasOnlyOwnRuns() || this->hasOrderInFlight())
+    if (!isDue || !this->hasOnlyOwnRuns() || this->hasStartInFlight())
         return;
-    this->raisedBy += FencingToken::tagCount;
     this->tokenRaisedAt = now;
+    if (++this->raises < FencingToken::maxUnreportedRaises)
+        return;
+    this->token = this->orderToken();
+    this->raises = 0;
 }
 
 void TargetDriver::poll(TimePoint now, DriverOutbox &out)
@@ -476,6 +512,8 @@
             continue;
         hasForeignRun = true;
         const auto [known, isNew] = this->foreignRunStopAt.try_emplace(name, now);
+        if (isNew)
+            out.foreignRuns.push_back(name);
         if (now < known->second)
             continue;
         known->second = now + this->options.foreignStopInterval;
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hibiscus/src/Fleet/DrivenTarget.h"
 #include "Hibiscus/src/Fleet/TargetOrder.h"
 
 #include <map>
@@ -39,6 +40,14 @@
      * executed late; the platform executes them 2 s late or more.
      */
     Duration tokenInterval = 1s;
+    /** \brief Time after a start without a response, until which its stop is expected to be
+     * confirmed; then the guardians are asked to fence the target.
+     */
+    Duration fenceDelay = 300ms;
+    /** \brief A fenced target is given up, instead of continued with a higher token, if this owner
+     * took it over or was fenced less than this time ago.
+     */
+    Duration minTenure = 2s;
     Duration stopRetryInterval = 50ms; ///< delay before an unconfirmed stop is sent again
     /** \brief Delay before the stop of a previous owner's run is sent again: it may take
      * maxStopTime after its response, for which this driver does not wait.
@@ -69,6 +78,7 @@
 {
     std::vector<TargetOrder> orders;
     std::vector<ObservedRunEnd> runEnds;
+    std::vector<RunName> foreignRuns; ///< runs of other owners that were found on the target
 };
 
 /** \brief Drives a target: renews its lease, starts and stops runs, and determines their ends.
@@ -80,6 +90,9 @@
  * The lease covers all runs on the target, so it is renewed only as far as each of them may go on:
  * not beyond the time until which it is valid, and not while a run of a previous owner may be
  * there.
+ *
+ * A guardian may fence the driver's orders while it seems lost (see OwnerFence). The driver then
+ * goes on with a slightly higher token; a target that rejects that as well has another owner.
  */
 class TargetDriver
 {
@@ -104,9 +117,12 @@
     /** \brief Extends the time until which \a run may go on, unless it is being stopped. */
     void extendValidity(const RunName &run, TimePoint until);
     void stop(const RunName &run, TimePoint now, DriverOutbox &out);
-    void handleStartResponse(const RunName &run, const OrderResponse &response, TimePoint now,
-                             DriverOutbox &out);
-    void handleStopResponse(const RunName &run, const OrderResponse &response, TimePoint now);
+    /** \brief Handles the response to a start that contained \a sentToken. */
+    void handleStartResponse(const RunName &run, std::uint64_t sentToken,
+                             const OrderResponse &response, TimePoint now, DriverOutbox &out);
+    /** \brief Handles the response to a stop that contained \a sentToken. */
+    void handleStopResponse(const RunName &run, std::uint64_t sentToken,
+                            const OrderResponse &response, TimePoint now);
     /** \brief Handles the response to the poll of \a sentAt. */
     void handlePollResponse(TimePoint sentAt, const PollResponse &response, TimePoint now,
                             DriverOutbox &out);
@@ -136,6 +152,10 @@
     /** \returns whether all runs on the target were started by this driver. */
     bool isReconciled() const { return this->reconciled; }
     bool isFenced() const { return this->fenced; }
+    /** \returns whether this driver waits for the target to accept its orders again. */
+    bool isRegaining() const { return this->regaining; }
+    /** \returns what guardians need to fence the orders of this driver. */
+    DrivenTarget describe(TimePoint now) const;
     /** \returns whether the target has ended, or has announced that and has no run left. */
     bool isEnded() const { return this->ended || (this->isDeparting && this->runs.empty()); }
     bool isReleased() const { return this->isReleasing && this->runs.empty(); }
@@ -160,6 +180,7 @@
         TimePoint validUntil; ///< the lease is not renewed beyond it
         Phase phase = Phase::Starting;
         TimePoint confirmedAt; ///< time of the target's response to the start
+        TimePoint unansweredAt; ///< time at which the start became Unanswered
         std::optional<TimePoint> listedAt; ///< send time of the last poll that listed it
         /** \brief Send time of the first poll that did not list it, after its start was confirmed.
          */
@@ -171,6 +192,7 @@
         std::optional<TimePoint> stopConfirmedAt;
     };
 
+    std::uint64_t orderToken() const;
     OrderAddress address() const;
     /** \returns whether the latest list showed no run of a previous owner. */
     bool hasOnlyOwnRuns() const { return this->reconciled && this->foreignRunStopAt.empty(); }
@@ -181,13 +203,13 @@
     /** \returns the reading of the target's clock at \a limit, to which the lease is renewed. */
     std::int64_t renewLease(TimePoint limit);
     void recordResponse(std::optional<std::int64_t> clockMs, TimePoint now);
-    void handleFenced(TimePoint now);
+    void handleFenced(std::uint64_t sentToken, TimePoint now);
     void extendAvoidance(Duration first, TimePoint now);
     void recordRefusal(TimePoint now);
     void recordTimeout(TimePoint now);
     void recordOutcome(const EndedRun &listed, TimePoint now);
-    /** \returns whether the target may yet respond to a start or stop. */
-    bool hasOrderInFlight() const;
+    /** \returns whether the target may yet respond to a start. */
+    bool hasStartInFlight() const;
     void raiseToken(TimePoint now);
     void poll(TimePoint now, DriverOutbox &out);
     void requireConfirmedStop(Run &run, TimePoint now);
@@ -206,8 +228,9 @@
     LeasedTarget heartbeat;
     std::uint64_t token;
     std::uint64_t tokenStep;
-    std::uint64_t raisedBy = 0; ///< added to the token in orders; peers are told the token only
+    std::uint64_t raises = 0; ///< raises of the token in orders; peers are told the token only
     TimePoint tokenRaisedAt;
+    TimePoint tenureSince; ///< take-over, or the latest fence after which this driver went on
     TimePoint takenOverAt;
     TimePoint heartbeatAt;
     TimePoint lastResponseAt; ///< time of the latest response
@@ -229,6 +252,7 @@
     bool reconciled = false;
     bool awaitsHeartbeat = false; ///< the heartbeat is that of a former incarnation
     bool fenced = false;
+    bool regaining = false; ///< fenced, and the first poll with a higher token is not answered yet
     bool ended = false;
     bool isReleasing = false;
     bool isDeparting = false; ///< the target has announced its shutdown
--- a/Hibiscus/src/Fleet/TargetOrder.h
+++ b/Hibiscus/src/Fleet/TargetOrder.h
@@ -17,6 +17,7 @@
     std::uint64_t fencingToken = 0; ///< the target rejects orders with a lower one than it has seen
 
     auto operator<=>(const OrderAddress &other) const = default;
+    HIBISCUS_FIELDS(target, incarnation, address, fencingToken)
 };
 
 /** \brief Starts a run and renews the lease, which covers all runs on the target. */
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -337,6 +337,24 @@
                    { "end", toString(run.end.kind) } });
     for (const AttemptRecord &attempt : out.attempts)
         internal::logAttempt(attempt);
+    for (const ForeignRun &run : out.foreignRuns)
+        logEvent("foreign-run-found",
+                 { { "job", run.run.job },
+                   { "step", std::to_string(run.run.step) },
+                   { "task", std::to_string(run.run.index) },
+                   { "attempt", std::to_string(run.run.attempt) },
+                   { "target", run.target.str() },
+                   { "life", std::to_string(run.incarnation) },
+                   { "fencing_token", std::to_string(run.fencingToken) } });
+    for (const FenceRecord &fence : out.fences)
+        logEvent("peer-target-fenced",
+                 { { "owner", fence.owner.str() },
+                   { "target", fence.target.target.str() },
+                   { "life", std::to_string(fence.target.incarnation) },
+                   { "fencing_token", std::to_string(fence.target.fencingToken) },
+                   { "cause", toString(fence.cause) },
+                   { "verdict", toString(fence.status) },
+                   { "since_cause_ms", std::to_string(toMilliseconds(fence.sinceCause)) } });
     for (const NodeName &peer : out.idlePeers)
         this->relay.disconnect(peer);
     for (const NodeName &peer : out.removedPeers) {
@@ -557,6 +575,10 @@
     count("hibiscus_runs_lost_total", "Runs lost with a target or its lease.", owner.lost);
     count("hibiscus_targets_adopted_total", "Targets taken over.", owner.adoptedTargets);
     count("hibiscus_targets_fenced_total", "Targets lost to another owner.", owner.fencedTargets);
+    count("hibiscus_targets_regained_total", "Targets kept after a guardian had fenced them.",
+          owner.regainedTargets);
+    count("hibiscus_peer_targets_fenced_total", "Targets of lost peers that were fenced.",
+          peers.fencedForPeers);
     count("hibiscus_peer_messages_sent_total", "Messages to peers.", peers.sentMessages);
     count("hibiscus_peer_messages_received_total", "Messages of peers.", peers.receivedMessages);
     count("hibiscus_peer_messages_stale_total", "Messages that came too late.",
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -220,6 +220,15 @@
         });
     }
 
+    /** \returns the gateway that owns the most targets. */
+    static std::string gatewayWithMostTargets(const FleetSimulation &simulation)
+    {
+        const std::vector<std::string> names = simulation.gatewayNames();
+        return *std::ranges::max_element(names, {}, [&](const std::string &name) {
+            return simulation.gateway(name)->owner().targetNames().size();
+        });
+    }
+
     static constexpr std::uint64_t seedCount = 4;
 };
 
@@ -357,15 +366,6 @@
         simulation.setLateOrders({});
     }
 
-    /** \returns the gateway that owns the most targets. */
-    static std::string gatewayWithMostTargets(const FleetSimulation &simulation)
-    {
-        const std::vector<std::string> names = simulation.gatewayNames();
-        return *std::ranges::max_element(names, {}, [&](const std::string &name) {
-            return simulation.gateway(name)->owner().targetNames().size();
-        });
-    }
-
     static constexpr std::uint64_t lateStartSeedCount = 20;
 };
 
@@ -429,6 +429,32 @@
     }
 }
 
+// Guards against owners that are cut off from the other gateways, but not from their targets, and
+// lose these to their guardians.
+TEST_F(FleetTargetFault, OwnerThatIsCutOffFromItsGuardiansGoesOnWithItsTargets)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        FleetSimulationOptions options = smallFleet(seed);
+        options.domains = { "a", "b" };
+        options.gatewaysPerDomain = 2;
+        options.targetsPerDomain = 4;
+        FleetSimulation simulation(options);
+        simulation.run(8s);
+        const std::string owner = gatewayWithMostTargets(simulation);
+        const std::size_t targetCount = simulation.gateway(owner)->owner().targetNames().size();
+        for (const std::string &gateway : simulation.gatewayNames())
+            simulation.disconnect(owner, gateway);
+        simulation.run(100ms);
+        for (int i = 0; i < 4; ++i)
+            simulation.submit(owner, 1, 3s, 5s);
+        simulation.run(5s);
+        EXPECT_EQ(simulation.servedShare(), 1.0) << "seed " << seed;
+        EXPECT_EQ(simulation.gateway(owner)->owner().targetNames().size(), targetCount);
+        EXPECT_GT(simulation.gateway(owner)->owner().counters().regainedTargets, 0U);
+        expectNoViolations(simulation, seed);
+    }
+}
+
 /** \brief Random faults at random times, partly at once. */
 class FleetSoak : public testing::TestWithParam<std::uint64_t>
 { };
--- a/test/HostileInputTest.cpp
+++ b/test/HostileInputTest.cpp
@@ -415,15 +415,15 @@
 class PolledTarget
 {
 public:
-    PolledTarget() : driver({}, target(), 7, this->now)
+    PolledTarget() : driver({}, target(), token, this->now)
     {
         this->tick();
         this->answer("", "");
         this->driver.start({ .run = { .job = "ab", .step = 1, .index = 17, .attempt = 2 } },
                            this->now + 10s, this->now, this->out);
         this->driver.handleStartResponse({ .job = "ab", .step = 1, .index = 17, .attempt = 2 },
-                                         { .status = OrderStatus::Done, .clockMs = 20 }, this->now,
-                                         this->out);
+                                         token, { .status = OrderStatus::Done, .clockMs = 20 },
+                                         this->now, this->out);
         this->answer(R"(["ab.0.1.17",2])", "");
     }
 
@@ -445,6 +445,7 @@
 
     TimePoint now = TimePoint(1000s);
     TargetDriver driver;
+    static constexpr std::uint64_t token = 7;
     DriverOutbox out;
 
 private:
--- a/test/TargetDriverTest.cpp
+++ b/test/TargetDriverTest.cpp
@@ -9,7 +9,7 @@
 class DriverFixture
 {
 public:
-    DriverFixture() : driver({}, target(), 7, this->now)
+    DriverFixture() : driver({}, target(), token, this->now)
     {
         this->request.run = { .job = "j", .attempt = 1 };
         this->request.demand = { .cpu = 1000 };
@@ -17,7 +17,7 @@
         this->poll({});
         this->advance(10ms);
         this->driver.start(this->request, this->now + 10s, this->now, this->out);
-        this->driver.handleStartResponse(this->request.run,
+        this->driver.handleStartResponse(this->request.run, token,
                                          { .status = OrderStatus::Done, .clockMs = 20 }, this->now,
                                          this->out);
         this->advance(10ms);
@@ -69,6 +69,7 @@
     /** \returns when the latest poll was sent. */
     TimePoint lastPoll() const { return this->last<PollOrder>().sentAt; }
 
+    static constexpr std::uint64_t token = 7;
     TimePoint now { 1'800'000'000s };
     DriverOutbox out;
     RunRequest request;
@@ -85,7 +86,7 @@
     fixture.advance(5ms);
     fixture.poll({});
     EXPECT_TRUE(fixture.out.runEnds.empty()) << "before the stop was confirmed";
-    fixture.driver.handleStopResponse(fixture.request.run,
+    fixture.driver.handleStopResponse(fixture.request.run, DriverFixture::token,
                                       { .status = OrderStatus::Done, .clockMs = 30 }, fixture.now);
     fixture.advance(5ms);
     fixture.poll({});
@@ -139,7 +140,8 @@
     RunRequest second = fixture.request;
     second.run.index = 1;
     fixture.driver.start(second, fixture.now + 10s, fixture.now, fixture.out);
-    fixture.driver.handleStartResponse(second.run, {}, fixture.now, fixture.out);
+    fixture.driver.handleStartResponse(second.run, DriverFixture::token, {}, fixture.now,
+                                       fixture.out);
     for (int i = 0; i < 20; ++i) {
         fixture.advance(100ms);
         fixture.poll({ fixture.request.run });
@@ -206,8 +208,8 @@
     fixture.poll({});
     ASSERT_EQ(fixture.out.runEnds.size(), 1U) << "only the confirmed run has certainly ended";
     EXPECT_EQ(fixture.out.runEnds[0].run, fixture.request.run);
-    fixture.driver.handleStopResponse(second.run, { .status = OrderStatus::Done, .clockMs = 30 },
-                                      fixture.now);
+    fixture.driver.handleStopResponse(second.run, DriverFixture::token,
+                                      { .status = OrderStatus::Done, .clockMs = 30 }, fixture.now);
     fixture.advance(100ms);
     fixture.poll({});
     fixture.advance(100ms);
@@ -336,7 +338,8 @@
     second.run.index = 1;
     const TimePoint validUntil = fixture.now + 600ms;
     fixture.driver.start(second, validUntil, fixture.now, fixture.out);
-    fixture.driver.handleStartResponse(second.run, {}, fixture.now, fixture.out);
+    fixture.driver.handleStartResponse(second.run, DriverFixture::token, {}, fixture.now,
+                                       fixture.out);
     while (fixture.now < validUntil) {
         fixture.poll({ fixture.request.run });
         fixture.advance(100ms);
@@ -358,7 +361,7 @@
     fixture.driver.stop(fixture.request.run, fixture.now, fixture.out);
     EXPECT_FALSE(fixture.last<StopOrder>().usesNewConnection);
     fixture.advance(80ms);
-    fixture.driver.handleStopResponse(fixture.request.run, {}, fixture.now);
+    fixture.driver.handleStopResponse(fixture.request.run, DriverFixture::token, {}, fixture.now);
     fixture.advance(50ms);
     EXPECT_TRUE(fixture.last<StopOrder>().usesNewConnection);
 }
@@ -382,10 +385,105 @@
     fixture.driver.start(other, fixture.now + 10s, fixture.now, fixture.out);
     fixture.poll({ fixture.request.run });
     EXPECT_EQ(fixture.last<PollOrder>().to.fencingToken, second) << "it would fence the start";
-    fixture.driver.handleStartResponse(other.run, { .status = OrderStatus::Done, .clockMs = 30 },
-                                       fixture.now, fixture.out);
+    fixture.driver.handleStartResponse(other.run, DriverFixture::token,
+                                       { .status = OrderStatus::Done, .clockMs = 30 }, fixture.now,
+                                       fixture.out);
     fixture.poll({ fixture.request.run, other.run });
     EXPECT_GT(fixture.last<PollOrder>().to.fencingToken, second);
 }
 
+/** \returns a fixture whose driver has owned its target for longer than the minimum tenure. */
+DriverFixture longTimeOwner()
+{
+    DriverFixture fixture;
+    for (int i = 0; i < 25; ++i) {
+        fixture.advance(100ms);
+        fixture.driver.extendValidity(fixture.request.run, fixture.now + 10s);
+        fixture.poll({ fixture.request.run });
+    }
+    return fixture;
+}
+
+void answerPollAsFenced(DriverFixture &fixture)
+{
+    fixture.driver.handlePollResponse(fixture.lastPoll(), { .status = OrderStatus::Fenced },
+                                      fixture.now, fixture.out);
+    fixture.driver.tick(fixture.now, fixture.out);
+}
+
+// Guards against owners that lose their targets, with all runs, to a guardian that took them for
+// lost.
+TEST(TargetDriver, GoesOnWithAHigherTokenAfterAFence)
+{
+    DriverFixture fixture = longTimeOwner();
+    const std::uint64_t fenced = FencingToken::fenceOf(fixture.driver.fencingToken());
+    answerPollAsFenced(fixture);
+    EXPECT_FALSE(fixture.driver.isFenced());
+    EXPECT_TRUE(fixture.driver.isRegaining());
+    EXPECT_FALSE(fixture.driver.acceptsWork(fixture.now)) << "the target may have another owner";
+    EXPECT_GT(fixture.last<PollOrder>().to.fencingToken, fenced);
+    fixture.poll({ fixture.request.run });
+    EXPECT_FALSE(fixture.driver.isRegaining());
+    EXPECT_TRUE(fixture.driver.acceptsWork(fixture.now));
+    EXPECT_TRUE(fixture.driver.hasRun(fixture.request.run));
+}
+
+TEST(TargetDriver, IsGivenUpIfTheHigherTokenIsRejectedToo)
+{
+    DriverFixture fixture = longTimeOwner();
+    answerPollAsFenced(fixture);
+    answerPollAsFenced(fixture);
+    EXPECT_TRUE(fixture.driver.isFenced());
+}
+
+// Two nodes that take a target over at about the same time must not override each other in turn.
+TEST(TargetDriver, IsGivenUpIfItIsFencedSoonAfterItsTakeOver)
+{
+    DriverFixture fixture;
+    answerPollAsFenced(fixture);
+    EXPECT_TRUE(fixture.driver.isFenced());
+}
+
+// An order that was sent before the token was raised is fenced by this driver's own later orders.
+TEST(TargetDriver, RejectionOfAnEarlierTokenIsNoFence)
+{
+    DriverFixture fixture;
+    fixture.driver.stop(fixture.request.run, fixture.now, fixture.out);
+    fixture.driver.handleStopResponse(fixture.request.run, DriverFixture::token - 1,
+                                      { .status = OrderStatus::Fenced }, fixture.now);
+    EXPECT_FALSE(fixture.driver.isFenced());
+}
+
+// Guards against a fence that is lower than later orders of the owner, since the guardian knows an
+// earlier token only.
+TEST(TargetDriver, TokensInOrdersStayBelowTheFenceOfTheReportedToken)
+{
+    DriverFixture fixture;
+    const std::uint64_t reported = fixture.driver.fencingToken();
+    for (int second = 0; second < 60; ++second) {
+        fixture.advance(1s);
+        fixture.poll({ fixture.request.run });
+        EXPECT_LT(fixture.last<PollOrder>().to.fencingToken,
+                  FencingToken::fenceOf(fixture.driver.fencingToken()));
+        EXPECT_LT(fixture.last<PollOrder>().to.fencingToken, FencingToken::fenceOf(reported))
+            << "reported " << second << " s ago";
+    }
+}
+
+TEST(TargetDriver, AsksForAFenceWhileAnUnansweredStartCannotBeStopped)
+{
+    DriverFixture fixture;
+    RunRequest second = fixture.request;
+    second.run.index = 1;
+    fixture.driver.start(second, fixture.now + 10s, fixture.now, fixture.out);
+    fixture.driver.handleStartResponse(second.run, DriverFixture::token, {}, fixture.now,
+                                       fixture.out);
+    EXPECT_FALSE(fixture.driver.describe(fixture.now).isFenceWanted);
+    fixture.advance(300ms);
+    EXPECT_TRUE(fixture.driver.describe(fixture.now).isFenceWanted);
+    fixture.driver.handleStopResponse(second.run, DriverFixture::token,
+                                      { .status = OrderStatus::Done, .clockMs = 30 }, fixture.now);
+    EXPECT_FALSE(fixture.driver.describe(fixture.now).isFenceWanted);
+}
+
 } // namespace
