--- /dev/null
+++ b/scripts/loopback_fleet.py
@@ -0,0 +1,274 @@
+"""Whole gateways and registry nodes on loopback, with stand-ins of targets that implement the wire.
+
+Shared by bench/gateway_cost.py and test/gateway_process_test.py. All addresses are in 127.0.0.0/8.
+"""
+import asyncio
+import json
+import pathlib
+import signal
+import subprocess
+import tempfile
+import time
+
+PEER_PORT, METRICS_PORT, CALLER_PORT, READY_PORT, CONTROL_PORT = 27720, 27735, 28161, 28167, 28166
+TARGET_PORT = 28080
+HEARTBEAT_S = 1.5
+LONGEST_LEASE_MS = 1000
+SERVICE, HOST, PREFIX = "svc", "bench.example", "/jobs/"
+
+
+class Run:
+    """A run on a stand-in target; its times are those of time.monotonic()."""
+
+    def __init__(self, task, run_id, spec, target):
+        self.task, self.run_id, self.spec, self.target = task, run_id, spec, target
+        self.job = task.partition(".")[0]
+        self.began, self.ended, self.cause, self.timer = time.monotonic(), None, "", None
+
+    def __repr__(self):
+        return f"{self.task}#{self.run_id} on {self.target}, {self.began:.3f} to {self.ended} ({self.cause})"
+
+
+class StandInTarget:
+    """A target as PROTOCOL.md describes it: it ends each run after the seconds `s` of its spec.
+
+    It rejects orders with a lower fencing token, runs that are not newer than one that ended, and
+    orders for another name; it kills everything when its lease expires.
+    """
+
+    def __init__(self, name, domain, address, registries):
+        self.name, self.domain, self.address = name, domain, address
+        self.registries, self.owner = registries, ""
+        self.born = int(time.time() * 1000)
+        self.started_at = time.monotonic()
+        self.sequence = self.ended_count = self.polls = self.connections = self.token = 0
+        self.leased_until_ms, self.lease_timer = 0, None
+        self.running, self.newest_ended, self.ended, self.waiting = {}, {}, [], []
+        self.history = []
+
+    def clock(self):
+        return int((time.monotonic() - self.started_at) * 1000)
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self.serve, self.address, TARGET_PORT)
+
+    async def announce(self):
+        while True:
+            self.sequence += 1
+            body = {"service": SERVICE, "address": f"{self.address}:{TARGET_PORT}", "zone": self.domain,
+                    "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+                    "capacity": {"cpu": 64000, "mem_mb": 262144, "gpu": 0}, "labels": ["a", "r1", self.domain],
+                    "clock_ms": self.clock(), "seq": self.sequence, "born": self.born}
+            to = self.owner or self.registries[self.sequence % len(self.registries)]
+            host, port = to.split(":")
+            try:
+                status, reply = await call(host, int(port), "POST",
+                                           f"/api/instances/{self.name}/heartbeat", body)
+                if status == 200 and reply.get("heartbeat_addr"):
+                    self.owner = reply["heartbeat_addr"]
+            except (OSError, asyncio.TimeoutError, ValueError, asyncio.IncompleteReadError):
+                self.owner = ""
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                path, length, instance = head.split(b" ", 2)[1].decode(), 0, self.name
+                for line in head.decode().split("\r\n"):
+                    name, _, value = line.partition(":")
+                    if name.lower() == "content-length":
+                        length = int(value)
+                    if name.lower() == "target-instance":
+                        instance = value.strip()
+                body = json.loads(await reader.readexactly(length)) if length else {}
+                status, reply = (await self.answer(path, body) if instance == self.name
+                                 else (421, {}))
+                data = json.dumps({"clock_ms": self.clock(), "born": self.born, **reply}).encode()
+                writer.write(b"HTTP/1.1 %d Status\r\ncontent-type: application/json\r\n"
+                             b"content-length: %d\r\n\r\n" % (status, len(data)) + data)
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, path, body):
+        if body.get("fencing_token", 0) < self.token:
+            return 409, {"reason": "fence"}
+        self.token = body.get("fencing_token", 0)
+        if path.endswith("/run-start"):
+            return self.start(body)
+        if path.endswith("/run-stop"):
+            self.stop(body["task"], body["run_id"])
+            return 200, {}
+        if path.endswith("/hold"):
+            return 200, await self.hold(body)
+        return 404, {}
+
+    def start(self, body):
+        task, run_id = body["task"], body["run_id"]
+        if (task, run_id) in self.running:
+            return 200, {}
+        if body["expires_ms"] <= self.clock():
+            return 409, {"reason": "late"}
+        self.extend_lease(body["expires_ms"])
+        if run_id <= self.newest_ended.get(task, 0):
+            return 409, {"reason": "old"}
+        run = Run(task, run_id, json.loads(body["spec"]), self.name)
+        run.timer = asyncio.get_running_loop().call_later(
+            run.spec["s"], self.end, (task, run_id), "done")
+        self.running[task, run_id] = run
+        self.history.append(run)
+        return 200, {}
+
+    def stop(self, task, run_id):
+        self.newest_ended[task] = max(run_id, self.newest_ended.get(task, 0))
+        self.end((task, run_id), "stopped")
+
+    def extend_lease(self, expires_ms):
+        """Extends the lease, which never shortens and is at most LONGEST_LEASE_MS long."""
+        expires_ms = min(expires_ms, self.clock() + LONGEST_LEASE_MS)
+        if expires_ms <= self.leased_until_ms:
+            return
+        self.leased_until_ms = expires_ms
+        if self.lease_timer is not None:
+            self.lease_timer.cancel()
+        self.lease_timer = asyncio.get_running_loop().call_later(
+            (expires_ms - self.clock()) / 1000, self.expire)
+
+    def expire(self):
+        for run in list(self.running):
+            self.end(run, "lapsed")
+
+    def end(self, key, how):
+        run = self.running.pop(key, None)
+        if run is None:
+            return
+        run.timer.cancel()
+        run.ended, run.cause = time.monotonic(), how
+        task, run_id = key
+        self.newest_ended[task] = max(run_id, self.newest_ended.get(task, 0))
+        self.ended_count += 1
+        self.ended.append([self.ended_count, task, run_id, how, ""])
+        for waiter in self.waiting:
+            if not waiter.done():
+                waiter.set_result(None)
+        self.waiting = []
+
+    async def hold(self, body):
+        self.polls += 1
+        if "expires_ms" in body:
+            self.extend_lease(body["expires_ms"])
+        self.ended = [e for e in self.ended if e[0] > body["ack_cursor"]]
+        if not self.ended and body.get("wait_ms"):
+            waiter = asyncio.get_running_loop().create_future()
+            self.waiting.append(waiter)
+            try:
+                await asyncio.wait_for(waiter, body["wait_ms"] / 1000)
+            except asyncio.TimeoutError:
+                self.waiting = [w for w in self.waiting if w is not waiter]
+        return {"running": [[t, r, "", 0] for t, r in self.running], "ended_runs": self.ended[:500]}
+
+
+async def call(host, port, method, path, body, headers=""):
+    reader, writer = await asyncio.wait_for(asyncio.open_connection(host, port), 2)
+    data = json.dumps(body).encode()
+    writer.write(f"{method} {path} HTTP/1.1\r\nhost: {HOST}\r\ncontent-type: application/json\r\n"
+                 f"connection: close\r\n{headers}content-length: {len(data)}\r\n\r\n".encode() + data)
+    try:
+        answer = await asyncio.wait_for(reader.read(), 5)
+    finally:
+        writer.close()
+    status = int(answer.split(b" ", 2)[1])
+    payload = answer.partition(b"\r\n\r\n")[2]
+    return status, json.loads(payload) if payload.startswith(b"{") else {}
+
+
+def rules(version, timeout_ms):
+    return {"version": version,
+            "routes": [{"name": "r", "host": HOST, "path_prefix": PREFIX, "route_type": "non_idempotent",
+                        "timeout_ms": timeout_ms, "target_latency_ms": 60, "priority": 0, "service": SERVICE,
+                        "max_attempts": 3, "stretch": 1.6}],
+            "services": [{"name": SERVICE, "health_path": "/health", "max_connections": 64,
+                          "protocol": "h1", "tls": False, "rejects_overload": True, "standby": False}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
+                       "idle_timeout_ms": 15000}}
+
+
+class Fleet:
+    """Processes and stand-ins of targets, each in the next one of the domains.
+
+    Fleets with different values of `network` can run at the same time.
+    """
+
+    def __init__(self, binaries, gateways, targets, domains=3, registries=3, network=1):
+        self.binaries, self.folder = pathlib.Path(binaries), tempfile.TemporaryDirectory()
+        self.domains = domains
+        self.registries = [f"127.{network}.0.{i + 1}" for i in range(registries)]
+        self.gateways = [f"127.{network + 1}.{i // 200}.{i % 200 + 1}" for i in range(gateways)]
+        control = [f"{ip}:{CONTROL_PORT}" for ip in self.registries]
+        self.targets = [StandInTarget(f"i-{i:05d}", f"d{i % domains}",
+                                      f"127.{network + 2}.{i // 200}.{i % 200 + 1}", control)
+                        for i in range(targets)]
+        self.processes, self.tasks = [], []
+
+    def start_process(self, role, number, ip):
+        folder = pathlib.Path(self.folder.name) / f"{role}-{number}"
+        folder.mkdir()
+        settings = {"node": f"{role}-{number}", "domain": f"d{number % self.domains}", "ip": ip,
+                    "peer_address": f"{ip}:{PEER_PORT}", "metrics_address": f"{ip}:{METRICS_PORT}",
+                    "registry_seeds": [f"{r}:{CONTROL_PORT}" for r in self.registries],
+                    "tolerated_losses": len(self.registries) // 2, "is_first_start": True,
+                    "processor_share": 0.1, "lease_ms": LONGEST_LEASE_MS, "stop_bound_s": 6,
+                    "heartbeat_ms": 1500}
+        if role == "gateway":
+            settings |= {"callers_address": f"{ip}:{CALLER_PORT}", "readiness_address": f"{ip}:{READY_PORT}"}
+        else:
+            settings |= {"operators_address": f"{ip}:{CONTROL_PORT}", "data_folder": str(folder / "data")}
+            (folder / "data").mkdir()
+        (folder / "settings.json").write_text(json.dumps(settings))
+        with open(folder / "log", "wb") as log:
+            self.processes.append((role, subprocess.Popen(
+                [str(self.binaries / f"hibiscus-{role}"), f"--profile={folder / 'settings.json'}"],
+                stdout=log, stderr=log)))
+
+    async def start(self, timeout_ms=1500):
+        for i, ip in enumerate(self.registries):
+            self.start_process("registry", i, ip)
+        for i, ip in enumerate(self.gateways):
+            self.start_process("gateway", i, ip)
+        for target in self.targets:
+            await target.listen()
+            self.tasks.append(asyncio.ensure_future(target.announce()))
+        await self.replace_rules(timeout_ms)
+        deadline = time.monotonic() + 60
+        while time.monotonic() < deadline and not all(t.polls for t in self.targets):
+            await asyncio.sleep(0.2)
+        if not all(t.polls for t in self.targets):
+            raise TimeoutError("not every target got an owner within a minute")
+
+    async def replace_rules(self, timeout_ms):
+        for attempt in range(60):
+            try:
+                status, _ = await call(self.registries[attempt % len(self.registries)], CONTROL_PORT, "POST",
+                                       "/api/config/replace", rules(1, timeout_ms))
+                if status == 200:
+                    return
+            except (OSError, asyncio.TimeoutError, ValueError, IndexError):
+                pass
+            await asyncio.sleep(0.5)
+        raise TimeoutError("no registry node accepted the rules")
+
+    async def stop(self):
+        for _, process in self.processes:
+            process.send_signal(signal.SIGKILL)
+        for _, process in self.processes:
+            process.wait()
+        for target in self.targets:
+            target.server.close()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+        self.folder.cleanup()
