EventLoop: a gateway no longer hangs after a stall

Cause: orders and ticks write to and close sockets between two runs of h2o's loop. h2o links a socket that was written to into its list of ready sockets, and frees closed sockets at the start of the next run, before it goes through that list. After a stall calls are overdue in the same iteration in which others are sent; the freed socket's memory was used for a new one, whose link points to itself, and h2o_evloop_run went round it for ever at 100% of a core. Change: the ready sockets are handled at the end of each iteration, before h2o frees anything.

--- a/Hibiscus/src/Net/EventLoop.cpp
+++ b/Hibiscus/src/Net/EventLoop.cpp
@@ -61,6 +61,9 @@
             onTick();
         }
         afterIteration();
+        // h2o frees closed sockets at the start of a run. One that was written to and closed since
+        // the last run is still in its list of ready sockets, and would corrupt it.
+        h2o_timeout__do_post_callback(this->loop);
     }
 }
 
