Relay: bound messages, open bodies and appends; cancel the batch of a forgotten node

Cause: both transports accepted bodies of 512 MiB from anyone, in any number, on VMs with 195 MB. A batch in flight went on beside those of the next link after its node was forgotten.

HTTP refuses a larger body by its length; the relay closes the largest open bodies while all of them exceed twice the limit. The sender doesn't send, counts and logs (once per receiver) a message over the limit, and bounds its batches in bytes. Refused batches are counted. Relay.h no longer claims that batches arrive in order.

--- a/Hibiscus/src/Net/GrpcTransport.cpp
+++ b/Hibiscus/src/Net/GrpcTransport.cpp
@@ -4,6 +4,7 @@
 
 #include "relay.grpc.pb.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <grpcpp/grpcpp.h>
 #include <set>
@@ -12,9 +13,7 @@
 
 namespace internal {
 
-constexpr int maxMessageBytes = 512 * 1024 * 1024; // a snapshot is sent as one message
-
-static grpc::ChannelArguments channelArguments()
+static grpc::ChannelArguments channelArguments(std::size_t maxBatchBytes)
 {
     grpc::ChannelArguments arguments;
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
@@ -26,8 +25,8 @@
     arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-    arguments.SetMaxReceiveMessageSize(maxMessageBytes);
-    arguments.SetMaxSendMessageSize(maxMessageBytes);
+    arguments.SetMaxReceiveMessageSize(static_cast<int>(maxBatchBytes));
+    arguments.SetMaxSendMessageSize(static_cast<int>(maxBatchBytes));
     return arguments;
 }
 
@@ -43,13 +42,15 @@
 struct GrpcLink
 {
     std::string target;
+    std::size_t maxBatchBytes = 0;
     std::unique_ptr<::hibiscus::Relay::Stub> stub;
     ReconnectPolicy reconnects;
 
     void connect()
     {
-        this->stub = ::hibiscus::Relay::NewStub(grpc::CreateCustomChannel(
-            this->target, grpc::InsecureChannelCredentials(), channelArguments()));
+        this->stub = ::hibiscus::Relay::NewStub(
+            grpc::CreateCustomChannel(this->target, grpc::InsecureChannelCredentials(),
+                                      channelArguments(this->maxBatchBytes)));
     }
 };
 
@@ -85,7 +86,7 @@
         builder.AddListeningPort(target, grpc::InsecureServerCredentials(), &port);
         builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
         builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, 1'000);
-        builder.SetMaxReceiveMessageSize(maxMessageBytes);
+        builder.SetMaxReceiveMessageSize(static_cast<int>(this->options.maxBatchBytes));
         builder.RegisterService(this);
         this->server = builder.BuildAndStart();
         return this->server && port != 0 ? Result<void>() : failure(Errc::InvalidAddress);
@@ -125,6 +126,7 @@
     {
         grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
         if (parcel->protocol_version() != wireProtocolVersion) {
+            ++this->refused;
             reactor->Finish(grpc::Status(grpc::StatusCode::FAILED_PRECONDITION,
                                          "another version of the protocol"));
             return reactor;
@@ -138,6 +140,9 @@
         return reactor;
     }
 
+    /** \returns the number of batches of another version; gRPC itself refuses larger ones. */
+    std::uint64_t refusedBatches() const { return this->refused; }
+
 private:
     // Called by a thread of gRPC.
     void endCall(const std::shared_ptr<GrpcBatch> &batch, const std::shared_ptr<GrpcLink> &link,
@@ -162,6 +167,7 @@
         std::shared_ptr<GrpcLink> &link = this->links[address];
         if (!link) {
             link = std::make_shared<GrpcLink>();
+            link->maxBatchBytes = this->options.maxBatchBytes;
             link->target = "ipv4:" + address.host + ":" + std::to_string(address.port);
             link->connect();
         }
@@ -172,6 +178,7 @@
     RelayTransport::Options options;
     std::unique_ptr<grpc::Server> server;
     std::map<Address, std::shared_ptr<GrpcLink>> links;
+    std::atomic<std::uint64_t> refused = 0;
     std::mutex mutex;
     std::condition_variable callEnded;
     std::set<std::shared_ptr<GrpcBatch>> inFlight; ///< guarded by \a mutex
@@ -190,7 +197,8 @@
                  },
              .disconnect = [transport](const Address &address) { transport->disconnect(address); },
              .tick = [](TimePoint) {}, // gRPC has the deadlines of the calls
-             .shutDown = [transport] { transport->shutDown(); } };
+             .shutDown = [transport] { transport->shutDown(); },
+             .refusedBatches = [transport] { return transport->refusedBatches(); } };
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "Hibiscus/src/Net/HttpServer.h"
 
+#include <algorithm>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -44,6 +45,9 @@
 {
     h2o_config_init(&this->config);
     this->config.max_request_entity_size = options.maxBodyBytes;
+    // Bodies over HTTP/2 are not in the buffers of their connections.
+    if (options.maxOpenBodyBytes > 0)
+        this->config.http1.upgrade_to_http2 = 0;
     this->config.http1.req_timeout
         = static_cast<std::uint64_t>(toMilliseconds(options.idleTimeout));
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("hibiscusstream"));
@@ -61,6 +65,8 @@
 
 HttpServer::~HttpServer()
 {
+    for (const auto &[socket, connection] : this->connections)
+        socket->on_close = {};
     this->stopListening();
 }
 
@@ -119,6 +125,53 @@
     h2o_context_request_shutdown(&this->context);
 }
 
+void HttpServer::watch(h2o_socket_t *socket)
+{
+    auto connection = std::make_unique<Connection>();
+    connection->owner = this;
+    connection->socket = socket;
+    socket->on_close.cb = onConnectionClosed;
+    socket->on_close.data = connection.get();
+    this->connections[socket] = std::move(connection);
+}
+
+void HttpServer::onConnectionClosed(void *connection)
+{
+    const auto *closed = static_cast<const Connection *>(connection);
+    closed->owner->connections.erase(closed->socket);
+}
+
+// The largest bodies are given up first, so that small messages get through while somebody sends
+// large ones. h2o closes a connection once it has seen its end.
+void HttpServer::closeExcessBodies()
+{
+    std::size_t total = 0;
+    std::vector<Connection *> open;
+    for (const auto &[socket, connection] : this->connections) {
+        if (connection->isClosing)
+            continue;
+        total += socket->input->size;
+        open.push_back(connection.get());
+    }
+    if (total <= this->options.maxOpenBodyBytes)
+        return;
+    std::ranges::sort(open, std::ranges::greater(),
+                      [](const Connection *connection) { return connection->socket->input->size; });
+    for (Connection *connection : open) {
+        if (total <= this->options.maxOpenBodyBytes)
+            return;
+        total -= connection->socket->input->size;
+        connection->isClosing = true;
+        ++this->excessBodies;
+        ::shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
+    }
+}
+
+std::uint64_t HttpServer::refusedBodies() const
+{
+    return this->context.emitted_error_status[H2O_STATUS_ERROR_413] + this->excessBodies;
+}
+
 int HttpServer::onRequest(h2o_handler_t *handler, h2o_req_t *request)
 {
     reinterpret_cast<RequestHandler *>(handler)->owner->handle(request);
@@ -144,6 +197,8 @@
         h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
         if (socket == nullptr)
             return;
+        if (server->options.maxOpenBodyBytes > 0)
+            server->watch(socket);
         h2o_accept(&server->acceptor, socket);
     }
 }
--- a/Hibiscus/src/Net/HttpServer.h
+++ b/Hibiscus/src/Net/HttpServer.h
@@ -4,6 +4,7 @@
 #include "Hibiscus/src/Net/EventLoop.h"
 
 #include <map>
+#include <memory>
 
 namespace Hibiscus {
 
@@ -54,10 +55,14 @@
     /** \brief Receives the token of a request whose connection ended before the response. */
     using DisconnectHandler = std::function<void(std::uint64_t)>;
 
+    static constexpr std::size_t defaultMaxBodyBytes = 4'000'000;
+
     struct Options
     {
         Address address;
-        std::size_t maxBodyBytes = 4'000'000;
+        std::size_t maxBodyBytes = defaultMaxBodyBytes; ///< larger ones are refused unread
+        /** \brief Limit of the memory for bodies that have arrived in part; 0: none. */
+        std::size_t maxOpenBodyBytes = 0;
         Duration idleTimeout = 75s; ///< longer than clients keep an unused connection open
         std::vector<std::string> keptHeaders; ///< names of the headers to pass on, in lower case
         DisconnectHandler onDisconnect; ///< may be empty
@@ -77,9 +82,15 @@
     void stopListening();
     /** \brief Closes each connection after its next response, and announces it there. */
     void closeAfterResponses() { this->closesAfterResponses = true; }
+    /** \brief Closes the connections with the largest open bodies while all of them are over
+     * Options::maxOpenBodyBytes; must be called every few tens of milliseconds.
+     */
+    void closeExcessBodies();
 
     // Queries.
     std::size_t openRequests() const { return this->requests.size(); }
+    /** \returns the number of bodies that were refused for their size or that of all. */
+    std::uint64_t refusedBodies() const;
 
 private:
     struct RequestHandler
@@ -96,6 +107,16 @@
         std::uint64_t token;
     };
 
+    /** \brief Connection whose open body counts. */
+    struct Connection
+    {
+        HttpServer *owner = nullptr;
+        h2o_socket_t *socket = nullptr;
+        bool isClosing = false;
+    };
+
+    static void onConnectionClosed(void *connection);
+    void watch(h2o_socket_t *socket);
     static int onRequest(h2o_handler_t *handler, h2o_req_t *request);
     static void onRequestDisposed(void *memory);
     static void onAccept(h2o_socket_t *listener, const char *error);
@@ -109,6 +130,8 @@
     h2o_accept_ctx_t acceptor;
     h2o_socket_t *listener = nullptr;
     std::map<std::uint64_t, h2o_req_t *> requests;
+    std::map<h2o_socket_t *, std::unique_ptr<Connection>> connections; ///< if their bodies count
+    std::uint64_t excessBodies = 0; ///< open bodies that were given up
     std::uint64_t nextToken = 1;
     bool closesAfterResponses = false;
 };
--- a/Hibiscus/src/Net/HttpTransport.cpp
+++ b/Hibiscus/src/Net/HttpTransport.cpp
@@ -10,11 +10,12 @@
 
 namespace internal {
 
-constexpr std::size_t maxBatchBytes = 512UL * 1024 * 1024; // a snapshot is sent as one message
 constexpr int batchAccepted = 204;
 constexpr int batchRefused = 400;
 /** \brief Lifetime of an unused connection, below that of the server. */
 constexpr Duration idleConnectionLifetime = 15s;
+/** \brief Minimum interval of log lines on batches that were refused for their size. */
+constexpr Duration refusalLogInterval = 10s;
 
 /** \returns the path of batches, which contains the version of the protocol. */
 static const std::string &batchPath()
@@ -29,14 +30,33 @@
 public:
     HttpTransport(EventLoop &loop, const RelayTransport::Options &options)
         : loop(loop), options(options),
-          server(loop, { .address = options.address, .maxBodyBytes = maxBatchBytes },
+          server(loop,
+                 { .address = options.address,
+                   .maxBodyBytes = options.maxBatchBytes,
+                   .maxOpenBodyBytes = 2 * options.maxBatchBytes },
                  [this](const HttpRequest &request) { this->onRequest(request); }),
           client(loop, { .connectionsPerServer = 1, .idleTimeout = idleConnectionLifetime })
     { }
 
     Result<void> listen() { return this->server.listen(); }
     void shutDown() { this->server.stopListening(); }
-    void disconnect(const Address &address) { this->links.erase(address); }
+
+    // A batch that is still in flight would be delivered after later ones, up to the timeout of the
+    // connection.
+    void disconnect(const Address &address)
+    {
+        const auto found = this->links.find(address);
+        if (found == this->links.end())
+            return;
+        if (found->second.onDelivery)
+            this->client.cancel(found->second.call);
+        this->links.erase(found);
+    }
+
+    std::uint64_t refusedBatches() const
+    {
+        return this->malformedBatches + this->server.refusedBodies();
+    }
 
     void deliver(const Address &to, const RelayTransport::Batch &batch,
                  RelayTransport::DeliveryHandler onDelivery)
@@ -56,6 +76,8 @@
 
     void tick(TimePoint now)
     {
+        this->server.closeExcessBodies();
+        this->logRefusedBodies(now);
         std::vector<Address> overdue;
         for (const auto &[address, link] : this->links)
             if (link.onDelivery && now >= link.deadline)
@@ -85,8 +107,22 @@
         this->server.respond(request.token, { .status = batch ? batchAccepted : batchRefused });
         if (batch)
             this->options.onBatch(*batch);
-        else
+        else {
+            ++this->malformedBatches;
             logError("batch-refused", { { "path", request.path } });
+        }
+    }
+
+    void logRefusedBodies(TimePoint now)
+    {
+        const std::uint64_t refused = this->server.refusedBodies();
+        if (refused == this->loggedRefusals || now < this->refusalsLoggedAt + refusalLogInterval)
+            return;
+        logError("batch-refused",
+                 { { "reason", "too large" },
+                   { "count", std::to_string(refused - this->loggedRefusals) } });
+        this->loggedRefusals = refused;
+        this->refusalsLoggedAt = now;
     }
 
     void onResult(const Address &to, std::uint64_t number, const HttpCallResult &result)
@@ -126,6 +162,9 @@
     HttpClient client;
     std::map<Address, Link> links;
     std::uint64_t lastNumber = 0;
+    std::uint64_t malformedBatches = 0;
+    std::uint64_t loggedRefusals = 0;
+    TimePoint refusalsLoggedAt;
 };
 
 } // namespace internal
@@ -141,7 +180,8 @@
                  },
              .disconnect = [transport](const Address &address) { transport->disconnect(address); },
              .tick = [transport](TimePoint now) { transport->tick(now); },
-             .shutDown = [transport] { transport->shutDown(); } };
+             .shutDown = [transport] { transport->shutDown(); },
+             .refusedBatches = [transport] { return transport->refusedBatches(); } };
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Net/Relay.cpp
+++ b/Hibiscus/src/Net/Relay.cpp
@@ -5,6 +5,8 @@
 namespace internal {
 
 constexpr std::size_t maxMessagesPerBatch = 512;
+/** \brief Limit of the receivers for which messages that are too large are logged. */
+constexpr std::size_t maxOversizeReceivers = 1'000;
 
 } // namespace internal
 
@@ -24,6 +26,7 @@
           { .self = options.self,
             .address = options.address,
             .batchTimeout = options.batchTimeout,
+            .maxBatchBytes = options.maxMessageBytes + batchOverheadBytes,
             .onBatch = [this](const RelayTransport::Batch &batch) { this->receive(batch); } }))
 { }
 
@@ -61,10 +64,35 @@
         ++this->counts.droppedMessages;
         return;
     }
-    link->queue.push_back(encode(message));
+    Bytes bytes = encode(message);
+    if (bytes.size() > this->options.maxMessageBytes) {
+        this->refuse(to, message, bytes.size());
+        return;
+    }
+    link->queue.push_back(std::move(bytes));
     this->sendNextBatch(link);
 }
 
+void Relay::refuse(const NodeName &to, const WireMessage &message, std::size_t size)
+{
+    ++this->counts.oversizedMessages;
+    if (this->oversizeReceivers.size() >= internal::maxOversizeReceivers
+        || !this->oversizeReceivers.insert(to).second)
+        return;
+    logError("message-too-large",
+             { { "to", to.str() },
+               { "kind", std::to_string(message.index()) },
+               { "bytes", std::to_string(size) },
+               { "limit", std::to_string(this->options.maxMessageBytes) } });
+}
+
+RelayCounters Relay::counters() const
+{
+    RelayCounters counters = this->counts;
+    counters.refusedBatches = this->transport.refusedBatches();
+    return counters;
+}
+
 void Relay::disconnect(const NodeName &node)
 {
     const auto found = this->links.find(node);
@@ -99,7 +127,10 @@
         return;
     link->isSending = true;
     RelayTransport::Batch batch;
-    while (!link->queue.empty() && batch.size() < internal::maxMessagesPerBatch) {
+    std::size_t size = 0;
+    while (!link->queue.empty() && batch.size() < internal::maxMessagesPerBatch
+           && size + link->queue.front().size() <= this->options.maxMessageBytes) {
+        size += link->queue.front().size();
         this->counts.sentBytes += link->queue.front().size();
         batch.push_back(std::move(link->queue.front()));
         link->queue.pop_front();
--- a/Hibiscus/src/Net/Relay.h
+++ b/Hibiscus/src/Net/Relay.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace Hibiscus {
 
@@ -20,6 +21,8 @@
     std::uint64_t receivedMessages = 0;
     std::uint64_t malformedMessages = 0; ///< received, but not decodable
     std::uint64_t droppedMessages = 0; ///< not sent, because the queue of the node was full
+    std::uint64_t oversizedMessages = 0; ///< not sent, because no receiver would accept them
+    std::uint64_t refusedBatches = 0; ///< received, but too large, or of another writer
     std::uint64_t failedBatches = 0; ///< calls that failed; their messages may have arrived
 };
 
@@ -29,7 +32,9 @@
 /** \brief Exchanges messages with the other processes of the system.
  *
  * At most one batch to each node is in flight; messages sent meanwhile go into the next batch.
- * Messages to a node arrive in order or not at all; no message is sent twice.
+ * No message is sent twice. A batch that timed out may arrive after its successor, over a
+ * connection that was replaced; within a batch the order is kept. A receiver for which the order
+ * matters has to compare numbers in the messages.
  */
 class Relay
 {
@@ -46,6 +51,7 @@
         bool namesAreAddresses = false; ///< the name of a node not in \a nodes is its address
         Duration batchTimeout = 2s;
         std::size_t maxQueuedMessages = 100'000; ///< limit for each node
+        std::size_t maxMessageBytes = Hibiscus::maxMessageBytes; ///< larger ones are not sent
     };
 
     Relay(EventLoop &loop, const Options &options, const RelayTransportFactory &makeTransport,
@@ -64,7 +70,7 @@
     void shutDown();
 
     // Queries.
-    const RelayCounters &counters() const { return this->counts; }
+    RelayCounters counters() const;
 
 private:
     /** \brief Queue of the messages to one node. */
@@ -79,6 +85,7 @@
     std::shared_ptr<Link> linkTo(const NodeName &node);
     void receive(const RelayTransport::Batch &batch);
     void sendNextBatch(const std::shared_ptr<Link> &link);
+    void refuse(const NodeName &to, const WireMessage &message, std::size_t size);
 
     Options options;
     MessageHandler onMessage;
@@ -86,6 +93,7 @@
     RelayCounters counts;
     RelayTransport transport;
     std::map<NodeName, std::shared_ptr<Link>> links;
+    std::set<NodeName> oversizeReceivers; ///< their first message that was too large is logged
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Net/RelayTransport.h
+++ b/Hibiscus/src/Net/RelayTransport.h
@@ -2,11 +2,24 @@
 
 #include "Hibiscus/src/Net/Address.h"
 #include "Hibiscus/src/Net/EventLoop.h"
+#include "Hibiscus/src/Net/HttpServer.h"
 
 #include <bit>
 
 namespace Hibiscus {
 
+/** \brief Maximum size of an encoded message between processes.
+ *
+ * The largest ones contain the rules: a log entry has the operator's document, whose size
+ * HttpServer limits, and the rules made from it, which are less than four times as large. A
+ * snapshot has their history besides, which RulesState limits.
+ */
+inline constexpr std::size_t maxMessageBytes = 6 * HttpServer::defaultMaxBodyBytes;
+/** \brief Added to the size of the messages of a batch for what separates them. */
+inline constexpr std::size_t batchOverheadBytes = 65'536;
+/** \brief Maximum size of a batch, which may be one message of the maximum size. */
+inline constexpr std::size_t maxBatchBytes = maxMessageBytes + batchOverheadBytes;
+
 /** \brief Decides when a connection whose batches time out is replaced.
  *
  * The connection may be dead while the node is up, which only a new connection can show. A node
@@ -42,6 +55,7 @@
         NodeName self;
         Address address; ///< where batches are received
         Duration batchTimeout = 2s;
+        std::size_t maxBatchBytes = Hibiscus::maxBatchBytes; ///< larger ones are refused
         BatchHandler onBatch;
     };
 
@@ -49,12 +63,15 @@
     std::function<Result<void>()> listen;
     std::function<void(const Address &, Batch, DeliveryHandler)> deliver;
     /** \brief Forgets an address that gets no batches for now; its connection is closed at once or
-     * when it has been unused for a while. The result of a batch in flight may be dropped.
+     * when it has been unused for a while. A batch in flight is cancelled over HTTP, and its result
+     * may be dropped.
      */
     std::function<void(const Address &)> disconnect;
     /** \brief Handles timeouts; must be called every few tens of milliseconds. */
     std::function<void(TimePoint)> tick;
     std::function<void()> shutDown;
+    /** \returns the number of received batches that were refused as a whole. */
+    std::function<std::uint64_t()> refusedBatches;
 };
 
 /** \brief Makes the transport of a process on its event loop. */
--- a/Hibiscus/src/Process/JournalProcess.cpp
+++ b/Hibiscus/src/Process/JournalProcess.cpp
@@ -7,6 +7,15 @@
 namespace internal {
 
 constexpr Duration journalTick = 10ms;
+/** \brief Limit of messages of a journal: a snapshot of all stored jobs is one message. */
+constexpr std::size_t maxJournalMessageBytes = 512UL * 1024 * 1024;
+
+static Relay::Options relayOptions(const ProcessContext &context)
+{
+    Relay::Options options = context.relayOptions();
+    options.maxMessageBytes = maxJournalMessageBytes;
+    return options;
+}
 
 static JournalOptions journalOptions(const ProcessContext &context)
 {
@@ -23,7 +32,7 @@
       node(internal::journalOptions(context), this->disk.state(), context.incarnation,
            this->loop.now()),
       relay(
-          this->loop, context.relayOptions(), makeGrpcTransport,
+          this->loop, internal::relayOptions(context), makeGrpcTransport,
           [this](const WireMessage &message) { this->onMessage(message); },
           [](const NodeName &) {}),
       http(this->loop, { .address = context.httpAddress() },
--- a/Hibiscus/src/Process/ReplicaStatus.cpp
+++ b/Hibiscus/src/Process/ReplicaStatus.cpp
@@ -90,6 +90,12 @@
     metrics.setCounter("hibiscus_relay_malformed_messages_total",
                        "Received messages that could not be decoded.",
                        static_cast<double>(counters.malformedMessages));
+    metrics.setCounter("hibiscus_relay_refused_batches_total",
+                       "Received calls that were refused as a whole.",
+                       static_cast<double>(counters.refusedBatches));
+    metrics.setCounter("hibiscus_relay_oversized_messages_total",
+                       "Messages that were not sent, because they are too large.",
+                       static_cast<double>(counters.oversizedMessages));
     metrics.setCounter("hibiscus_relay_broken_batches_total",
                        "Calls that failed; their messages may have arrived.",
                        static_cast<double>(counters.failedBatches));
--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -4,6 +4,13 @@
 
 namespace Hibiscus {
 
+namespace internal {
+
+/** \brief Limit of the commands in an append, unless there is only one. */
+constexpr std::size_t maxBytesPerAppend = 4'000'000;
+
+} // namespace internal
+
 Replica::Replica(const ReplicaOptions &options, DurableState durable, std::uint64_t seed,
                  TimePoint now)
     : options(options), durable(std::move(durable)), random(seed)
@@ -379,12 +386,19 @@
     request.commitIndex = this->committedIndex;
     request.round = this->round;
     const std::uint64_t remaining = this->lastIndex() + 1 - progress.nextIndex;
-    const std::uint64_t count = std::min<std::uint64_t>(remaining, this->options.entriesPerAppend);
-    for (std::uint64_t offset = 0; offset < count; ++offset)
-        request.entries.push_back(this->entryAt(progress.nextIndex + offset));
+    const std::uint64_t limit = std::min<std::uint64_t>(remaining, this->options.entriesPerAppend);
+    std::size_t bytes = 0;
+    while (request.entries.size() < limit) {
+        const LogEntry &entry = this->entryAt(progress.nextIndex + request.entries.size());
+        if (const auto *command = std::get_if<Command>(&entry.body))
+            bytes += command->bytes.size();
+        if (bytes > internal::maxBytesPerAppend && !request.entries.empty())
+            break;
+        request.entries.push_back(entry);
+    }
     // Once the logs are known to match, appends are pipelined without waiting for replies.
     if (!progress.isProbing)
-        progress.nextIndex += count;
+        progress.nextIndex += request.entries.size();
     this->send(to, std::move(request), out.sendBeforeSync);
 }
 
--- a/Hibiscus/src/Rules/RulesState.cpp
+++ b/Hibiscus/src/Rules/RulesState.cpp
@@ -11,12 +11,19 @@
 constexpr std::size_t maxChanges = 20'000;
 /** \brief Maximum of inserted lines kept per change. */
 constexpr std::size_t maxLinesPerChange = 20;
+/** \brief Limit of the history, which is part of each snapshot. */
+constexpr std::size_t maxHistoryBytes = 4'000'000;
+/** \brief Maximum of characters kept of such a line. */
+constexpr std::size_t maxLineBytes = 1'000;
 
 static std::vector<std::string> insertedLinesOf(std::string_view base, std::string_view next)
 {
     std::vector<std::string> lines = RulesDelta::between(base, next).insertedLines;
     if (lines.size() > maxLinesPerChange)
         lines.resize(maxLinesPerChange);
+    for (std::string &line : lines)
+        if (line.size() > maxLineBytes)
+            line.resize(maxLineBytes);
     return lines;
 }
 
@@ -55,8 +62,14 @@
           .lines = internal::insertedLinesOf(this->currentText, command.text) });
     this->currentText = command.text;
     this->currentSource = command.source;
-    if (this->changes.size() > internal::maxChanges)
+    std::size_t bytes = 0;
+    for (const RulesChange &change : this->changes)
+        bytes += encode(change).size();
+    while (this->changes.size() > internal::maxChanges
+           || (bytes > internal::maxHistoryBytes && this->changes.size() > 1)) {
+        bytes -= encode(this->changes.front()).size();
         this->changes.pop_front();
+    }
 }
 
 ApplyReply RulesState::conflict() const
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/Wire.h"
 
+#include <Hibiscus/Net>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -132,6 +133,52 @@
     }
 }
 
+/** \brief Share of the maximum size that the test documents have; the rules grow in proportion. */
+constexpr std::size_t documentShare = 20;
+
+/** \returns a document of that size, made of copies of \a item in \a list. */
+std::string largeDocument(const std::string &list, const std::string &item)
+{
+    std::string head = R"({"version":7,"routes":[)";
+    std::string tail = R"(],"services":[]})";
+    if (list == "services") {
+        head = R"({"version":7,"routes":[],"services":[)";
+        tail = "]}";
+    }
+    std::string body = head + item;
+    while (body.size() + 1 + item.size() + tail.size()
+           <= HttpServer::defaultMaxBodyBytes / documentShare)
+        body += "," + item;
+    return body + tail;
+}
+
+// Guards against rules that are accepted, and then are in no message that another node accepts.
+TEST(Platform, RulesOfTheLargestDocumentsFitInAMessage)
+{
+    const std::string route
+        = R"({"name":" ","host":" ","path_prefix":"/","service":" ","timeout_ms":1})";
+    const std::vector<std::string> documents
+        = { largeDocument("routes", route), largeDocument("services", R"({"name":" "})"),
+            largeDocument("services", R"({"name":")" + std::string(190'000, ' ') + "\"}") };
+    for (const std::string &document : documents) {
+        const ControlRequest request = parseReplacement(document);
+        ASSERT_TRUE(std::holds_alternative<ReplaceRulesRequest>(request));
+        const auto &replacement = std::get<ReplaceRulesRequest>(request);
+        const ApplyRules command = { .text = replacement.rules,
+                                     .assignedVersion = replacement.version,
+                                     .source = replacement.source };
+        const LogEntry entry = { .index = 1, .term = 1, .body = Command { encode(command) } };
+        // Without the history, of which 4,000,000 bytes are kept.
+        const Snapshot snapshot = { .state = encode(command) };
+        const std::vector<WireMessage> messages
+            = { ReplicaEnvelope { .message = AppendRequest { .entries = { entry } } },
+                ReplicaEnvelope { .message = SnapshotRequest { .snapshot = snapshot } },
+                RulesUpdate { .content = RulesFile { .version = 7, .text = replacement.rules } } };
+        for (const WireMessage &message : messages)
+            EXPECT_LT(documentShare * encode(message).size() + 4'000'000U, maxMessageBytes);
+    }
+}
+
 TEST(Platform, RulesAreTranslatedAndTheirSourceIsKept)
 {
     const std::string body = rulesBody().dump();
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -7,6 +7,9 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <fcntl.h>
+#include <fstream>
+#include <memory>
 #include <set>
 #include <sys/socket.h>
 #include <thread>
@@ -261,6 +264,7 @@
     std::ranges::sort(statuses);
     EXPECT_EQ(statuses, std::vector({ 204, 400, 400, 400 }));
     EXPECT_EQ(relays.second.counters().malformedMessages, 1U);
+    EXPECT_EQ(relays.second.counters().refusedBatches, 3U);
     relays.first.send(RelayPair::receiver(), FetchRules());
     relays.run(300ms);
     EXPECT_EQ(relays.received.size(), 1U);
@@ -281,4 +285,175 @@
     EXPECT_EQ(relays.received.size(), 1U);
 }
 
+/** \brief Connection of another writer to the port of the second relay; it doesn't block. */
+class RawClient
+{
+public:
+    RawClient() : connection(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const sockaddr_in address = ownAddress(27802).native();
+        EXPECT_EQ(::connect(this->connection, reinterpret_cast<const sockaddr *>(&address),
+                            sizeof(address)),
+                  0);
+        ::fcntl(this->connection, F_SETFL, O_NONBLOCK);
+    }
+
+    ~RawClient() { ::close(this->connection); }
+    RawClient(const RawClient &) = delete;
+    RawClient &operator=(const RawClient &) = delete;
+
+    /** \brief Announces a batch of \a size bytes. */
+    void sendHead(std::size_t size)
+    {
+        this->send("POST /relay/" + std::to_string(wireProtocolVersion)
+                   + " HTTP/1.1\r\nhost: relay\r\ncontent-length: " + std::to_string(size)
+                   + "\r\n\r\n");
+    }
+
+    /** \brief Sends as much of \a bytes as fits. \returns the number of bytes sent. */
+    std::size_t send(std::string_view bytes)
+    {
+        const ssize_t sent = ::send(this->connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+    }
+
+    /** \brief Reads what has arrived. \returns whether the server has closed the connection. */
+    bool isClosed()
+    {
+        std::array<char, 4096> buffer {};
+        ssize_t size = 0;
+        while ((size = ::recv(this->connection, buffer.data(), buffer.size(), 0)) > 0)
+            this->received.append(buffer.data(), static_cast<std::size_t>(size));
+        return size == 0 || errno != EAGAIN;
+    }
+
+    std::string received;
+
+private:
+    int connection = -1;
+};
+
+// Guards against a process that runs out of memory by what anyone can send to its port.
+TEST(Relay, RefusesABodyOverTheBoundByItsLength)
+{
+    RelayPair relays(makeHttpTransport);
+    ASSERT_TRUE(relays.first.listen() && relays.second.listen());
+    for (const std::size_t size : { maxBatchBytes + 1, 256UL << 20U, 100UL << 30U }) {
+        RawClient client;
+        client.sendHead(size);
+        relays.run(100ms);
+        EXPECT_TRUE(client.isClosed());
+        EXPECT_EQ(client.received.substr(0, 12), "HTTP/1.1 413");
+    }
+    RawClient client;
+    client.sendHead(maxBatchBytes);
+    relays.run(100ms);
+    EXPECT_FALSE(client.isClosed());
+    relays.first.send(RelayPair::receiver(), FetchRules());
+    relays.run(300ms);
+    EXPECT_EQ(relays.received.size(), 1U);
+}
+
+/** \returns the memory that this process uses. */
+std::size_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(::getpagesize());
+}
+
+// The same by many bodies below the bound, which are never completed.
+TEST(Relay, BoundsTheSumOfOpenBodies)
+{
+    RelayPair relays(makeHttpTransport);
+    ASSERT_TRUE(relays.first.listen() && relays.second.listen());
+    const std::size_t before = residentBytes();
+    const std::string part(1UL << 20U, 'x');
+    constexpr std::size_t clientCount = 24;
+    std::vector<std::unique_ptr<RawClient>> clients;
+    std::vector<std::size_t> sent(clientCount);
+    for (std::size_t i = 0; i < clientCount; ++i) {
+        clients.push_back(std::make_unique<RawClient>());
+        clients.back()->sendHead(maxBatchBytes);
+    }
+    std::size_t most = before;
+    for (int round = 0; round < 100; ++round) {
+        for (std::size_t i = 0; i < clientCount; ++i)
+            sent[i]
+                += clients[i]->send(std::string_view(part).substr(0, maxBatchBytes - 1 - sent[i]));
+        relays.run(10ms);
+        most = std::max(most, residentBytes());
+    }
+    EXPECT_LT(most - before, 128UL << 20U);
+    EXPECT_TRUE(
+        std::ranges::any_of(clients, [](const auto &client) { return client->isClosed(); }));
+    relays.first.send(RelayPair::receiver(), FetchRules());
+    relays.run(300ms);
+    EXPECT_EQ(relays.received.size(), 1U);
+}
+
+/** \returns a message that is encoded in \a size bytes. */
+RulesUpdate messageOfSize(std::size_t size)
+{
+    const std::size_t rest = encode(WireMessage(RulesUpdate())).size();
+    return { .content = RulesFile { .version = 1, .text = std::string(size - rest, 'x') } };
+}
+
+// Guards against the silent loss of a message that the receiver would never accept.
+void expectBoundedMessages(const RelayTransportFactory &makeTransport)
+{
+    RelayPair relays(makeTransport);
+    ASSERT_TRUE(relays.first.listen() && relays.second.listen());
+    const NodeName receiver = RelayPair::receiver();
+    relays.first.send(receiver, messageOfSize(maxMessageBytes + 1));
+    relays.first.send(receiver, FetchRules());
+    relays.first.send(receiver, messageOfSize(maxMessageBytes + 1));
+    for (int i = 0; i < 3; ++i)
+        relays.first.send(receiver, messageOfSize(maxMessageBytes));
+    relays.first.send(receiver, FetchRules());
+    relays.run(2s);
+    EXPECT_EQ(relays.received.size(), 5U);
+    EXPECT_EQ(relays.first.counters().failedBatches, 0U);
+    EXPECT_EQ(relays.first.counters().oversizedMessages, 2U);
+    EXPECT_EQ(relays.second.counters().refusedBatches, 0U);
+}
+
+TEST(Relay, SendsMessagesUpToTheBoundOverHttp)
+{
+    expectBoundedMessages(makeHttpTransport);
+}
+
+TEST(Relay, SendsMessagesUpToTheBoundOverGrpc)
+{
+    expectBoundedMessages(makeGrpcTransport);
+}
+
+// Guards against a batch that is delivered long after its successors: its node had not accepted the
+// connection yet when it was forgotten.
+TEST(Relay, ForgottenNodeGetsNothingMoreOfABatchInFlight)
+{
+    const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int enable = 1;
+    ASSERT_EQ(::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof(enable)), 0);
+    const sockaddr_in address = ownAddress(27802).native();
+    ASSERT_EQ(::bind(listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)), 0);
+    ASSERT_EQ(::listen(listener, 8), 0);
+    RelayPair relays(makeHttpTransport);
+    relays.first.send(RelayPair::receiver(), FetchRules());
+    relays.run(50ms);
+    const int connection = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    ASSERT_GE(connection, 0);
+    relays.first.disconnect(RelayPair::receiver());
+    relays.run(50ms);
+    std::array<char, 4096> buffer {};
+    ssize_t size = 0;
+    while ((size = ::recv(connection, buffer.data(), buffer.size(), 0)) > 0)
+        continue;
+    EXPECT_TRUE(size == 0 || errno != EAGAIN) << "its connection is open";
+    ::close(connection);
+    ::close(listener);
+}
+
 } // namespace
--- a/test/ReplicationTest.cpp
+++ b/test/ReplicationTest.cpp
@@ -63,6 +63,77 @@
     int nextJobNumber = 1;
 };
 
+/** \brief Two replicas that exchange messages without delay. */
+class ReplicaPair
+{
+public:
+    ReplicaPair()
+    {
+        DurableState durable;
+        for (const char *name : { "a", "b" })
+            durable.snapshot.membership.members.push_back(
+                { .id = { .node = NodeName(name), .incarnation = 1 } });
+        for (const Member &member : durable.snapshot.membership.members) {
+            durable.self = member.id;
+            this->replicas.try_emplace(member.id.node, ReplicaOptions(), durable,
+                                       this->replicas.size() + 1, this->now);
+        }
+    }
+
+    Replica &leader()
+    {
+        while (!this->replicas.at(NodeName("a")).isLeader()
+               && !this->replicas.at(NodeName("b")).isLeader())
+            this->step();
+        const bool isFirst = this->replicas.at(NodeName("a")).isLeader();
+        return this->replicas.at(NodeName(isFirst ? "a" : "b"));
+    }
+
+    void step()
+    {
+        this->now += 10ms;
+        ReplicaOutbox out;
+        for (auto &[name, replica] : this->replicas)
+            replica.tick(this->now, out);
+        this->deliver(std::move(out));
+    }
+
+    void deliver(ReplicaOutbox out)
+    {
+        while (!out.sendBeforeSync.empty() || !out.sendAfterSync.empty()) {
+            ReplicaOutbox next;
+            for (const auto *envelopes : { &out.sendBeforeSync, &out.sendAfterSync })
+                for (const ReplicaEnvelope &envelope : *envelopes) {
+                    this->largestMessage = std::max(this->largestMessage, encode(envelope).size());
+                    this->replicas.at(envelope.to).receive(envelope, this->now, next);
+                }
+            out = std::move(next);
+        }
+    }
+
+    TimePoint now { 1'800'000'000s };
+    std::map<NodeName, Replica> replicas;
+    std::size_t largestMessage = 0;
+};
+
+// Guards against an append that is larger than any message may be: the member would never get the
+// entries after a silence.
+TEST(Replication, EntriesOfAnAppendAreBoundedInBytes)
+{
+    ReplicaPair pair;
+    Replica &leader = pair.leader();
+    ReplicaOutbox lost;
+    for (const std::size_t size : { 1'000'000U, 1'000'000U, 8'000'000U, 10U, 3'000'000U })
+        for (int i = 0; i < 4; ++i)
+            leader.propose({ Bytes(size, 'x') }, pair.now, lost);
+    const std::uint64_t last = leader.lastIndex();
+    for (int i = 0; i < 100; ++i)
+        pair.step();
+    EXPECT_EQ(leader.commitIndex(), last);
+    EXPECT_GT(pair.largestMessage, 8'000'000U);
+    EXPECT_LT(pair.largestMessage, 8'001'000U);
+}
+
 TEST(Replication, MemberWithLostDiskRejoinsAsNewMemberAndCatchesUp)
 {
     for (const std::uint64_t seed : { 1U, 2U, 3U, 4U, 5U, 6U }) {
--- a/test/RulesTest.cpp
+++ b/test/RulesTest.cpp
@@ -114,4 +114,23 @@
     EXPECT_EQ(activeRules.receive({ .content = wrongBase })->version, 5U);
 }
 
+// Guards against a snapshot that no message can hold.
+TEST(RulesState, HistoryIsBoundedInBytes)
+{
+    RulesState state;
+    for (std::uint64_t version = 1; version <= 400; ++version) {
+        std::string text;
+        for (int line = 0; line < 20; ++line)
+            text += "# " + std::to_string(version) + "." + std::to_string(line) + " "
+                + std::string(2'000, 'x') + "\n";
+        ASSERT_EQ(state.apply({ .text = text, .assignedVersion = version }).status,
+                  ApplyStatus::Accepted);
+    }
+    EXPECT_LT(state.save().size(), 4'200'000U);
+    EXPECT_EQ(state.history().back().version, 400U);
+    RulesState restored;
+    restored.restore(state.save());
+    EXPECT_EQ(restored.save(), state.save());
+}
+
 } // namespace
