--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -1,9 +1,13 @@
 #include "Hibiscus/src/Net/HttpServer.h"
 
+#include <Hibiscus/Telemetry>
+
+#include <algorithm>
 #include <array>
 #include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <system_error>
 #include <unistd.h>
 
 namespace Hibiscus {
@@ -54,6 +58,9 @@
 {
     h2o_config_init(&this->config);
     this->config.max_request_entity_size = options.maxBodyBytes;
+    // Bodies over HTTP/2 are not in the buffers of their connections.
+    if (options.maxOpenBodyBytes > 0)
+        this->config.http1.upgrade_to_http2 = 0;
     this->config.http1.req_timeout
         = static_cast<std::uint64_t>(toMilliseconds(options.idleTimeout));
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("hibiscusstream"));
@@ -71,6 +78,8 @@
 
 HttpServer::~HttpServer()
 {
+    for (const auto &[socket, connection] : this->connections)
+        socket->on_close = {};
     this->stopListening();
     if (this->watcher != nullptr)
         h2o_socket_close(this->watcher);
@@ -132,6 +141,53 @@
     h2o_context_request_shutdown(&this->context);
 }
 
+void HttpServer::countBodiesOf(h2o_socket_t *socket)
+{
+    auto connection = std::make_unique<Connection>();
+    connection->owner = this;
+    connection->socket = socket;
+    socket->on_close.cb = onConnectionClosed;
+    socket->on_close.data = connection.get();
+    this->connections[socket] = std::move(connection);
+}
+
+void HttpServer::onConnectionClosed(void *connection)
+{
+    const auto *closed = static_cast<const Connection *>(connection);
+    closed->owner->connections.erase(closed->socket);
+}
+
+// The largest bodies are given up first, so that small messages get through while somebody sends
+// large ones. h2o closes a connection once it has seen its end.
+void HttpServer::closeExcessBodies()
+{
+    std::size_t total = 0;
+    std::vector<Connection *> open;
+    for (const auto &[socket, connection] : this->connections) {
+        if (connection->isClosing)
+            continue;
+        total += socket->input->size;
+        open.push_back(connection.get());
+    }
+    if (total <= this->options.maxOpenBodyBytes)
+        return;
+    std::ranges::sort(open, std::ranges::greater(),
+                      [](const Connection *connection) { return connection->socket->input->size; });
+    for (Connection *connection : open) {
+        if (total <= this->options.maxOpenBodyBytes)
+            return;
+        total -= connection->socket->input->size;
+        connection->isClosing = true;
+        ++this->excessBodies;
+        ::shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
+    }
+}
+
+std::uint64_t HttpServer::refusedBodies() const
+{
+    return this->context.emitted_error_status[H2O_STATUS_ERROR_413] + this->excessBodies;
+}
+
 int HttpServer::onRequest(h2o_handler_t *handler, h2o_req_t *request)
 {
     reinterpret_cast<RequestHandler *>(handler)->owner->handle(request);
@@ -162,6 +218,8 @@
         h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
         if (socket == nullptr)
             return;
+        if (server->options.maxOpenBodyBytes > 0)
+            server->countBodiesOf(socket);
         h2o_accept(&server->acceptor, socket);
     }
 }
@@ -221,7 +279,9 @@
 void HttpServer::watch(const OpenRequest &request, std::uint64_t token)
 {
     epoll_event event = { .events = EPOLLRDHUP | EPOLLONESHOT, .data = { .u64 = token } };
-    ::epoll_ctl(this->watcherFd, EPOLL_CTL_ADD, request.socketFd, &event);
+    if (::epoll_ctl(this->watcherFd, EPOLL_CTL_ADD, request.socketFd, &event) != 0)
+        logError("connection-not-watched",
+                 { { "reason", std::error_code(errno, std::generic_category()).message() } });
 }
 
 void HttpServer::unwatch(const OpenRequest &request)
--- a/Hibiscus/src/Net/HttpServer.h
+++ b/Hibiscus/src/Net/HttpServer.h
@@ -4,6 +4,7 @@
 #include "Hibiscus/src/Net/EventLoop.h"
 
 #include <map>
+#include <memory>
 
 namespace Hibiscus {
 
@@ -58,10 +59,14 @@
      */
     using DisconnectHandler = std::function<void(std::uint64_t)>;
 
+    static constexpr std::size_t defaultMaxBodyBytes = 4'000'000;
+
     struct Options
     {
         Address address;
-        std::size_t maxBodyBytes = 4'000'000;
+        std::size_t maxBodyBytes = defaultMaxBodyBytes; ///< larger ones are refused unread
+        /** \brief Limit of the memory for bodies that have arrived in part; 0: none. */
+        std::size_t maxOpenBodyBytes = 0;
         Duration idleTimeout = 75s; ///< longer than clients keep an unused connection open
         std::vector<std::string> keptHeaders; ///< names of the headers to pass on, in lower case
         DisconnectHandler onDisconnect; ///< may be empty
@@ -81,9 +86,15 @@
     void stopListening();
     /** \brief Closes each connection after its next response, and announces it there. */
     void closeAfterResponses() { this->closesAfterResponses = true; }
+    /** \brief Closes the connections with the largest open bodies while all of them are over
+     * Options::maxOpenBodyBytes; must be called every few tens of milliseconds.
+     */
+    void closeExcessBodies();
 
     // Queries.
     std::size_t openRequests() const { return this->requests.size(); }
+    /** \returns the number of bodies that were refused for their size or that of all. */
+    std::uint64_t refusedBodies() const;
 
 private:
     struct RequestHandler
@@ -106,6 +117,16 @@
         int socketFd;
     };
 
+    /** \brief Connection whose open body counts. */
+    struct Connection
+    {
+        HttpServer *owner = nullptr;
+        h2o_socket_t *socket = nullptr;
+        bool isClosing = false;
+    };
+
+    static void onConnectionClosed(void *connection);
+    void countBodiesOf(h2o_socket_t *socket);
     static int onRequest(h2o_handler_t *handler, h2o_req_t *request);
     static void onRequestDisposed(void *memory);
     static void onAccept(h2o_socket_t *listener, const char *error);
@@ -127,6 +148,8 @@
     int watcherFd = -1;
     h2o_socket_t *watcher = nullptr; ///< owns watcherFd
     std::map<std::uint64_t, OpenRequest> requests;
+    std::map<h2o_socket_t *, std::unique_ptr<Connection>> connections; ///< if their bodies count
+    std::uint64_t excessBodies = 0; ///< open bodies that were given up
     std::uint64_t nextToken = 1;
     bool closesAfterResponses = false;
 };
