Sequence numbers of messages outlive the removal of a peer

Cause: a gateway counted its messages to each peer from 1 again once it had removed the peer, with the same incarnation. A peer that had kept the former count ignored as many messages as the link had had, and an acknowledgement of a former number counted as contact.

Change: one count for the messages to all peers.

--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -72,7 +72,7 @@
     DomainName domain;
     std::uint32_t weight = 1; ///< size of the sender's VM relative to the others
     std::string targetsAddress; ///< IP:port where targets send heartbeats to the sender
-    std::uint64_t sequence = 0; ///< counts the sender's messages to this receiver
+    std::uint64_t sequence = 0; ///< grows with the sender's messages
     std::uint64_t receiverIncarnation = 0; ///< 0 until a message of the receiver has arrived
     std::uint64_t acknowledgedSequence = 0; ///< highest sequence number received from the receiver
     bool isDraining = false;
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -515,7 +515,7 @@
     message.domain = this->options.domain;
     message.weight = this->options.weight;
     message.targetsAddress = this->options.targetsAddress;
-    message.sequence = ++peer.lastSentSequence;
+    message.sequence = ++this->lastSentSequence;
     message.receiverIncarnation = peer.incarnation;
     message.acknowledgedSequence = peer.lastReceivedSequence;
     message.isDraining = this->isDraining;
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -160,7 +160,6 @@
         OwnerReport report;
         /** \brief Highest sequence number received from this incarnation. */
         std::uint64_t lastReceivedSequence = 0;
-        std::uint64_t lastSentSequence = 0;
         std::deque<SentMessage> unacknowledged; ///< messages that are not acknowledged yet
         TimePoint confirmedAt; ///< send time of the latest acknowledged message
         TimePoint addedAt;
@@ -262,6 +261,10 @@
     std::uint64_t reportVersion = 0;
     TimePoint reportRefreshedAt;
     std::map<NodeName, Peer> peers;
+    /** \brief Sequence number of the latest message to any peer. A peer that was removed may know
+     * this incarnation, so the numbers don't start again with it.
+     */
+    std::uint64_t lastSentSequence = 0;
     /** \brief Runs that a peer wants here but that are unknown here. */
     std::map<NodeName, std::vector<RunEnd>> unknownRuns;
     std::map<TargetName, TargetTransfer> transfers;
--- a/test/MessageOrderTest.cpp
+++ b/test/MessageOrderTest.cpp
@@ -323,4 +323,37 @@
     EXPECT_LE(pair.now - stoppedAt, 850ms);
 }
 
+// Guards against a link that stays dead after one side has removed the other: its messages were
+// counted from 1 again, and the other side, which had kept the old count, ignored them.
+TEST(MessageOrder, PeerThatWasRemovedAndIsListedAgainIsHeard)
+{
+    MessagePair pair;
+    pair.step(20s);
+    pair.holdsToOwner = pair.holdsToCoordinator = true;
+    pair.isOwnerListed = false;
+    pair.step(11s);
+    pair.holdsToOwner = pair.holdsToCoordinator = false;
+    pair.isOwnerListed = true;
+    pair.step(1s);
+    EXPECT_EQ(pair.coordinator.livePeerCount(pair.now), 1U);
+    EXPECT_EQ(pair.owner.livePeerCount(pair.now), 1U);
+}
+
+// Guards against contact by an acknowledgement of a message that was sent before the peer was
+// removed, with a number that is used again.
+TEST(MessageOrder, AcknowledgementFromBeforeTheRemovalOfThePeerIsNoContact)
+{
+    MessagePair pair;
+    pair.step(2s);
+    pair.holdsToOwner = pair.holdsToCoordinator = true;
+    pair.isOwnerListed = false;
+    pair.step(11s);
+    pair.holdsToCoordinator = false;
+    pair.isOwnerListed = true;
+    for (int i = 0; i < 1'000; ++i) {
+        pair.step(10ms);
+        ASSERT_EQ(pair.coordinator.livePeerCount(pair.now), 0U) << "no message has arrived there";
+    }
+}
+
 } // namespace
