--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -165,6 +165,12 @@
         return;
     peer.lastAcknowledgedSequence
         = std::max(peer.lastAcknowledgedSequence, message.acknowledgedSequence);
+    const bool isDeselectionKnown
+        = peer.deselectionSequence != 0 && peer.deselectionSequence <= message.acknowledgedSequence;
+    if (isDeselectionKnown || peer.isSelected) {
+        peer.isDeselectionPending = false;
+        peer.deselectionSequence = 0;
+    }
     while (!peer.unacknowledged.empty()
            && peer.unacknowledged.front().sequence <= message.acknowledgedSequence) {
         if (peer.unacknowledged.front().sequence == message.acknowledgedSequence)
@@ -262,11 +268,11 @@
 
 void FleetNode::guard(const FleetMessage &message, TimePoint now)
 {
+    this->ownerFence.handleContact(message.from, message.incarnation);
     if (!message.wantsReports) {
         this->ownerFence.removeOwner(message.from);
         return;
     }
-    this->ownerFence.handleContact(message.from, message.incarnation);
     if (message.drivenTargets)
         this->ownerFence.setTargets(message.from, message.incarnation, *message.drivenTargets, now);
 }
@@ -530,6 +536,8 @@
         peer.sentReportVersion = this->reportVersion;
         peer.reportSentAt = now;
     }
+    if (peer.isDeselectionPending && !message.wantsReports && peer.deselectionSequence == 0)
+        peer.deselectionSequence = message.sequence;
     const bool areTargetsNew = peer.sentTargetsVersion != this->targetsVersion;
     if (message.wantsReports && (areTargetsNew || areTargetsLost(peer, now))) {
         message.drivenTargets = this->drivenTargets;
@@ -600,6 +608,7 @@
         return;
     found->second.report = {};
     found->second.sentTargetsVersion = 0;
+    found->second.isDeselectionPending = true;
     found->second.hasPendingMessage = true;
 }
 
@@ -630,7 +639,9 @@
         return one.isFenceWanted == other.isFenceWanted
             && one.address.target == other.address.target
             && one.address.incarnation == other.address.incarnation
-            && one.address.address == other.address.address;
+            && one.address.address == other.address.address
+            && one.address.fencingToken
+            <= FencingToken::raised(other.address.fencingToken, FencingToken::maxUnreportedRaises);
     };
     const bool isUrgent = !std::ranges::equal(current, this->drivenTargets, differsOnlyInToken);
     this->drivenTargets = std::move(current);
@@ -671,6 +682,8 @@
     if (peer.isSelected && peer.sentTargetsVersion < this->urgentTargetsVersion)
         return true;
     const Duration silence = now - peer.sentAt;
+    if (peer.isDeselectionPending && silence >= this->options.idleMessageInterval)
+        return true;
     const RequesterState *held = runsFor(peer, name, runsByPeer);
     if (held != nullptr && held->hasUnreportedEnds && silence >= internal::endBatchInterval)
         return true;
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -178,6 +178,9 @@
         std::uint64_t lastAcknowledgedSequence = 0;
         bool wantsReports = false; ///< whether its latest message requests reports
         bool isSelected = false; ///< whether this node requests its reports
+        /** \brief Whether the peer may still take itself for a guardian of this node. */
+        bool isDeselectionPending = false;
+        std::uint64_t deselectionSequence = 0; ///< of the first message that tells it; 0: none
         bool isConnected = false;
         bool areRunsCancelled = false;
         bool hasPendingMessage = false;
--- a/Hibiscus/src/Fleet/OwnerFence.cpp
+++ b/Hibiscus/src/Fleet/OwnerFence.cpp
@@ -24,9 +24,16 @@
 {
     const std::vector<DrivenTarget> former = std::exchange(this->owners[owner].targets, targets);
     this->owners[owner].incarnation = incarnation;
-    for (const DrivenTarget &target : targets)
+    for (const DrivenTarget &target : targets) {
         if (target.isFenceWanted && std::ranges::find(former, target) == former.end())
             this->addFence(owner, incarnation, target.address, FenceCause::OwnerRequest, now);
+        if (target.isFenceWanted)
+            continue;
+        const auto found = this->fences.find({ .owner = owner, .target = target.address.target });
+        if (found != this->fences.end() && found->second.cause == FenceCause::OwnerRequest
+            && found->second.ownerIncarnation == incarnation)
+            this->fences.erase(found);
+    }
 }
 
 void OwnerFence::handleLoss(const NodeName &owner, FenceCause cause, TimePoint now)
@@ -107,7 +114,8 @@
         return true;
     default:
         fence.lastPollFailed = true;
-        fence.nextPollAt = now + this->options.retryInterval;
+        fence.nextPollAt = now
+            + (now < fence.since + 1s ? this->options.retryInterval : this->options.repeatInterval);
         return true;
     }
 }
--- a/Hibiscus/src/Fleet/OwnerFence.h
+++ b/Hibiscus/src/Fleet/OwnerFence.h
@@ -14,9 +14,9 @@
      * late or more.
      */
     Duration silenceTimeout = 800ms;
-    Duration retryInterval = 100ms; ///< delay after a poll without a response
-    /** \brief Interval of polls of a lost owner's target, which forgets the token if it restarts.
-     */
+    /** \brief Delay after a poll without a response, in the first second. */
+    Duration retryInterval = 100ms;
+    /** \brief Interval of later polls; a target forgets the token if it restarts. */
     Duration repeatInterval = 500ms;
     /** \brief Longest time after which a platform executes an order. */
     Duration maxLateness = 12s;
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -33,8 +33,8 @@
 TargetDriver::TargetDriver(const TargetDriverOptions &options, const LeasedTarget &target,
                            std::uint64_t fencingToken, TimePoint now)
     : options(options), heartbeat(target), token(fencingToken), tokenStep(internal::firstTokenStep),
-      tokenRaisedAt(now), tenureSince(now), takenOverAt(now), heartbeatAt(now),
-      targetClockMs(target.clockMs), targetClockReadAt(now), leasedUntil(now + this->longestLease())
+      tokenRaisedAt(now), takenOverAt(now), heartbeatAt(now), targetClockMs(target.clockMs),
+      targetClockReadAt(now), leasedUntil(now + this->longestLease())
 { }
 
 void TargetDriver::handleHeartbeat(const LeasedTarget &target, TimePoint now)
@@ -107,6 +107,7 @@
     Run run;
     run.demand = request.demand;
     run.validUntil = validUntil;
+    run.startToken = this->orderToken();
     this->runs[request.run] = run;
     this->usedCapacity = this->usedCapacity.plus(request.demand);
     out.orders.emplace_back(
@@ -209,6 +210,7 @@
     if (this->lastPollFailed)
         return;
     this->regaining = false;
+    this->acceptedToken = this->orderToken();
     this->recordResponse(response.clockMs, now);
     if (response.clockMs && sentAt >= this->contactInvalidatedAt)
         this->isContactValid = true;
@@ -268,6 +270,7 @@
     address.fencingToken = this->token;
     const bool isFenceWanted = std::ranges::any_of(this->runs, [&](const auto &r) {
         return r.second.phase == Phase::Unanswered && !r.second.stopConfirmedAt
+            && r.second.startToken >= this->acceptedToken
             && now >= r.second.unansweredAt + this->options.fenceDelay;
     });
     return { .address = address, .isFenceWanted = isFenceWanted };
@@ -331,8 +334,13 @@
 {
     if (sentToken < this->orderToken())
         return;
-    const bool isTenureShort = now < this->tenureSince + this->options.minTenure;
-    if (this->awaitsHeartbeat || (this->reconciled && (this->regaining || isTenureShort))) {
+    if (now >= this->regainsCountedSince + this->options.minTenure) {
+        this->regainsCountedSince = now;
+        this->regains = 0;
+    }
+    const bool hasOtherOwner = this->regaining || this->regains >= this->options.maxRegains
+        || now < this->takenOverAt + this->options.minTenure;
+    if (this->awaitsHeartbeat || (this->reconciled && hasOtherOwner)) {
         this->fenced = true;
         return;
     }
@@ -345,7 +353,7 @@
     }
     this->token = FencingToken::afterFence(this->orderToken());
     this->raises = 0;
-    this->tenureSince = now;
+    ++this->regains;
     this->regaining = true;
 }
 
@@ -417,8 +425,8 @@
           });
     constexpr Duration shortWait = 20ms; // a stopped run is listed within tens of ms
     const TimePoint limit = this->leaseLimit(now);
-    const bool isRenewing
-        = !this->runs.empty() && this->hasOnlyOwnRuns() && !this->isDeparting && limit > now;
+    const bool isRenewing = !this->runs.empty() && this->hasOnlyOwnRuns() && !this->regaining
+        && !this->isDeparting && limit > now;
     const Duration wait = this->runs.empty() ? this->options.idleWait : this->options.busyWait;
     out.orders.emplace_back(PollOrder {
         .to = this->address(),
@@ -494,8 +502,8 @@
         return ObservedRunEnd { .run = name,
                                 .kind = RunEndKind::Stopped,
                                 .evidence = RunEndEvidence::StopConfirmed };
-    // The lease was not renewed beyond the validity of the run, nor would the target accept its
-    // start.
+    // The lease was not renewed beyond the validity of the run. Its start, if the target executes
+    // it later, has a lower token than this poll or a guardian's.
     const bool hasExpired = run.validUntil <= this->pollSentAt;
     if (hasExpired || (!run.isStopWanted && isOver(run.missingSince)))
         return ObservedRunEnd { .run = name,
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -45,9 +45,10 @@
      */
     Duration fenceDelay = 300ms;
     /** \brief A fenced target is given up, instead of continued with a higher token, if this owner
-     * took it over or was fenced less than this time ago.
+     * took it over less than this time ago, or was fenced maxRegains times within it.
      */
     Duration minTenure = 2s;
+    std::uint32_t maxRegains = 3;
     Duration stopRetryInterval = 50ms; ///< delay before an unconfirmed stop is sent again
     /** \brief Delay before the stop of a previous owner's run is sent again: it may take
      * maxStopTime after its response, for which this driver does not wait.
@@ -181,6 +182,7 @@
         Phase phase = Phase::Starting;
         TimePoint confirmedAt; ///< time of the target's response to the start
         TimePoint unansweredAt; ///< time at which the start became Unanswered
+        std::uint64_t startToken = 0;
         std::optional<TimePoint> listedAt; ///< send time of the last poll that listed it
         /** \brief Send time of the first poll that did not list it, after its start was confirmed.
          */
@@ -230,7 +232,12 @@
     std::uint64_t tokenStep;
     std::uint64_t raises = 0; ///< raises of the token in orders; peers are told the token only
     TimePoint tokenRaisedAt;
-    TimePoint tenureSince; ///< take-over, or the latest fence after which this driver went on
+    /** \brief Highest token with which the target has answered a poll: starts with lower ones are
+     * rejected from then on.
+     */
+    std::uint64_t acceptedToken = 0;
+    std::uint32_t regains = 0; ///< since regainsCountedSince
+    TimePoint regainsCountedSince;
     TimePoint takenOverAt;
     TimePoint heartbeatAt;
     TimePoint lastResponseAt; ///< time of the latest response
--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -59,7 +59,8 @@
     h2o_config_init(&this->config);
     this->config.max_request_entity_size = options.maxBodyBytes;
     // Bodies over HTTP/2 are not in the buffers of their connections.
-    if (options.maxOpenBodyBytes > 0)
+    // Its requests share a connection, which can be watched for one request only.
+    if (options.maxOpenBodyBytes > 0 || options.onDisconnect)
         this->config.http1.upgrade_to_http2 = 0;
     this->config.http1.req_timeout
         = static_cast<std::uint64_t>(toMilliseconds(options.idleTimeout));
@@ -82,7 +83,7 @@
         socket->on_close = {};
     this->stopListening();
     if (this->watcher != nullptr)
-        h2o_socket_close(this->watcher);
+        h2o_socket_close(std::exchange(this->watcher, nullptr));
 }
 
 Result<void> HttpServer::listen()
--- a/test/OwnerFenceTest.cpp
+++ b/test/OwnerFenceTest.cpp
@@ -101,6 +101,8 @@
     fixture.setTargets(false);
     fixture.setTargets(true);
     EXPECT_EQ(fixture.pollsAfter({}).size(), 1U) << "another request";
+    fixture.setTargets(false);
+    EXPECT_EQ(fixture.fence.fenceCount(), 0U) << "the owner has stopped the run meanwhile";
 }
 
 TEST(OwnerFence, TargetThatDoesNotRespondIsGivenUpAfterTheMaximumLateness)
