Logs: tell when a caller left, and that a job was submitted before

Two hypotheses for two runs of one task (two coordinators of a job, or one that starts a task again on a false "not started") could not be told apart: no line said that the connection of a caller had ended, or that an id had been seen before.

New lines: caller-left (job, time waited, owners with its runs), job-submitted-again (what this gateway knows of the job: in-progress, answered or caller-left) and request-of-departed-client (a request that was read only after its client had gone, and is not started). FleetCoordinator remembers the jobs whose callers left for 5 s.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -128,6 +128,21 @@
     return "none";
 }
 
+const char *toString(JobHistory history)
+{
+    switch (history) {
+    case JobHistory::InProgress:
+        return "in-progress";
+    case JobHistory::Answered:
+        return "answered";
+    case JobHistory::CallerLeft:
+        return "caller-left";
+    case JobHistory::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
 void FleetCoordinator::submit(const TransientJob &job, const RoutePolicy &policy,
                               std::uint64_t caller, const std::vector<OwnerView> &owners,
                               TimePoint now)
@@ -167,7 +182,7 @@
     this->jobs[job.id] = std::move(added);
 }
 
-void FleetCoordinator::removeCaller(std::uint64_t caller)
+void FleetCoordinator::removeCaller(std::uint64_t caller, TimePoint now)
 {
     const auto callerEntry = this->jobOfCaller.find(caller);
     if (callerEntry == this->jobOfCaller.end())
@@ -177,8 +192,19 @@
     if (found == this->jobs.end())
         return;
     std::erase(found->second.callerTokens, caller);
-    if (found->second.callerTokens.empty())
-        this->jobs.erase(found);
+    if (!found->second.callerTokens.empty())
+        return;
+    this->leftJobs[found->first] = now;
+    this->jobs.erase(found);
+}
+
+JobHistory FleetCoordinator::historyOf(const std::string &job) const
+{
+    if (this->jobs.contains(job))
+        return JobHistory::InProgress;
+    if (this->answeredJobs.contains(job))
+        return JobHistory::Answered;
+    return this->leftJobs.contains(job) ? JobHistory::CallerLeft : JobHistory::Unknown;
 }
 
 void FleetCoordinator::handleRunEnd(const NodeName &owner, const RunEnd &end, TimePoint now)
@@ -563,6 +589,9 @@
             return task.stage == Stage::Assigned && task.owner == owner;
         });
     });
+    std::erase_if(this->leftJobs, [&](const auto &item) {
+        return now >= item.second + this->options.leftJobLifetime;
+    });
 }
 
 // Prefers free capacity nearby, on targets that are not reserved for longer tasks. Without free
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -63,6 +63,17 @@
     auto operator<=>(const JobOutcome &other) const = default;
 };
 
+/** \brief What a coordinator knows of a job when it is submitted. */
+enum class JobHistory : std::uint8_t {
+    Unknown,
+    InProgress, ///< another caller waits for it
+    Answered,
+    CallerLeft ///< its last caller left before it was answered
+};
+
+/** \returns the name of \a history for logs. */
+const char *toString(JobHistory history);
+
 /** \brief State of an owner that a coordinator bases its choice on. */
 struct OwnerView
 {
@@ -108,6 +119,7 @@
     Duration answerLifetime = 10s; ///< a job that is sent again within it gets the same answer
     std::size_t maxRoutes = 4096; ///< limit of routes with learned run times
     std::size_t maxAnswers = 4096; ///< limit of answers that are kept for jobs sent again
+    Duration leftJobLifetime = 5s; ///< a job whose caller left is remembered for it
     /** \brief Lower limit of Retry-After; the time in which targets free capacity once. */
     Duration minRetryAfter = 200ms;
     Duration maxRetryAfter = 2s; ///< upper limit of Retry-After
@@ -126,7 +138,7 @@
                 const std::vector<OwnerView> &owners, TimePoint now);
     /** \brief Removes a disconnected caller, and stops its job unless another caller waits for it.
      */
-    void removeCaller(std::uint64_t caller);
+    void removeCaller(std::uint64_t caller, TimePoint now);
     /** \brief Handles the end of a run that the current incarnation of \a owner reports. */
     void handleRunEnd(const NodeName &owner, const RunEnd &end, TimePoint now);
     /** \brief Marks runs at other incarnations of \a owner as uncertain. */
@@ -144,6 +156,7 @@
     }
 
     // Queries.
+    JobHistory historyOf(const std::string &job) const;
     /** \returns the assigned runs at \a owner. */
     std::vector<RunName> wantedRunsAt(const NodeName &owner) const;
     /** \returns the assigned runs by owner. */
@@ -218,6 +231,7 @@
     Jobs jobs;
     std::map<std::uint64_t, std::string> jobOfCaller;
     std::map<std::string, AnsweredJob> answeredJobs;
+    std::map<std::string, TimePoint> leftJobs; ///< jobs whose last caller left, and when
     std::map<RouteName, EstimateModel> estimates;
     std::vector<JobOutcome> outcomes;
     std::vector<UnsuccessfulRun> unsuccessfulRuns;
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -64,7 +64,7 @@
 {
     this->beginEvent(now);
     const std::set<NodeName> owners = this->jobCoordinator.ownersFor(caller);
-    this->jobCoordinator.removeCaller(caller);
+    this->jobCoordinator.removeCaller(caller, now);
     for (const NodeName &owner : owners)
         if (const auto found = this->peers.find(owner); found != this->peers.end())
             found->second.hasPendingMessage = true;
--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -254,6 +254,7 @@
     }
     // The request may have waited in the socket while this process was stalled.
     if (internal::isClosedByClient(open.socketFd)) {
+        logEvent("request-of-departed-client", { { "path", message.path } });
         this->endDeparted(message.token);
         return;
     }
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -109,11 +109,7 @@
       callerServer(this->loop,
                    { .address = *Address::parse(node.profile.callersAddress),
                      .keptHeaders = node.protocol.callerHeaders,
-                     .onDisconnect =
-                         [this](std::uint64_t token) {
-                             this->waitingCallers.erase(token);
-                             this->node.removeCaller(token, this->loop.now());
-                         } },
+                     .onDisconnect = [this](std::uint64_t token) { this->onCallerLeft(token); } },
                    [this](const HttpRequest &request) { this->onCallerRequest(request); }),
       readinessServer(this->loop, { .address = *Address::parse(node.profile.readinessAddress) },
                       [this](const HttpRequest &request) {
@@ -221,10 +217,30 @@
     policy.untilDeadline = std::chrono::milliseconds(route.deadlineMs);
     if (const auto timeout = this->context.protocol.readCallerTimeout(request))
         policy.untilDeadline = std::min(policy.untilDeadline, *timeout);
+    const JobHistory history = this->node.coordinator().historyOf(id);
+    if (history != JobHistory::Unknown)
+        logEvent("job-submitted-again",
+                 { { "job", id }, { "route", route.name }, { "known_as", toString(history) } });
     this->waitingCallers[request.token] = { .job = id, .route = route.name, .arrivedAt = now };
     this->node.submit(std::get<TransientJob>(body), policy, request.token, now);
 }
 
+void GatewayProcess::onCallerLeft(std::uint64_t token)
+{
+    const auto found = this->waitingCallers.find(token);
+    if (found == this->waitingCallers.end())
+        return;
+    const TimePoint now = this->loop.now();
+    const std::size_t owners = this->node.coordinator().ownersFor(token).size();
+    logEvent("caller-left",
+             { { "job", found->second.job },
+               { "route", found->second.route },
+               { "waited_ms", std::to_string(toMilliseconds(now - found->second.arrivedAt)) },
+               { "owners", std::to_string(owners) } });
+    this->waitingCallers.erase(found);
+    this->node.removeCaller(token, now);
+}
+
 void GatewayProcess::onTargetRequest(const HttpRequest &request)
 {
     const ControlRequest parsed = this->context.protocol.readControlRequest(request);
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -29,6 +29,7 @@
 
     void onCallerRequest(const HttpRequest &request);
     void onSubmit(const HttpRequest &request, const RouteRule &route, const std::string &id);
+    void onCallerLeft(std::uint64_t token);
     void onTargetRequest(const HttpRequest &request);
     void onMetricsRequest(const HttpRequest &request);
     void onMessage(const WireMessage &message);
--- a/test/FleetCoordinatorTest.cpp
+++ b/test/FleetCoordinatorTest.cpp
@@ -100,4 +100,28 @@
     EXPECT_EQ(refused[0].reason, OutcomeReason::Draining);
 }
 
+// Guards against logs that don't tell whether a job was sent again after its caller had left.
+TEST(FleetCoordinator, RemembersAJobWhoseCallerLeft)
+{
+    TimePoint now(1'800'000'000s);
+    FleetCoordinator coordinator({});
+    const std::vector<OwnerView> owners = { ownerWith("o", 1) };
+    const JobStep step = { .demand = { .cpu = 27'000, .memory = 64 }, .estimate = 60ms };
+    const TransientJob job = { .id = "j", .steps = { step } };
+    EXPECT_EQ(coordinator.historyOf("j"), JobHistory::Unknown);
+    coordinator.submit(job, policy(), 1, owners, now);
+    coordinator.submit(job, policy(), 2, owners, now);
+    EXPECT_EQ(coordinator.historyOf("j"), JobHistory::InProgress);
+    coordinator.removeCaller(1, now);
+    EXPECT_EQ(coordinator.historyOf("j"), JobHistory::InProgress) << "another caller waits for it";
+    coordinator.removeCaller(2, now);
+    EXPECT_EQ(coordinator.historyOf("j"), JobHistory::CallerLeft);
+    now += 4s;
+    coordinator.tick(now);
+    EXPECT_EQ(coordinator.historyOf("j"), JobHistory::CallerLeft);
+    now += 2s;
+    coordinator.tick(now);
+    EXPECT_EQ(coordinator.historyOf("j"), JobHistory::Unknown);
+}
+
 } // namespace
