--- a/test/gateway_process_test.py
+++ b/test/gateway_process_test.py
@@ -60,14 +60,14 @@
 
     @staticmethod
     def request(job, submission, seconds, estimated_ms=4000, deadline_ms=LONGEST_DEADLINE_MS,
-                label=""):
+                label="", cpu=500):
         """Returns the POST of a best-effort job with one task that runs for `seconds`.
 
         The task runs on a target with `label`; each target has the name of its domain as a label.
         """
         body = json.dumps({"spec": json.dumps({"s": seconds, "submission": submission}),
                            "best_effort": True,
-                           "phases": [{"count": 1, "cpu": 500, "mem_mb": 64,
+                           "phases": [{"count": 1, "cpu": cpu, "mem_mb": 64,
                                        "estimated_ms": estimated_ms,
                                        **({"requirements": label} if label else {})}]}).encode()
         return (f"POST {PREFIX}{job} HTTP/1.1\r\nhost: {HOST}\r\ncontent-type: application/json\r\n"
@@ -375,6 +375,43 @@
     def test_request_on_a_kept_connection_that_was_reset_during_a_long_stall_is_not_started(self):
         self.send_and_leave_while_stopped(Caller.reset, True, RESEND_S + 0.3)
 
+    # Guards against two coordinators of one job: a loaded gateway went on with jobs whose callers'
+    # connections had ended, while they ran at another gateway. No job that it had not read by then
+    # may be started either.
+    def test_jobs_of_a_loaded_gateway_whose_callers_leave_at_once_run_at_another_only(self):
+        async def test():
+            first, second = self.fleet.gateways
+            held, unread = ([self.new_job() for _ in range(n)] for n in (6, 24))
+            callers = []
+            for job in held:
+                # Two of them fill the target, so the others wait for free capacity.
+                callers.append(Caller(first))
+                callers[-1].send(Caller.request(job, 1, 30, label="d0", cpu=32000))
+            await self.wait_for_metric(first, "hibiscus_jobs", len(held))
+            await self.wait_for_metric(first, "hibiscus_running_runs", 2)
+            self.stop_gateway(first)
+            for job in unread:
+                callers.append(Caller(first))
+                callers[-1].send(Caller.request(job, 1, 0.5, 500, 3000, "d0"))
+            for i, caller in enumerate(callers):
+                # What was sent before a close, unlike a reset, can still be read.
+                (Caller.reset if i % 2 == 0 else Caller.close)(caller)
+            broke_at = time.monotonic()
+            continued = self.continue_after(first, 0.3)
+            statuses = await asyncio.gather(*(
+                self.submit(second, Caller.request(job, 2, 0.5, 500, 3000, "d1")) for job in unread))
+            await continued
+            await until(lambda: time.monotonic() >= broke_at + RESEND_S, "time to send again")
+            statuses += await asyncio.gather(*(
+                self.submit(second, Caller.request(job, 2, 0.1, 100, 3000, "d1")) for job in held))
+            for gateway in self.fleet.gateways:
+                await self.wait_for_metric(gateway, "hibiscus_jobs", 0)
+            self.assertEqual(statuses, [200] * len(held + unread))
+            self.assertEqual([run for job in unread for run in self.runs(job, 1)], [],
+                             "runs of requests whose callers left before they were read")
+            self.assertEqual([pair for job in held + unread for pair in self.overlaps(job)], [])
+        self.run_in_loop(test())
+
     # Nothing tells that a caller has gone when its connection is only silent.
     def test_runs_of_a_silent_caller_end_after_its_deadline(self):
         async def test():
