A gateway that restarts on a clock set back is heard again

Incarnations are taken from the time of day. A process that starts after its clock was set back has a lower one than its predecessor: registry nodes ignore its announcements, and peers all its messages, for as long as they remember the other one, at worst for its whole life. Callers saw a gateway that can use its own targets only.

A node that hears of a higher incarnation of its own continues above that: a registry node adds the record that it knows to its list, and a peer responds to a message of a lower incarnation with its own next message, which names the higher one. To peers that had accepted the lower one it has restarted; runs on both sides end, and a task whose run was at such a peer waits until that is certain (1.25 s: 1.2 s of validity, and 2% for clocks).

The simulation's gateways have clocks of their own.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -257,7 +257,7 @@
         this->scheduleRetry(task, {}, now);
         break;
     case RunEndKind::Unknown:
-        this->markUncertain(job, end.run.step, task, now);
+        this->markUncertain(job, end.run.step, task, this->options.lostOwnerTimeout, now);
         break;
     }
     const auto isDone = [](const Task &t) { return t.stage == Stage::Done; };
@@ -276,7 +276,18 @@
                 if (!job.isFinished && task.stage == Stage::Assigned && task.owner == owner
                     && task.ownerIncarnation != incarnation) {
                     job.hasRun = true;
-                    this->markUncertain(job, step, task, now);
+                    this->markUncertain(job, step, task, this->options.lostOwnerTimeout, now);
+                }
+}
+
+void FleetCoordinator::disownRemoteRuns(const NodeName &self, TimePoint now)
+{
+    for (auto &[id, job] : this->jobs)
+        for (std::uint32_t step = 0; step < job.tasks.size(); ++step)
+            for (Task &task : job.tasks[step])
+                if (!job.isFinished && task.stage == Stage::Assigned && task.owner != self) {
+                    job.hasRun = true;
+                    this->markUncertain(job, step, task, this->options.disownedRunTimeout, now);
                 }
 }
 
@@ -510,15 +521,16 @@
     task.readyAt = now + delay;
 }
 
-void FleetCoordinator::markUncertain(Job &job, std::uint32_t step, Task &task, TimePoint now)
+void FleetCoordinator::markUncertain(Job &job, std::uint32_t step, Task &task, Duration timeout,
+                                     TimePoint now)
 {
-    const Duration needed = this->options.lostOwnerTimeout + job.definition.steps[step].estimate;
+    const Duration needed = timeout + job.definition.steps[step].estimate;
     if (now + needed > job.bounds.deadlineAt) {
         this->finishJob(job, TransientJobStatus::Unfinished, OutcomeReason::OwnerLost, now);
         return;
     }
     task.stage = Stage::Uncertain;
-    task.readyAt = now + this->options.lostOwnerTimeout;
+    task.readyAt = now + timeout;
 }
 
 void FleetCoordinator::finishJob(Job &job, TransientJobStatus status, OutcomeReason reason,
@@ -565,6 +577,9 @@
             = isFull ? this->options.answerLifetime / 4 : this->options.answerLifetime;
         return now >= item.second.answeredAt + lifetime;
     });
+    std::erase_if(this->leftJobs, [&](const auto &item) {
+        return now >= item.second + this->options.leftJobLifetime;
+    });
 }
 
 RunRequest FleetCoordinator::makeRequest(const Job &job, const RunName &run, TimePoint now) const
@@ -589,9 +604,6 @@
             return task.stage == Stage::Assigned && task.owner == owner;
         });
     });
-    std::erase_if(this->leftJobs, [&](const auto &item) {
-        return now >= item.second + this->options.leftJobLifetime;
-    });
 }
 
 // Prefers free capacity nearby, on targets that are not reserved for longer tasks. Without free
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -113,6 +113,11 @@
      * for clock drift, and the time that the next owner needs to stop the run.
      */
     Duration lostOwnerTimeout = 1150ms;
+    /** \brief Time after which a run at a living owner has certainly ended, if that heard nothing
+     * of this node meanwhile: the time for which a run is valid without contact, and 2% for clock
+     * drift.
+     */
+    Duration disownedRunTimeout = 1250ms;
     /** \brief Time after the deadline in which an answer is still sent: callers may still read it.
      */
     Duration answerGracePeriod = 250ms;
@@ -143,6 +148,10 @@
     void handleRunEnd(const NodeName &owner, const RunEnd &end, TimePoint now);
     /** \brief Marks runs at other incarnations of \a owner as uncertain. */
     void updateIncarnation(const NodeName &owner, std::uint64_t incarnation, TimePoint now);
+    /** \brief Marks all runs at other nodes than \a self as uncertain: their owners take this node
+     * for restarted.
+     */
+    void disownRemoteRuns(const NodeName &self, TimePoint now);
     /** \brief Limits new jobs to those that should be answered by \a time, when this node stops. */
     void setShutdownTime(TimePoint time) { this->shutdownAt = time; }
     void tick(TimePoint now);
@@ -218,7 +227,8 @@
     Duration expectedRunTime(const RoutePolicy &policy, const JobStep &step) const;
     void unblockTasks(Job &job);
     void scheduleRetry(Task &task, Duration delay, TimePoint now);
-    void markUncertain(Job &job, std::uint32_t step, Task &task, TimePoint now);
+    /** \brief Has \a task wait for \a timeout, in which its run ends, or gives its job up. */
+    void markUncertain(Job &job, std::uint32_t step, Task &task, Duration timeout, TimePoint now);
     void finishJob(Job &job, TransientJobStatus status, OutcomeReason reason, TimePoint now);
     void abandonJob(Job &job, OutcomeReason reason, TimePoint now);
     void removeFinishedJobs(TimePoint now);
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -5,6 +5,7 @@
 #include <Hibiscus/Dispatch>
 
 #include <algorithm>
+#include <limits>
 #include <xxhash.h>
 
 namespace Hibiscus {
@@ -44,7 +45,7 @@
 } // namespace internal
 
 FleetNode::FleetNode(const FleetNodeOptions &options)
-    : options(options), jobCoordinator(options.coordinator),
+    : options(options), peerIncarnation(options.incarnation), jobCoordinator(options.coordinator),
       targetOwner(internal::ownerOptions(options)),
       selection({ .self = options.self,
                   .domain = options.domain,
@@ -111,12 +112,16 @@
 void FleetNode::receive(const FleetMessage &message, TimePoint now)
 {
     this->beginEvent(now);
+    this->raiseIncarnation(message.receiverIncarnation, now);
     Peer &peer = this->findOrAddPeer(message.from, now);
     const bool isStale = message.incarnation < peer.incarnation
         || (message.incarnation == peer.incarnation
             && message.sequence <= peer.lastReceivedSequence);
     if (isStale) {
         ++this->counts.staleMessages;
+        // Its clock may have been set back before it started; the next message tells it.
+        if (message.incarnation < peer.incarnation)
+            peer.hasPendingMessage = true;
         return;
     }
     ++this->counts.receivedMessages;
@@ -147,8 +152,7 @@
         peer.report = *message.report;
     this->guard(message, now);
     this->handleAcknowledgement(peer, message);
-    if (message.receiverIncarnation == this->options.incarnation
-        || message.receiverIncarnation == 0)
+    if (message.receiverIncarnation == this->peerIncarnation || message.receiverIncarnation == 0)
         this->handleWantedRuns(peer, message, now);
     for (const RunEnd &end : message.runEnds)
         this->jobCoordinator.handleRunEnd(message.from, end, now);
@@ -161,7 +165,7 @@
 
 void FleetNode::handleAcknowledgement(Peer &peer, const FleetMessage &message)
 {
-    if (message.receiverIncarnation != this->options.incarnation)
+    if (message.receiverIncarnation != this->peerIncarnation)
         return;
     peer.lastAcknowledgedSequence
         = std::max(peer.lastAcknowledgedSequence, message.acknowledgedSequence);
@@ -221,6 +225,26 @@
         this->targetOwner.handlePollResponse(from, sentAt, response, now);
 }
 
+// Incarnations are taken from the clock, so those of a process that started after its clock was set
+// back are lower than its predecessor's, and peers that know this one ignore its messages. To peers
+// that have accepted the lower one it has restarted: the runs that they have here, and those that
+// it has there, end on both sides.
+void FleetNode::raiseIncarnation(std::uint64_t seen, TimePoint now)
+{
+    if (seen <= this->peerIncarnation || seen == std::numeric_limits<std::uint64_t>::max())
+        return;
+    this->beginEvent(now);
+    this->peerIncarnation = seen + 1;
+    this->raisedIncarnation = this->peerIncarnation;
+    this->jobCoordinator.disownRemoteRuns(this->options.self, now);
+    for (auto &[name, peer] : this->peers) {
+        this->targetOwner.cancelRunsOfNode(name, now);
+        peer.sentReport.version = 0;
+        peer.sentTargets.version = 0;
+        peer.hasPendingMessage = peer.hasPendingMessage || peer.incarnation != 0;
+    }
+}
+
 void FleetNode::updatePeer(const NodeRecord &record, TimePoint now)
 {
     if (record.node == this->options.self)
@@ -309,6 +333,7 @@
     out.targetChanges = this->targetOwner.takeChanges();
     out.unsuccessfulRuns = this->jobCoordinator.takeUnsuccessfulRuns();
     out.attempts = this->targetOwner.takeAttempts();
+    out.raisedIncarnation = std::exchange(this->raisedIncarnation, std::nullopt);
     this->hasNewEvents = false;
     return out;
 }
@@ -517,7 +542,7 @@
 {
     FleetMessage message;
     message.from = this->options.self;
-    message.incarnation = this->options.incarnation;
+    message.incarnation = this->peerIncarnation;
     message.domain = this->options.domain;
     message.weight = this->options.weight;
     message.targetsAddress = this->options.targetsAddress;
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -13,7 +13,7 @@
 struct FleetNodeOptions
 {
     NodeName self;
-    std::uint64_t incarnation = 0;
+    std::uint64_t incarnation = 0; ///< raised if peers have seen a higher one of this node
     DomainName domain;
     std::uint32_t weight = 1; ///< size of the VM relative to the others
     std::string targetsAddress; ///< IP:port where targets send heartbeats
@@ -73,6 +73,7 @@
     std::vector<FenceRecord> fences;
     std::vector<NodeName> removedPeers; ///< peers removed after a long silence
     std::vector<NodeName> idlePeers; ///< peers whose connection may be closed for now
+    std::optional<std::uint64_t> raisedIncarnation; ///< incarnation from now on, if it has changed
 };
 
 /** \brief Counters of messages between entry nodes, for metrics. */
@@ -116,6 +117,10 @@
                             const OrderResponse &response, TimePoint now);
     void handlePollResponse(const OrderAddress &from, TimePoint sentAt,
                             const PollResponse &response, TimePoint now);
+    /** \brief Continues with an incarnation above \a seen, which another node has seen of this one,
+     * unless it is higher already.
+     */
+    void raiseIncarnation(std::uint64_t seen, TimePoint now);
     /** \brief Adds or updates \a peer from its directory record. */
     void updatePeer(const NodeRecord &peer, TimePoint now);
     /** \brief Transfers targets as they become empty, and accepts only jobs that should be answered
@@ -131,6 +136,8 @@
     const FleetCoordinator &coordinator() const { return this->jobCoordinator; }
     const FleetOwner &owner() const { return this->targetOwner; }
     const FleetNodeCounters &counters() const { return this->counts; }
+    /** \returns the incarnation that this node has for its peers. */
+    std::uint64_t incarnation() const { return this->peerIncarnation; }
     /** \returns whether there was an event since the last flush(). */
     bool hasPendingOutput() const { return this->hasNewEvents; }
     /** \returns the address for the next heartbeats of \a target; empty if it is this node. */
@@ -251,12 +258,15 @@
     FleetMessage composeMessage(const NodeName &to, Peer &peer, const RunsByPeer &runsByPeer,
                                 TimePoint now);
     void sendMessages(TimePoint now, FleetOutbox &out);
+    /** \brief Identity of this node for its own runs, also when its incarnation is raised. */
     Requester self() const
     {
         return { .node = this->options.self, .incarnation = this->options.incarnation };
     }
 
     FleetNodeOptions options;
+    std::uint64_t peerIncarnation; ///< incarnation of this node for its peers
+    std::optional<std::uint64_t> raisedIncarnation; ///< for the next output
     FleetCoordinator jobCoordinator;
     FleetOwner targetOwner;
     PeerSelection selection;
--- a/Hibiscus/src/Membership/Directory.cpp
+++ b/Hibiscus/src/Membership/Directory.cpp
@@ -1,5 +1,6 @@
 #include "Hibiscus/src/Membership/Directory.h"
 
+#include <algorithm>
 #include <xxhash.h>
 
 namespace Hibiscus {
@@ -22,6 +23,19 @@
     entry = { .record = record, .lastSeenAt = now, .listedAt = now };
 }
 
+NodeList Directory::answer(const NodeAnnouncement &announcement, const NodeRecord &own,
+                           TimePoint now)
+{
+    this->recordAnnouncement(announcement.self, now);
+    const NodeRecord *known = this->find(announcement.self.node);
+    if (known == nullptr || known->incarnation <= announcement.self.incarnation)
+        return this->buildList(own, announcement.listDigest, now);
+    NodeList list = this->buildList(own, 0, now);
+    list.digest = 0;
+    list.nodes.push_back(*known);
+    return list;
+}
+
 void Directory::mergeList(const NodeList &list, TimePoint now)
 {
     ReceivedList &received = this->lists[list.sender];
@@ -37,8 +51,10 @@
     for (const NodeRecord &record : list.nodes)
         received.nodes.push_back(record.node);
     for (const NodeRecord &record : list.nodes) {
-        if (record.node == this->self)
+        if (record.node == this->self) {
+            this->ownListedIncarnation = std::max(this->ownListedIncarnation, record.incarnation);
             continue;
+        }
         Entry &entry = this->entries[record.node];
         if (record.incarnation >= entry.record.incarnation && record != entry.record) {
             entry.record = record;
--- a/Hibiscus/src/Membership/Directory.h
+++ b/Hibiscus/src/Membership/Directory.h
@@ -35,6 +35,10 @@
     void setSeeds(const std::vector<NodeName> &seeds);
     /** \brief Records a node's own announcement, unless an older incarnation sent it. */
     void recordAnnouncement(const NodeRecord &record, TimePoint now);
+    /** \brief Records \a announcement. \returns the list for its sender; if another incarnation of
+     * that has announced a higher number, the list has the record with it.
+     */
+    NodeList answer(const NodeAnnouncement &announcement, const NodeRecord &own, TimePoint now);
     /** \brief Merges the list of a registry node. */
     void mergeList(const NodeList &list, TimePoint now);
     void removeExpired(TimePoint now);
@@ -56,6 +60,8 @@
     /** \returns the gateways in the latest list from \a registry. */
     std::vector<NodeRecord> gatewaysListedBy(const NodeName &registry) const;
     std::vector<NodeName> registries() const;
+    /** \returns the highest incarnation of this node that a registry node has listed; 0: none. */
+    std::uint64_t listedIncarnation() const { return this->ownListedIncarnation; }
     const NodeRecord *find(const NodeName &node) const;
 
 private:
@@ -81,6 +87,7 @@
     std::set<NodeName> seeds;
     std::map<NodeName, Entry> entries;
     std::map<NodeName, ReceivedList> lists; ///< keyed by the registry node that sent the list
+    std::uint64_t ownListedIncarnation = 0;
     TimePoint announcementDueAt;
     TimePoint expiryCheckedAt;
     NodeList builtList; ///< the list that buildList() sends
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -294,6 +294,7 @@
 void GatewayProcess::handleNodeList(const NodeList &list, TimePoint now)
 {
     this->directory.mergeList(list, now);
+    this->node.raiseIncarnation(this->directory.listedIncarnation(), now);
     this->rules.recordAcceptedVersion(list.rulesVersion, now);
     for (const NodeRecord &gateway : this->directory.gatewaysListedBy(list.sender))
         this->node.updatePeer(gateway, now);
@@ -332,6 +333,8 @@
     if (!this->node.hasPendingOutput())
         return;
     const FleetOutbox out = this->node.flush(this->loop.now());
+    if (out.raisedIncarnation)
+        this->context.raiseIncarnation(*out.raisedIncarnation);
     for (const TargetOrder &order : out.orders)
         std::visit([this](const auto &item) { this->send(item); }, order);
     for (const AddressedFleetMessage &item : out.messages)
--- a/Hibiscus/src/Process/NodeContext.cpp
+++ b/Hibiscus/src/Process/NodeContext.cpp
@@ -71,6 +71,13 @@
     return options;
 }
 
+void NodeContext::raiseIncarnation(std::uint64_t raised)
+{
+    logEvent("incarnation-raised",
+             { { "from", std::to_string(this->incarnation) }, { "to", std::to_string(raised) } });
+    this->incarnation = raised;
+}
+
 std::optional<NodeContext> startNode(int *argc, char ***argv, const ExternalProtocol &protocol,
                                      int &exitCode)
 {
--- a/Hibiscus/src/Process/NodeContext.h
+++ b/Hibiscus/src/Process/NodeContext.h
@@ -16,7 +16,8 @@
 {
     NodeProfile profile;
     std::string settingsPath; ///< reloaded when the file changes
-    std::uint64_t incarnation = 0; ///< grows with each start of the process
+    /** \brief Grows with each start of the process, unless its clock is set back; raised then. */
+    std::uint64_t incarnation = 0;
     ExternalProtocol protocol;
 
     /** \returns the name by which the other nodes know this one. */
@@ -25,6 +26,9 @@
     std::vector<NodeName> seeds() const;
     NodeRecord record(NodeKind kind, bool isDraining) const;
     Relay::Options relayOptions() const;
+    /** \brief Continues as incarnation \a raised, since other nodes have seen a higher one than
+     * this. */
+    void raiseIncarnation(std::uint64_t raised);
 };
 
 /** \brief Reads the command line and the settings; prints errors to standard error.
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -207,7 +207,11 @@
                    [&](const NodeAnnouncement &announcement) {
                        this->handleAnnouncement(announcement, now);
                    },
-                   [&](const NodeList &list) { this->directory.mergeList(list, now); },
+                   [&](const NodeList &list) {
+                       this->directory.mergeList(list, now);
+                       if (this->directory.listedIncarnation() > this->context.incarnation)
+                           this->context.raiseIncarnation(this->directory.listedIncarnation() + 1);
+                   },
                    [](const auto &) {},
                },
                message);
@@ -215,9 +219,8 @@
 
 void RegistryProcess::handleAnnouncement(const NodeAnnouncement &announcement, TimePoint now)
 {
-    this->directory.recordAnnouncement(announcement.self, now);
-    NodeList list = this->directory.buildList(this->context.record(NodeKind::Registry, false),
-                                              announcement.listDigest, now);
+    NodeList list = this->directory.answer(announcement,
+                                           this->context.record(NodeKind::Registry, false), now);
     list.rulesVersion = this->node.state().version();
     this->relay.send(announcement.self.node, list);
     if (announcement.self.kind == NodeKind::Gateway)
--- a/test/DirectoryTest.cpp
+++ b/test/DirectoryTest.cpp
@@ -52,4 +52,33 @@
     EXPECT_TRUE(directory.knownGateways(startTime + 9s).empty());
 }
 
+// Guards against a gateway that no list names, since its clock was set back before it started and
+// its announcements count as those of a former process.
+TEST(Directory, NodeWithALowerIncarnationThanBeforeIsToldSo)
+{
+    const NodeRecord registry = recordOf("r", NodeKind::Registry);
+    Directory registryDirectory({}, registry.node);
+    NodeRecord former = recordOf("g1", NodeKind::Gateway);
+    former.incarnation = 9;
+    registryDirectory.answer({ .self = former }, registry, startTime);
+    NodeRecord restarted = former;
+    restarted.incarnation = 4;
+    for (const Duration downtime : { 100ms, 3000ms }) {
+        Directory gatewayDirectory({}, restarted.node);
+        gatewayDirectory.mergeList(
+            registryDirectory.answer({ .self = restarted }, registry, startTime + downtime),
+            startTime + downtime);
+        EXPECT_EQ(gatewayDirectory.listedIncarnation(), former.incarnation);
+        EXPECT_EQ(gatewayDirectory.digestOfList(registry.node), 0U)
+            << "the list names a node that may be gone, so it is not kept";
+    }
+    restarted.incarnation = 10;
+    const NodeList list
+        = registryDirectory.answer({ .self = restarted }, registry, startTime + 3200ms);
+    Directory gatewayDirectory({}, restarted.node);
+    gatewayDirectory.mergeList(list, startTime + 3200ms);
+    EXPECT_EQ(gatewayDirectory.listedIncarnation(), restarted.incarnation);
+    EXPECT_EQ(registryDirectory.liveGateways(startTime + 3200ms).size(), 1U);
+}
+
 } // namespace
--- a/test/FleetCoordinatorTest.cpp
+++ b/test/FleetCoordinatorTest.cpp
@@ -124,4 +124,27 @@
     EXPECT_EQ(coordinator.historyOf("j"), JobHistory::Unknown);
 }
 
+// Guards against a second run of a task at an owner that takes this node for restarted, and may
+// still be stopping the first one.
+TEST(FleetCoordinator, DisownedRunIsNotRepeatedBeforeItHasEnded)
+{
+    TimePoint now(1'800'000'000s);
+    FleetCoordinator coordinator({});
+    std::vector<OwnerView> owners = { ownerWith("o", 1) };
+    const JobStep step = { .demand = { .cpu = 27'000, .memory = 64 }, .estimate = 60ms };
+    RoutePolicy patient = policy();
+    patient.untilDeadline = 5s;
+    coordinator.submit({ .id = "j", .steps = { step } }, patient, 1, owners, now);
+    ASSERT_EQ(coordinator.assignTasks(owners, now).size(), 1U);
+    coordinator.disownRemoteRuns(NodeName("o"), now);
+    EXPECT_EQ(coordinator.wantedRunsAt(NodeName("o")).size(), 1U) << "its own runs go on";
+    coordinator.disownRemoteRuns(NodeName("self"), now);
+    EXPECT_TRUE(coordinator.wantedRunsAt(NodeName("o")).empty());
+    const Duration longestRun = FleetOwnerOptions {}.maxOrphanTime;
+    coordinator.tick(now += longestRun);
+    EXPECT_TRUE(coordinator.assignTasks(owners, now).empty());
+    coordinator.tick(now += 100ms);
+    EXPECT_EQ(coordinator.assignTasks(owners, now).size(), 1U);
+}
+
 } // namespace
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -475,6 +475,27 @@
     }
 }
 
+// Guards against a gateway that is ignored by its peers for as long as it lives, since its clock
+// was set back before it started.
+TEST_F(FleetTargetFault, GatewayThatRestartsOnAClockSetBackIsHeardByItsPeers)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        FleetSimulationOptions options = smallFleet(seed);
+        options.domains = { "a", "b" };
+        options.gatewaysPerDomain = 2;
+        FleetSimulation simulation(options);
+        simulation.run(8s);
+        ASSERT_EQ(simulation.livePeerCount("g-a1"), 3U);
+        simulation.setClock("g-a1", -10s);
+        simulation.kill("g-a1", 200ms);
+        simulation.run(1200ms);
+        EXPECT_EQ(simulation.livePeerCount("g-a1"), 3U) << "seed " << seed;
+        for (const std::string &gateway : simulation.gatewayNames())
+            EXPECT_EQ(simulation.livePeerCount(gateway), 3U) << gateway << ", seed " << seed;
+        expectNoViolations(simulation, seed);
+    }
+}
+
 /** \brief Random faults at random times, partly at once. */
 class FleetSoak : public testing::TestWithParam<std::uint64_t>
 { };
--- a/test/support/FleetSimulation.cpp
+++ b/test/support/FleetSimulation.cpp
@@ -61,6 +61,8 @@
     bool isDark = false; ///< without power: nothing refuses connections to it
     std::vector<std::function<void()>> deferredWork;
     double cpuShare = 1; ///< share of a core
+    Duration clockOffset {}; ///< of the clock that its process has read at its start
+    Duration nextClockOffset {};
     TimePoint busyUntil;
     TimePoint stoppedAt; ///< of the latest end or freeze
     FleetTraffic traffic;
@@ -106,7 +108,10 @@
 {
     FleetNodeOptions nodeOptions = this->options.node;
     nodeOptions.self = NodeName(gateway.name);
-    nodeOptions.incarnation = ++gateway.incarnation;
+    ++gateway.incarnation;
+    gateway.clockOffset = gateway.nextClockOffset;
+    nodeOptions.incarnation = static_cast<std::uint64_t>(this->clockOf(gateway).time_since_epoch()
+                                                         / std::chrono::microseconds(1));
     nodeOptions.domain = DomainName(domainOf(gateway.name));
     nodeOptions.targetsAddress = gateway.name;
     nodeOptions.weight = weightOf(gateway.cpuShare);
@@ -115,7 +120,7 @@
     gateway.isDark = false;
     gateway.deferredWork.clear();
     for (const auto &[name, other] : this->gateways)
-        gateway.node->updatePeer(this->recordOf(*other), this->now());
+        gateway.node->updatePeer(this->recordOf(*other), this->clockOf(gateway));
     const auto tick = std::make_shared<std::function<void()>>();
     *tick = [this, &gateway, incarnation = gateway.incarnation, tick] {
         if (!gateway.node || gateway.incarnation != incarnation)
@@ -128,8 +133,8 @@
             this->occupy(gateway, this->costOf(&FleetProcessor::perTick));
             for (const auto &[name, other] : this->gateways)
                 if (other->node || this->now() < other->stoppedAt + listingLifetime)
-                    gateway.node->updatePeer(this->recordOf(*other), this->now());
-            gateway.node->tick(this->now());
+                    gateway.node->updatePeer(this->recordOf(*other), this->clockOf(gateway));
+            gateway.node->tick(this->clockOf(gateway));
             this->flush(gateway);
         }
         this->scheduler.after(tickInterval, *tick);
@@ -168,10 +173,15 @@
             [this, &gateway, incarnation, work] { this->runWork(gateway, incarnation, work); });
         return;
     }
-    work(*gateway.node, this->now());
+    work(*gateway.node, this->clockOf(gateway));
     this->flush(gateway);
 }
 
+TimePoint FleetSimulation::clockOf(const Gateway &gateway) const
+{
+    return this->now() + gateway.clockOffset;
+}
+
 TimePoint FleetSimulation::occupy(Gateway &gateway, Duration cost)
 {
     const Duration busyTime = fromSeconds(toSeconds(cost) / gateway.cpuShare);
@@ -186,7 +196,9 @@
 
 void FleetSimulation::flush(Gateway &gateway)
 {
-    const FleetOutbox out = gateway.node->flush(this->now());
+    const FleetOutbox out = gateway.node->flush(this->clockOf(gateway));
+    if (out.raisedIncarnation)
+        this->recordTrace(gateway.name, " has a higher incarnation");
     const auto orders = static_cast<std::int64_t>(out.orders.size());
     const auto messages = static_cast<std::int64_t>(out.messages.size());
     this->occupy(gateway,
@@ -869,6 +881,11 @@
     });
 }
 
+void FleetSimulation::setClock(const std::string &gateway, Duration offset)
+{
+    this->gateways.at(gateway)->nextClockOffset = offset;
+}
+
 void FleetSimulation::drain(const std::string &gateway)
 {
     this->deliver(*this->gateways.at(gateway), {},
@@ -1003,6 +1020,12 @@
     return this->gateways.at(gateway)->traffic;
 }
 
+std::size_t FleetSimulation::livePeerCount(const std::string &gateway) const
+{
+    const Gateway &at = *this->gateways.at(gateway);
+    return at.node ? at.node->livePeerCount(this->clockOf(at)) : 0;
+}
+
 double FleetSimulation::servedShare() const
 {
     const auto completed = std::ranges::count_if(this->receivedAnswers, [](const auto &item) {
--- a/test/support/FleetSimulation.h
+++ b/test/support/FleetSimulation.h
@@ -162,6 +162,9 @@
     /** \brief Like kill(), but connections to the gateway are not refused while it is down. */
     void losePower(const std::string &gateway, Duration downFor);
     void freeze(const std::string &gateway, Duration span);
+    /** \brief Sets the clock that \a gateway reads at its next start ahead by \a offset, or back.
+     */
+    void setClock(const std::string &gateway, Duration offset);
     void drain(const std::string &gateway);
     void disconnect(const std::string &one, const std::string &other);
     void heal();
@@ -193,6 +196,7 @@
     const FleetTarget &target(const std::string &name) const { return this->targets.at(name); }
     std::uint64_t starts() const { return this->startCount; }
     const FleetTraffic &traffic(const std::string &gateway) const;
+    std::size_t livePeerCount(const std::string &gateway) const;
     std::size_t taskCount(const std::string &job) const { return this->taskTimes.at(job).size(); }
     /** \returns the share of the jobs that were answered as completed. */
     double servedShare() const;
@@ -213,6 +217,7 @@
     void startGateway(Gateway &gateway);
     void flush(Gateway &gateway);
     NodeRecord recordOf(const Gateway &gateway) const;
+    TimePoint clockOf(const Gateway &gateway) const;
     using Work = std::function<void(FleetNode &, TimePoint)>;
     void deliver(Gateway &gateway, Duration cost, const Work &work);
     void runWork(Gateway &gateway, std::uint64_t incarnation, const Work &work);
