FleetCoordinator: one loop for runs whose owners may live

Read-through: updateIncarnation and disownRemoteRuns had the same loop with another condition; both call disownRuns now. FleetNode::incarnation had no caller and is gone. Two tests share their set-up; their checks are unchanged. No behaviour changes.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -270,22 +270,25 @@
 void FleetCoordinator::updateIncarnation(const NodeName &owner, std::uint64_t incarnation,
                                          TimePoint now)
 {
-    for (auto &[id, job] : this->jobs)
-        for (std::uint32_t step = 0; step < job.tasks.size(); ++step)
-            for (Task &task : job.tasks[step])
-                if (!job.isFinished && task.stage == Stage::Assigned && task.owner == owner
-                    && task.ownerIncarnation != incarnation) {
-                    job.hasRun = true;
-                    this->markUncertain(job, step, task, this->options.livingOwnerTimeout, now);
-                }
+    this->disownRuns(
+        [&](const Task &task) {
+            return task.owner == owner && task.ownerIncarnation != incarnation;
+        },
+        now);
 }
 
 void FleetCoordinator::disownRemoteRuns(const NodeName &self, TimePoint now)
+{
+    this->disownRuns([&](const Task &task) { return task.owner != self; }, now);
+}
+
+template<typename Matches>
+void FleetCoordinator::disownRuns(const Matches &matches, TimePoint now)
 {
     for (auto &[id, job] : this->jobs)
         for (std::uint32_t step = 0; step < job.tasks.size(); ++step)
             for (Task &task : job.tasks[step])
-                if (!job.isFinished && task.stage == Stage::Assigned && task.owner != self) {
+                if (!job.isFinished && task.stage == Stage::Assigned && matches(task)) {
                     job.hasRun = true;
                     this->markUncertain(job, step, task, this->options.livingOwnerTimeout, now);
                 }
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -229,6 +229,11 @@
     Duration expectedRunTime(const RoutePolicy &policy, const JobStep &step) const;
     void unblockTasks(Job &job);
     void scheduleRetry(Task &task, Duration delay, TimePoint now);
+    /** \brief Marks the assigned tasks that match as uncertain: their owners may live, but no
+     * longer hear of them.
+     */
+    template<typename Matches>
+    void disownRuns(const Matches &matches, TimePoint now);
     /** \brief Has \a task wait for \a timeout, in which its run ends, or gives its job up. */
     void markUncertain(Job &job, std::uint32_t step, Task &task, Duration timeout, TimePoint now);
     void finishJob(Job &job, TransientJobStatus status, OutcomeReason reason, TimePoint now);
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -136,8 +136,6 @@
     const FleetCoordinator &coordinator() const { return this->jobCoordinator; }
     const FleetOwner &owner() const { return this->targetOwner; }
     const FleetNodeCounters &counters() const { return this->counts; }
-    /** \returns the incarnation that this node has for its peers. */
-    std::uint64_t incarnation() const { return this->currentIncarnation; }
     /** \returns whether there was an event since the last flush(). */
     bool hasPendingOutput() const { return this->hasNewEvents; }
     /** \returns the address for the next heartbeats of \a target; empty if it is this node. */
--- a/test/FleetCoordinatorTest.cpp
+++ b/test/FleetCoordinatorTest.cpp
@@ -46,6 +46,19 @@
     return names;
 }
 
+/** \brief Submits a job of one task whose caller waits for 5 s. \returns the number of its
+ * assignments.
+ */
+std::size_t assignPatientJob(FleetCoordinator &coordinator, std::vector<OwnerView> &owners,
+                             TimePoint now)
+{
+    const JobStep step = { .demand = { .cpu = 27'000, .memory = 64 }, .estimate = 60ms };
+    RoutePolicy patient = policy();
+    patient.untilDeadline = 5s;
+    coordinator.submit({ .id = "j", .steps = { step } }, patient, 1, owners, now);
+    return coordinator.assignTasks(owners, now).size();
+}
+
 using Names = std::vector<std::string>;
 
 // A long task whose estimate may be far too low would miss its deadline on a slow target.
@@ -131,11 +144,7 @@
     TimePoint now(1'800'000'000s);
     FleetCoordinator coordinator({});
     std::vector<OwnerView> owners = { ownerWith("o", 1) };
-    const JobStep step = { .demand = { .cpu = 27'000, .memory = 64 }, .estimate = 60ms };
-    RoutePolicy patient = policy();
-    patient.untilDeadline = 5s;
-    coordinator.submit({ .id = "j", .steps = { step } }, patient, 1, owners, now);
-    ASSERT_EQ(coordinator.assignTasks(owners, now).size(), 1U);
+    ASSERT_EQ(assignPatientJob(coordinator, owners, now), 1U);
     coordinator.disownRemoteRuns(NodeName("o"), now);
     EXPECT_EQ(coordinator.wantedRunsAt(NodeName("o")).size(), 1U) << "its own runs go on";
     coordinator.disownRemoteRuns(NodeName("self"), now);
@@ -154,11 +163,7 @@
     TimePoint now(1'800'000'000s);
     FleetCoordinator coordinator({});
     std::vector<OwnerView> owners = { ownerWith("o", 1) };
-    const JobStep step = { .demand = { .cpu = 27'000, .memory = 64 }, .estimate = 60ms };
-    RoutePolicy patient = policy();
-    patient.untilDeadline = 5s;
-    coordinator.submit({ .id = "j", .steps = { step } }, patient, 1, owners, now);
-    ASSERT_EQ(coordinator.assignTasks(owners, now).size(), 1U);
+    ASSERT_EQ(assignPatientJob(coordinator, owners, now), 1U);
     coordinator.updateIncarnation(NodeName("o"), 2, now);
     constexpr double slowClock = 0.98;
     const Duration longestRun
