--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Exits with 1 if a worker was brought over its capacity, 0 if not, 2 if the case couldn't run.
+# Exits with 1 if a leaving worker was given work, 0 if none was, 2 if the case could not run.
 cd "$(dirname "$0")" || exit 2
 exec timeout -k 5 118 python3 scenario.py
--- a/review/harness.py
+++ b/review/harness.py
@@ -44,7 +44,8 @@
         self.sequence = self.token = self.end_count = 0
         self.heartbeat_address, self.lease_until, self.lease_timer = "", 0, None
         self.runs, self.stopping, self.newest, self.ends, self.waiting = {}, {}, {}, [], []
-        self.over_capacity, self.starts, self.double_runs = [], 0, []
+        self.over_capacity, self.begun = [], []
+        self.state, self.drain_acked = "ready", None
 
     def clock(self):
         return int((time.monotonic() - self.began) * 1000)
@@ -60,7 +61,7 @@
         while True:
             self.sequence += 1
             body = {"service": SERVICE, "address": f"{self.address}:{self.port}", "zone": self.zone,
-                    "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+                    "version": "v1", "slots": 8, "state": self.state, "cold_remaining_ms": 0,
                     "capacity": {"cpu": self.capacity, "mem_mb": 262144, "gpu": 0},
                     "labels": ["a", "r1"], "clock_ms": self.clock(), "seq": self.sequence,
                     "born": self.born}
@@ -74,6 +75,9 @@
                         asyncio.IncompleteReadError):
                     status, reply = 0, {}
                 if 200 <= status < 300:
+                    if body["state"] == "draining" and self.drain_acked is None:
+                        self.drain_acked = time.monotonic()
+                        self.note(f"draining, acknowledged by {address}")
                     self.heartbeat_address = reply.get("heartbeat_addr") or (
                         address if address == self.heartbeat_address else "")
                     break
@@ -124,7 +128,7 @@
         spec = json.loads(body["spec"])
         others = {**self.runs, **self.stopping}
         load = sum(run["cpu"] for run in others.values()) + spec["cpu"]
-        self.starts += 1
+        self.begun.append((key, time.monotonic(), self.token))
         self.note(f"starts {key[0]}#{key[1]} cpu {spec['cpu']}, then {load} of {self.capacity} in use")
         if load > self.capacity:
             what = ", ".join(f"{k[0]}#{k[1]} ({'being stopped' if k in self.stopping else 'running'})"
@@ -198,7 +202,12 @@
         answer = await reader.read()
     finally:
         writer.close()
-    payload = answer.partition(b"\r\n\r\n")[2]
+    head, _, payload = answer.partition(b"\r\n\r\n")
+    if b"transfer-encoding: chunked" in head.lower():
+        chunks, payload = payload, b""
+        while size := int(chunks.partition(b"\r\n")[0] or b"0", 16):
+            begin = chunks.index(b"\r\n") + 2
+            payload, chunks = payload + chunks[begin:begin + size], chunks[begin + size + 2:]
     return int(answer.split(b" ", 2)[1]), json.loads(payload) if payload[:1] in (b"{", b"[") else {}
 
 
