Replicated: compaction of the log by its size in bytes

Cause: the log was compacted once it had twice as many entries as the state machine has elements. RulesState counts its history, which grows by one with each entry that takes effect, so that never happened. An entry holds the whole configuration twice, and is in memory twice. A restart held the file, its records and their decoded form at once.

Both are bounded by the size of the configuration and by the limit of the history; the cost stays a fixed share of the writes. DiskLog::open reads record by record, and records are encoded in place. RulesState no longer encodes its whole history with each change.

--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -21,6 +21,10 @@
  */
 constexpr Duration registryElection = 400ms;
 constexpr std::uint64_t changesPerSnapshot = 64;
+/** \brief Size of the log at which a snapshot is due: the log is held in memory twice, and a
+ * change has up to some hundreds of kilobytes.
+ */
+constexpr std::size_t logBytesPerSnapshot = 1'000'000;
 
 constexpr int statusRedirect = 307;
 constexpr int statusBadRequest = 400;
@@ -40,6 +44,7 @@
     options.replicated.replica.electionTimeout = registryElection;
     options.replicated.replica.desiredVoters = votersFor(profile.toleratedLosses);
     options.replicated.entriesPerSnapshot = changesPerSnapshot;
+    options.replicated.bytesPerSnapshot = logBytesPerSnapshot;
     options.confirmationTimeout = confirmationTimeout;
     return options;
 }
--- a/Hibiscus/src/Replication/LogEntry.cpp
+++ b/Hibiscus/src/Replication/LogEntry.cpp
@@ -33,6 +33,12 @@
 
 } // namespace internal
 
+std::size_t sizeOf(const LogEntry &entry)
+{
+    const auto *command = std::get_if<Command>(&entry.body);
+    return sizeof(LogEntry) + (command == nullptr ? 0 : command->bytes.size());
+}
+
 void applyWrite(const StorageWrite &write, DurableState &durable)
 {
     std::visit(
--- a/Hibiscus/src/Replication/LogEntry.h
+++ b/Hibiscus/src/Replication/LogEntry.h
@@ -39,6 +39,9 @@
     HIBISCUS_FIELDS(index, term, body)
 };
 
+/** \returns the approximate size of \a entry in memory and on disk, in bytes. */
+std::size_t sizeOf(const LogEntry &entry);
+
 /** \brief The saved state machine after the entry \a index; replaces the log up to and including
  * that entry.
  */
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -84,6 +84,8 @@
     std::uint64_t commitIndex() const { return this->committedIndex; }
     std::uint64_t lastIndex() const;
     std::uint64_t logSize() const { return this->durable.entries.size(); }
+    std::uint64_t snapshotIndex() const { return this->durable.snapshot.index; }
+    std::size_t snapshotBytes() const { return this->durable.snapshot.state.size(); }
     const MemberId &self() const { return this->durable.self; }
     const std::optional<MemberId> &leader() const { return this->knownLeader; }
     const GroupMembership &membership() const { return this->activeMembership; }
--- a/Hibiscus/src/Replication/Replicated.h
+++ b/Hibiscus/src/Replication/Replicated.h
@@ -17,9 +17,6 @@
     {
         machine.save()
         } -> std::same_as<Bytes>;
-    {
-        machine.size()
-        } -> std::convertible_to<std::uint64_t>;
     { machine.restore(bytes) };
 };
 
@@ -66,10 +63,16 @@
         std::vector<Response> responses; ///< to be sent after the sync
     };
 
+    /** \brief Timing of the replica, and when its log is compacted.
+     *
+     * A snapshot is due once the applied part of the log has one of the two sizes below, and twice
+     * the size of the last snapshot.
+     */
     struct Options
     {
         ReplicaOptions replica;
         std::uint64_t entriesPerSnapshot = 4096;
+        std::size_t bytesPerSnapshot = 4'000'000;
     };
 
     Replicated(const Options &options, const DurableState &durable, std::uint64_t seed,
@@ -163,6 +166,7 @@
         if (out.replica.restoredSnapshot) {
             this->state.restore(out.replica.restoredSnapshot->state);
             this->appliedIndex = out.replica.restoredSnapshot->index;
+            this->appliedBytes = 0;
             this->pendingRequests.clear();
             out.replica.restoredSnapshot.reset();
         }
@@ -171,12 +175,20 @@
         out.replica.committedEntries.clear();
         if (!this->localReplica.isLeader())
             this->redirectPendingRequests(out);
-        // A large state is saved less often, so that the cost of snapshots stays a fixed share of
-        // the writes.
-        const std::uint64_t threshold
-            = std::max<std::uint64_t>(this->options.entriesPerSnapshot, 2 * this->state.size());
-        if (this->localReplica.logSize() >= threshold)
+        if (this->isSnapshotDue()) {
             this->localReplica.compact(this->appliedIndex, this->state.save(), out.replica);
+            this->appliedBytes = 0;
+        }
+    }
+
+    // A large state is saved less often, so that the cost of snapshots stays a fixed share of the
+    // writes. The state may grow with each entry, so it is the last snapshot that counts.
+    bool isSnapshotDue() const
+    {
+        const std::uint64_t entries = this->appliedIndex - this->localReplica.snapshotIndex();
+        return this->appliedBytes >= 2 * this->localReplica.snapshotBytes()
+            && (entries >= this->options.entriesPerSnapshot
+                || this->appliedBytes >= this->options.bytesPerSnapshot);
     }
 
     void applyEntry(const LogEntry &entry, Outbox &out)
@@ -184,6 +196,7 @@
         HIBISCUS_INVARIANT(entry.index == this->appliedIndex + 1,
                            "entries are applied in order, each once");
         this->appliedIndex = entry.index;
+        this->appliedBytes += sizeOf(entry);
         const auto *command = std::get_if<Command>(&entry.body);
         if (command == nullptr)
             return;
@@ -212,6 +225,7 @@
     Replica localReplica;
     Machine state;
     std::uint64_t appliedIndex = 0;
+    std::size_t appliedBytes = 0; ///< size of the applied entries behind the last snapshot
     std::map<std::uint64_t, PendingRequest> pendingRequests;
 };
 
--- a/Hibiscus/src/Rules/RulesState.cpp
+++ b/Hibiscus/src/Rules/RulesState.cpp
@@ -62,12 +62,15 @@
           .lines = internal::insertedLinesOf(this->currentText, command.text) });
     this->currentText = command.text;
     this->currentSource = command.source;
-    std::size_t bytes = 0;
-    for (const RulesChange &change : this->changes)
-        bytes += encode(change).size();
+    this->historyBytes += encode(this->changes.back()).size();
+    this->trimHistory();
+}
+
+void RulesState::trimHistory()
+{
     while (this->changes.size() > internal::maxChanges
-           || (bytes > internal::maxHistoryBytes && this->changes.size() > 1)) {
-        bytes -= encode(this->changes.front()).size();
+           || (this->historyBytes > internal::maxHistoryBytes && this->changes.size() > 1)) {
+        this->historyBytes -= encode(this->changes.front()).size();
         this->changes.pop_front();
     }
 }
@@ -99,6 +102,9 @@
     archive(this->currentVersion, this->currentText, this->currentSource, this->changes);
     HIBISCUS_INVARIANT(this->currentVersion >= previousVersion,
                        "the version of the rules never decreases");
+    this->historyBytes = 0;
+    for (const RulesChange &change : this->changes)
+        this->historyBytes += encode(change).size();
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Rules/RulesState.h
+++ b/Hibiscus/src/Rules/RulesState.h
@@ -72,7 +72,6 @@
 
     // Queries.
     Bytes save() const;
-    std::uint64_t size() const { return this->changes.size(); }
     std::uint64_t version() const { return this->currentVersion; }
     const std::string &text() const { return this->currentText; }
     const std::string &source() const { return this->currentSource; }
@@ -81,11 +80,13 @@
 private:
     ApplyReply conflict() const;
     void replace(const ApplyRules &command, std::uint64_t version);
+    void trimHistory();
 
     std::uint64_t currentVersion = 0;
     std::string currentText;
     std::string currentSource;
     std::deque<RulesChange> changes;
+    std::size_t historyBytes = 0; ///< encoded size of the changes
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Storage/DiskLog.cpp
+++ b/Hibiscus/src/Storage/DiskLog.cpp
@@ -1,6 +1,7 @@
 #include "Hibiscus/src/Storage/DiskLog.h"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
@@ -38,13 +39,18 @@
     std::uint64_t checksum = 0;
 };
 
-static Bytes frameRecord(const Bytes &payload)
+/** \returns the record with \a value as its payload. */
+template<typename Value>
+static Bytes encodeRecord(const Value &value)
 {
+    Bytes record(sizeof(RecordHeader), '\0');
+    internal::BinaryWriter archive(record);
+    archive(value);
+    const std::string_view payload = std::string_view(record).substr(sizeof(RecordHeader));
     const RecordHeader header
         = { .length = payload.size(), .checksum = XXH3_64bits(payload.data(), payload.size()) };
-    Bytes record(sizeof(header), '\0');
     std::memcpy(record.data(), &header, sizeof(header));
-    return record + payload;
+    return record;
 }
 
 static tl::unexpected<std::error_code> lastError()
@@ -115,7 +121,7 @@
                                 .hardState = state.hardState,
                                 .snapshot = state.snapshot,
                                 .entries = state.entries };
-    const Bytes record = frameRecord(encode(first));
+    const Bytes record = encodeRecord(first);
     if (const auto replaced = writeAndRename(file, record, folder); !replaced) {
         ::close(file);
         ::unlink(next.c_str());
@@ -124,25 +130,68 @@
     return ReplacedLog { .file = file, .bytes = record.size() };
 }
 
-/** \brief The payloads of the intact records of a file, and the length of these records. */
-struct LogContent
+/** \brief Reads the intact records of a file one by one, so that a long log is not held in memory
+ * beside the state that it describes.
+ */
+class RecordReader
 {
-    std::vector<Bytes> payloads;
-    std::size_t intactBytes = 0;
+public:
+    explicit RecordReader(const std::filesystem::path &path)
+        : stream(path, std::ios::binary | std::ios::ate),
+          fileBytes(this->stream ? static_cast<std::uint64_t>(this->stream.tellg()) : 0)
+    { }
+
+    /** \returns the payload of the next record, unless it is incomplete or damaged. */
+    std::optional<Bytes> next()
+    {
+        RecordHeader header;
+        std::array<char, sizeof(header)> bytes = {};
+        this->stream.seekg(static_cast<std::streamoff>(this->readBytes));
+        if (!this->stream.read(bytes.data(), bytes.size()))
+            return std::nullopt;
+        std::memcpy(&header, bytes.data(), sizeof(header));
+        const std::uint64_t remaining = this->fileBytes - this->readBytes - sizeof(header);
+        if (header.length == 0 || header.length > remaining)
+            return std::nullopt;
+        Bytes payload(header.length, '\0');
+        const bool isIntact
+            = this->stream.read(payload.data(), static_cast<std::streamsize>(payload.size()))
+            && XXH3_64bits(payload.data(), payload.size()) == header.checksum;
+        if (!isIntact)
+            return std::nullopt;
+        this->readBytes += sizeof(header) + payload.size();
+        return payload;
+    }
+
+    /** \returns everything after the records that were read. */
+    Bytes rest()
+    {
+        this->stream.clear();
+        this->stream.seekg(static_cast<std::streamoff>(this->readBytes));
+        return { std::istreambuf_iterator<char>(this->stream), std::istreambuf_iterator<char>() };
+    }
+
+    bool isOpen() const { return this->stream.is_open(); }
+    /** \returns the length of the records that were read. */
+    std::uint64_t intactBytes() const { return this->readBytes; }
+
+private:
+    std::ifstream stream;
+    std::uint64_t fileBytes;
+    std::uint64_t readBytes = 0;
 };
 
-/** \returns the payload of the record that begins at \a begin, if it is complete and intact. */
-static std::optional<std::string_view> recordAt(std::string_view bytes, std::size_t begin)
+/** \returns whether a complete and intact record begins at \a begin. */
+static bool isRecordAt(std::string_view bytes, std::size_t begin)
 {
     RecordHeader header;
     if (bytes.size() - begin < sizeof(header))
-        return std::nullopt;
+        return false;
     std::memcpy(&header, bytes.data() + begin, sizeof(header));
     const std::size_t payload = begin + sizeof(header);
     if (header.length == 0 || header.length > bytes.size() - payload)
-        return std::nullopt;
-    const bool isIntact = XXH3_64bits(bytes.data() + payload, header.length) == header.checksum;
-    return isIntact ? std::optional(bytes.substr(payload, header.length)) : std::nullopt;
+        return false;
+    return XXH3_64bits(bytes.data() + payload, header.length) == header.checksum;
 }
 
 // A record holds all that was written between two syncs, so only the last record can be torn,
@@ -151,46 +200,50 @@
 static bool hasRecordAfter(std::string_view bytes, std::size_t begin)
 {
     for (std::size_t offset = begin + 1; offset < bytes.size(); ++offset)
-        if (recordAt(bytes, offset))
+        if (isRecordAt(bytes, offset))
             return true;
     return false;
 }
 
-static Result<LogContent> readLog(const std::filesystem::path &path)
+/** \brief The state that a log describes, and the length of its intact records. */
+struct LogContent
 {
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream)
-        return failure(Errc::Io);
-    const Bytes bytes((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
-    LogContent content;
-    while (const auto payload = recordAt(bytes, content.intactBytes)) {
-        content.payloads.emplace_back(*payload);
-        content.intactBytes += sizeof(RecordHeader) + payload->size();
-    }
-    if (hasRecordAfter(bytes, content.intactBytes))
-        return failure(Errc::MalformedRecord);
-    return content;
-}
+    DurableState state;
+    std::uint64_t intactBytes = 0;
+};
 
-static Result<DurableState> replay(const LogContent &content)
+static Result<DurableState> readFirstRecord(RecordReader &reader)
 {
-    if (content.payloads.empty())
+    const std::optional<Bytes> payload = reader.next();
+    if (!payload)
         return failure(Errc::MalformedRecord);
-    const Result<FirstRecord> first = decode<FirstRecord>(content.payloads.front());
+    Result<FirstRecord> first = decode<FirstRecord>(*payload);
     if (!first)
         return failure(Errc::MalformedRecord);
-    DurableState state = { .self = first->self,
-                           .hardState = first->hardState,
-                           .snapshot = first->snapshot,
-                           .entries = first->entries };
-    for (std::size_t i = 1; i < content.payloads.size(); ++i) {
-        const auto writes = decode<std::vector<StorageWrite>>(content.payloads[i]);
+    return DurableState { .self = first->self,
+                          .hardState = first->hardState,
+                          .snapshot = std::move(first->snapshot),
+                          .entries = std::move(first->entries) };
+}
+
+static Result<LogContent> readLog(const std::filesystem::path &path)
+{
+    RecordReader reader(path);
+    if (!reader.isOpen())
+        return failure(Errc::Io);
+    Result<DurableState> state = readFirstRecord(reader);
+    if (!state)
+        return tl::unexpected<std::error_code>(state.error());
+    while (const std::optional<Bytes> payload = reader.next()) {
+        const auto writes = decode<std::vector<StorageWrite>>(*payload);
         if (!writes)
             return failure(Errc::MalformedRecord);
         for (const StorageWrite &write : *writes)
-            applyWrite(write, state);
+            applyWrite(write, *state);
     }
-    return state;
+    if (hasRecordAfter(reader.rest(), 0))
+        return failure(Errc::MalformedRecord);
+    return LogContent { .state = std::move(*state), .intactBytes = reader.intactBytes() };
 }
 
 } // namespace internal
@@ -224,17 +277,15 @@
         ::close(file);
         return failure(Errc::Io);
     }
-    const Result<internal::LogContent> content = internal::readLog(path);
-    const Result<DurableState> state = content
-        ? internal::replay(*content)
-        : Result<DurableState>(failure(Errc::MalformedRecord));
+    Result<internal::LogContent> content = internal::readLog(path);
     const bool isTruncated
-        = state && ::ftruncate(file, static_cast<off_t>(content->intactBytes)) == 0;
+        = content && ::ftruncate(file, static_cast<off_t>(content->intactBytes)) == 0;
     if (!isTruncated) {
         ::close(file);
-        return tl::unexpected<std::error_code>(state ? make_error_code(Errc::Io) : state.error());
+        return tl::unexpected<std::error_code>(content ? make_error_code(Errc::Io)
+                                                       : content.error());
     }
-    return DiskLog(folder, file, content->intactBytes, *state);
+    return DiskLog(folder, file, content->intactBytes, std::move(content->state));
 }
 
 DiskLog::DiskLog(std::filesystem::path folder, int file, std::uint64_t bytes, DurableState state)
@@ -275,7 +326,7 @@
     });
     if (hasSnapshot)
         return this->writeWithSnapshot(writes);
-    if (const auto appended = this->append(internal::frameRecord(encode(writes))); !appended)
+    if (const auto appended = this->append(internal::encodeRecord(writes)); !appended)
         return appended;
     for (const StorageWrite &write : writes)
         applyWrite(write, this->durable);
--- a/test/FullDiskTest.cpp
+++ b/test/FullDiskTest.cpp
@@ -76,9 +76,9 @@
     std::optional<TimePoint> acknowledgedAt;
 };
 
-std::string rulesTextOf(std::uint64_t version)
+std::string rulesTextOf(std::uint64_t version, std::size_t padding = 0)
 {
-    return "refuse service=s" + std::to_string(version) + " # a\n";
+    return "refuse service=s" + std::to_string(version) + " # a" + std::string(padding, 'x') + "\n";
 }
 
 /** \brief Registries with disks, of which the first three found the group and the others join it;
@@ -93,7 +93,9 @@
 
     static constexpr std::size_t voterCount = 3;
 
-    explicit Registries(std::uint64_t seed, std::size_t memberCount = voterCount) : random(seed)
+    explicit Registries(std::uint64_t seed, std::size_t memberCount = voterCount,
+                        std::size_t padding = 0)
+        : random(seed), padding(padding)
     {
         for (std::size_t i = 1; i <= memberCount; ++i)
             this->names.emplace_back("r" + std::to_string(i));
@@ -101,6 +103,7 @@
         this->options.replicated.replica.electionTimeout = 400ms;
         this->options.replicated.replica.desiredVoters = voterCount;
         this->options.replicated.entriesPerSnapshot = 8;
+        this->options.replicated.bytesPerSnapshot = 4 * padding + 1;
         const std::vector<NodeName> founders(this->names.begin(), this->names.begin() + voterCount);
         for (const NodeName &name : this->names) {
             const bool isFounder = this->members.size() < voterCount;
@@ -173,7 +176,7 @@
         for (const Registry &member : this->members) {
             const RulesState &state = member.node->state();
             EXPECT_GE(state.version(), this->newestAcknowledged());
-            EXPECT_EQ(state.text(), rulesTextOf(state.version()));
+            EXPECT_EQ(state.text(), rulesTextOf(state.version(), this->padding));
         }
     }
 
@@ -255,8 +258,9 @@
 
     void send(std::uint64_t version, Change &change)
     {
-        ApplyRules command
-            = { .applyId = std::to_string(version), .author = "a", .text = rulesTextOf(version) };
+        ApplyRules command = { .applyId = std::to_string(version),
+                               .author = "a",
+                               .text = rulesTextOf(version, this->padding) };
         command.assignedVersion = version;
         Registry &member = this->members[change.target];
         change.target = (change.target + 1) % this->members.size();
@@ -284,6 +288,7 @@
     }
 
     ControlOptions options;
+    std::size_t padding;
     std::multimap<TimePoint, ReplicaEnvelope> inFlight;
     std::map<std::uint64_t, Change> changes;
     std::uint64_t newestVersion = 0;
@@ -375,6 +380,33 @@
     }
 }
 
+// Guards against a compaction that loses acknowledged changes, when it finds no room on the disk or
+// members are restarted meanwhile, and against members that need a snapshot and don't get it.
+TEST(FullDisk, ChangesSurviveCompactionsWithFullDisksAndRestarts)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Registries registries(seed, Registries::voterCount, 20'000);
+        registries.run(2s);
+        for (int fault = 0; fault < 6; ++fault) {
+            const std::size_t index = registries.random() % 3;
+            registries.fillDisk(index, registries.random() % 2 == 0,
+                                Duration(registries.random() % 3'000'000));
+            registries.isolatedIndex = registries.random() % 3;
+            registries.run(4s);
+            registries.isolatedIndex.reset();
+            registries.restart(registries.random() % 3);
+            registries.run(1500ms);
+        }
+        registries.isOperatorAtWork = false;
+        registries.run(3s);
+        EXPECT_GT(registries.newestAcknowledged(), 40U);
+        registries.expectAcknowledgedRulesEverywhere();
+        for (const Registry &member : registries.members)
+            EXPECT_LT(member.node->replica().logSize(), 40U) << "entries of 20 kB";
+    }
+}
+
 // Guards against a group that stays without a leader after all of its disks were full at once.
 TEST(FullDisk, ChangesAreAcceptedSoonAfterAllDisksWereFull)
 {
--- a/test/StorageTest.cpp
+++ b/test/StorageTest.cpp
@@ -1,3 +1,5 @@
+#include "test/support/TemporaryFolder.h"
+
 #include <Hibiscus/Storage>
 #include <csignal>
 #include <fcntl.h>
@@ -12,6 +14,7 @@
 #include <unistd.h>
 
 using namespace Hibiscus;
+using Fake::TemporaryFolder;
 
 namespace {
 
@@ -72,25 +75,6 @@
     rlimit previous = {};
 };
 
-/** \brief A temporary folder that is removed at the end of a test. */
-class TemporaryFolder
-{
-public:
-    TemporaryFolder()
-        : path(std::filesystem::temp_directory_path()
-               / ("hibiscus-storage-" + std::to_string(::getpid()) + "-"
-                  + std::to_string(++createdCount)))
-    {
-        std::filesystem::remove_all(this->path);
-    }
-    ~TemporaryFolder() { std::filesystem::remove_all(this->path); }
-
-    std::filesystem::path path;
-
-private:
-    static inline int createdCount = 0;
-};
-
 DurableState initialState()
 {
     DurableState state;
