--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -246,6 +246,7 @@
         return;
     Progress &progress = found->second;
     progress.lastSeenAt = now;
+    progress.isProbeInFlight = false;
     progress.acknowledgedRound = std::max(progress.acknowledgedRound, reply.round);
     if (reply.matched) {
         progress.matchIndex = std::max(progress.matchIndex, reply.lastIndex);
@@ -369,6 +370,11 @@
 {
     Progress &progress = this->progress.at(to);
     progress.sentAt = now;
+    // Repeated with each heartbeat, what is sent to a silent member would fill the memory.
+    const bool isProbeInFlight = progress.isProbing && progress.isProbeInFlight;
+    if (isProbeInFlight)
+        progress.nextIndex = std::max(progress.nextIndex, this->durable.snapshot.index + 1);
+    progress.isProbeInFlight = true;
     if (progress.nextIndex <= this->durable.snapshot.index) {
         this->send(to,
                    SnapshotRequest { .term = this->term(),
@@ -388,7 +394,7 @@
     const std::uint64_t remaining = this->lastIndex() + 1 - progress.nextIndex;
     const std::uint64_t limit = std::min<std::uint64_t>(remaining, this->options.entriesPerAppend);
     std::size_t bytes = 0;
-    while (request.entries.size() < limit) {
+    while (!isProbeInFlight && request.entries.size() < limit) {
         const LogEntry &entry = this->entryAt(progress.nextIndex + request.entries.size());
         if (const auto *command = std::get_if<Command>(&entry.body))
             bytes += command->bytes.size();
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -100,7 +100,11 @@
         std::uint64_t acknowledgedRound = 0;
         TimePoint lastSeenAt;
         TimePoint sentAt;
-        bool isProbing = true; ///< one append in flight until the logs are known to match
+        bool isProbing = true; ///< whether the logs are not known to match
+        /** \brief Whether the member has not replied since entries or a snapshot were sent to probe
+         * it; until then, further appends have none.
+         */
+        bool isProbeInFlight = false;
     };
 
     struct PendingRead
--- a/test/ReplicationTest.cpp
+++ b/test/ReplicationTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 using namespace Hibiscus;
 
 namespace {
@@ -63,14 +65,14 @@
     int nextJobNumber = 1;
 };
 
-/** \brief Two replicas that exchange messages without delay. */
-class ReplicaPair
+/** \brief Replicas that exchange messages without delay. */
+class ReplicaGroup
 {
 public:
-    ReplicaPair()
+    explicit ReplicaGroup(const std::vector<const char *> &names)
     {
         DurableState durable;
-        for (const char *name : { "a", "b" })
+        for (const char *name : names)
             durable.snapshot.membership.members.push_back(
                 { .id = { .node = NodeName(name), .incarnation = 1 } });
         for (const Member &member : durable.snapshot.membership.members) {
@@ -82,11 +84,12 @@
 
     Replica &leader()
     {
-        while (!this->replicas.at(NodeName("a")).isLeader()
-               && !this->replicas.at(NodeName("b")).isLeader())
+        while (true) {
+            for (auto &[name, replica] : this->replicas)
+                if (replica.isLeader())
+                    return replica;
             this->step();
-        const bool isFirst = this->replicas.at(NodeName("a")).isLeader();
-        return this->replicas.at(NodeName(isFirst ? "a" : "b"));
+        }
     }
 
     void step()
@@ -104,7 +107,13 @@
             ReplicaOutbox next;
             for (const auto *envelopes : { &out.sendBeforeSync, &out.sendAfterSync })
                 for (const ReplicaEnvelope &envelope : *envelopes) {
-                    this->largestMessage = std::max(this->largestMessage, encode(envelope).size());
+                    const std::size_t size = encode(envelope).size();
+                    this->largestMessage = std::max(this->largestMessage, size);
+                    if (this->silent.contains(envelope.to))
+                        this->bytesToSilent += size;
+                    if (this->silent.contains(envelope.to)
+                        || this->silent.contains(envelope.from.node))
+                        continue;
                     this->replicas.at(envelope.to).receive(envelope, this->now, next);
                 }
             out = std::move(next);
@@ -113,14 +122,16 @@
 
     TimePoint now { 1'800'000'000s };
     std::map<NodeName, Replica> replicas;
+    std::set<NodeName> silent; ///< members that neither send nor receive
     std::size_t largestMessage = 0;
+    std::size_t bytesToSilent = 0;
 };
 
 // Guards against an append that is larger than any message may be: the member would never get the
 // entries after a silence.
 TEST(Replication, EntriesOfAnAppendAreBoundedInBytes)
 {
-    ReplicaPair pair;
+    ReplicaGroup pair({ "a", "b" });
     Replica &leader = pair.leader();
     ReplicaOutbox lost;
     for (const std::size_t size : { 1'000'000U, 1'000'000U, 8'000'000U, 10U, 3'000'000U })
@@ -134,6 +145,36 @@
     EXPECT_LT(pair.largestMessage, 8'001'000U);
 }
 
+// Guards against a leader that runs out of memory since it sends the same entries or snapshot to a
+// silent member with each heartbeat.
+TEST(Replication, EntriesAndSnapshotsAreNotRepeatedToASilentMember)
+{
+    const NodeName member("c");
+    for (const bool isCompacted : { false, true }) {
+        ReplicaGroup group({ "a", "b", "c" });
+        group.silent = { member };
+        Replica &leader = group.leader();
+        constexpr int entryCount = 20;
+        constexpr std::size_t entryBytes = 500'000;
+        for (int i = 0; i < entryCount; ++i) {
+            ReplicaOutbox out;
+            leader.propose({ Bytes(entryBytes, 'x') }, group.now, out);
+            group.deliver(std::move(out));
+            group.step();
+            ReplicaOutbox compacted;
+            if (isCompacted)
+                leader.compact(leader.commitIndex(), Bytes(entryBytes, 's'), compacted);
+        }
+        for (int i = 0; i < 200; ++i)
+            group.step();
+        EXPECT_LT(group.bytesToSilent, 2 * entryCount * entryBytes);
+        group.silent.clear();
+        for (int i = 0; i < 200; ++i)
+            group.step();
+        EXPECT_EQ(group.replicas.at(member).commitIndex(), leader.commitIndex());
+    }
+}
+
 TEST(Replication, MemberWithLostDiskRejoinsAsNewMemberAndCatchesUp)
 {
     for (const std::uint64_t seed : { 1U, 2U, 3U, 4U, 5U, 6U }) {
