Relay: bound in bytes on the messages that wait for a node

Evidence: Relay.BoundsTheBytesThatWaitForANode; scripts/red-runs queue-is-bounded-in-bytes: caught, the test fails without the guard.

--- a/Hibiscus/src/Net/Relay.cpp
+++ b/Hibiscus/src/Net/Relay.cpp
@@ -69,6 +69,11 @@
         this->refuse(to, message, bytes.size());
         return;
     }
+    if (!link->queue.empty() && link->queuedBytes + bytes.size() > this->options.maxQueuedBytes) {
+        ++this->counts.droppedMessages;
+        return;
+    }
+    link->queuedBytes += bytes.size();
     link->queue.push_back(std::move(bytes));
     this->sendNextBatch(link);
 }
@@ -131,6 +136,7 @@
     while (!link->queue.empty() && batch.size() < internal::maxMessagesPerBatch
            && size + link->queue.front().size() <= this->options.maxMessageBytes) {
         size += link->queue.front().size();
+        link->queuedBytes -= link->queue.front().size();
         this->counts.sentBytes += link->queue.front().size();
         batch.push_back(std::move(link->queue.front()));
         link->queue.pop_front();
--- a/Hibiscus/src/Net/Relay.h
+++ b/Hibiscus/src/Net/Relay.h
@@ -51,6 +51,10 @@
         bool namesAreAddresses = false; ///< the name of a node not in \a nodes is its address
         Duration batchTimeout = 2s;
         std::size_t maxQueuedMessages = 100'000; ///< limit for each node
+        /** \brief Limit of the sum of the queued messages for each node; a single message may be
+         * larger.
+         */
+        std::size_t maxQueuedBytes = 8 * Hibiscus::maxMessageBytes;
         std::size_t maxMessageBytes = Hibiscus::maxMessageBytes; ///< larger ones are not sent
     };
 
@@ -79,6 +83,7 @@
         NodeName node;
         Address address;
         std::deque<Bytes> queue;
+        std::size_t queuedBytes = 0; ///< size of the messages in the queue
         bool isSending = false;
     };
 
--- a/Hibiscus/src/Process/NodeContext.cpp
+++ b/Hibiscus/src/Process/NodeContext.cpp
@@ -68,6 +68,8 @@
     // A peer that accepts no messages for seconds, so that its queue is full, counts as lost.
     constexpr std::size_t maxQueuedMessages = 2'000;
     options.maxQueuedMessages = maxQueuedMessages;
+    constexpr std::size_t maxQueuedBytes = 8'000'000;
+    options.maxQueuedBytes = maxQueuedBytes;
     return options;
 }
 
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -270,6 +270,21 @@
     EXPECT_EQ(relays.received.size(), 1U);
 }
 
+// Guards against messages for a node that accepts none filling the memory: they may be large.
+TEST(Relay, BoundsTheBytesThatWaitForANode)
+{
+    EventLoop loop;
+    Relay::Options options = RelayPair::optionsOf(ownAddress(27801));
+    options.maxQueuedBytes = 8'000'000;
+    Relay relay(
+        loop, options, makeHttpTransport, [](const WireMessage &) {}, [](const NodeName &) {});
+    const RulesFile file = { .version = 1, .text = std::string(1'000'000, 'x') };
+    for (int i = 0; i < 100; ++i)
+        relay.send(RelayPair::receiver(), RulesUpdate { .content = file });
+    EXPECT_GE(relay.counters().droppedMessages, 100U - 1U - 8U);
+    EXPECT_LE(relay.counters().droppedMessages, 100U - 1U - 7U);
+}
+
 // A node that was stopped and starts again gets messages without a new link.
 TEST(Relay, ReconnectsOverHttpAfterARestart)
 {
