TargetDriver: work only once the stops of previous owners are over

Cause: a target need not list a run that is being stopped, and its capacity is free only once the stop is over. For its own runs the driver waits for that; but a target counted as reconciled with the first list without a run of a previous owner, be it one that this driver was stopping, or one that the previous owner had stopped just before.

Change: a foreign run is over once its end is listed, or maxStopTime after the first list without it. A target is reconciled maxStopTime after it first accepted this driver's token: from then on it rejects further stops of others. Related: a run of the driver's own counted as missing since the send time of a poll, but the list shows the state at the end of the poll's wait, up to 100 ms later; it counts from the arrival now.

Fixtures that reconcile a target answer a second poll now; what they check is unchanged. The simulation has targets that don't guard their capacity, and counts each start over it.

--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -226,6 +226,8 @@
     }
     this->endUnlistedRuns(response, now, out);
     this->stopForeignRuns(response, now, out);
+    this->endForeignRuns(response, now);
+    this->reconcile(response, now);
 }
 
 void TargetDriver::tick(TimePoint now, DriverOutbox &out)
@@ -420,7 +422,7 @@
     this->isPolling = true;
     this->pollSentAt = now;
     const bool isResultUrgent
-        = !this->reconciled || std::ranges::any_of(this->runs, [](const auto &r) {
+        = !this->hasOnlyOwnRuns() || std::ranges::any_of(this->runs, [](const auto &r) {
               return r.second.stopConfirmedAt || r.second.missingSince;
           });
     constexpr Duration shortWait = 20ms; // a stopped run is listed within tens of ms
@@ -482,7 +484,7 @@
         if (!response.isComplete)
             continue;
         if (!run.missingSince && run.phase == Phase::Running && run.confirmedAt < this->pollSentAt)
-            run.missingSince = this->pollSentAt;
+            run.missingSince = now;
         if (const auto end = this->endOfUnlisted(name, run))
             runEnds.push_back(*end);
     }
@@ -495,17 +497,14 @@
 // that a stop takes.
 std::optional<ObservedRunEnd> TargetDriver::endOfUnlisted(const RunName &name, const Run &run) const
 {
-    const auto isOver = [&](const std::optional<TimePoint> &since) {
-        return since && *since + this->options.maxStopTime <= this->pollSentAt;
-    };
-    if (isOver(run.stopConfirmedAt))
+    if (this->isOver(run.stopConfirmedAt))
         return ObservedRunEnd { .run = name,
                                 .kind = RunEndKind::Stopped,
                                 .evidence = RunEndEvidence::StopConfirmed };
     // The lease was not renewed beyond the validity of the run. Its start, if the target executes
     // it later, has a lower token than this poll or a guardian's.
     const bool hasExpired = run.validUntil <= this->pollSentAt;
-    if (hasExpired || (!run.isStopWanted && isOver(run.missingSince)))
+    if (hasExpired || (!run.isStopWanted && this->isOver(run.missingSince)))
         return ObservedRunEnd { .run = name,
                                 .kind = RunEndKind::Lost,
                                 .evidence = RunEndEvidence::NotListed };
@@ -514,24 +513,50 @@
 
 void TargetDriver::stopForeignRuns(const PollResponse &response, TimePoint now, DriverOutbox &out)
 {
-    bool hasForeignRun = false;
     for (const RunName &name : response.running) {
         if (this->runs.contains(name))
             continue;
-        hasForeignRun = true;
-        const auto [known, isNew] = this->foreignRunStopAt.try_emplace(name, now);
+        const auto [known, isNew]
+            = this->foreignRuns.try_emplace(name, ForeignRun { .stopAt = now });
+        known->second.missingSince.reset();
         if (isNew)
             out.foreignRuns.push_back(name);
-        if (now < known->second)
+        if (now < known->second.stopAt)
             continue;
-        known->second = now + this->options.foreignStopInterval;
+        known->second.stopAt = now + this->options.foreignStopInterval;
         out.orders.emplace_back(
             StopOrder { .to = this->address(), .run = name, .usesNewConnection = !isNew });
     }
-    if (hasForeignRun || !response.isComplete)
+}
+
+void TargetDriver::endForeignRuns(const PollResponse &response, TimePoint now)
+{
+    for (const EndedRun &listed : response.ended)
+        this->foreignRuns.erase(listed.run);
+    if (!response.isComplete)
         return;
-    this->foreignRunStopAt.clear();
-    this->reconciled = true;
+    std::erase_if(this->foreignRuns,
+                  [&](const auto &item) { return this->isOver(item.second.missingSince); });
+    for (auto &[name, run] : this->foreignRuns) {
+        const bool isListed = std::ranges::find(response.running, name) != response.running.end();
+        if (!isListed && !run.missingSince)
+            run.missingSince = now;
+    }
+}
+
+void TargetDriver::reconcile(const PollResponse &response, TimePoint now)
+{
+    if (this->isOver(this->othersRejectedSince) && response.isComplete)
+        this->areOtherStopsOver = true;
+    if (!this->othersRejectedSince)
+        this->othersRejectedSince = now;
+    if (this->areOtherStopsOver && this->foreignRuns.empty())
+        this->reconciled = true;
+    // An earlier list would not tell more.
+    const bool isWaiting
+        = !this->areOtherStopsOver && this->runs.empty() && this->foreignRuns.empty();
+    if (isWaiting)
+        this->nextPollAt = *this->othersRejectedSince + this->options.maxStopTime;
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -50,8 +50,8 @@
     Duration minTenure = 2s;
     std::uint32_t maxRegains = 3;
     Duration stopRetryInterval = 50ms; ///< delay before an unconfirmed stop is sent again
-    /** \brief Delay before the stop of a previous owner's run is sent again: it may take
-     * maxStopTime after its response, for which this driver does not wait.
+    /** \brief Delay before the stop of a previous owner's run is sent again; the run may be listed
+     * until maxStopTime after the response.
      */
     Duration foreignStopInterval = 150ms;
     Duration avoidAfterRefusal = 250ms; ///< pause of an unhealthy target, doubled each time
@@ -88,6 +88,11 @@
  * confirmed its stop and does not list it afterwards. A restart of the target under the same name
  * is no such evidence: orders name the target only, so the new incarnation may have executed them.
  *
+ * A run of a previous owner counts as ended under the same conditions. As the target need not list
+ * a run that is being stopped, there may be such runs until maxStopTime after the target has first
+ * accepted the fencing token of this driver, and with it rejects further stops of other owners.
+ * Until then it gets no new work.
+ *
  * The lease covers all runs on the target, so it is renewed only as far as each of them may go on:
  * not beyond the time until which it is valid, and not while a run of a previous owner may be
  * there.
@@ -184,8 +189,7 @@
         TimePoint unansweredAt; ///< time at which the start became Unanswered
         std::uint64_t startToken = 0;
         std::optional<TimePoint> listedAt; ///< send time of the last poll that listed it
-        /** \brief Send time of the first poll that did not list it, after its start was confirmed.
-         */
+        /** \brief Arrival of the first list without it, after its start was confirmed. */
         std::optional<TimePoint> missingSince;
         bool isStopWanted = false;
         bool isStopInFlight = false;
@@ -196,8 +200,18 @@
 
     std::uint64_t orderToken() const;
     OrderAddress address() const;
-    /** \returns whether the latest list showed no run of a previous owner. */
-    bool hasOnlyOwnRuns() const { return this->reconciled && this->foreignRunStopAt.empty(); }
+    /** \brief Run of a previous owner. */
+    struct ForeignRun
+    {
+        TimePoint stopAt; ///< time of the next stop order
+        std::optional<TimePoint> missingSince; ///< arrival of the first list without it
+    };
+
+    /** \returns whether no run of a previous owner may be left on the target. */
+    bool hasOnlyOwnRuns() const
+    {
+        return this->reconciled && this->areOtherStopsOver && this->foreignRuns.empty();
+    }
     /** \returns the latest time until which everything on the target may go on. */
     TimePoint leaseLimit(TimePoint now) const;
     /** \returns the longest lease on the clock of this node. */
@@ -220,6 +234,16 @@
                 DriverOutbox &out);
     void endAllRuns(TimePoint now, DriverOutbox &out);
     void stopForeignRuns(const PollResponse &response, TimePoint now, DriverOutbox &out);
+    void endForeignRuns(const PollResponse &response, TimePoint now);
+    /** \brief Records whether the stops of other owners are over, and with them all their runs. */
+    void reconcile(const PollResponse &response, TimePoint now);
+    /** \returns whether what has been going on since \a since, and takes no longer than a stop, was
+     * over when the current poll was sent.
+     */
+    bool isOver(const std::optional<TimePoint> &since) const
+    {
+        return since && *since + this->options.maxStopTime <= this->pollSentAt;
+    }
     void endUnlistedRuns(const PollResponse &response, TimePoint now, DriverOutbox &out);
     /** \returns whether \a run, which the response to the current poll does not list, has ended,
      * and how.
@@ -248,8 +272,10 @@
     TimePoint targetClockReadAt;
     TimePoint leasedUntil; ///< latest expiry of the lease that an order contained
     std::map<RunName, Run> runs;
-    /** \brief Runs of previous owners, with the time of the next stop order. */
-    std::map<RunName, TimePoint> foreignRunStopAt;
+    std::map<RunName, ForeignRun> foreignRuns;
+    /** \brief Time since which the target rejects the orders of other owners. */
+    std::optional<TimePoint> othersRejectedSince;
+    bool areOtherStopsOver = false; ///< whether their last stops have ended, too
     Capacity usedCapacity;
     std::uint64_t acknowledgedEnd = 0;
     bool isPolling = false;
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -18,6 +18,8 @@
         target.capacity = { .cpu = 64'000 };
         this->owner.updateTarget(target, this->now);
         this->answerPolls();
+        this->now += TargetDriverOptions {}.maxStopTime;
+        this->answerPolls();
     }
 
     /** \brief Answers all polls as \a incarnation with lists without runs. \returns the polls. */
--- a/test/TargetDriverTest.cpp
+++ b/test/TargetDriverTest.cpp
@@ -15,6 +15,8 @@
         this->request.demand = { .cpu = 1000 };
         this->driver.tick(this->now, this->out);
         this->poll({});
+        this->advance(TargetDriverOptions {}.maxStopTime);
+        this->poll({});
         this->advance(10ms);
         this->driver.start(this->request, this->now + 10s, this->now, this->out);
         this->driver.handleStartResponse(this->request.run, token,
@@ -144,6 +146,93 @@
     EXPECT_TRUE(fixture.out.runEnds.empty());
 }
 
+// Guards against reporting a run as lost that ends yet: a list shows the state at its end, and
+// polls wait.
+TEST(TargetDriver, RunIsMissingSinceTheArrivalOfTheFirstListWithoutIt)
+{
+    DriverFixture fixture;
+    fixture.poll({ fixture.request.run });
+    fixture.advance(100ms);
+    fixture.poll({});
+    fixture.advance(20ms);
+    fixture.poll({});
+    EXPECT_TRUE(fixture.out.runEnds.empty()) << "20 ms after the first list without it";
+}
+
+/** \brief Driver that has just taken over a target, which doesn't guard its capacity. */
+class TakeOverFixture
+{
+public:
+    explicit TakeOverFixture(const LeasedTarget &target = DriverFixture::target())
+        : driver({}, target, DriverFixture::token, this->now)
+    { }
+
+    /** \brief Answers the next poll, which is sent \a delay from now, or later. */
+    void answerPoll(Duration delay, const std::vector<RunName> &running,
+                    const std::vector<EndedRun> &ended = {})
+    {
+        this->now += delay;
+        const std::size_t sent = this->out.orders.size();
+        while (this->out.orders.size() == sent) {
+            this->now += 1ms;
+            this->driver.tick(this->now, this->out);
+        }
+        const auto &poll = std::get<PollOrder>(this->out.orders.back());
+        this->driver.handlePollResponse(poll.sentAt,
+                                        { .status = OrderStatus::Done,
+                                          .clockMs = this->targetClockMs,
+                                          .running = running,
+                                          .ended = ended },
+                                        this->now, this->out);
+    }
+
+    bool acceptsWork() const { return this->driver.acceptsWork(this->now); }
+
+    TimePoint now { 1'800'000'000s };
+    std::int64_t targetClockMs = 10;
+    RunName foreign { .job = "foreign", .attempt = 1 };
+    DriverOutbox out;
+    TargetDriver driver;
+};
+
+// Guards against work beside a previous owner's run that is being stopped: the target need not list
+// it any more, but it goes on.
+TEST(TargetDriver, NoWorkBesideAForeignRunThatIsBeingStopped)
+{
+    TakeOverFixture fixture;
+    fixture.answerPoll(0ms, { fixture.foreign });
+    fixture.answerPoll(200ms, { fixture.foreign });
+    for (int i = 0; i < 2; ++i) {
+        fixture.answerPoll(20ms, {});
+        EXPECT_FALSE(fixture.acceptsWork()) << 20 * (i + 1) << " ms after it was listed";
+    }
+    fixture.answerPoll(60ms, {});
+    EXPECT_TRUE(fixture.acceptsWork());
+}
+
+TEST(TargetDriver, WorkIsAcceptedOnceTheEndOfAForeignRunIsListed)
+{
+    TakeOverFixture fixture;
+    fixture.answerPoll(0ms, { fixture.foreign });
+    fixture.answerPoll(200ms, { fixture.foreign });
+    fixture.answerPoll(20ms, {}, { { .number = 1, .run = fixture.foreign } });
+    EXPECT_TRUE(fixture.acceptsWork());
+}
+
+// Guards against work beside runs that a previous owner has stopped just before: no list shows
+// them.
+TEST(TargetDriver, NoWorkRightAfterATakeOver)
+{
+    TakeOverFixture fixture;
+    fixture.answerPoll(0ms, {});
+    EXPECT_FALSE(fixture.acceptsWork());
+    fixture.answerPoll(0ms, {});
+    EXPECT_TRUE(fixture.acceptsWork());
+    EXPECT_GE(std::get<PollOrder>(fixture.out.orders.back()).sentAt
+                  - std::get<PollOrder>(fixture.out.orders.front()).sentAt,
+              TargetDriverOptions {}.maxStopTime);
+}
+
 // A start without a response may be executed later: only a confirmed stop ends it.
 TEST(TargetDriver, UnansweredStartDoesNotEndWithoutConfirmedStop)
 {
@@ -230,6 +319,9 @@
     fixture.driver.handleUnannouncedRestart(2, 8, fixture.now);
     fixture.advance(10ms);
     fixture.poll({ fixture.request.run });
+    fixture.advance(TargetDriverOptions {}.maxStopTime);
+    fixture.poll({ fixture.request.run });
+    fixture.poll({ fixture.request.run });
     EXPECT_TRUE(fixture.driver.isReconciled());
     EXPECT_FALSE(fixture.driver.acceptsWork(fixture.now));
     LeasedTarget restarted = DriverFixture::target();
@@ -272,30 +364,22 @@
 // the previous one, whose tasks were started again elsewhere.
 TEST(TargetDriver, LeaseIsNotRenewedBeforeTheTargetIsReconciled)
 {
-    const TimePoint now(1'800'000'000s);
-    DriverOutbox out;
-    TargetDriver driver({}, DriverFixture::target(), 7, now);
-    driver.tick(now, out);
-    const RunName foreignRun = { .job = "foreign", .attempt = 1 };
-    const auto poll = [&] {
-        driver.handlePollResponse(
-            now, { .status = OrderStatus::Done, .clockMs = 10, .running = { foreignRun } }, now,
-            out);
-        driver.tick(now, out);
-    };
-    poll();
-    poll();
-    for (const TargetOrder &order : out.orders)
+    TakeOverFixture fixture;
+    for (int i = 0; i < 4; ++i)
+        fixture.answerPoll(50ms, { fixture.foreign });
+    fixture.answerPoll(50ms, {});
+    fixture.answerPoll(TargetDriverOptions {}.maxStopTime, {});
+    for (const TargetOrder &order : fixture.out.orders)
         if (const auto *sent = std::get_if<PollOrder>(&order)) {
             EXPECT_FALSE(sent->leaseExpiryMs);
         }
-    driver.handlePollResponse(now, { .status = OrderStatus::Done, .clockMs = 10 }, now, out);
+    ASSERT_TRUE(fixture.driver.isReconciled());
     RunRequest request;
     request.run = { .job = "j", .attempt = 1 };
-    driver.start(request, now + 10s, now, out);
-    driver.tick(now, out);
-    ASSERT_TRUE(std::holds_alternative<PollOrder>(out.orders.back()));
-    EXPECT_TRUE(std::get<PollOrder>(out.orders.back()).leaseExpiryMs);
+    fixture.driver.start(request, fixture.now + 10s, fixture.now, fixture.out);
+    fixture.driver.tick(fixture.now, fixture.out);
+    ASSERT_TRUE(std::holds_alternative<PollOrder>(fixture.out.orders.back()));
+    EXPECT_TRUE(std::get<PollOrder>(fixture.out.orders.back()).leaseExpiryMs);
 }
 
 // Guards against two runs of one task: the runs of a departing target were given away when the
@@ -324,17 +408,16 @@
 // A lease that was granted cannot be shortened, so none is granted before there is a run.
 TEST(TargetDriver, LeaseOfAnIdleTargetIsNotRenewed)
 {
-    const TimePoint now(1'800'000'000s);
-    DriverOutbox out;
-    TargetDriver driver({}, DriverFixture::target(), 7, now);
-    driver.tick(now, out);
-    driver.handlePollResponse(now, { .status = OrderStatus::Done, .clockMs = 10 }, now, out);
-    driver.tick(now, out);
-    ASSERT_TRUE(driver.isReconciled());
-    EXPECT_FALSE(std::get<PollOrder>(out.orders.back()).leaseExpiryMs);
-    EXPECT_FALSE(driver.isLeaseOverBy(now + 1s))
+    TakeOverFixture fixture;
+    const TimePoint takenOverAt = fixture.now;
+    fixture.answerPoll(0ms, {});
+    fixture.answerPoll(0ms, {});
+    fixture.driver.tick(fixture.now, fixture.out);
+    ASSERT_TRUE(fixture.driver.isReconciled());
+    EXPECT_FALSE(std::get<PollOrder>(fixture.out.orders.back()).leaseExpiryMs);
+    EXPECT_FALSE(fixture.driver.isLeaseOverBy(takenOverAt + 1s))
         << "the previous owner may have renewed it just now";
-    EXPECT_TRUE(driver.isLeaseOverBy(now + 1100ms));
+    EXPECT_TRUE(fixture.driver.isLeaseOverBy(takenOverAt + 1100ms));
 }
 
 // Guards against a target that is blocked by one run whose stop is never confirmed.
--- a/test/support/FleetSimulation.cpp
+++ b/test/support/FleetSimulation.cpp
@@ -429,8 +429,13 @@
         return { .status = OrderStatus::Done, .clockMs = clockMs };
     if (isSuperseded)
         return { .status = OrderStatus::Superseded, .clockMs = clockMs };
-    if (!this->hasCapacityFor(target, order.run))
-        return { .status = OrderStatus::InsufficientCapacity, .clockMs = clockMs };
+    if (!this->hasCapacityFor(target, order.run)) {
+        if (this->options.targetsGuardCapacity)
+            return { .status = OrderStatus::InsufficientCapacity, .clockMs = clockMs };
+        this->recordViolation(toString(order.run) + " by " + from.gateway->name + " brings target "
+                              + describe(target) + " over its capacity at "
+                              + std::to_string(this->secondsSinceStart()) + " s");
+    }
     this->checkConcurrentRuns(target, order.run, from);
     if (this->refusedJobs.contains(order.run.job))
         this->recordViolation("job " + order.run.job
--- a/test/support/FleetSimulation.h
+++ b/test/support/FleetSimulation.h
@@ -84,6 +84,10 @@
     Duration resendDelay = 1300ms;
     LateOrders lateOrders;
     double slowClockShare = 0; ///< share of targets whose clock is 2% slow
+    /** \brief Whether targets reject starts for which they have no capacity left; if not, such a
+     * start violates an invariant.
+     */
+    bool targetsGuardCapacity = true;
     double lostMessageShare = 0; ///< share of lost messages between gateways
     FleetNodeOptions node; ///< options of each gateway, except its identity and weight
     std::optional<FleetProcessor> processor; ///< if empty, work takes no time
