A start needs a recent heartbeat; what is known of leaving targets is kept

Cause, one class in three places: who acknowledged that a target leaves was not the one who has to act on it, or forgot it again. A gateway that woke up took targets from their owners by heartbeats that had waited in its sockets, and handed them on as they were before; the receiver, who had been told, kept nothing of targets that it didn't own; a registry node acknowledged while it knew no gateway, or none that was awake. An owner relied on "ready" for as long as it heard nothing else.

Change: a target gets no new work once its latest heartbeat, by the target's clock, is nearly as old as the time after which nothing may be started (drain_ms, from the settings), whoever acknowledged what. Gateways keep announcements for a minute and compare what is handed over with them. Right after a stall nothing is taken over by what had waited, and a target is handed over only if it has accepted the owner's token since. A gateway passes heartbeats of a target that it has handed over on to the new owner. A registry node without a gateway answers 503. The log has a line for each announcement, transfer and acknowledgement, with incarnation, sequence and state.

Fixtures send heartbeats where they let seconds pass; what they check is unchanged.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -31,6 +31,8 @@
 constexpr Duration endBatchInterval = 5ms;
 /** \brief Run ends that are not acknowledged within it are reported again. */
 constexpr Duration endRepeatInterval = 100ms;
+/** \brief Limit of the announcements of leaving targets that are kept. */
+constexpr std::size_t maxDepartures = 4'096;
 /** \brief Run ends are acknowledged within it, earlier if another message is sent anyway. */
 constexpr Duration acknowledgeWithin = 40ms;
 
@@ -75,11 +77,15 @@
 {
     this->beginEvent(now);
     const TargetName &name = heartbeat.target.name;
+    if (heartbeat.isLeaving || heartbeat.target.state == TargetState::Draining)
+        this->recordDeparture(heartbeat, now);
     if (heartbeat.isLeaving) {
         this->targetOwner.handleDeparture(heartbeat.target, now);
         return;
     }
     if (!this->targetOwner.ownsTarget(name)) {
+        if (this->isInputStale(now) || this->hasShutDown(heartbeat.target))
+            return;
         // Registry nodes send these heartbeats to all gateways, for the owner. A draining target
         // gets no new work, so nobody else has to take it over.
         if (heartbeat.target.state == TargetState::Draining)
@@ -106,7 +112,62 @@
         }
     }
     this->transfers.erase(name);
-    this->targetOwner.updateTarget(heartbeat.target, now);
+    this->targetOwner.updateTarget(this->latestState(heartbeat.target), now);
+}
+
+void FleetNode::recordDeparture(const TargetHeartbeat &heartbeat, TimePoint now)
+{
+    const LeasedTarget &target = heartbeat.target;
+    this->recordState(heartbeat.isLeaving ? "shutting-down" : "leaving", target, {},
+                      this->targetOwner.ownsTarget(target.name) ? "owned" : "not-owned");
+    const auto known = this->departures.find(target.name);
+    if (known != this->departures.end() && known->second.heartbeat.isNewerThan(target))
+        return;
+    if (known == this->departures.end() && this->departures.size() >= internal::maxDepartures)
+        this->departures.erase(std::ranges::min_element(
+            this->departures, {}, [](const auto &item) { return item.second.receivedAt; }));
+    this->departures[target.name]
+        = { .heartbeat = target, .isLeaving = heartbeat.isLeaving, .receivedAt = now };
+}
+
+// Other nodes may hold an earlier state of the target, and hand it over.
+LeasedTarget FleetNode::latestState(const LeasedTarget &target) const
+{
+    const auto known = this->departures.find(target.name);
+    const bool isOutdated
+        = known != this->departures.end() && known->second.heartbeat.isNewerThan(target);
+    return isOutdated ? known->second.heartbeat : target;
+}
+
+bool FleetNode::hasShutDown(const LeasedTarget &target) const
+{
+    const auto known = this->departures.find(target.name);
+    return known != this->departures.end() && known->second.isLeaving
+        && known->second.heartbeat.incarnation >= target.incarnation;
+}
+
+void FleetNode::adoptTransferred(const LeasedTarget &target, const NodeName &from, TimePoint now)
+{
+    if (this->isInputStale(now) || this->hasShutDown(target)) {
+        this->recordState("received", target, from, "ignored");
+        return;
+    }
+    const LeasedTarget latest = this->latestState(target);
+    const char *outcome = this->targetOwner.ownsTarget(target.name) ? "updated" : "adopted";
+    this->recordState("received", latest, from, outcome);
+    this->targetOwner.updateTarget(latest, now);
+}
+
+void FleetNode::recordState(std::string event, const LeasedTarget &target, const NodeName &peer,
+                            std::string outcome)
+{
+    this->targetStates.push_back({ .event = std::move(event),
+                                   .target = target.name,
+                                   .incarnation = target.incarnation,
+                                   .sequence = target.sequence,
+                                   .state = target.state,
+                                   .peer = peer,
+                                   .outcome = std::move(outcome) });
 }
 
 void FleetNode::receive(const FleetMessage &message, TimePoint now)
@@ -160,7 +221,7 @@
     if (!message.runEnds.empty() && !peer.acknowledgeEndsAt)
         peer.acknowledgeEndsAt = now + internal::acknowledgeWithin;
     for (const LeasedTarget &target : message.transferredTargets)
-        this->targetOwner.updateTarget(target, now);
+        this->adoptTransferred(target, message.from, now);
 }
 
 void FleetNode::handleAcknowledgement(Peer &peer, const FleetMessage &message)
@@ -331,6 +392,7 @@
         std::ranges::count(out.fences, OrderStatus::Done, &FenceRecord::status));
     out.outcomes = this->jobCoordinator.takeOutcomes();
     out.targetChanges = this->targetOwner.takeChanges();
+    out.targetStates = std::exchange(this->targetStates, {});
     out.unsuccessfulRuns = this->jobCoordinator.takeUnsuccessfulRuns();
     out.attempts = this->targetOwner.takeAttempts();
     out.raisedIncarnation = std::exchange(this->raisedIncarnation, std::nullopt);
@@ -344,6 +406,12 @@
     return found == this->transfers.end() ? std::string() : found->second.address;
 }
 
+std::optional<NodeName> FleetNode::newOwnerOf(const TargetName &target) const
+{
+    const auto found = this->transfers.find(target);
+    return found == this->transfers.end() ? std::nullopt : std::optional(found->second.owner);
+}
+
 bool FleetNode::acknowledges(const TargetHeartbeat &heartbeat) const
 {
     const bool isForOwner = heartbeat.isLeaving || heartbeat.target.state == TargetState::Draining;
@@ -461,6 +529,7 @@
         Peer &peer = this->peers.at(*newOwner);
         peer.transferredTargets.push_back(target);
         peer.hasPendingMessage = true;
+        this->recordState("handed-over", target, *newOwner, "sent");
         this->recordTransfer(target.name, *newOwner, now);
     }
     if (now < this->transfersCheckedAt + internal::transferInterval)
@@ -469,6 +538,9 @@
     std::erase_if(this->transfers, [&](const auto &item) {
         return now >= item.second.transferredAt + internal::transferLifetime;
     });
+    std::erase_if(this->departures, [&](const auto &item) {
+        return now >= item.second.receivedAt + this->options.departureLifetime;
+    });
     for (const TargetName &target : this->targetOwner.targetNames()) {
         const auto newOwner = this->preferredOwner(target, now);
         if (!newOwner)
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -49,6 +49,14 @@
     Duration peerRemovalTimeout = 10s;
     Duration idleConnectionTimeout = 5s; ///< a connection without messages for longer is closed
     Duration newPeerDelay = 2s; ///< a new peer gets targets only after it
+    /** \brief Heartbeats and transfers that arrive within it after a stall may have waited
+     * meanwhile, so no target is taken over by them.
+     */
+    Duration staleInputTime = 300ms;
+    /** \brief Time for which an announcement that a target leaves is kept, and compared with what
+     * arrives later; older messages of the target may exist as long as a node may stall.
+     */
+    Duration departureLifetime = 60s;
 };
 
 /** \brief Message for another entry node. */
@@ -60,6 +68,22 @@
     auto operator<=>(const AddressedFleetMessage &other) const = default;
 };
 
+/** \brief What this node was told of a target's state by a heartbeat or another node, or told
+ * another node, for the log.
+ */
+struct TargetStateRecord
+{
+    std::string event; ///< such as "leaving", "handed-over", "received"
+    TargetName target;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0; ///< of the heartbeat that the state is from
+    TargetState state = TargetState::Ready;
+    NodeName peer; ///< the other node, if any
+    std::string outcome; ///< such as "adopted", "updated", "not-owned", "ignored"
+
+    auto operator<=>(const TargetStateRecord &other) const = default;
+};
+
 /** \brief Output of a step of a FleetNode for its process. */
 struct FleetOutbox
 {
@@ -67,6 +91,7 @@
     std::vector<AddressedFleetMessage> messages;
     std::vector<JobOutcome> outcomes;
     std::vector<TargetChange> targetChanges;
+    std::vector<TargetStateRecord> targetStates;
     std::vector<UnsuccessfulRun> unsuccessfulRuns;
     std::vector<AttemptRecord> attempts;
     std::vector<ForeignRun> foreignRuns;
@@ -140,6 +165,10 @@
     bool hasPendingOutput() const { return this->hasNewEvents; }
     /** \returns the address for the next heartbeats of \a target; empty if it is this node. */
     std::string heartbeatRedirectOf(const TargetName &target) const;
+    /** \returns the node that \a target was transferred to, for its heartbeats that still arrive
+     * here.
+     */
+    std::optional<NodeName> newOwnerOf(const TargetName &target) const;
     /** \returns whether this node acknowledges \a heartbeat. Only its owner may acknowledge that a
      * target leaves; without that the target reports to a registry node, which informs all nodes.
      */
@@ -206,6 +235,14 @@
         TimePoint transferredAt;
     };
 
+    /** \brief Announcement of a target that it leaves. */
+    struct Departure
+    {
+        LeasedTarget heartbeat;
+        bool isLeaving = false; ///< whether the target has announced its shutdown
+        TimePoint receivedAt;
+    };
+
     /** \brief Runs that this node wants at its peers and runs that it has for them, at one time. */
     struct RunsByPeer
     {
@@ -227,6 +264,18 @@
     void returnQueuedRuns(TimePoint now);
     void deliverLocalRunEnds(TimePoint now);
     void transferTargets(TimePoint now);
+    void recordDeparture(const TargetHeartbeat &heartbeat, TimePoint now);
+    /** \returns \a target, unless a later state of it is known: then that. */
+    LeasedTarget latestState(const LeasedTarget &target) const;
+    bool hasShutDown(const LeasedTarget &target) const;
+    /** \returns whether what arrives \a now may have waited while this node was stalled. */
+    bool isInputStale(TimePoint now) const
+    {
+        return now < this->lastStallAt + this->options.staleInputTime;
+    }
+    void adoptTransferred(const LeasedTarget &target, const NodeName &from, TimePoint now);
+    void recordState(std::string event, const LeasedTarget &target, const NodeName &peer,
+                     std::string outcome);
     void recordTransfer(const TargetName &target, const NodeName &owner, TimePoint now);
     /** \returns whether \a target was transferred to a peer that should still own it. */
     bool isTransferred(const TargetName &target, TimePoint now) const;
@@ -284,6 +333,8 @@
     /** \brief Runs that a peer wants here but that are unknown here. */
     std::map<NodeName, std::vector<RunEnd>> unknownRuns;
     std::map<TargetName, TargetTransfer> transfers;
+    std::map<TargetName, Departure> departures;
+    std::vector<TargetStateRecord> targetStates;
     FleetNodeCounters counts;
     TimePoint lastStepAt;
     TimePoint lastStallAt; ///< time at which the latest stall was noticed
--- a/Hibiscus/src/Fleet/LeasedTarget.h
+++ b/Hibiscus/src/Fleet/LeasedTarget.h
@@ -9,6 +9,11 @@
 /** \brief Whether a target accepts new work. */
 enum class TargetState : std::uint8_t { Ready, Draining };
 
+inline const char *toString(TargetState state)
+{
+    return state == TargetState::Ready ? "ready" : "draining";
+}
+
 /** \brief Description of a target in each of its heartbeats. */
 struct LeasedTarget
 {
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -39,10 +39,10 @@
 
 void TargetDriver::handleHeartbeat(const LeasedTarget &target, TimePoint now)
 {
-    this->heartbeatAt = now;
     if (target.incarnation != this->heartbeat.incarnation
         || (!this->awaitsHeartbeat && !target.isNewerThan(this->heartbeat)))
         return;
+    this->heartbeatAt = now;
     this->heartbeat = target;
     this->awaitsHeartbeat = false;
 }
@@ -250,10 +250,21 @@
     return this->hasOnlyOwnRuns() && !this->awaitsHeartbeat && !this->fenced && !this->regaining
         && !this->ended && !this->isDeparting && !this->isReleasing
         && this->heartbeat.state == TargetState::Ready && this->isContactValid
-        && now >= this->avoidUntil && now < this->lastResponseAt + this->options.contactLifetime
+        && this->heartbeatAge(now) <= this->options.heartbeatLifetime && now >= this->avoidUntil
+        && now < this->lastResponseAt + this->options.contactLifetime
         && now + this->options.minLeaseForWork <= this->leaseLimit(now);
 }
 
+// A heartbeat may have waited in a socket, or have been handed over by another node, so its age is
+// measured by the target's clock. Targets that tell no clock in heartbeats have clock 0.
+Duration TargetDriver::heartbeatAge(TimePoint now) const
+{
+    if (this->heartbeat.clockMs == 0)
+        return now - this->heartbeatAt;
+    const std::chrono::milliseconds age(this->targetClockMs - this->heartbeat.clockMs);
+    return age + (now - this->targetClockReadAt);
+}
+
 std::optional<TimePoint> TargetDriver::listedAt(const RunName &run) const
 {
     const auto found = this->runs.find(run);
@@ -429,13 +440,14 @@
     const TimePoint limit = this->leaseLimit(now);
     const bool isRenewing = !this->runs.empty() && this->hasOnlyOwnRuns() && !this->regaining
         && !this->isDeparting && limit > now;
-    const Duration wait = this->runs.empty() ? this->options.idleWait : this->options.busyWait;
+    const Duration usualWait = this->runs.empty() ? this->options.idleWait : this->options.busyWait;
+    const Duration wait = isResultUrgent ? shortWait : usualWait;
     out.orders.emplace_back(PollOrder {
         .to = this->address(),
         .sentAt = now,
         .acknowledgedEnd = this->acknowledgedEnd,
         .leaseExpiryMs = isRenewing ? std::optional(this->renewLease(limit)) : std::nullopt,
-        .maxWait = isResultUrgent ? shortWait : wait,
+        .maxWait = this->awaitsOnlyOtherStops() ? Duration() : wait,
         .usesNewConnection = this->lastPollFailed });
 }
 
@@ -553,9 +565,7 @@
     if (this->areOtherStopsOver && this->foreignRuns.empty())
         this->reconciled = true;
     // An earlier list would not tell more.
-    const bool isWaiting
-        = !this->areOtherStopsOver && this->runs.empty() && this->foreignRuns.empty();
-    if (isWaiting)
+    if (this->awaitsOnlyOtherStops())
         this->nextPollAt = *this->othersRejectedSince + this->options.maxStopTime;
 }
 
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -17,6 +17,12 @@
     Duration maxRenewal = 800ms;
     /** \brief Share by which the steady clocks of targets may be slow; set by the platform. */
     double maxClockDrift = 0.02;
+    /** \brief A target whose latest heartbeat is older gets no new work: it may have announced
+     * since that it leaves, to a node that has not passed that on. Shorter than the time after the
+     * acknowledgement of the announcement in which work may still be started; longer than the
+     * interval of heartbeats.
+     */
+    Duration heartbeatLifetime = 1850ms;
     /** \brief A target whose lease is renewed for less than this gets no new work: it has a run
      * that may outlive its coordinator.
      */
@@ -164,7 +170,15 @@
     DrivenTarget describe(TimePoint now) const;
     /** \returns whether the target has ended, or has announced that and has no run left. */
     bool isEnded() const { return this->ended || (this->isDeparting && this->runs.empty()); }
-    bool isReleased() const { return this->isReleasing && this->runs.empty(); }
+    /** \returns whether the target is empty, and has accepted this driver's token since the last
+     * stall, so that no other node owns it.
+     */
+    bool isReleased() const
+    {
+        return this->isReleasing && this->runs.empty() && this->isContactValid;
+    }
+    /** \returns the time since the target sent its latest heartbeat. */
+    Duration heartbeatAge(TimePoint now) const;
     TimePoint lastSeenAt() const { return std::max(this->heartbeatAt, this->lastResponseAt); }
     /** \returns the time of the last response, or of the take-over if there was none. */
     TimePoint lastContactAt() const { return std::max(this->takenOverAt, this->lastResponseAt); }
@@ -237,6 +251,11 @@
     void endForeignRuns(const PollResponse &response, TimePoint now);
     /** \brief Records whether the stops of other owners are over, and with them all their runs. */
     void reconcile(const PollResponse &response, TimePoint now);
+    /** \returns whether no run is known on the target, but one may be being stopped. */
+    bool awaitsOnlyOtherStops() const
+    {
+        return !this->areOtherStopsOver && this->runs.empty() && this->foreignRuns.empty();
+    }
     /** \returns whether what has been going on since \a since, and takes no longer than a stop, was
      * over when the current poll was sent.
      */
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -55,6 +55,10 @@
     options.weight = record.weight;
     options.targetsAddress = record.targetsAddress;
     options.owner.driver.lease = context.profile.lease;
+    constexpr Duration startMargin = 150ms; // for the way of a start, and for the drift of clocks
+    constexpr Duration heartbeatMargin = 200ms; // heartbeats come approximately at their interval
+    options.owner.driver.heartbeatLifetime = std::max(context.profile.drainTime - startMargin,
+                                                      context.profile.heartbeat + heartbeatMargin);
     return options;
 }
 
@@ -255,9 +259,15 @@
         return;
     }
     this->node.handleHeartbeat(*heartbeat, this->loop.now());
+    // The target needs another interval to send its heartbeats to the new owner.
+    if (const auto owner = this->node.newOwnerOf(heartbeat->target.name))
+        this->relay.send(*owner, *heartbeat);
     const std::string next = this->node.heartbeatRedirectOf(heartbeat->target.name);
     if (!this->node.acknowledges(*heartbeat)) {
-        logEvent("departure-not-acknowledged", { { "target", heartbeat->target.name.str() } });
+        logEvent("departure-not-acknowledged",
+                 { { "target", heartbeat->target.name.str() },
+                   { "life", std::to_string(heartbeat->target.incarnation) },
+                   { "sequence", std::to_string(heartbeat->target.sequence) } });
         this->targetServer.respond(request.token, { .status = internal::StatusUnavailable });
         return;
     }
@@ -346,6 +356,14 @@
                  { { "target", change.target.str() },
                    { "life", std::to_string(change.incarnation) },
                    { "fencing_token", std::to_string(change.fencingToken) } });
+    for (const TargetStateRecord &record : out.targetStates)
+        logEvent("target-" + record.event,
+                 { { "target", record.target.str() },
+                   { "life", std::to_string(record.incarnation) },
+                   { "sequence", std::to_string(record.sequence) },
+                   { "state", toString(record.state) },
+                   { "peer", record.peer.str() },
+                   { "outcome", record.outcome } });
     for (const UnsuccessfulRun &run : out.unsuccessfulRuns)
         logEvent("run-ended",
                  { { "job", run.end.run.job },
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -175,11 +175,22 @@
     const std::vector<NodeRecord> liveGateways = this->directory.liveGateways(now);
     const bool isLeaving = heartbeat.isLeaving || heartbeat.target.state == TargetState::Draining;
     // The owner of the target must learn this at once, and this node does not know which gateway it
-    // is.
+    // is. A node that has just started knows no gateway that it could tell.
     if (isLeaving) {
         for (const NodeRecord &gateway : liveGateways)
             this->relay.send(gateway.node, heartbeat);
-        this->http.respond(token, { .body = this->context.protocol.renderHeartbeatResponse("") });
+        const bool isAcknowledged = !liveGateways.empty();
+        logEvent(isAcknowledged ? "departure-acknowledged" : "departure-not-acknowledged",
+                 { { "target", heartbeat.target.name.str() },
+                   { "life", std::to_string(heartbeat.target.incarnation) },
+                   { "sequence", std::to_string(heartbeat.target.sequence) },
+                   { "state", heartbeat.isLeaving ? "shutting-down" : "draining" },
+                   { "live_gateways", std::to_string(liveGateways.size()) } });
+        if (isAcknowledged)
+            this->http.respond(token,
+                               { .body = this->context.protocol.renderHeartbeatResponse("") });
+        else
+            this->http.respond(token, { .status = internal::statusUnavailable });
         return;
     }
     const auto owner = this->ownerAssignment.assign(heartbeat.target.name, heartbeat.target.domain,
--- a/Hibiscus/src/Settings/NodeProfile.cpp
+++ b/Hibiscus/src/Settings/NodeProfile.cpp
@@ -45,6 +45,7 @@
     };
     profile.lease = milliseconds("lease_ms", profile.lease);
     profile.heartbeat = milliseconds("heartbeat_ms", profile.heartbeat);
+    profile.drainTime = milliseconds("drain_ms", profile.drainTime);
     profile.stopTimeout = fromSeconds(json.value("stop_bound_s", toSeconds(profile.stopTimeout)));
     return profile;
 }
--- a/Hibiscus/src/Settings/NodeProfile.h
+++ b/Hibiscus/src/Settings/NodeProfile.h
@@ -32,6 +32,8 @@
     Duration lease = 1s; ///< maximum lease that targets grant
     Duration stopTimeout = 6s; ///< time in which the process must exit after a request to stop
     Duration heartbeat = 1500ms; ///< interval between heartbeats of a target
+    /** \brief Time in which a target may be given work after it was acknowledged that it leaves. */
+    Duration drainTime = 2s;
 
     auto operator<=>(const NodeProfile &other) const = default;
 };
--- a/Hibiscus/src/Settings/NodeProfileSchema.h
+++ b/Hibiscus/src/Settings/NodeProfileSchema.h
@@ -26,7 +26,8 @@
     "processor_share": { "type": "number", "exclusiveMinimum": 0, "maximum": 10000 },
     "lease_ms": { "type": "number", "minimum": 1, "maximum": 86400000 },
     "stop_bound_s": { "type": "number", "minimum": 0, "maximum": 86400 },
-    "heartbeat_ms": { "type": "number", "minimum": 1, "maximum": 86400000 }
+    "heartbeat_ms": { "type": "number", "minimum": 1, "maximum": 86400000 },
+    "drain_ms": { "type": "number", "minimum": 0, "maximum": 86400000 }
   },
   "definitions": {
     "address": {
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -10,16 +10,22 @@
 {
 public:
     OwnerFixture()
+    {
+        this->sendHeartbeat();
+        this->answerPolls();
+        this->now += TargetDriverOptions {}.maxStopTime;
+        this->answerPolls();
+    }
+
+    void sendHeartbeat()
     {
         LeasedTarget target;
         target.name = TargetName("t");
         target.incarnation = 1;
         target.service = ServiceName("s");
         target.capacity = { .cpu = 64'000 };
+        target.sequence = ++this->sequence;
         this->owner.updateTarget(target, this->now);
-        this->answerPolls();
-        this->now += TargetDriverOptions {}.maxStopTime;
-        this->answerPolls();
     }
 
     /** \brief Answers all polls as \a incarnation with lists without runs. \returns the polls. */
@@ -55,6 +61,7 @@
     }
 
     TimePoint now { 1'800'000'000s };
+    std::uint64_t sequence = 0;
     FleetOwner owner { {} };
     Requester first { .node = NodeName("a"), .incarnation = 1 };
     Requester second { .node = NodeName("b"), .incarnation = 1 };
@@ -133,6 +140,7 @@
     OwnerFixture fixture;
     for (int i = 0; i < 50; ++i) {
         fixture.now += 100ms;
+        fixture.sendHeartbeat();
         fixture.answerPolls();
     }
     fixture.owner.invalidateTargetContacts(fixture.now);
@@ -162,6 +170,128 @@
     EXPECT_TRUE(fixture.owner.report(fixture.now).targets.at(0).acceptsWork);
 }
 
+/** \brief Gateway with one peer in its failure domain, of which it has heard. */
+class GatewayFixture
+{
+public:
+    GatewayFixture()
+    {
+        this->node.updatePeer(
+            { .node = NodeName("p"), .incarnation = 1, .domain = DomainName("a"), .weight = 1 },
+            this->now);
+        this->receive({});
+    }
+
+    static LeasedTarget target(std::uint64_t sequence, TargetState state)
+    {
+        LeasedTarget target;
+        target.name = TargetName("t");
+        target.incarnation = 1;
+        target.domain = DomainName("a");
+        target.service = ServiceName("s");
+        target.capacity = { .cpu = 64'000 };
+        target.state = state;
+        target.sequence = sequence;
+        target.clockMs = static_cast<std::int64_t>(1'500 * sequence);
+        return target;
+    }
+
+    /** \brief Delivers a message of the peer that hands \a targets over. */
+    void receive(const std::vector<LeasedTarget> &targets)
+    {
+        this->node.receive({ .from = NodeName("p"),
+                             .incarnation = 1,
+                             .domain = DomainName("a"),
+                             .sequence = ++this->sequence,
+                             .transferredTargets = targets },
+                           this->now);
+    }
+
+    void advance(Duration span)
+    {
+        for (const TimePoint end = this->now + span; this->now < end; this->now += 10ms)
+            this->node.tick(this->now);
+    }
+
+    /** \returns the state of the target that this node holds as its owner, if it is. */
+    std::optional<TargetState> ownedState() const
+    {
+        const LeasedTarget *found = this->node.owner().findTarget(TargetName("t"));
+        return found == nullptr ? std::nullopt : std::optional(found->state);
+    }
+
+    TimePoint now { 1'800'000'000s };
+    FleetNode node { { .self = NodeName("g"), .domain = DomainName("a") } };
+    std::uint64_t sequence = 0;
+};
+
+// Guards against work for a target of which this node was told that it leaves: its owner was not,
+// and hands it over as ready.
+TEST(FleetNode, TransferredTargetThatLeavesStaysLeaving)
+{
+    GatewayFixture fixture;
+    fixture.node.handleHeartbeat({ .target = GatewayFixture::target(8, TargetState::Draining) },
+                                 fixture.now);
+    EXPECT_EQ(fixture.ownedState(), std::nullopt) << "not its owner";
+    fixture.advance(2s);
+    fixture.receive({ GatewayFixture::target(7, TargetState::Ready) });
+    EXPECT_EQ(fixture.ownedState(), TargetState::Draining);
+    // A later heartbeat tells what is so now.
+    fixture.node.handleHeartbeat({ .target = GatewayFixture::target(9, TargetState::Ready) },
+                                 fixture.now);
+    EXPECT_EQ(fixture.ownedState(), TargetState::Ready);
+}
+
+// Guards against an owner that forgets what it has acknowledged, once another node has taken the
+// target over and hands it back as it was before.
+TEST(FleetNode, TargetThatLeavesStaysLeavingAfterItHasHadAnotherOwner)
+{
+    GatewayFixture fixture;
+    fixture.node.handleHeartbeat({ .target = GatewayFixture::target(7, TargetState::Ready) },
+                                 fixture.now);
+    const TargetHeartbeat departure
+        = { .target = GatewayFixture::target(8, TargetState::Draining) };
+    fixture.node.handleHeartbeat(departure, fixture.now);
+    ASSERT_TRUE(fixture.node.acknowledges(departure));
+    fixture.advance(10s); // no response: the target is given up
+    ASSERT_EQ(fixture.ownedState(), std::nullopt);
+    fixture.receive({ GatewayFixture::target(7, TargetState::Ready) });
+    EXPECT_EQ(fixture.ownedState(), TargetState::Draining);
+}
+
+TEST(FleetNode, TargetThatHasShutDownIsNotTakenOver)
+{
+    GatewayFixture fixture;
+    fixture.node.handleHeartbeat(
+        { .target = GatewayFixture::target(8, TargetState::Draining), .isLeaving = true },
+        fixture.now);
+    fixture.receive({ GatewayFixture::target(7, TargetState::Ready) });
+    fixture.node.handleHeartbeat({ .target = GatewayFixture::target(6, TargetState::Ready) },
+                                 fixture.now);
+    EXPECT_EQ(fixture.ownedState(), std::nullopt);
+    LeasedTarget restarted = GatewayFixture::target(1, TargetState::Ready);
+    restarted.incarnation = 2;
+    fixture.node.handleHeartbeat({ .target = restarted }, fixture.now);
+    EXPECT_EQ(fixture.ownedState(), TargetState::Ready);
+}
+
+// Guards against a node that wakes up and takes targets from their owners by heartbeats and
+// transfers that have waited in its sockets.
+TEST(FleetNode, TakesNoTargetOverByWhatArrivesRightAfterAStall)
+{
+    GatewayFixture fixture;
+    fixture.advance(100ms);
+    fixture.now += 5s;
+    fixture.node.handleHeartbeat({ .target = GatewayFixture::target(7, TargetState::Ready) },
+                                 fixture.now);
+    fixture.receive({ GatewayFixture::target(7, TargetState::Ready) });
+    EXPECT_EQ(fixture.ownedState(), std::nullopt);
+    fixture.advance(400ms);
+    fixture.node.handleHeartbeat({ .target = GatewayFixture::target(8, TargetState::Ready) },
+                                 fixture.now);
+    EXPECT_EQ(fixture.ownedState(), TargetState::Ready);
+}
+
 // Guards against a target with two owners: tokens are taken from clocks, so those of two gateways
 // that took a target over in the same millisecond were equal, and neither was fenced.
 TEST(FleetNode, TwoNodesThatTakeATargetOverAtOnceHaveDifferentTokens)
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -1,4 +1,5 @@
 #include "test/support/FleetSimulation.h"
+#include "test/support/Seeds.h"
 
 #include <gtest/gtest.h>
 
@@ -11,6 +12,7 @@
 using namespace Hibiscus;
 using Fake::FleetSimulation;
 using Fake::FleetSimulationOptions;
+using Fake::soakSeeds;
 
 namespace {
 
@@ -568,18 +570,6 @@
     soak(options, 120, 10);
 }
 
-std::vector<std::uint64_t> soakSeeds(std::uint64_t usualCount)
-{
-    const char *first = std::getenv("HIBISCUS_FIRST_SEED");
-    const char *runs = std::getenv("HIBISCUS_RUNS");
-    const std::uint64_t begin = first == nullptr ? 1 : std::strtoull(first, nullptr, 10);
-    const std::uint64_t count = runs == nullptr ? usualCount : std::strtoull(runs, nullptr, 10);
-    std::vector<std::uint64_t> seeds;
-    for (std::uint64_t i = 0; i < count; ++i)
-        seeds.push_back(begin + i);
-    return seeds;
-}
-
 /** \brief Fault of targets that a soak repeats; faults of gateways occur in each soak. */
 enum class TargetFault : std::uint8_t {
     Restart, ///< under its name, partly with orders before the first heartbeat
--- a/test/HostileInputTest.cpp
+++ b/test/HostileInputTest.cpp
@@ -419,6 +419,7 @@
     {
         this->tick();
         this->answer("", "");
+        this->answer("", ""); // the stops of other owners are over
         this->driver.start({ .run = { .job = "ab", .step = 1, .index = 17, .attempt = 2 } },
                            this->now + 10s, this->now, this->out);
         this->driver.handleStartResponse({ .job = "ab", .step = 1, .index = 17, .attempt = 2 },
@@ -440,10 +441,14 @@
     void tick()
     {
         this->now += 500ms;
+        LeasedTarget heartbeat = target();
+        heartbeat.sequence = ++this->sequence;
+        this->driver.handleHeartbeat(heartbeat, this->now);
         this->driver.tick(this->now, this->out);
     }
 
     TimePoint now = TimePoint(1000s);
+    std::uint64_t sequence = 0;
     TargetDriver driver;
     static constexpr std::uint64_t token = 7;
     DriverOutbox out;
--- a/test/TargetDriverTest.cpp
+++ b/test/TargetDriverTest.cpp
@@ -484,6 +484,9 @@
     DriverFixture fixture;
     for (int i = 0; i < 25; ++i) {
         fixture.advance(100ms);
+        LeasedTarget heartbeat = DriverFixture::target();
+        heartbeat.sequence = static_cast<std::uint64_t>(i) + 1;
+        fixture.driver.handleHeartbeat(heartbeat, fixture.now);
         fixture.driver.extendValidity(fixture.request.run, fixture.now + 10s);
         fixture.poll({ fixture.request.run });
     }
@@ -604,4 +607,35 @@
     EXPECT_FALSE(fixture.driver.describe(fixture.now).isFenceWanted);
 }
 
+// Guards against work for a target that was acknowledged elsewhere to leave: whoever knows only
+// that it was ready some time ago cannot rely on it.
+TEST(TargetDriver, NoWorkOnceTheLatestHeartbeatIsOld)
+{
+    TakeOverFixture fixture;
+    fixture.answerPoll(0ms, {});
+    fixture.answerPoll(0ms, {});
+    ASSERT_TRUE(fixture.acceptsWork());
+    for (int i = 0; i < 18; ++i)
+        fixture.answerPoll(100ms, {});
+    EXPECT_FALSE(fixture.acceptsWork());
+    LeasedTarget next = DriverFixture::target();
+    next.sequence = 1;
+    fixture.driver.handleHeartbeat(next, fixture.now);
+    EXPECT_TRUE(fixture.acceptsWork());
+}
+
+// The same by the target's clock, as a heartbeat may have waited in a socket.
+TEST(TargetDriver, NoWorkForATargetThatWasTakenOverByAnOldHeartbeat)
+{
+    LeasedTarget target = DriverFixture::target();
+    target.clockMs = 5'000;
+    for (const Duration age : { 1'500ms, 2'000ms }) {
+        TakeOverFixture fixture(target);
+        fixture.targetClockMs = target.clockMs + toMilliseconds(age);
+        fixture.answerPoll(0ms, {});
+        fixture.answerPoll(0ms, {});
+        EXPECT_EQ(fixture.acceptsWork(), age < 2s);
+    }
+}
+
 } // namespace
--- a/test/support/FleetSimulation.cpp
+++ b/test/support/FleetSimulation.cpp
@@ -15,6 +15,10 @@
 constexpr Duration listingLifetime = 1500ms; ///< time that a failed gateway stays listed
 constexpr Duration maxLease = 1s; ///< longest lease that a target grants
 constexpr Duration heartbeatTimeout = 1s; ///< time until a target calls the next node
+/** \brief Time after the acknowledgement of a departure in which work may still be started. */
+constexpr Duration drainTime = 2s;
+/** \brief Time after a fault of a gateway in which that is not required of it. */
+constexpr Duration contactTime = 3s;
 constexpr Duration initialUptime = 100s; ///< of the targets at the begin of a simulation
 constexpr double slowClockRate = 0.98;
 constexpr int minLatenessMs = 2'000;
@@ -65,6 +69,7 @@
     Duration nextClockOffset {};
     TimePoint busyUntil;
     TimePoint stoppedAt; ///< of the latest end or freeze
+    TimePoint resumedAt; ///< of the latest start, or end of a freeze
     FleetTraffic traffic;
 };
 
@@ -118,6 +123,7 @@
     gateway.node = std::make_unique<FleetNode>(nodeOptions);
     gateway.isFrozen = false;
     gateway.isDark = false;
+    gateway.resumedAt = this->now();
     gateway.deferredWork.clear();
     for (const auto &[name, other] : this->gateways)
         gateway.node->updatePeer(this->recordOf(*other), this->clockOf(gateway));
@@ -437,6 +443,7 @@
                               + std::to_string(this->secondsSinceStart()) + " s");
     }
     this->checkConcurrentRuns(target, order.run, from);
+    this->checkDeparture(target, order.run, from);
     if (this->refusedJobs.contains(order.run.job))
         this->recordViolation("job " + order.run.job
                               + " was refused, but one of its tasks is started");
@@ -477,6 +484,20 @@
     }
 }
 
+void FleetSimulation::checkDeparture(const FleetTarget &target, const RunName &run,
+                                     const Sender &from)
+{
+    const bool isAllowed = from.isLate || !target.departureAcknowledgedAt
+        || this->now() <= *target.departureAcknowledgedAt + drainTime
+        || this->now() < from.gateway->resumedAt + contactTime;
+    if (!isAllowed)
+        this->recordViolation(
+            toString(run) + " is started by " + from.gateway->name + " on " + describe(target)
+            + ", of which it was acknowledged "
+            + std::to_string(toMilliseconds(this->now() - *target.departureAcknowledgedAt))
+            + " ms before that it leaves, at " + std::to_string(this->secondsSinceStart()) + " s");
+}
+
 bool FleetSimulation::hasCapacityFor(const FleetTarget &target, const RunName &run) const
 {
     Capacity used = this->demands.at(run.job);
@@ -677,11 +698,9 @@
         return;
     }
     std::vector<NodeRecord> listed;
-    for (const auto &[name, gateway] : this->gateways) {
-        const bool isResponsive = gateway->node && !gateway->isFrozen;
-        if (isResponsive || this->now() < gateway->stoppedAt + listingLifetime)
+    for (const auto &[name, gateway] : this->gateways)
+        if (this->isListed(*gateway))
             listed.push_back(this->recordOf(*gateway));
-    }
     const auto owner = this->ownerAssignment.assign(target.description.name,
                                                     target.description.domain, listed, this->now());
     if (!owner)
@@ -695,28 +714,66 @@
     });
 }
 
+bool FleetSimulation::isListed(const Gateway &gateway) const
+{
+    const bool isResponsive = gateway.node && !gateway.isFrozen;
+    return isResponsive || this->now() < gateway.stoppedAt + listingLifetime;
+}
+
+// A gateway passes heartbeats of targets that it has handed over on to their new owners. One that
+// does not acknowledge a departure makes the target call a registry node.
+void FleetSimulation::handleHeartbeat(Gateway &gateway, FleetTarget &sender,
+                                      const TargetHeartbeat &heartbeat)
+{
+    FleetNode &node = *gateway.node;
+    const bool isCurrent = sender.description.incarnation == heartbeat.target.incarnation;
+    if (const auto owner = node.newOwnerOf(heartbeat.target.name)) {
+        Gateway &newOwner = *this->gateways.at(owner->str());
+        this->scheduler.after(this->options.intraDomainLatency, [this, &newOwner, heartbeat] {
+            this->deliver(newOwner, this->costOf(&FleetProcessor::perOrder),
+                          [heartbeat](FleetNode &receiver, TimePoint now) {
+                              receiver.handleHeartbeat(heartbeat, now);
+                          });
+        });
+    }
+    if (heartbeat.target.state == TargetState::Draining && isCurrent) {
+        if (!node.acknowledges(heartbeat))
+            this->sendHeartbeatToAll(heartbeat);
+        else if (!sender.departureAcknowledgedAt)
+            sender.departureAcknowledgedAt = this->now();
+    }
+    const std::string next = node.heartbeatRedirectOf(heartbeat.target.name);
+    if (!next.empty() && isCurrent)
+        sender.heartbeatGateway = next;
+}
+
 void FleetSimulation::sendHeartbeatTo(const std::string &gateway, const TargetHeartbeat &heartbeat,
                                       const std::function<void()> &onHandled)
 {
     const std::string name = heartbeat.target.name.str();
     this->scheduler.after(this->delay(gateway, name), [this, gateway, name, heartbeat, onHandled] {
         FleetTarget &sender = this->targets.at(name);
-        this->deliver(*this->gateways.at(gateway), this->costOf(&FleetProcessor::perOrder),
-                      [&sender, heartbeat, onHandled](FleetNode &node, TimePoint now) {
-                          node.handleHeartbeat(heartbeat, now);
-                          onHandled();
-                          const std::string next = node.heartbeatRedirectOf(heartbeat.target.name);
-                          if (!next.empty()
-                              && sender.description.incarnation == heartbeat.target.incarnation)
-                              sender.heartbeatGateway = next;
-                      });
+        Gateway &receiver = *this->gateways.at(gateway);
+        this->deliver(
+            receiver, this->costOf(&FleetProcessor::perOrder),
+            [this, &receiver, &sender, heartbeat, onHandled](FleetNode &node, TimePoint now) {
+                node.handleHeartbeat(heartbeat, now);
+                onHandled();
+                this->handleHeartbeat(receiver, sender, heartbeat);
+            });
     });
 }
 
 void FleetSimulation::sendHeartbeatToAll(const TargetHeartbeat &heartbeat)
 {
-    this->targets.at(heartbeat.target.name.str()).heartbeatGateway.clear();
-    for (const auto &[name, gateway] : this->gateways)
+    FleetTarget &sender = this->targets.at(heartbeat.target.name.str());
+    sender.heartbeatGateway.clear();
+    if (!sender.departureAcknowledgedAt
+        && sender.description.incarnation == heartbeat.target.incarnation)
+        sender.departureAcknowledgedAt = this->now();
+    for (const auto &[name, gateway] : this->gateways) {
+        if (!this->isListed(*gateway))
+            continue;
         this->scheduler.after(this->delay(name, heartbeat.target.name.str()),
                               [this, &gateway = *gateway, heartbeat] {
                                   this->deliver(gateway, this->costOf(&FleetProcessor::perOrder),
@@ -724,6 +781,7 @@
                                                     node.handleHeartbeat(heartbeat, now);
                                                 });
                               });
+    }
 }
 
 void FleetSimulation::deregister(const std::string &name, const Departure &departure)
@@ -885,10 +943,11 @@
     this->recordTrace(gateway, " is frozen");
     frozenGateway.isFrozen = true;
     frozenGateway.stoppedAt = this->now();
-    this->scheduler.after(span, [&frozenGateway, incarnation = frozenGateway.incarnation] {
+    this->scheduler.after(span, [this, &frozenGateway, incarnation = frozenGateway.incarnation] {
         if (frozenGateway.incarnation != incarnation)
             return;
         frozenGateway.isFrozen = false;
+        frozenGateway.resumedAt = this->now();
         for (const auto &work : std::exchange(frozenGateway.deferredWork, {}))
             work();
     });
--- a/test/support/FleetSimulation.h
+++ b/test/support/FleetSimulation.h
@@ -124,6 +124,7 @@
     std::map<RunName, std::uint64_t> highestEndedAttempt;
     std::uint64_t nextEndNumber = 1;
     std::string heartbeatGateway; ///< name of a gateway; empty: any
+    std::optional<TimePoint> departureAcknowledgedAt; ///< of its announcement that it leaves
     TimePoint silentUntil; ///< it sends no heartbeats until then
     double answeredWithErrorShare = 0; ///< share of executed starts that it answers with an error
     std::set<std::string> unreachableGateways; ///< gateways that cannot reach it
@@ -147,7 +148,8 @@
 };
 
 /** \brief Simulates gateways, targets and callers in virtual time and checks invariants from
- * outside: a task never has two concurrent runs, and no task of a refused job is started.
+ * outside: a task never has two concurrent runs, no task of a refused job is started, and none for
+ * which its target has no capacity left, or long after it was acknowledged that the target leaves.
  */
 class FleetSimulation
 {
@@ -272,6 +274,7 @@
     bool acceptsToken(FleetTarget &target, const OrderAddress &to) const;
     bool hasCapacityFor(const FleetTarget &target, const RunName &run) const;
     void renewLease(FleetTarget &target, std::optional<std::int64_t> expiryMs);
+    void checkDeparture(const FleetTarget &target, const RunName &run, const Sender &from);
     void checkConcurrentRuns(const FleetTarget &target, const RunName &run, const Sender &from);
     void endRun(FleetTarget &target, const RunName &run, TargetRunEnd end);
     void expireLease(FleetTarget &target);
@@ -281,6 +284,9 @@
     void stop(const std::string &gateway, Duration downFor, bool isDark);
     void sendHeartbeat(const std::string &name);
     void sendHeartbeatToRegistry(FleetTarget &target);
+    void handleHeartbeat(Gateway &gateway, FleetTarget &sender, const TargetHeartbeat &heartbeat);
+    /** \returns whether registry nodes list \a gateway. */
+    bool isListed(const Gateway &gateway) const;
     void sendHeartbeatTo(const std::string &gateway, const TargetHeartbeat &heartbeat,
                          const std::function<void()> &onHandled);
     /** \brief Sends \a heartbeat to all gateways, as a registry node does. */
