--- a/test/gateway_process_test.py
+++ b/test/gateway_process_test.py
@@ -19,7 +19,8 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "scripts"))
-from loopback_fleet import CALLER_PORT, HOST, METRICS_PORT, PREFIX, Fleet  # noqa: E402
+from loopback_fleet import (  # noqa: E402
+    CALLER_PORT, CONTROL_PORT, HOST, METRICS_PORT, PREFIX, SERVICE, Fleet, call)
 
 BINARIES = os.path.abspath(sys.argv[1])
 
@@ -413,6 +414,32 @@
         self.run_in_loop(test())
 
     # Nothing tells that a caller has gone when its connection is only silent.
+    # Guards against work for a leaving target whose announcement was acknowledged by a registry node
+    # that could tell it to nobody.
+    def test_departure_is_not_acknowledged_while_no_gateway_is_known(self):
+        async def announce():
+            status, _ = await call(
+                self.fleet.registries[0], CONTROL_PORT, "POST", "/api/instances/i-leaving/heartbeat",
+                {"service": SERVICE, "address": "127.0.0.1:9", "zone": "d0", "version": "v1", "slots": 8,
+                 "state": "draining", "cold_remaining_ms": 0, "capacity": {"cpu": 64000, "mem_mb": 1},
+                 "labels": ["a"], "clock_ms": 1, "seq": 1, "born": 1})
+            return status
+
+        async def until_status(wanted):
+            deadline = time.monotonic() + PATIENCE_S
+            while (status := await announce()) != wanted:
+                self.assertLess(time.monotonic(), deadline, f"{status}, not {wanted}")
+                await asyncio.sleep(0.1)
+
+        async def test():
+            await until_status(200)
+            for ip in self.fleet.gateways:
+                self.stop_gateway(ip)
+            await until_status(503)
+            self.continue_all()
+            await until_status(200)
+        self.run_in_loop(test())
+
     def test_runs_of_a_silent_caller_end_after_its_deadline(self):
         async def test():
             deadline_ms, job, caller = 1500, self.new_job(), Caller(self.fleet.gateways[0])
