FleetNode: announcements of targets without incarnations are not kept

Found by reading: such a target that leaves and starts again under its name counts its heartbeats anew, so it would have stayed "leaving" for a minute. FleetNode.DepartureOfATargetWithoutIncarnationIsNotKept.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -120,6 +120,10 @@
     const LeasedTarget &target = heartbeat.target;
     this->recordState(heartbeat.isLeaving ? "shutting-down" : "leaving", target, {},
                       this->targetOwner.ownsTarget(target.name) ? "owned" : "not-owned");
+    // Without an incarnation, a target that starts again under its name can't be told from this
+    // one.
+    if (target.incarnation == 0)
+        return;
     const auto known = this->departures.find(target.name);
     if (known != this->departures.end() && known->second.heartbeat.isNewerThan(target))
         return;
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -275,6 +275,19 @@
     EXPECT_EQ(fixture.ownedState(), TargetState::Ready);
 }
 
+// Guards against a target without incarnations that gets no work after it has left and come back.
+TEST(FleetNode, DepartureOfATargetWithoutIncarnationIsNotKept)
+{
+    GatewayFixture fixture;
+    LeasedTarget target = GatewayFixture::target(8, TargetState::Draining);
+    target.incarnation = 0;
+    fixture.node.handleHeartbeat({ .target = target, .isLeaving = true }, fixture.now);
+    target.sequence = 1;
+    target.state = TargetState::Ready;
+    fixture.node.handleHeartbeat({ .target = target }, fixture.now);
+    EXPECT_EQ(fixture.ownedState(), TargetState::Ready);
+}
+
 // Guards against a node that wakes up and takes targets from their owners by heartbeats and
 // transfers that have waited in its sockets.
 TEST(FleetNode, TakesNoTargetOverByWhatArrivesRightAfterAStall)
