--- a/test/ReplicationTest.cpp
+++ b/test/ReplicationTest.cpp
@@ -154,9 +154,9 @@
         ReplicaGroup group({ "a", "b", "c" });
         group.silent = { member };
         Replica &leader = group.leader();
-        constexpr int entryCount = 20;
+        constexpr std::size_t entryCount = 20;
         constexpr std::size_t entryBytes = 500'000;
-        for (int i = 0; i < entryCount; ++i) {
+        for (std::size_t i = 0; i < entryCount; ++i) {
             ReplicaOutbox out;
             leader.propose({ Bytes(entryBytes, 'x') }, group.now, out);
             group.deliver(std::move(out));
