--- a/test/LogCompactionTest.cpp
+++ b/test/LogCompactionTest.cpp
@@ -104,8 +104,8 @@
 }
 
 // Guards against registry nodes that run out of memory and disk, since changes that take effect are
-// never removed from their logs. A quarter of the VM's memory and disk is left for a restart, a
-// snapshot that is written beside the log, and everything else.
+// never removed from their logs. They may use a quarter of the VM's memory and disk: the rest is
+// for a restart, a snapshot that is written beside the log, and everything else.
 TEST(LogCompaction, ManyChangesOfALargeConfigurationFitInMemoryAndOnDisk)
 {
     const std::size_t before = heapBytes();
