--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -436,7 +436,7 @@
 std::optional<OutcomeReason> FleetCoordinator::refusalReason(const TransientJob &job,
                                                              const RoutePolicy &policy,
                                                              const std::vector<OwnerView> &owners,
-                                                             TimePoint now) const
+                                                             TimePoint now)
 {
     std::optional<double> fastest;
     for (const OwnerView &owner : owners)
@@ -456,8 +456,11 @@
             return OutcomeReason::NeverFits;
     }
     const Duration chain = fromSeconds(*fastest * toSeconds(this->criticalPath(job, policy)));
-    const Duration wait = queueDelay(policy.service, owners);
-    if (wait + chain > policy.untilDeadline)
+    const Duration wait = queueDelay(policy, owners);
+    const Duration spare = this->timeToObjective(job, policy) - this->criticalPath(job, policy);
+    const bool isCrowded = this->hasStandingQueue(policy.priority, wait, now)
+        && toSeconds(wait) > this->options.maxQueueShare * toSeconds(spare);
+    if (isCrowded || wait + chain > policy.untilDeadline)
         return OutcomeReason::Overloaded;
     // Most jobs meet their objective once there is free capacity.
     if (this->shutdownAt && now + wait + this->timeToObjective(job, policy) > *this->shutdownAt)
@@ -465,15 +468,30 @@
     return std::nullopt;
 }
 
-Duration FleetCoordinator::queueDelay(const ServiceName &service,
+// A burst is absorbed by queues that are empty again soon. A queue that stands makes each job that
+// is admitted late, or has it fail after its wait; wide jobs, all of whose tasks have to start,
+// fail first.
+bool FleetCoordinator::hasStandingQueue(std::uint32_t priority, Duration wait, TimePoint now)
+{
+    if (wait <= this->options.emptyQueueDelay) {
+        this->queueStandsSince.erase(priority);
+        return false;
+    }
+    const TimePoint since = this->queueStandsSince.try_emplace(priority, now).first->second;
+    return now >= since + this->options.standingQueueTime;
+}
+
+Duration FleetCoordinator::queueDelay(const RoutePolicy &policy,
                                       const std::vector<OwnerView> &owners)
 {
     double work = 0;
     double capacity = 0;
     for (const OwnerView &owner : owners) {
-        work += static_cast<double>(owner.report.queuedWork);
+        for (const auto &[priority, queued] : owner.report.queuedWork)
+            if (priority <= policy.priority)
+                work += static_cast<double>(queued);
         for (const OwnedTarget &target : owner.report.targets)
-            if (target.service == service && target.acceptsWork)
+            if (target.service == policy.service && target.acceptsWork)
                 capacity += static_cast<double>(target.capacity.cpu) / target.slowness;
     }
     return capacity > 0 ? fromSeconds(work / capacity) : Duration();
@@ -483,7 +501,7 @@
 Duration FleetCoordinator::retryAfter(const RoutePolicy &policy,
                                       const std::vector<OwnerView> &owners) const
 {
-    const Duration wait = this->options.minRetryAfter + queueDelay(policy.service, owners);
+    const Duration wait = this->options.minRetryAfter + queueDelay(policy, owners);
     return std::min(wait, this->options.maxRetryAfter);
 }
 
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -128,6 +128,16 @@
     /** \brief Lower limit of Retry-After; the time in which targets free capacity once. */
     Duration minRetryAfter = 200ms;
     Duration maxRetryAfter = 2s; ///< upper limit of Retry-After
+    /** \brief A job is refused if the queues before it take more than this share of the time that
+     * it can wait without missing its objective. The rest is for the tasks of a wide job, which
+     * wait for the slowest of them, and for more urgent work that arrives meanwhile.
+     */
+    double maxQueueShare = 0.2;
+    /** \brief That applies while there is a standing queue: for longer than this, new work had to
+     * wait for more than emptyQueueDelay.
+     */
+    Duration standingQueueTime = 500ms;
+    Duration emptyQueueDelay = 10ms;
 };
 
 /** \brief Coordinates the transient jobs of one entry node's callers: assigns tasks to owners and
@@ -217,11 +227,16 @@
     void forEachAssignedTask(const Visit &visit) const;
     /** \returns the expected duration of the longest chain of dependent tasks. */
     Duration criticalPath(const TransientJob &job, const RoutePolicy &policy) const;
-    /** \returns the expected wait of new work for free capacity, from the owners' queues. */
-    static Duration queueDelay(const ServiceName &service, const std::vector<OwnerView> &owners);
+    /** \returns the expected wait for free capacity of new work with \a policy, from the owners'
+     * queues of work that is as urgent or more.
+     */
+    static Duration queueDelay(const RoutePolicy &policy, const std::vector<OwnerView> &owners);
+    /** \returns whether the queues of work with \a priority, which now take \a wait, have not been
+     * empty for a while.
+     */
+    bool hasStandingQueue(std::uint32_t priority, Duration wait, TimePoint now);
     std::optional<OutcomeReason> refusalReason(const TransientJob &job, const RoutePolicy &policy,
-                                               const std::vector<OwnerView> &owners,
-                                               TimePoint now) const;
+                                               const std::vector<OwnerView> &owners, TimePoint now);
     /** \returns the latency objective of a job, counted from its arrival. */
     Duration timeToObjective(const TransientJob &job, const RoutePolicy &policy) const;
     Duration retryAfter(const RoutePolicy &policy, const std::vector<OwnerView> &owners) const;
@@ -250,6 +265,7 @@
     std::map<std::string, AnsweredJob> answeredJobs;
     std::map<std::string, TimePoint> leftJobs; ///< jobs whose last caller left, and when
     std::map<RouteName, EstimateModel> estimates;
+    std::map<std::uint32_t, TimePoint> queueStandsSince; ///< by priority
     std::vector<JobOutcome> outcomes;
     std::vector<UnsuccessfulRun> unsuccessfulRuns;
     std::optional<TimePoint> shutdownAt; ///< end of this node, once it is draining
--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -5,6 +5,7 @@
 #include "Hibiscus/src/Fleet/LeasedTarget.h"
 #include "Hibiscus/src/Fleet/Run.h"
 
+#include <map>
 #include <optional>
 
 namespace Hibiscus {
@@ -45,7 +46,8 @@
 {
     std::vector<OwnedTarget> targets;
     std::uint32_t queued = 0; ///< tasks that wait at the owner for free capacity
-    std::int64_t queuedWork = 0; ///< their demand, in thousandths of a core times seconds
+    /** \brief Their demand in thousandths of a core times seconds, by priority. */
+    std::map<std::uint32_t, std::int64_t> queuedWork;
 
     auto operator<=>(const OwnerReport &other) const = default;
     HIBISCUS_FIELDS(targets, queued, queuedWork)
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -286,8 +286,8 @@
         if (run.stage != Stage::Queued)
             continue;
         ++report.queued;
-        report.queuedWork += static_cast<std::int64_t>(static_cast<double>(run.request.demand.cpu)
-                                                       * toSeconds(run.request.estimate));
+        report.queuedWork[run.request.priority] += static_cast<std::int64_t>(
+            static_cast<double>(run.request.demand.cpu) * toSeconds(run.request.estimate));
     }
     return report;
 }
--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -34,6 +34,15 @@
                .load = { .kinds = kinds, .jobsPerSecond = usualRate, .burstFactor = 1.3 } },
              { .name = "burst-1.6",
                .load = { .kinds = kinds, .jobsPerSecond = usualRate, .burstFactor = 1.6 } },
+             { .name = "overload",
+               .load = { .kinds = kinds,
+                         .jobsPerSecond = usualRate,
+                         .burstFactor = 1.9,
+                         .burstAt = 0s,
+                         .burstSpan = 12s,
+                         .slowTargetShare = 0.3,
+                         .slowFactor = 4,
+                         .slowAt = 6s } },
              { .name = "slow-targets",
                .load = { .kinds = kinds, .jobsPerSecond = 130, .slowTargetShare = 0.17 } } };
 }
@@ -56,9 +65,10 @@
               << " starts/task " << outcome.startsPerTask;
     for (const auto &[route, kind] : outcome.kinds)
         std::cout << " | " << route << " credit " << kind.earnedShare() << " late "
-                  << 1.0 * kind.late / kind.jobs << " refused " << 1.0 * kind.refused / kind.jobs
-                  << " held " << 1.0 * kind.unansweredForLong / kind.jobs << " largest "
-                  << 1.0 * kind.largestJobsServed / kind.largestJobs;
+                  << 1.0 * kind.late / kind.jobs << " served " << kind.servedShare() << " refused "
+                  << 1.0 * kind.refused / kind.jobs << " held "
+                  << 1.0 * kind.unansweredForLong / kind.jobs << " largest "
+                  << kind.largestServedShare();
     std::cout << std::endl;
 }
 
--- a/test/FleetLoadTest.cpp
+++ b/test/FleetLoadTest.cpp
@@ -27,6 +27,10 @@
 {
     sum.jobs += kind.jobs;
     sum.inTime += kind.inTime;
+    sum.late += kind.late;
+    sum.unansweredForLong += kind.unansweredForLong;
+    sum.largestJobs += kind.largestJobs;
+    sum.largestJobsServed += kind.largestJobsServed;
     sum.earnedValue += kind.earnedValue;
     sum.totalValue += kind.totalValue;
 }
@@ -62,4 +66,23 @@
     EXPECT_GE(filings.earnedShare(), 0.94);
 }
 
+// Guards against wide jobs that are crowded out by a standing queue, and against jobs that wait for
+// most of their time before they are refused. Users ask that the largest tenth of a kind is served
+// at least half as often as the whole kind.
+TEST(FleetLoad, LargestJobsGetTheirPartOfOverloadedTargets)
+{
+    Fake::FleetKindOutcome filings;
+    for (const std::uint64_t seed : { 1U, 2U, 3U, 4U }) {
+        const FleetLoadOutcome outcome = runLoadWithSeed(seed,
+                                                         { .jobsPerSecond = 1.9 * usualLoad,
+                                                           .slowTargetShare = 0.3,
+                                                           .slowFactor = 4,
+                                                           .slowAt = 6s });
+        add(filings, outcome.kinds.at("filing"));
+    }
+    EXPECT_GE(filings.largestServedShare(), filings.servedShare() / 2);
+    EXPECT_GE(filings.servedShare(), 0.25);
+    EXPECT_LT(filings.unansweredForLong, filings.jobs / 4);
+}
+
 } // namespace
--- a/test/support/FleetLoad.h
+++ b/test/support/FleetLoad.h
@@ -2,6 +2,8 @@
 
 #include "test/support/FleetSimulation.h"
 
+#include <algorithm>
+
 namespace Hibiscus::Fake {
 
 /** \brief Kind of jobs that callers send. */
@@ -49,6 +51,16 @@
     {
         return this->totalValue > 0 ? this->earnedValue / this->totalValue : 1;
     }
+
+    double servedShare() const
+    {
+        return static_cast<double>(this->inTime + this->late) / std::max(this->jobs, 1U);
+    }
+
+    double largestServedShare() const
+    {
+        return static_cast<double>(this->largestJobsServed) / std::max(this->largestJobs, 1U);
+    }
 };
 
 /** \brief Results of a load, by kind of job and in total. */
