Registry and gateways: the log tells who offered which rules, and what a restarted log holds

A registry node now logs at its start the indices and term of its log and the newest version in it, its members at each change, when its leadership is ready, on how many disks an acknowledged change is, and each whole file that it offers; a gateway logs the sender and kind of the version that it adopts or refuses.

The decisions of a gateway on its rules move from GatewayProcess to GatewayRules, which needs no sockets; behaviour is the same.

--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -11,13 +11,6 @@
 namespace internal {
 
 constexpr Duration gatewayTick = 10ms;
-constexpr Duration rulesFetchInterval = 300ms;
-/** \brief Time after its start in which a gateway accepts only rules that a quorum confirms. */
-constexpr Duration confirmedRulesTimeout = 3s;
-/** \brief Time for which older rules stay in use after a newer version is known to be accepted; a
- * part of the two seconds or more within which a change has to be in force.
- */
-constexpr Duration outdatedRulesLifetime = 1s;
 /** \brief Timeout of an order to a target: some tens of round trips, and a small part of a short
  * task's objective.
  */
@@ -106,10 +99,11 @@
 
 GatewayProcess::GatewayProcess(const NodeContext &node)
     : context(node), node(internal::fleetOptions(node)), directory({}, node.name()),
-      rules(node.name()), relay(
-                              this->loop, node.relayOptions(), makeHttpTransport,
-                              [this](const WireMessage &message) { this->onMessage(message); },
-                              [](const NodeName &) {}),
+      rules({}, node.name(), this->loop.now()),
+      relay(
+          this->loop, node.relayOptions(), makeHttpTransport,
+          [this](const WireMessage &message) { this->onMessage(message); },
+          [](const NodeName &) {}),
       callerServer(this->loop,
                    { .address = *Address::parse(node.profile.callersAddress),
                      .keptHeaders = node.protocol.callerHeaders,
@@ -127,8 +121,7 @@
                    [this](const HttpRequest &request) { this->onTargetRequest(request); }),
       metricsServer(this->loop, { .address = *Address::parse(node.profile.metricsAddress) },
                     [this](const HttpRequest &request) { this->onMetricsRequest(request); }),
-      client(this->loop, {}), metrics(node.profile.label), settingsWatcher(node.settingsPath),
-      startedAt(this->loop.now())
+      client(this->loop, {}), metrics(node.profile.label), settingsWatcher(node.settingsPath)
 {
     this->directory.setSeeds(this->context.seeds());
 }
@@ -157,22 +150,22 @@
 {
     this->lastRequestAt = this->loop.now();
     const TimePoint now = this->loop.now();
-    if (!this->hasRules() || this->hasOutdatedRules(now)) {
-        const char *reason = this->hasRules() ? "old-rules" : "no-rules";
+    if (!this->rules.hasRules() || this->rules.isOutdated(now)) {
+        const char *reason = this->rules.hasRules() ? "old-rules" : "no-rules";
         logEvent("request-refused",
                  { { "path", request.path },
                    { "reason", reason },
-                   { "rules_version", std::to_string(this->rules.file().version) } });
+                   { "rules_version", std::to_string(this->rules.active().file().version) } });
         this->refuse(request.token, internal::StatusUnavailable, 1s, reason);
         return;
     }
-    const RouteRule *route = this->rules.rules().routeFor(request.host, request.path);
+    const RouteRule *route = this->rules.active().rules().routeFor(request.host, request.path);
     if (route == nullptr) {
         ++this->refusalCounts["no-route"];
         logEvent("request-refused",
                  { { "path", request.path },
                    { "reason", "no-route" },
-                   { "rules_version", std::to_string(this->rules.file().version) } });
+                   { "rules_version", std::to_string(this->rules.active().file().version) } });
         this->callerServer.respond(request.token, { .status = internal::StatusNotFound });
         return;
     }
@@ -293,8 +286,8 @@
             [&](const NodeList &list) { this->handleNodeList(list, now); },
             [&](const RulesUpdate &update) { this->handleRulesUpdate(update); },
             [&](const FetchRules &fetch) {
-                if (this->rules.status() != RulesStatus::None)
-                    this->relay.send(fetch.node, RulesUpdate { .content = this->rules.file() });
+                if (const auto offer = this->rules.offer())
+                    this->relay.send(fetch.node, *offer);
             },
             [](const auto &) {},
         },
@@ -321,7 +314,7 @@
     if (const std::vector<NodeName> dueRegistries = this->directory.takeDueAnnouncements(now);
         !dueRegistries.empty()) {
         const NodeRecord self = this->context.record(NodeKind::Gateway, stopRequests() > 0);
-        const RulesAcknowledgement acknowledgement = this->rules.acknowledgement();
+        const RulesAcknowledgement acknowledgement = this->rules.active().acknowledgement();
         for (const NodeName &registry : dueRegistries)
             this->relay.send(
                 registry,
@@ -330,8 +323,7 @@
                                    .rulesVersion = acknowledgement.version,
                                    .rulesDigest = acknowledgement.digest });
     }
-    if (this->rules.status() != RulesStatus::Confirmed && now >= this->nextFetchAt)
-        this->fetchRules(now);
+    this->requestRules(now);
     if (const auto profile = this->settingsWatcher.takeChange(now))
         this->reload(*profile);
     if (stopRequests() > 0)
@@ -471,7 +463,7 @@
                    { "reason", toString(outcome.reason) },
                    { "took_ms", std::to_string(toMilliseconds(elapsed)) },
                    { "attempts", std::to_string(outcome.requestedRuns) },
-                   { "rules_version", std::to_string(this->rules.file().version) } });
+                   { "rules_version", std::to_string(this->rules.active().file().version) } });
         this->metrics.observeSeconds("hibiscus_job_seconds",
                                      "Time from a job's arrival to its answer, in seconds.",
                                      toSeconds(elapsed));
@@ -498,49 +490,46 @@
           .headers = { { .name = "retry-after", .value = std::to_string(seconds) } } });
 }
 
-// Rules that a quorum confirms are preferred. If no quorum is reachable for a while, serving with
-// the last known rules, from a registry node or from a peer of the same domain, is better than not
-// serving.
-void GatewayProcess::fetchRules(TimePoint now)
+void GatewayProcess::requestRules(TimePoint now)
 {
-    this->nextFetchAt = now + internal::rulesFetchInterval;
-    const bool acceptsOnlyConfirmed = now < this->startedAt + internal::confirmedRulesTimeout
-        || this->rules.status() != RulesStatus::None;
-    const FetchRules fetch
-        = { .node = this->context.name(), .acceptsLastKnown = !acceptsOnlyConfirmed };
-    for (const NodeName &registry : this->directory.registries())
-        this->relay.send(registry, fetch);
-    if (acceptsOnlyConfirmed)
+    if (this->rules.active().status() == RulesStatus::Confirmed)
         return;
+    std::vector<NodeName> peers;
     for (const NodeRecord &gateway : this->directory.gateways())
         if (gateway.domain == this->context.profile.domain)
-            this->relay.send(gateway.node, fetch);
+            peers.push_back(gateway.node);
+    for (const AddressedFetch &request :
+         this->rules.takeDueRequests(this->directory.registries(), peers, now))
+        this->relay.send(request.to, request.fetch);
 }
 
 void GatewayProcess::handleRulesUpdate(const RulesUpdate &update)
 {
-    // The first rules after a start must not come from a member that may be behind the others.
-    const bool acceptsOnlyConfirmed
-        = this->loop.now() < this->startedAt + internal::confirmedRulesTimeout;
-    if (update.isCatchUp && acceptsOnlyConfirmed && this->rules.status() == RulesStatus::None)
+    const std::uint64_t previousVersion = this->rules.active().file().version;
+    const RulesReceipt receipt = this->rules.receive(update, this->loop.now());
+    const RulesAcknowledgement acknowledgement = this->rules.active().acknowledgement();
+    if (receipt == RulesReceipt::Refused) {
+        if (this->refusedOffers.insert(update.sender).second)
+            logEvent("rules-not-adopted",
+                     { { "version", std::to_string(versionOf(update)) },
+                       { "sender", update.sender.str() },
+                       { "offer", toString(offerOf(update)) } });
         return;
-    const std::uint64_t previousVersion = this->rules.file().version;
-    const RulesStatus previousStatus = this->rules.status();
-    const auto acknowledged = this->rules.receive(update);
-    if (update.isConfirmed)
-        this->rulesConfirmedAt = this->loop.now();
-    if (this->rules.file().version != previousVersion || this->rules.status() != previousStatus)
-        logEvent(
-            "rules-in-force",
-            { { "version", std::to_string(this->rules.file().version) },
-              { "former", std::to_string(previousVersion) },
-              { "confirmed", this->rules.status() == RulesStatus::Confirmed ? "yes" : "no" } });
+    }
+    if (receipt == RulesReceipt::Adopted) {
+        const bool isConfirmed = this->rules.active().status() == RulesStatus::Confirmed;
+        logEvent("rules-in-force",
+                 { { "version", std::to_string(acknowledgement.version) },
+                   { "former", std::to_string(previousVersion) },
+                   { "confirmed", isConfirmed ? "yes" : "no" },
+                   { "sender", update.sender.str() },
+                   { "offer", toString(offerOf(update)) } });
+    }
     // Every registry node may offer the same version; acknowledging it once is enough.
-    const bool isChanged = this->rules.file().version != previousVersion;
-    if (!acknowledged || (update.isCatchUp && !isChanged))
+    if (update.isCatchUp && acknowledgement.version == previousVersion)
         return;
     for (const NodeName &registry : this->directory.registries())
-        this->relay.send(registry, *acknowledged);
+        this->relay.send(registry, acknowledgement);
 }
 
 // Addresses stay the same until the process exits; the settings below may change.
@@ -572,23 +561,10 @@
         this->loop.stop();
 }
 
-// Version 0 means that no rules were ever applied.
-bool GatewayProcess::hasRules() const
-{
-    return this->rules.status() != RulesStatus::None && this->rules.file().version > 0;
-}
-
-// A change is acknowledged within some hundreds of milliseconds, and callers may rely on it soon
-// after. Rules that have been outdated for longer must therefore no longer be applied.
-bool GatewayProcess::hasOutdatedRules(TimePoint now) const
-{
-    const auto since = this->rules.outdatedSince();
-    return since && now >= *since + internal::outdatedRulesLifetime;
-}
-
 bool GatewayProcess::isReady() const
 {
-    return this->hasRules() && !this->hasOutdatedRules(this->loop.now()) && stopRequests() == 0;
+    return this->rules.hasRules() && !this->rules.isOutdated(this->loop.now())
+        && stopRequests() == 0;
 }
 
 void GatewayProcess::updateMetrics()
@@ -632,10 +608,11 @@
     gauge("hibiscus_running_runs", "Runs on own targets.", this->node.owner().runningRunCount());
     gauge("hibiscus_targets", "Own targets.", this->node.owner().targetNames().size());
     gauge("hibiscus_live_peers", "Peers that answer.", this->node.livePeerCount(this->loop.now()));
-    gauge("hibiscus_rules_version", "Version of the rules in force.", this->rules.file().version);
+    gauge("hibiscus_rules_version", "Version of the rules in force.",
+          this->rules.active().file().version);
     this->metrics.setGauge("hibiscus_rules_confirmation_age_seconds",
                            "Time since a quorum confirmed the rules in force.",
-                           toSeconds(this->loop.now() - this->rulesConfirmedAt));
+                           toSeconds(this->loop.now() - this->rules.confirmedAt()));
     updateRelayMetrics(this->metrics, this->relay.counters());
 }
 
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -41,12 +41,10 @@
     void send(const PollOrder &order);
     void respond(const JobOutcome &outcome);
     void refuse(std::uint64_t token, int status, Duration retryAfter, const char *reason);
-    void fetchRules(TimePoint now);
+    void requestRules(TimePoint now);
     void handleRulesUpdate(const RulesUpdate &update);
     void reload(const NodeProfile &profile);
     void continueStop(TimePoint now);
-    bool hasRules() const;
-    bool hasOutdatedRules(TimePoint now) const;
     bool isReady() const;
     void updateMetrics();
 
@@ -54,7 +52,7 @@
     EventLoop loop;
     FleetNode node;
     Directory directory;
-    ActiveRules rules;
+    GatewayRules rules;
     Relay relay;
     HttpServer callerServer;
     HttpServer readinessServer;
@@ -67,9 +65,7 @@
     std::map<std::uint64_t, WaitingCaller> waitingCallers;
     std::map<std::string, std::uint64_t> refusalCounts; ///< number of refused requests by reason
     RefusalLog refusalLog;
-    TimePoint startedAt;
-    TimePoint nextFetchAt;
-    TimePoint rulesConfirmedAt; ///< latest time a quorum confirmed the rules in force
+    std::set<NodeName> refusedOffers; ///< nodes whose refused offer of rules was logged
     TimePoint stopRequestedAt;
     TimePoint lastRequestAt;
 };
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -49,6 +49,18 @@
     return options;
 }
 
+/** \returns the newest version in the log behind the snapshot, which may not be committed; 0: none.
+ */
+static std::uint64_t newestLoggedVersion(const Replica &replica)
+{
+    std::uint64_t newest = 0;
+    for (const LogEntry &entry : replica.entries())
+        if (const auto *command = std::get_if<Command>(&entry.body))
+            if (const auto change = decode<ApplyRules>(command->bytes))
+                newest = std::max(newest, change->assignedVersion);
+    return newest;
+}
+
 } // namespace internal
 
 Result<ReplicaDisk> RegistryProcess::openDisk(const NodeContext &node)
@@ -97,11 +109,16 @@
         logError("cannot-listen", { { "address", this->context.profile.peerAddress } });
         return 1;
     }
+    const Replica &replica = this->node.replica();
     logEvent("started",
              { { "role", "registry" },
                { "domain", this->context.profile.domain.str() },
                { "life", std::to_string(this->context.incarnation) },
-               { "rules_version", std::to_string(this->node.state().version()) } });
+               { "rules_version", std::to_string(this->node.state().version()) },
+               { "logged_rules_version", std::to_string(internal::newestLoggedVersion(replica)) },
+               { "snapshot_index", std::to_string(replica.snapshotIndex()) },
+               { "last_index", std::to_string(replica.lastIndex()) },
+               { "term", std::to_string(replica.term()) } });
     this->loop.run(
         internal::registryTick, [this] { this->onTick(); }, [this] { this->flushOutput(); });
     logEvent("stopped");
@@ -291,8 +308,14 @@
     if (this->disk.storeAndSend(this->out.log.replica, this->relay, now) == StoreOutcome::Failed)
         this->node.suspend(now, this->out);
     const ControlNode::Outbox outbox = std::exchange(this->out, {});
-    for (const AddressedUpdate &item : outbox.updates)
+    for (const AddressedUpdate &item : outbox.updates) {
+        if (std::holds_alternative<RulesFile>(item.update.content))
+            logEvent("rules-offered",
+                     { { "to", item.to.str() },
+                       { "version", std::to_string(versionOf(item.update)) },
+                       { "offer", toString(offerOf(item.update)) } });
         this->relay.send(item.to, item.update);
+    }
     for (const ApplyResponse &response : outbox.applyResponses)
         this->respond(response);
     for (const RulesReadResponse &response : outbox.readResponses)
@@ -311,7 +334,8 @@
              { { "version", std::to_string(response.reply->version) },
                { "accepted", isAccepted ? "yes" : "no" },
                { "in_force_at", std::to_string(response.confirmed.size()) },
-               { "not_confirmed_at", std::to_string(response.unconfirmed.size()) } });
+               { "not_confirmed_at", std::to_string(response.unconfirmed.size()) },
+               { "copies", std::to_string(response.copies) } });
     this->http.respond(response.request.number,
                        { .status = isAccepted ? 200 : internal::statusBadRequest, .body = "{}" });
 }
--- a/Hibiscus/src/Process/ReplicaLifecycle.h
+++ b/Hibiscus/src/Process/ReplicaLifecycle.h
@@ -7,7 +7,7 @@
 namespace Hibiscus {
 
 /** \brief Steps that the processes of all replicas share: requesting to join the group, stepping
- * down as leader before a stop, and logging changes of role.
+ * down as leader before a stop, and logging changes of role and of the members.
  */
 class ReplicaLifecycle
 {
@@ -47,11 +47,36 @@
             logEvent(leads ? "became-leader" : "lost-leadership",
                      { { "term", std::to_string(replica.term()) } });
         this->wasLeader = leads;
+        const bool isReady = replica.isLeaderReady();
+        if (isReady && !this->wasReady)
+            logEvent("leader-ready",
+                     { { "term", std::to_string(replica.term()) },
+                       { "commit_index", std::to_string(replica.commitIndex()) } });
+        this->wasReady = isReady;
+        if (replica.membership() != this->loggedMembership)
+            logEvent("members",
+                     { { "voters", membersWith(replica.membership(), MemberRole::Voter) },
+                       { "learners", membersWith(replica.membership(), MemberRole::Learner) },
+                       { "term", std::to_string(replica.term()) },
+                       { "last_index", std::to_string(replica.lastIndex()) } });
+        this->loggedMembership = replica.membership();
+    }
+
+    static std::string membersWith(const GroupMembership &membership, MemberRole role)
+    {
+        std::string names;
+        for (const Member &member : membership.members)
+            if (member.role == role)
+                names += (names.empty() ? "" : " ") + member.id.node.str() + "/"
+                    + std::to_string(member.id.incarnation);
+        return names;
     }
 
     TimePoint nextJoinAt;
     TimePoint stopDeadline;
     bool wasLeader = false;
+    bool wasReady = false;
+    GroupMembership loggedMembership;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -109,6 +109,15 @@
     return this->isLeader() && this->committedIndex >= this->termStartIndex;
 }
 
+std::size_t Replica::copiesOf(std::uint64_t index) const
+{
+    std::size_t copies = this->lastIndex() >= index ? 1 : 0;
+    if (this->isLeader())
+        copies += std::ranges::count_if(
+            this->progress, [&](const auto &item) { return item.second.matchIndex >= index; });
+    return copies;
+}
+
 std::uint64_t Replica::lastIndex() const
 {
     return this->durable.entries.empty() ? this->durable.snapshot.index
--- a/Hibiscus/src/Rules/ActiveRules.cpp
+++ b/Hibiscus/src/Rules/ActiveRules.cpp
@@ -57,7 +57,7 @@
 
 RulesAcknowledgement ActiveRules::acknowledgement() const
 {
-    return { .node = this->self,
+    return { .node = this->node,
              .version = this->currentFile.version,
              .digest = digestOf(this->currentFile.text) };
 }
--- a/Hibiscus/src/Rules/ActiveRules.h
+++ b/Hibiscus/src/Rules/ActiveRules.h
@@ -15,7 +15,7 @@
 class ActiveRules
 {
 public:
-    explicit ActiveRules(NodeName self) : self(std::move(self)) { }
+    explicit ActiveRules(NodeName self) : node(std::move(self)) { }
 
     // Commands.
     /** \brief Applies \a update, unless it is older or its base is not held here.
@@ -29,6 +29,7 @@
     void recordAcceptedVersion(std::uint64_t version, TimePoint now);
 
     // Queries.
+    const NodeName &self() const { return this->node; }
     RulesStatus status() const { return this->currentStatus; }
     const RulesFile &file() const { return this->currentFile; }
     const RuleSet &rules() const { return this->parsedRules; }
@@ -41,7 +42,7 @@
 private:
     void adopt(const RulesFile &file);
 
-    NodeName self;
+    NodeName node;
     RulesStatus currentStatus = RulesStatus::None;
     RulesFile currentFile;
     RuleSet parsedRules;
--- a/Hibiscus/src/Rules/ControlNode.cpp
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -121,7 +121,9 @@
             = logResponse.reply && logResponse.reply->status == ApplyStatus::Accepted;
         if (isAccepted)
             this->pendingApplies.push_back(
-                { .response = response, .respondBy = now + this->options.confirmationTimeout });
+                { .response = response,
+                  .index = this->replica().commitIndex(),
+                  .respondBy = now + this->options.confirmationTimeout });
         else
             out.applyResponses.push_back(response);
     }
@@ -199,6 +201,7 @@
             const bool isInForce = this->isInForceAt(recipient.node, response.reply->version);
             (isInForce ? response.confirmed : response.unconfirmed).push_back(recipient);
         }
+        response.copies = this->replica().copiesOf(pending.index);
         const bool isDue = response.unconfirmed.empty() || now >= pending.respondBy;
         if (isDue)
             out.applyResponses.push_back(response);
@@ -239,13 +242,14 @@
     if (!hasBase)
         return this->wholeFile(false);
     const RulesDelta delta = RulesDelta::between(base->second.text, this->state().text());
-    return { .content = VersionedDelta { .version = this->state().version(), .delta = delta } };
+    return { .content = VersionedDelta { .version = this->state().version(), .delta = delta },
+             .sender = this->replica().self().node };
 }
 
 RulesUpdate ControlNode::wholeFile(bool isConfirmed) const
 {
     const RulesFile file = { .version = this->state().version(), .text = this->state().text() };
-    return { .content = file, .isConfirmed = isConfirmed };
+    return { .content = file, .isConfirmed = isConfirmed, .sender = this->replica().self().node };
 }
 
 bool ControlNode::isInForceAt(const NodeName &node, std::uint64_t version) const
--- a/Hibiscus/src/Rules/ControlNode.h
+++ b/Hibiscus/src/Rules/ControlNode.h
@@ -36,6 +36,7 @@
     std::optional<NodeName> leader;
     std::vector<RulesRecipient> confirmed;
     std::vector<RulesRecipient> unconfirmed;
+    std::size_t copies = 0; ///< number of members on whose disks an accepted change is known to be
 
     auto operator<=>(const ApplyResponse &other) const = default;
 };
@@ -113,6 +114,7 @@
     struct PendingApply
     {
         ApplyResponse response;
+        std::uint64_t index = 0; ///< index in the log, at or after that of the change
         TimePoint respondBy;
     };
 
--- /dev/null
+++ b/Hibiscus/src/Rules/GatewayRules.cpp
@@ -0,0 +1,70 @@
+#include "Hibiscus/src/Rules/GatewayRules.h"
+
+namespace Hibiscus {
+
+// Rules that a quorum confirms are preferred. If no quorum is reachable for a while, serving with
+// the last known rules, from a registry node or from a peer of the same domain, is better than not
+// serving.
+std::vector<AddressedFetch> GatewayRules::takeDueRequests(const std::vector<NodeName> &registries,
+                                                          const std::vector<NodeName> &peers,
+                                                          TimePoint now)
+{
+    if (this->activeRules.status() == RulesStatus::Confirmed || now < this->requestDueAt)
+        return {};
+    this->requestDueAt = now + this->options.requestInterval;
+    const bool acceptsLastKnown
+        = !this->acceptsOnlyConfirmed(now) && this->activeRules.status() == RulesStatus::None;
+    const FetchRules fetch
+        = { .node = this->activeRules.self(), .acceptsLastKnown = acceptsLastKnown };
+    std::vector<AddressedFetch> requests;
+    for (const NodeName &registry : registries)
+        requests.push_back({ .to = registry, .fetch = fetch });
+    if (acceptsLastKnown)
+        for (const NodeName &peer : peers)
+            requests.push_back({ .to = peer, .fetch = fetch });
+    return requests;
+}
+
+RulesReceipt GatewayRules::receive(const RulesUpdate &update, TimePoint now)
+{
+    // The first rules after a start must not come from a member that may be behind the others.
+    if (update.isCatchUp && this->acceptsOnlyConfirmed(now)
+        && this->activeRules.status() == RulesStatus::None)
+        return RulesReceipt::Refused;
+    const std::uint64_t previousVersion = this->activeRules.file().version;
+    const RulesStatus previousStatus = this->activeRules.status();
+    this->activeRules.receive(update);
+    if (update.isConfirmed)
+        this->latestConfirmationAt = now;
+    const bool isChanged = this->activeRules.file().version != previousVersion
+        || this->activeRules.status() != previousStatus;
+    return isChanged ? RulesReceipt::Adopted : RulesReceipt::Unchanged;
+}
+
+// Version 0 means that no rules were ever applied.
+bool GatewayRules::hasRules() const
+{
+    return this->activeRules.status() != RulesStatus::None && this->activeRules.file().version > 0;
+}
+
+// A change is acknowledged within some hundreds of milliseconds, and callers may rely on it soon
+// after. Rules that have been outdated for longer must therefore no longer be applied.
+bool GatewayRules::isOutdated(TimePoint now) const
+{
+    const auto since = this->activeRules.outdatedSince();
+    return since && now >= *since + this->options.outdatedLifetime;
+}
+
+std::optional<RulesUpdate> GatewayRules::offer() const
+{
+    if (this->activeRules.status() == RulesStatus::None)
+        return std::nullopt;
+    return RulesUpdate { .content = this->activeRules.file(), .sender = this->activeRules.self() };
+}
+
+bool GatewayRules::acceptsOnlyConfirmed(TimePoint now) const
+{
+    return now < this->startedAt + this->options.confirmedOnlyTime;
+}
+
+} // namespace Hibiscus
--- a/Hibiscus/src/Rules/RulesMessage.h
+++ b/Hibiscus/src/Rules/RulesMessage.h
@@ -32,11 +32,23 @@
     std::variant<RulesFile, VersionedDelta> content;
     bool isConfirmed = false; ///< a quorum confirmed that this is the newest accepted version
     bool isCatchUp = false; ///< sent to an outdated node, by a member that may lag behind
+    NodeName sender;
 
     auto operator<=>(const RulesUpdate &other) const = default;
-    HIBISCUS_FIELDS(content, isConfirmed, isCatchUp)
+    HIBISCUS_FIELDS(content, isConfirmed, isCatchUp, sender)
 };
 
+/** \brief What a RulesUpdate says of its version; for the log. */
+enum class RulesOffer : std::uint8_t {
+    Confirmed, ///< a quorum confirmed that it is the newest accepted one
+    CatchUp, ///< newer than the one of the receiver
+    Unconfirmed ///< a new version from the leader, or the last known one of any node
+};
+
+RulesOffer offerOf(const RulesUpdate &update);
+const char *toString(RulesOffer offer);
+std::uint64_t versionOf(const RulesUpdate &update);
+
 /** \brief An entry node's report of the version that is in force on it. */
 struct RulesAcknowledgement
 {
