--- a/test/RulesDistributionTest.cpp
+++ b/test/RulesDistributionTest.cpp
@@ -21,18 +21,17 @@
     return state;
 }
 
-/** \brief The members of a control group, with instant messages and without recipients. */
+/** \brief The members of a control group, with disks and instant messages, without recipients. */
 class ControlGroup
 {
 public:
     explicit ControlGroup(const std::vector<std::string> &names, std::size_t voters = 3)
     {
         this->options.replicated.replica.desiredVoters = voters;
+        this->options.replicated.entriesPerSnapshot = 8;
         const std::vector<NodeName> nodes(names.begin(), names.end());
-        for (const NodeName &node : nodes) {
-            this->members.try_emplace(node, this->options, initialState(node, nodes),
-                                      this->members.size() + 1, this->now);
-        }
+        for (const NodeName &node : nodes)
+            this->start(node, initialState(node, nodes));
     }
 
     /** \brief Adds a node with an empty disk, which requests to join the group. */
@@ -41,7 +40,15 @@
         const NodeName node(name);
         DurableState empty;
         empty.self = { .node = node, .incarnation = 2 };
-        this->members.try_emplace(node, this->options, empty, this->members.size() + 1, this->now);
+        this->start(node, empty);
+    }
+
+    /** \brief All nodes lose power; those in \a nodes start again from their disks. */
+    void restart(const std::vector<NodeName> &nodes)
+    {
+        this->members.clear();
+        for (const NodeName &node : nodes)
+            this->start(node, this->disks.at(node));
     }
 
     void removeNode(const NodeName &name) { this->members.erase(name); }
@@ -68,12 +75,12 @@
         this->deliverMessages(this->leaderName(), out);
     }
 
-    /** \returns the updates that \a member sends in reply to \a acknowledgement. */
-    std::vector<AddressedUpdate> updatesInReplyTo(const NodeName &member,
-                                                  const RulesAcknowledgement &acknowledgement)
+    /** \returns the updates that \a member sends in reply to \a message. */
+    template<typename Message>
+    std::vector<AddressedUpdate> updatesInReplyTo(const NodeName &member, const Message &message)
     {
         ControlNode::Outbox out;
-        this->members.at(member).receive(acknowledgement, this->now, out);
+        this->members.at(member).receive(message, this->now, out);
         std::vector<AddressedUpdate> updates = out.updates;
         this->deliverMessages(member, out);
         return updates;
@@ -104,11 +111,20 @@
     }
 
     ControlNode &leader() { return this->members.at(this->leaderName()); }
+    const ControlNode &member(const NodeName &name) const { return this->members.at(name); }
 
 private:
+    void start(const NodeName &node, const DurableState &disk)
+    {
+        this->disks[node] = disk;
+        this->members.try_emplace(node, this->options, disk, this->members.size() + 1, this->now);
+    }
+
     void deliverMessages(const NodeName &from, ControlNode::Outbox &out)
     {
         const ReplicaOutbox output = std::exchange(out.log.replica, {});
+        for (const StorageWrite &write : output.writes)
+            applyWrite(write, this->disks.at(from));
         for (const auto *messages : { &output.sendBeforeSync, &output.sendAfterSync })
             for (const ReplicaEnvelope &envelope : *messages) {
                 if (envelope.to == from || !this->members.contains(envelope.to))
@@ -122,6 +138,7 @@
     ControlOptions options;
     TimePoint now { 1'800'000'000s };
     std::map<NodeName, ControlNode> members;
+    std::map<NodeName, DurableState> disks;
 };
 
 constexpr const char *rulesText = "refuse service=x # a\n";
@@ -178,6 +195,55 @@
     EXPECT_EQ(group.leader().state().version(), 7U);
 }
 
+/** \brief A group whose members lose power with an acknowledged change behind their snapshots. */
+class RulesAfterPowerLoss : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        this->group.run(3s);
+        for (std::uint64_t version = 1; version <= this->acknowledged; ++version)
+            this->group.apply(version, rulesText);
+        this->group.run(1s);
+        ASSERT_EQ(this->group.leader().state().version(), this->acknowledged);
+    }
+
+    const std::uint64_t acknowledged = 19;
+    const FetchRules lastKnown = { .node = gateway, .acceptsLastKnown = true };
+    ControlGroup group { { "r1", "r2", "r3" } };
+};
+
+// Guards against gateways that serve with rules from before an acknowledged change, since a member
+// that has just started offers those of its snapshot as the last known ones.
+TEST_F(RulesAfterPowerLoss, MemberOffersNothingBeforeItKnowsWhatWasAcknowledged)
+{
+    const NodeName alone("r1");
+    this->group.restart({ alone });
+    ASSERT_LT(this->group.member(alone).state().version(), this->acknowledged);
+    ASSERT_GT(this->group.member(alone).state().version(), 0U);
+    this->group.run(10s);
+    EXPECT_TRUE(this->group.updatesInReplyTo(alone, this->lastKnown).empty());
+    const RulesAcknowledgement none = { .node = gateway, .version = 0, .digest = digestOf("") };
+    EXPECT_TRUE(this->group.updatesInReplyTo(alone, none).empty());
+}
+
+// Guards against a failure domain that stops serving when it is cut off: a member that has heard
+// from a leader since its start offers what it holds.
+TEST_F(RulesAfterPowerLoss, MemberThatIsCutOffLaterOffersWhatItHolds)
+{
+    this->group.restart({ NodeName("r1"), NodeName("r2"), NodeName("r3") });
+    this->group.run(3s);
+    const NodeName alone = this->group.followerName();
+    for (const NodeName &name : this->group.names())
+        if (name != alone)
+            this->group.removeNode(name);
+    this->group.run(10s);
+    const auto updates = this->group.updatesInReplyTo(alone, this->lastKnown);
+    ASSERT_EQ(updates.size(), 1U);
+    EXPECT_EQ(versionOf(updates[0].update), this->acknowledged);
+    EXPECT_FALSE(updates[0].update.isConfirmed);
+}
+
 TEST(RulesDistribution, ActiveRulesReportSinceWhenTheyAreOutdated)
 {
     const TimePoint now(1'800'000'000s);
