Registry: nothing is offered as the last known rules by a node that has heard from no leader

Cause: three seconds after its start without a confirmed read, a gateway takes the last known rules of any registry node. It belongs to a class: state read back from a disk is taken for the newest although only contact with a quorum can tell.

Change: Replica::hasCaughtUp() says whether this member has, since its start, held all that a leader had committed at its election. Until then ControlNode answers no request for last known rules, and sends no catch-up update to a node without rules. A member that is cut off later offers what it holds, as before; so do gateways that ran on, to peers of their failure domain.

--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -220,6 +220,7 @@
     reply.matched = true;
     reply.lastIndex = request.previousIndex + request.entries.size();
     this->commitUpTo(std::min(request.commitIndex, reply.lastIndex), out);
+    this->updateCaughtUp(request.commitIndex);
     this->sendAfterSync(from, reply, out);
 }
 
@@ -423,6 +424,7 @@
     // An entry of an earlier term is committed only through a later entry of the current term.
     if (index > this->committedIndex && this->termAt(index) == this->term())
         this->commitUpTo(index, out);
+    this->caughtUp = this->caughtUp || this->isLeaderReady();
     this->confirmReads(out);
 }
 
@@ -434,6 +436,15 @@
     }
 }
 
+// A leader has all entries that were committed before its election, but knows that they are
+// committed only once an entry of its own term is.
+void Replica::updateCaughtUp(std::uint64_t leaderCommit)
+{
+    const bool isAtLeaderCommit = this->committedIndex >= leaderCommit;
+    if (isAtLeaderCommit && this->termAt(leaderCommit) == this->term())
+        this->caughtUp = true;
+}
+
 void Replica::confirmReads(ReplicaOutbox &out)
 {
     if (!this->isLeaderReady())
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -79,6 +79,11 @@
     bool isLeader() const { return this->replicaRole == ReplicaRole::Leader; }
     /** \returns whether the leader has committed an entry of its own term. */
     bool isLeaderReady() const;
+    /** \brief Whether this replica has, since its start, held every entry that was committed before
+     * the election of some leader that it has heard from. Until then its committed entries may be
+     * those of its snapshot only, and older than what the group has acknowledged.
+     */
+    bool hasCaughtUp() const { return this->caughtUp; }
     ReplicaRole role() const { return this->replicaRole; }
     std::uint64_t term() const { return this->durable.hardState.term; }
     std::uint64_t commitIndex() const { return this->committedIndex; }
@@ -141,6 +146,10 @@
     void sendAppend(const MemberId &to, TimePoint now, ReplicaOutbox &out);
     void advanceCommit(ReplicaOutbox &out);
     void commitUpTo(std::uint64_t index, ReplicaOutbox &out);
+    /** \brief Records whether all that the leader of this term had committed, \a leaderCommit, is
+     * committed here.
+     */
+    void updateCaughtUp(std::uint64_t leaderCommit);
     void confirmReads(ReplicaOutbox &out);
     void changeMembers(TimePoint now, ReplicaOutbox &out);
     void adoptMembershipFromLog();
@@ -164,6 +173,7 @@
     std::mt19937_64 random;
     ReplicaRole replicaRole = ReplicaRole::Follower;
     std::uint64_t committedIndex = 0;
+    bool caughtUp = false;
     std::optional<MemberId> knownLeader;
     TimePoint leaderLastSeenAt;
     TimePoint electionDueAt;
--- a/Hibiscus/src/Rules/ControlNode.cpp
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -44,7 +44,8 @@
 void ControlNode::receive(const FetchRules &fetch, TimePoint now, Outbox &out)
 {
     if (!this->replica().isLeader()) {
-        if (fetch.acceptsLastKnown && this->state().version() > 0)
+        const bool hasRules = this->replica().hasCaughtUp() && this->state().version() > 0;
+        if (fetch.acceptsLastKnown && hasRules)
             out.updates.push_back({ .to = fetch.node, .update = this->wholeFile(false) });
         return;
     }
@@ -220,11 +221,15 @@
         this->recentFiles.erase(this->recentFiles.begin());
 }
 
-// The version that this member holds is committed, so it may be sent without contact to a quorum.
+// The version that this member holds is committed, so it may be sent without contact to a quorum to
+// a node that has an older one. It may be the first one of a node only if it is not from before the
+// start of this member.
 void ControlNode::sendCatchUp(const RulesAcknowledgement &acknowledgement, TimePoint now,
                               Outbox &out) const
 {
     const bool isNewer = acknowledgement.version < this->state().version();
+    if (acknowledgement.version == 0 && !this->replica().hasCaughtUp())
+        return;
     if (!isNewer || now < this->currentVersionAt + this->options.catchUpDelay)
         return;
     RulesUpdate update = this->updateFor(acknowledgement);
