--- a/Hibiscus/src/Rules/ActiveRules.cpp
+++ b/Hibiscus/src/Rules/ActiveRules.cpp
@@ -8,7 +8,8 @@
     if (const auto *wholeFile = std::get_if<RulesFile>(&update.content))
         file = *wholeFile;
     if (const auto *versionedDelta = std::get_if<VersionedDelta>(&update.content)) {
-        if (versionedDelta->version <= this->currentFile.version)
+        const bool isHeld = versionedDelta->version == this->currentFile.version;
+        if (versionedDelta->version < this->currentFile.version || (isHeld && !update.isConfirmed))
             return this->acknowledgement();
         const std::optional<std::string> text
             = versionedDelta->delta.applyTo(this->currentFile.text);
@@ -57,9 +58,10 @@
 
 RulesAcknowledgement ActiveRules::acknowledgement() const
 {
+    const bool hasFile = this->currentStatus != RulesStatus::None;
     return { .node = this->node,
              .version = this->currentFile.version,
-             .digest = digestOf(this->currentFile.text) };
+             .digest = hasFile ? digestOf(this->currentFile.text) : 0 };
 }
 
 void ActiveRules::adopt(const RulesFile &file)
--- a/Hibiscus/src/Rules/ControlNode.cpp
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -49,12 +49,23 @@
             out.updates.push_back({ .to = fetch.node, .update = this->wholeFile(false) });
         return;
     }
-    const std::uint64_t token = this->nextToken++;
-    this->pendingFetches[token] = fetch.node;
-    this->replicated.requestRead(token, now, out.log);
+    this->waitingFetches[fetch.node]
+        = { .node = fetch.node, .version = fetch.heldVersion, .digest = fetch.heldDigest };
+    this->confirmFetches(now, out);
     this->processReplicaOutput(now, out);
 }
 
+// After a loss of power every gateway asks at once and repeatedly. One read at a time confirms the
+// rules for all that have asked before it.
+void ControlNode::confirmFetches(TimePoint now, Outbox &out)
+{
+    if (this->fetchToken || this->waitingFetches.empty())
+        return;
+    this->confirmingFetches = std::exchange(this->waitingFetches, {});
+    this->fetchToken = this->nextToken++;
+    this->replicated.requestRead(*this->fetchToken, now, out.log);
+}
+
 void ControlNode::apply(const RequestId &request, ApplyRules command, TimePoint now, Outbox &out)
 {
     command.at = now;
@@ -134,7 +145,7 @@
         this->redirectPendingRequests(out);
         return;
     }
-    this->respondToReads(out);
+    this->respondToReads(now, out);
     if (this->replica().isLeaderReady())
         this->sendUpdates(now, out);
     this->respondToApplies(now, out);
@@ -151,7 +162,10 @@
         out.applyResponses.push_back({ .request = pending.response.request, .leader = leader });
     this->pendingReads.clear();
     this->pendingApplies.clear();
-    this->pendingFetches.clear();
+    this->waitingFetches.clear();
+    this->confirmingFetches.clear();
+    this->fetchToken.reset();
+    this->sentCopies.clear();
     this->recipientStates.clear();
 }
 
@@ -160,22 +174,33 @@
     const std::uint64_t version = this->state().version();
     for (const RulesRecipient &recipient : this->options.recipients) {
         RecipientState &recipientState = this->recipientStates[recipient.node];
-        const bool isCurrent
-            = recipientState.acknowledgement && recipientState.acknowledgement->version >= version;
+        const auto &acknowledgement = recipientState.acknowledgement;
+        // A node without rules requests them until they are confirmed.
+        if (acknowledgement && acknowledgement->digest == 0)
+            continue;
+        const bool isCurrent = acknowledgement && acknowledgement->version >= version;
         const bool isResendDue = now >= recipientState.sentAt + this->options.resendInterval;
         const bool isNew = recipientState.sentVersion != version;
         if (isCurrent || (!isNew && !isResendDue))
             continue;
-        out.updates.push_back(
-            { .to = recipient.node, .update = this->updateFor(recipientState.acknowledgement) });
+        out.updates.push_back({ .to = recipient.node, .update = this->updateFor(acknowledgement) });
         recipientState.sentVersion = version;
         recipientState.sentAt = now;
     }
 }
 
-void ControlNode::respondToReads(Outbox &out)
+void ControlNode::respondToReads(TimePoint now, Outbox &out)
 {
-    for (const std::uint64_t token : out.log.replica.confirmedReads) {
+    while (!out.log.replica.confirmedReads.empty()) {
+        this->respondToConfirmedReads(std::exchange(out.log.replica.confirmedReads, {}), now, out);
+        this->confirmFetches(now, out);
+    }
+}
+
+void ControlNode::respondToConfirmedReads(const std::vector<std::uint64_t> &tokens, TimePoint now,
+                                          Outbox &out)
+{
+    for (const std::uint64_t token : tokens) {
         if (const auto found = this->pendingReads.find(token); found != this->pendingReads.end()) {
             const RulesFile file
                 = { .version = this->state().version(), .text = this->state().text() };
@@ -183,13 +208,29 @@
                 { .request = found->second, .file = file, .source = this->state().source() });
             this->pendingReads.erase(found);
         }
-        if (const auto found = this->pendingFetches.find(token);
-            found != this->pendingFetches.end()) {
-            out.updates.push_back({ .to = found->second, .update = this->wholeFile(true) });
-            this->pendingFetches.erase(found);
-        }
+        if (token == this->fetchToken)
+            this->respondToFetches(now, out);
+    }
+}
+
+void ControlNode::respondToFetches(TimePoint now, Outbox &out)
+{
+    const std::uint64_t version = this->state().version();
+    std::erase_if(this->sentCopies, [&](const auto &item) {
+        return item.second.version != version
+            || now >= item.second.sentAt + this->options.copyInterval;
+    });
+    for (const auto &[node, held] : std::exchange(this->confirmingFetches, {})) {
+        RulesUpdate update = this->updateFor(held);
+        update.isConfirmed = true;
+        const bool isWholeFile = std::holds_alternative<RulesFile>(update.content);
+        if (isWholeFile
+            && !this->sentCopies.try_emplace(node, SentCopy { .version = version, .sentAt = now })
+                    .second)
+            continue;
+        out.updates.push_back({ .to = node, .update = std::move(update) });
     }
-    out.log.replica.confirmedReads.clear();
+    this->fetchToken.reset();
 }
 
 void ControlNode::respondToApplies(TimePoint now, Outbox &out)
@@ -228,7 +269,9 @@
                               Outbox &out) const
 {
     const bool isNewer = acknowledgement.version < this->state().version();
-    if (acknowledgement.version == 0 && !this->replica().hasCaughtUp())
+    // A node without rules requests them.
+    const bool isWithoutRules = acknowledgement.digest == 0;
+    if (isWithoutRules || (acknowledgement.version == 0 && !this->replica().hasCaughtUp()))
         return;
     if (!isNewer || now < this->currentVersionAt + this->options.catchUpDelay)
         return;
--- a/Hibiscus/src/Rules/ControlNode.h
+++ b/Hibiscus/src/Rules/ControlNode.h
@@ -26,6 +26,10 @@
      * acknowledges an older one; before that, the leader's own update is probably still in flight.
      */
     Duration catchUpDelay = 200ms;
+    /** \brief Minimum time between two copies of one version that a node requests: a large file
+     * takes a while on a slow link.
+     */
+    Duration copyInterval = 1s;
 };
 
 /** \brief The response to an apply, with the entry nodes that have acknowledged the version. */
@@ -111,6 +115,13 @@
         TimePoint sentAt;
     };
 
+    /** \brief A whole file that was sent on request. */
+    struct SentCopy
+    {
+        std::uint64_t version = 0;
+        TimePoint sentAt;
+    };
+
     struct PendingApply
     {
         ApplyResponse response;
@@ -121,7 +132,11 @@
     void processReplicaOutput(TimePoint now, Outbox &out);
     void redirectPendingRequests(Outbox &out);
     void sendUpdates(TimePoint now, Outbox &out);
-    void respondToReads(Outbox &out);
+    void respondToReads(TimePoint now, Outbox &out);
+    void respondToConfirmedReads(const std::vector<std::uint64_t> &tokens, TimePoint now,
+                                 Outbox &out);
+    void confirmFetches(TimePoint now, Outbox &out);
+    void respondToFetches(TimePoint now, Outbox &out);
     void respondToApplies(TimePoint now, Outbox &out);
     void recordCurrentFile(TimePoint now);
     void sendCatchUp(const RulesAcknowledgement &acknowledgement, TimePoint now, Outbox &out) const;
@@ -134,7 +149,13 @@
     std::map<NodeName, RecipientState> recipientStates;
     std::vector<PendingApply> pendingApplies;
     std::map<std::uint64_t, RequestId> pendingReads;
-    std::map<std::uint64_t, NodeName> pendingFetches;
+    /** \brief The nodes that wait for confirmed rules, with what they hold; the first map is of
+     * those that the read \a fetchToken confirms, the second of those that came after it.
+     */
+    std::map<NodeName, RulesAcknowledgement> confirmingFetches;
+    std::map<NodeName, RulesAcknowledgement> waitingFetches;
+    std::optional<std::uint64_t> fetchToken;
+    std::map<NodeName, SentCopy> sentCopies;
     std::map<std::uint64_t, RulesFile> recentFiles; ///< bases for deltas, by version
     TimePoint currentVersionAt; ///< time at which this member applied the current version
     std::uint64_t nextToken = 1;
--- a/Hibiscus/src/Rules/GatewayRules.cpp
+++ b/Hibiscus/src/Rules/GatewayRules.cpp
@@ -14,14 +14,24 @@
     this->requestDueAt = now + this->options.requestInterval;
     const bool acceptsLastKnown
         = !this->acceptsOnlyConfirmed(now) && this->activeRules.status() == RulesStatus::None;
-    const FetchRules fetch
-        = { .node = this->activeRules.self(), .acceptsLastKnown = acceptsLastKnown };
+    const RulesAcknowledgement held = this->activeRules.acknowledgement();
+    const FetchRules fetch = { .node = held.node,
+                               .acceptsLastKnown = false,
+                               .heldVersion = held.version,
+                               .heldDigest = held.digest };
     std::vector<AddressedFetch> requests;
     for (const NodeName &registry : registries)
         requests.push_back({ .to = registry, .fetch = fetch });
-    if (acceptsLastKnown)
-        for (const NodeName &peer : peers)
-            requests.push_back({ .to = peer, .fetch = fetch });
+    if (!acceptsLastKnown)
+        return requests;
+    // Each answer is a whole file, so one node of each kind is asked at a time.
+    const std::size_t turn = this->lastKnownTurn++;
+    if (!registries.empty())
+        requests.at(turn % registries.size()).fetch.acceptsLastKnown = true;
+    if (!peers.empty()) {
+        requests.push_back({ .to = peers.at(turn % peers.size()), .fetch = fetch });
+        requests.back().fetch.acceptsLastKnown = true;
+    }
     return requests;
 }
 
--- a/Hibiscus/src/Rules/GatewayRules.h
+++ b/Hibiscus/src/Rules/GatewayRules.h
@@ -73,6 +73,7 @@
     GatewayRulesOptions options;
     TimePoint startedAt;
     TimePoint requestDueAt;
+    std::size_t lastKnownTurn = 0; ///< selects the node that is asked for its last known rules
     TimePoint latestConfirmationAt;
     ActiveRules activeRules;
 };
--- a/Hibiscus/src/Rules/RulesMessage.h
+++ b/Hibiscus/src/Rules/RulesMessage.h
@@ -54,7 +54,7 @@
 {
     NodeName node;
     std::uint64_t version = 0;
-    std::uint64_t digest = 0;
+    std::uint64_t digest = 0; ///< digest of the file; 0: no rules are in force yet
 
     auto operator<=>(const RulesAcknowledgement &other) const = default;
     HIBISCUS_FIELDS(node, version, digest)
@@ -66,9 +66,11 @@
     NodeName node;
     /** \brief Any receiver may answer, unconfirmed, since no quorum confirmed a version in time. */
     bool acceptsLastKnown = false;
+    std::uint64_t heldVersion = 0; ///< the version in force on the node
+    std::uint64_t heldDigest = 0; ///< digest of its file; 0: no rules are in force yet
 
     auto operator<=>(const FetchRules &other) const = default;
-    HIBISCUS_FIELDS(node, acceptsLastKnown)
+    HIBISCUS_FIELDS(node, acceptsLastKnown, heldVersion, heldDigest)
 };
 
 } // namespace Hibiscus
--- a/test/RulesDistributionTest.cpp
+++ b/test/RulesDistributionTest.cpp
@@ -1,4 +1,5 @@
 #include <Hibiscus/Rules>
+#include <algorithm>
 #include <gtest/gtest.h>
 
 using namespace Hibiscus;
@@ -75,15 +76,17 @@
         this->deliverMessages(this->leaderName(), out);
     }
 
-    /** \returns the updates that \a member sends in reply to \a message. */
+    /** \returns the updates that follow from \a message to \a member, those after a confirmed read
+     * among them.
+     */
     template<typename Message>
     std::vector<AddressedUpdate> updatesInReplyTo(const NodeName &member, const Message &message)
     {
+        this->updates.clear();
         ControlNode::Outbox out;
         this->members.at(member).receive(message, this->now, out);
-        std::vector<AddressedUpdate> updates = out.updates;
         this->deliverMessages(member, out);
-        return updates;
+        return std::exchange(this->updates, {});
     }
 
     NodeName leaderName() const
@@ -122,6 +125,7 @@
 
     void deliverMessages(const NodeName &from, ControlNode::Outbox &out)
     {
+        std::ranges::move(std::exchange(out.updates, {}), std::back_inserter(this->updates));
         const ReplicaOutbox output = std::exchange(out.log.replica, {});
         for (const StorageWrite &write : output.writes)
             applyWrite(write, this->disks.at(from));
@@ -139,6 +143,7 @@
     TimePoint now { 1'800'000'000s };
     std::map<NodeName, ControlNode> members;
     std::map<NodeName, DurableState> disks;
+    std::vector<AddressedUpdate> updates;
 };
 
 constexpr const char *rulesText = "refuse service=x # a\n";
@@ -244,6 +249,52 @@
     EXPECT_FALSE(updates[0].update.isConfirmed);
 }
 
+/** \returns the number of whole files among \a updates. */
+std::size_t wholeFilesIn(const std::vector<AddressedUpdate> &updates)
+{
+    return std::ranges::count_if(updates, [](const AddressedUpdate &item) {
+        return std::holds_alternative<RulesFile>(item.update.content);
+    });
+}
+
+// Guards against a restart of all gateways that fills the links with copies of the rules, so that
+// none arrives in time: each node that waits is sent one copy, however often it asks.
+TEST_F(RulesAfterPowerLoss, WaitingGatewayIsSentOneCopyInASecond)
+{
+    std::size_t copies = 0;
+    const RulesAcknowledgement none = { .node = gateway };
+    for (int request = 0; request < 9; ++request) {
+        for (const NodeName &name : this->group.names()) {
+            copies += wholeFilesIn(this->group.updatesInReplyTo(name, FetchRules { gateway }));
+            copies += wholeFilesIn(this->group.updatesInReplyTo(name, none));
+        }
+        this->group.run(100ms);
+    }
+    EXPECT_EQ(copies, 1U);
+    this->group.run(100ms);
+    const auto updates
+        = this->group.updatesInReplyTo(this->group.leaderName(), FetchRules { gateway });
+    EXPECT_EQ(wholeFilesIn(updates), 1U) << "a lost copy is sent again";
+}
+
+// Guards against a whole file for a gateway that only lacks the confirmation of what it holds.
+TEST_F(RulesAfterPowerLoss, HeldRulesAreConfirmedWithoutACopy)
+{
+    ActiveRules activeRules(gateway);
+    activeRules.receive(
+        { .content = RulesFile { .version = this->acknowledged, .text = rulesText } });
+    ASSERT_EQ(activeRules.status(), RulesStatus::LastKnown);
+    const RulesAcknowledgement held = activeRules.acknowledgement();
+    const auto updates = this->group.updatesInReplyTo(
+        this->group.leaderName(),
+        FetchRules { .node = gateway, .heldVersion = held.version, .heldDigest = held.digest });
+    ASSERT_EQ(updates.size(), 1U);
+    EXPECT_EQ(wholeFilesIn(updates), 0U);
+    activeRules.receive(updates[0].update);
+    EXPECT_EQ(activeRules.status(), RulesStatus::Confirmed);
+    EXPECT_EQ(activeRules.file().version, this->acknowledged);
+}
+
 TEST(RulesDistribution, ActiveRulesReportSinceWhenTheyAreOutdated)
 {
     const TimePoint now(1'800'000'000s);
