GatewayRules: the first rules after a start are confirmed ones, also from a leader

A leader that stood still for seconds does not know that another one was elected. When it goes on, it answers the announcement of a gateway that has just started with an unconfirmed update of its older version, which the gateway adopted at once.

Change: in its first 3 s a gateway adopts only what a quorum confirmed, whoever sent it; before, only catch-up updates were refused.

Measured: GatewayRules.FirstRulesAfterAStartAreConfirmed failed before and passes.

--- a/Hibiscus/src/Rules/GatewayRules.cpp
+++ b/Hibiscus/src/Rules/GatewayRules.cpp
@@ -37,8 +37,9 @@
 
 RulesReceipt GatewayRules::receive(const RulesUpdate &update, TimePoint now)
 {
-    // The first rules after a start must not come from a member that may be behind the others.
-    if (update.isCatchUp && this->acceptsOnlyConfirmed(now)
+    // Members that are behind the others may not know it: a follower that is cut off, or a leader
+    // that stood still while another one was elected.
+    if (!update.isConfirmed && this->acceptsOnlyConfirmed(now)
         && this->activeRules.status() == RulesStatus::None)
         return RulesReceipt::Refused;
     const std::uint64_t previousVersion = this->activeRules.file().version;
--- a/test/GatewayRulesTest.cpp
+++ b/test/GatewayRulesTest.cpp
@@ -21,6 +21,23 @@
         requests, [](const AddressedFetch &item) { return item.fetch.acceptsLastKnown; });
 }
 
+// Guards against a gateway that serves with older rules right after its start, since a leader that
+// stood still does not know yet that it was deposed.
+TEST(GatewayRules, FirstRulesAfterAStartAreConfirmed)
+{
+    GatewayRules rules({}, self, startedAt);
+    RulesUpdate catchUp = wholeFile(4);
+    catchUp.isCatchUp = true;
+    EXPECT_EQ(rules.receive(wholeFile(4), startedAt + 1s), RulesReceipt::Refused);
+    EXPECT_EQ(rules.receive(catchUp, startedAt + 1s), RulesReceipt::Refused);
+    EXPECT_FALSE(rules.hasRules());
+    RulesUpdate confirmed = wholeFile(5);
+    confirmed.isConfirmed = true;
+    EXPECT_EQ(rules.receive(confirmed, startedAt + 1s), RulesReceipt::Adopted);
+    EXPECT_EQ(rules.receive(wholeFile(6), startedAt + 2s), RulesReceipt::Adopted);
+    EXPECT_EQ(rules.active().file().version, 6U);
+}
+
 // Guards against a gateway that stays without rules, or requests more copies of them than its link
 // can carry, while no quorum can be reached.
 TEST(GatewayRules, LastKnownRulesAreRequestedFromOneNodeOfEachKindInTurn)
