Registry: a learner that hears from no leader requests to join again

The learner takes itself for a member and that leader for its own, since only a voter's candidacy made a replica forget its leader. It requests to join no more, and stays out of the group for good.

Change: a replica forgets its leader when its election timeout is over, whatever its role.

--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -47,6 +47,7 @@
     if (now < this->electionDueAt)
         return;
     this->resetElectionTimer(now);
+    this->knownLeader.reset();
     if (this->activeMembership.isVoter(this->self()))
         this->startElection(VoteKind::PreVote, now, out);
 }
--- a/test/ReplicationTest.cpp
+++ b/test/ReplicationTest.cpp
@@ -175,6 +175,33 @@
     }
 }
 
+// Guards against a learner that stays out of the group for good, since it takes itself for a member
+// by an entry that was never committed, and the leader that appended it for its leader.
+TEST(Replication, LearnerThatHearsFromNoLeaderRequestsToJoin)
+{
+    const MemberId leader = { .node = NodeName("a"), .incarnation = 1 };
+    DurableState durable;
+    durable.self = { .node = NodeName("c"), .incarnation = 2 };
+    durable.snapshot.membership.members
+        = { { .id = leader }, { .id = durable.self, .role = MemberRole::Learner } };
+    TimePoint now(1'800'000'000s);
+    Replica learner(ReplicaOptions(), durable, 1, now);
+    ReplicaOutbox out;
+    learner.receive({ .from = leader,
+                      .to = durable.self.node,
+                      .receiverIncarnation = durable.self.incarnation,
+                      .message = AppendRequest { .term = 1 } },
+                    now, out);
+    ReplicaOutbox inContact;
+    learner.requestJoin({ leader.node }, inContact);
+    EXPECT_TRUE(inContact.sendBeforeSync.empty());
+    for (const TimePoint end = now + 1s; now < end; now += 10ms)
+        learner.tick(now, out);
+    ReplicaOutbox alone;
+    learner.requestJoin({ leader.node }, alone);
+    EXPECT_EQ(alone.sendBeforeSync.size(), 1U);
+}
+
 TEST(Replication, MemberWithLostDiskRejoinsAsNewMemberAndCatchesUp)
 {
     for (const std::uint64_t seed : { 1U, 2U, 3U, 4U, 5U, 6U }) {
