Replication: a group keeps all but one of its voters while several are replaced

After two of five nodes had lost their disks, the group could have three voters, two of which are a quorum. The cause: the former voter of a node that came back with an empty disk was removed before the learner that replaces it was added, and when this learner was silent then, the former voter of the next learner was removed too.

A voter is now removed first only if the voters that remain are on at least one node fewer than desired; otherwise its successor is added first, and the former voter of a node that is heard as another voter is removed next. Nodes are counted, since a former voter has no disk any more. With desiredVoters 0 nothing changes.

--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -465,18 +465,41 @@
 }
 
 // A node that lost its disk joins as a learner, and replaces its previous voter only once the
-// learner holds all committed entries. Only one membership change is in progress at a time.
+// learner holds all committed entries. Only one membership change is in progress at a time. While
+// the group has as many voters as it should, a voter is removed before its successor is added. With
+// fewer, the successor is added first, since the next removal would make the quorum smaller.
 void Replica::changeMembers(TimePoint now, ReplicaOutbox &out)
 {
     if (!this->isLeaderReady() || !this->isMembershipCommitted())
         return;
-    const auto appendMembership = [&](const GroupMembership &membership) {
-        this->append(membership, out);
-        this->adoptMembershipFromLog();
-        this->trackMembers(now);
-        this->sendAppends(now, out);
-        this->advanceCommit(out);
-    };
+    const std::optional<GroupMembership> next = this->nextMembership(now);
+    if (!next)
+        return;
+    this->append(*next, out);
+    this->adoptMembershipFromLog();
+    this->trackMembers(now);
+    this->sendAppends(now, out);
+    this->advanceCommit(out);
+}
+
+std::optional<GroupMembership> Replica::nextMembership(TimePoint now) const
+{
+    if (auto joined = this->membershipAfterJoin(now))
+        return joined;
+    if (const auto former = this->replacedVoter(now))
+        return this->activeMembership.without(*former);
+    for (const Member &member : this->activeMembership.members)
+        if (member.role == MemberRole::Learner)
+            if (auto changed = this->membershipAfterCatchUp(member.id, now))
+                return changed;
+    const auto silent = this->silentMember(MemberRole::Learner, now);
+    if (silent && this->options.desiredVoters > 0)
+        return this->activeMembership.without(*silent);
+    return std::nullopt;
+}
+
+std::optional<GroupMembership> Replica::membershipAfterJoin(TimePoint now) const
+{
     for (const auto &[id, requestedAt] : this->joinRequests) {
         GroupMembership changed = this->activeMembership;
         for (const Member &member : this->activeMembership.members)
@@ -486,39 +509,69 @@
         const bool isRecent = now < requestedAt + 4 * this->options.electionTimeout;
         if (!isRecent || this->activeMembership.contains(id))
             continue;
-        appendMembership(replacesLearner ? changed
-                                         : changed.with({ .id = id, .role = MemberRole::Learner }));
-        return;
+        return replacesLearner ? changed : changed.with({ .id = id, .role = MemberRole::Learner });
     }
-    for (const Member &learner : this->activeMembership.members) {
-        if (learner.role != MemberRole::Learner)
-            continue;
-        const Progress &learnerProgress = this->progress.at(learner.id);
-        const bool isAlive = now < learnerProgress.lastSeenAt + this->options.electionTimeout;
-        if (!isAlive || learnerProgress.matchIndex < this->committedIndex)
+    return std::nullopt;
+}
+
+std::optional<GroupMembership> Replica::membershipAfterCatchUp(const MemberId &learner,
+                                                               TimePoint now) const
+{
+    const Progress &learnerProgress = this->progress.at(learner);
+    const bool isAlive = now < learnerProgress.lastSeenAt + this->options.electionTimeout;
+    if (!isAlive || learnerProgress.matchIndex < this->committedIndex)
+        return std::nullopt;
+    for (const Member &previousVoter : this->activeMembership.members) {
+        const bool isSameNode
+            = previousVoter.id.node == learner.node && previousVoter.id != learner;
+        const bool isRemovable
+            = previousVoter.role == MemberRole::Voter && this->mayRemoveVoter(previousVoter.id);
+        if (isSameNode && isRemovable)
+            return this->activeMembership.without(previousVoter.id);
+    }
+    const std::size_t voters = this->options.desiredVoters;
+    if (voters == 0 || this->activeMembership.voterCount() < voters)
+        return this->activeMembership.with({ .id = learner, .role = MemberRole::Voter });
+    const auto silent = this->silentMember(MemberRole::Voter, now);
+    if (silent && this->mayRemoveVoter(*silent))
+        return this->activeMembership.without(*silent);
+    return std::nullopt;
+}
+
+std::optional<MemberId> Replica::replacedVoter(TimePoint now) const
+{
+    const auto isHeard = [&](const MemberId &id) {
+        return id == this->self()
+            || now < this->progress.at(id).lastSeenAt + this->options.electionTimeout;
+    };
+    for (const Member &former : this->activeMembership.members) {
+        if (former.role != MemberRole::Voter || isHeard(former.id))
             continue;
-        for (const Member &previousVoter : this->activeMembership.members) {
-            const bool isSameNode
-                = previousVoter.id.node == learner.id.node && previousVoter.id != learner.id;
-            if (isSameNode && previousVoter.role == MemberRole::Voter) {
-                appendMembership(this->activeMembership.without(previousVoter.id));
-                return;
-            }
-        }
-        const std::size_t voters = this->options.desiredVoters;
-        if (voters == 0 || this->activeMembership.voterCount() < voters) {
-            appendMembership(
-                this->activeMembership.with({ .id = learner.id, .role = MemberRole::Voter }));
-            return;
-        }
-        if (const auto silent = this->silentMember(MemberRole::Voter, now)) {
-            appendMembership(this->activeMembership.without(*silent));
-            return;
-        }
+        const auto replaces = [&](const Member &other) {
+            return other.role == MemberRole::Voter && other.id != former.id
+                && other.id.node == former.id.node && isHeard(other.id);
+        };
+        if (std::ranges::any_of(this->activeMembership.members, replaces))
+            return former.id;
     }
-    if (const auto silent = this->silentMember(MemberRole::Learner, now);
-        silent && this->options.desiredVoters > 0)
-        appendMembership(this->activeMembership.without(*silent));
+    return std::nullopt;
+}
+
+// Two members of one node have one disk, so the nodes of the voters are counted.
+bool Replica::mayRemoveVoter(const MemberId &id) const
+{
+    if (this->options.desiredVoters == 0)
+        return true;
+    const auto nodesOf = [](const GroupMembership &membership) {
+        std::set<NodeName> nodes;
+        for (const Member &member : membership.members)
+            if (member.role == MemberRole::Voter)
+                nodes.insert(member.id.node);
+        return nodes.size();
+    };
+    const std::size_t remaining = nodesOf(this->activeMembership.without(id));
+    return remaining + 1 >= this->options.desiredVoters
+        || remaining == nodesOf(this->activeMembership);
 }
 
 std::optional<MemberId> Replica::silentMember(MemberRole role, TimePoint now) const
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -162,6 +162,18 @@
     std::uint64_t lastTerm() const;
     bool isUpToDate(std::uint64_t lastIndex, std::uint64_t lastTerm) const;
     bool isInContactWithQuorum(TimePoint now) const;
+    /** \returns the next change of the members, if one is due. */
+    std::optional<GroupMembership> nextMembership(TimePoint now) const;
+    std::optional<GroupMembership> membershipAfterJoin(TimePoint now) const;
+    /** \returns the change that makes \a learner a voter, or makes room for it, if it is up to date
+     * and wanted.
+     */
+    std::optional<GroupMembership> membershipAfterCatchUp(const MemberId &learner,
+                                                          TimePoint now) const;
+    /** \returns a silent voter whose node is heard as another voter, which has replaced it. */
+    std::optional<MemberId> replacedVoter(TimePoint now) const;
+    /** \returns whether the group keeps enough voters without the voter \a id. */
+    bool mayRemoveVoter(const MemberId &id) const;
     /** \returns a member with \a role that was silent for longer than its timeout. */
     std::optional<MemberId> silentMember(MemberRole role, TimePoint now) const;
     bool isMembershipCommitted() const;
--- a/test/ReplicationTest.cpp
+++ b/test/ReplicationTest.cpp
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
 #include <set>
+#include <stdexcept>
 
 using namespace Hibiscus;
 
@@ -69,7 +72,9 @@
 class ReplicaGroup
 {
 public:
-    explicit ReplicaGroup(const std::vector<const char *> &names)
+    explicit ReplicaGroup(const std::vector<const char *> &names,
+                          const ReplicaOptions &options = {})
+        : options(options)
     {
         DurableState durable;
         for (const char *name : names)
@@ -77,30 +82,74 @@
                 { .id = { .node = NodeName(name), .incarnation = 1 } });
         for (const Member &member : durable.snapshot.membership.members) {
             durable.self = member.id;
-            this->replicas.try_emplace(member.id.node, ReplicaOptions(), durable,
+            this->replicas.try_emplace(member.id.node, this->options, durable,
                                        this->replicas.size() + 1, this->now);
         }
     }
 
     Replica &leader()
     {
-        while (true) {
+        for (int i = 0; i < 10'000; ++i) {
             for (auto &[name, replica] : this->replicas)
                 if (replica.isLeader())
                     return replica;
             this->step();
         }
+        throw std::runtime_error("no leader is elected");
     }
 
     void step()
     {
         this->now += 10ms;
         ReplicaOutbox out;
-        for (auto &[name, replica] : this->replicas)
+        for (auto &[name, replica] : this->replicas) {
             replica.tick(this->now, out);
+            if (!replica.isMember())
+                replica.requestJoin(this->names(), out);
+        }
         this->deliver(std::move(out));
     }
 
+    void run(Duration span)
+    {
+        for (const TimePoint end = this->now + span; this->now < end;)
+            this->step();
+    }
+
+    /** \brief The node \a name loses its disk, and is back at once. */
+    void loseDisk(const NodeName &name)
+    {
+        DurableState empty;
+        empty.self = { .node = name, .incarnation = this->nextIncarnation++ };
+        this->replicas.erase(name);
+        this->replicas.try_emplace(name, this->options, empty, empty.self.incarnation, this->now);
+    }
+
+    std::vector<NodeName> names() const
+    {
+        std::vector<NodeName> names;
+        for (const auto &[name, replica] : this->replicas)
+            names.push_back(name);
+        return names;
+    }
+
+    static std::size_t voterNodes(const GroupMembership &membership)
+    {
+        std::set<NodeName> nodes;
+        for (const Member &member : membership.members)
+            if (member.role == MemberRole::Voter)
+                nodes.insert(member.id.node);
+        return nodes.size();
+    }
+
+    /** \returns the voters that are the present members of their nodes. */
+    std::size_t presentVoters(const GroupMembership &membership) const
+    {
+        return std::ranges::count_if(this->replicas, [&](const auto &item) {
+            return membership.isVoter(item.second.self());
+        });
+    }
+
     void deliver(ReplicaOutbox out)
     {
         while (!out.sendBeforeSync.empty() || !out.sendAfterSync.empty()) {
@@ -120,6 +169,8 @@
         }
     }
 
+    ReplicaOptions options;
+    std::uint64_t nextIncarnation = 2;
     TimePoint now { 1'800'000'000s };
     std::map<NodeName, Replica> replicas;
     std::set<NodeName> silent; ///< members that neither send nor receive
@@ -175,6 +226,155 @@
     }
 }
 
+// Guards against a group that is left with three voters, two of which are a quorum, since two of
+// its nodes lost their disks and the first was silent for a moment when it had come back.
+TEST(Replication, GroupKeepsItsVotersWhileALearnerThatReplacesOneIsSilent)
+{
+    ReplicaGroup group({ "a", "b", "c", "d", "e" }, { .desiredVoters = 5 });
+    const NodeName leaderName = group.leader().self().node;
+    group.run(1s);
+    std::vector<NodeName> others = group.names();
+    std::erase(others, leaderName);
+    group.loseDisk(others[0]);
+    group.loseDisk(others[1]);
+    while (group.leader().membership().members.size() < 7)
+        group.step();
+    // A first former voter is removed, which takes the others longer to store than the learner that
+    // is to replace it counts as alive.
+    group.silent = { others.begin(), others.end() };
+    group.run(450ms);
+    const auto isRemoved = [&](const NodeName &name) {
+        return !group.leader().membership().contains({ .node = name, .incarnation = 1 });
+    };
+    ASSERT_NE(isRemoved(others[0]), isRemoved(others[1]));
+    group.silent = { isRemoved(others[0]) ? others[0] : others[1] };
+    std::size_t fewestVoters = 5;
+    for (int i = 0; i < 200; ++i) {
+        group.step();
+        fewestVoters = std::min(fewestVoters, group.leader().membership().voterCount());
+    }
+    EXPECT_EQ(fewestVoters, 4U);
+    EXPECT_EQ(group.presentVoters(group.leader().membership()), 4U);
+    EXPECT_EQ(group.leader().membership().voterCount(), 4U);
+    group.silent.clear();
+    group.run(3s);
+    EXPECT_EQ(group.presentVoters(group.leader().membership()), 5U);
+    EXPECT_EQ(group.leader().membership().voterCount(), 5U);
+}
+
+// Guards against a group that can't go on, or keeps a voter that is gone, after one or two of its
+// nodes lost their disks, with as many voters as are desired or fewer.
+TEST(Replication, GroupReplacesTheVotersOfLostDisks)
+{
+    struct Case
+    {
+        std::vector<const char *> names;
+        std::size_t lostDisks = 1;
+        std::size_t desiredVoters = 5;
+        int times = 1; ///< how often the disks are lost, one after the other
+    };
+    const std::vector<Case> cases = {
+        { .names = { "a", "b", "c" } },
+        { .names = { "a", "b", "c" }, .desiredVoters = 3 },
+        { .names = { "a", "b", "c" }, .times = 3 },
+        { .names = { "a", "b", "c", "d" } },
+        { .names = { "a", "b", "c", "d" }, .times = 3 },
+        { .names = { "a", "b", "c", "d", "e" }, .lostDisks = 2 },
+        { .names = { "a", "b", "c", "d", "e" }, .lostDisks = 2, .times = 3 },
+        { .names = { "a", "b", "c", "d", "e" }, .lostDisks = 2, .desiredVoters = 0 },
+    };
+    for (const Case &item : cases)
+        for (std::size_t first = 0; first < item.names.size(); ++first) {
+            ReplicaGroup group(item.names, { .desiredVoters = item.desiredVoters });
+            group.leader();
+            group.run(1s);
+            const std::size_t nodes = item.names.size();
+            for (int time = 0; time < item.times; ++time) {
+                for (std::size_t i = 0; i < item.lostDisks; ++i)
+                    group.loseDisk(NodeName(item.names[(first + i) % nodes]));
+                group.run(4s);
+            }
+            ReplicaOutbox out;
+            group.leader().propose({ Bytes(10, 'x') }, group.now, out);
+            group.deliver(std::move(out));
+            const Replica &leader = group.leader();
+            EXPECT_EQ(leader.commitIndex(), leader.lastIndex());
+            EXPECT_EQ(leader.membership().members.size(), nodes);
+            EXPECT_EQ(group.presentVoters(leader.membership()), nodes)
+                << nodes << " nodes, " << item.lostDisks << " disks from " << first;
+        }
+}
+
+// Guards against a voter that is removed since the former voter of another node, which is gone but
+// not yet removed, counts as one that the group keeps.
+TEST(Replication, FormerVoterIsNoReasonToRemoveAnother)
+{
+    ReplicaGroup group({ "a", "b", "c", "d" }, { .desiredVoters = 5 });
+    const NodeName leaderName = group.leader().self().node;
+    group.run(1s);
+    std::vector<NodeName> others = group.names();
+    std::erase(others, leaderName);
+    group.loseDisk(others[0]);
+    while (group.leader().membership().voterCount() < 5)
+        group.step();
+    // The next leader can't know yet that the former voter is silent.
+    group.replicas.at(leaderName).stepDown(group.now);
+    const NodeName nextLeader = group.leader().self().node;
+    group.loseDisk(nextLeader == others[1] ? others[2] : others[1]);
+    for (int i = 0; i < 300; ++i) {
+        group.step();
+        ASSERT_EQ(group.leader().self().node, nextLeader);
+        ASSERT_EQ(ReplicaGroup::voterNodes(group.leader().membership()), 4U) << "step " << i;
+    }
+    EXPECT_EQ(group.presentVoters(group.leader().membership()), 4U);
+    EXPECT_EQ(group.leader().membership().members.size(), 4U);
+}
+
+// Guards against a group that can't go on, loses entries or has too few voters, after disks were
+// lost and nodes were silent in any order, no more than two at a time.
+TEST(Replication, GroupKeepsItsVotersWhateverIsLost)
+{
+    constexpr Duration recovery = 4s;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        ReplicaGroup group({ "a", "b", "c", "d", "e" }, { .desiredVoters = 5 });
+        std::mt19937_64 random(seed);
+        const auto anyOf = [&](std::size_t count) { return random() % count; };
+        const std::vector<NodeName> nodes = group.names();
+        std::map<NodeName, TimePoint> silentUntil;
+        std::map<NodeName, TimePoint> lostUntil;
+        std::uint64_t committed = 0;
+        for (int i = 0; i < 4000; ++i) {
+            const NodeName &node = nodes[anyOf(nodes.size())];
+            std::erase_if(lostUntil, [&](const auto &item) { return item.second <= group.now; });
+            const bool mayBeLost = lostUntil.size() < 2 || lostUntil.contains(node);
+            if (mayBeLost && i < 3000 && anyOf(20) == 0) {
+                silentUntil[node] = group.now + 10ms * anyOf(150);
+                lostUntil[node] = silentUntil[node] + recovery;
+                if (anyOf(2) == 0)
+                    group.loseDisk(node);
+            }
+            group.silent.clear();
+            for (const auto &[name, until] : silentUntil)
+                if (group.now < until)
+                    group.silent.insert(name);
+            group.step();
+            for (auto &[name, replica] : group.replicas) {
+                committed = std::max(committed, replica.commitIndex());
+                if (!replica.isLeaderReady())
+                    continue;
+                ASSERT_GE(ReplicaGroup::voterNodes(replica.membership()), 4U)
+                    << "seed " << seed << ", step " << i;
+            }
+        }
+        const bool hasLeader = std::ranges::any_of(
+            group.replicas, [](const auto &item) { return item.second.isLeaderReady(); });
+        ASSERT_TRUE(hasLeader) << "seed " << seed;
+        EXPECT_GE(group.leader().commitIndex(), committed) << "seed " << seed;
+        EXPECT_EQ(group.presentVoters(group.leader().membership()), 5U) << "seed " << seed;
+        EXPECT_EQ(group.leader().membership().members.size(), 5U) << "seed " << seed;
+    }
+}
+
 TEST(Replication, MemberWithLostDiskRejoinsAsNewMemberAndCatchesUp)
 {
     for (const std::uint64_t seed : { 1U, 2U, 3U, 4U, 5U, 6U }) {
