Replication: copies of an entry are counted by node

A node that came back without its disk is two members until the former one is removed. Replica::copiesOf counted both: the one whose disk is gone, and the one that got the entry anew, so that one disk counted twice. A node now counts once, if all its members in the group have the entry; the leader counts itself by its own log.

--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -109,13 +109,19 @@
     return this->isLeader() && this->committedIndex >= this->termStartIndex;
 }
 
+// A node that lost its disk is two members until the former one is removed. What the former one
+// has acknowledged is gone, and the disk of the other counts once.
 std::size_t Replica::copiesOf(std::uint64_t index) const
 {
-    std::size_t copies = this->lastIndex() >= index ? 1 : 0;
+    std::map<NodeName, bool> holds = { { this->self().node, this->lastIndex() >= index } };
     if (this->isLeader())
-        copies += std::ranges::count_if(
-            this->progress, [&](const auto &item) { return item.second.matchIndex >= index; });
-    return copies;
+        for (const auto &[id, memberProgress] : this->progress) {
+            if (id.node == this->self().node)
+                continue;
+            bool &nodeHolds = holds.try_emplace(id.node, true).first->second;
+            nodeHolds = nodeHolds && memberProgress.matchIndex >= index;
+        }
+    return std::ranges::count_if(holds, [](const auto &item) { return item.second; });
 }
 
 std::uint64_t Replica::lastIndex() const
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -94,8 +94,8 @@
     const MemberId &self() const { return this->durable.self; }
     const std::optional<MemberId> &leader() const { return this->knownLeader; }
     const GroupMembership &membership() const { return this->activeMembership; }
-    /** \returns the number of members, learners among them, on whose disks the log is known to be
-     * up to \a index; on a member that is not the leader only its own is known.
+    /** \returns the number of nodes, learners among them, on whose disks the log is known to be up
+     * to \a index; on a member that is not the leader only its own is known.
      */
     std::size_t copiesOf(std::uint64_t index) const;
     const std::vector<LogEntry> &entries() const { return this->durable.entries; }
--- a/test/ReplicationTest.cpp
+++ b/test/ReplicationTest.cpp
@@ -375,6 +375,39 @@
     }
 }
 
+// Guards against a disk that counts twice, or one that is gone: a node that came back without its
+// disk is two members until the former one is removed.
+TEST(Replication, CopiesAreCountedByNode)
+{
+    ReplicaGroup group({ "a", "b", "c", "d", "e" }, { .desiredVoters = 5 });
+    const NodeName leaderName = group.leader().self().node;
+    group.run(1s);
+    std::vector<NodeName> others = group.names();
+    std::erase(others, leaderName);
+    group.silent.insert(others[0]);
+    ReplicaOutbox out;
+    group.leader().propose({ Bytes(10, 'x') }, group.now, out);
+    group.deliver(std::move(out));
+    const std::uint64_t index = group.leader().lastIndex();
+    EXPECT_EQ(group.leader().copiesOf(index), 4U);
+    group.loseDisk(others[1]);
+    bool wasTwoMembers = false;
+    for (int i = 0; i < 100; ++i) {
+        group.step();
+        ASSERT_EQ(group.leader().self().node, leaderName);
+        const MemberId present = group.replicas.at(others[1]).self();
+        const GroupMembership &membership = group.leader().membership();
+        const bool isTwoMembers = membership.contains(present)
+            && membership.contains({ .node = others[1], .incarnation = 1 });
+        wasTwoMembers = wasTwoMembers || isTwoMembers;
+        if (!wasTwoMembers)
+            continue;
+        EXPECT_LE(group.leader().copiesOf(index), 4U) << "step " << i;
+    }
+    EXPECT_TRUE(wasTwoMembers);
+    EXPECT_EQ(group.leader().copiesOf(index), 4U);
+}
+
 TEST(Replication, MemberWithLostDiskRejoinsAsNewMemberAndCatchesUp)
 {
     for (const std::uint64_t seed : { 1U, 2U, 3U, 4U, 5U, 6U }) {
