Registry: a change is acknowledged only once it is on n + 1 disks

At the first start the three founders are the only voters, whatever number of disks may be lost at once: with two, a change was acknowledged on two disks, both of which may be lost.

An accepted change, also one that is repeated and held, is now acknowledged once Replica::copiesOf reaches ControlOptions::requiredCopies (RegistryProcess: tolerated losses + 1). At the end of the confirmation timeout it is answered without a reply otherwise (503), and logged as rules-not- acknowledged. Reads need no copies.

--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -37,6 +37,13 @@
     return 2UL * toleratedLosses + 1;
 }
 
+// A committed change is on the disks of a quorum, which is too few while the group has fewer voters
+// than it should, as at its first start.
+static std::size_t copiesFor(std::uint32_t toleratedLosses)
+{
+    return 1UL + toleratedLosses;
+}
+
 static ControlOptions registryOptions(const NodeProfile &profile)
 {
     ControlOptions options;
@@ -46,6 +53,7 @@
     options.replicated.entriesPerSnapshot = changesPerSnapshot;
     options.replicated.bytesPerSnapshot = logBytesPerSnapshot;
     options.confirmationTimeout = confirmationTimeout;
+    options.requiredCopies = copiesFor(profile.toleratedLosses);
     return options;
 }
 
@@ -324,6 +332,13 @@
 
 void RegistryProcess::respond(const ApplyResponse &response)
 {
+    if (response.versionWithoutCopies)
+        logEvent(
+            "rules-not-acknowledged",
+            { { "version", std::to_string(*response.versionWithoutCopies) },
+              { "copies", std::to_string(response.copies) },
+              { "needed",
+                std::to_string(internal::copiesFor(this->context.profile.toleratedLosses)) } });
     if (!response.reply) {
         this->redirect(response.request.number, response.leader);
         return;
--- a/Hibiscus/src/Rules/ControlNode.cpp
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -8,6 +8,15 @@
 
 constexpr std::size_t maxRecentFiles = 32;
 
+// The operator sends the change again, which is safe because changes are idempotent, and the
+// repetition waits for copies as well.
+static ApplyResponse withoutReply(const ApplyResponse &response)
+{
+    return { .request = response.request,
+             .copies = response.copies,
+             .versionWithoutCopies = response.reply->version };
+}
+
 } // namespace internal
 
 ControlNode::ControlNode(const ControlOptions &options, const DurableState &durable,
@@ -203,9 +212,11 @@
             (isInForce ? response.confirmed : response.unconfirmed).push_back(recipient);
         }
         response.copies = this->replica().copiesOf(pending.index);
-        const bool isDue = response.unconfirmed.empty() || now >= pending.respondBy;
+        const bool hasCopies = response.copies >= this->options.requiredCopies;
+        const bool isComplete = hasCopies && response.unconfirmed.empty();
+        const bool isDue = isComplete || now >= pending.respondBy;
         if (isDue)
-            out.applyResponses.push_back(response);
+            out.applyResponses.push_back(hasCopies ? response : internal::withoutReply(response));
         return isDue;
     });
 }
--- a/Hibiscus/src/Rules/ControlNode.h
+++ b/Hibiscus/src/Rules/ControlNode.h
@@ -22,6 +22,10 @@
     std::vector<RulesRecipient> recipients;
     Duration resendInterval = 400ms;
     Duration confirmationTimeout = 3s; ///< maximum wait for acknowledgements of an apply
+    /** \brief Number of members on whose disks an accepted change must be before it is
+     * acknowledged; one more than the disks that may be lost at once.
+     */
+    std::size_t requiredCopies = 1;
     /** \brief Minimum time that a member holds a version before it sends it to a node that
      * acknowledges an older one; before that, the leader's own update is probably still in flight.
      */
@@ -37,6 +41,10 @@
     std::vector<RulesRecipient> confirmed;
     std::vector<RulesRecipient> unconfirmed;
     std::size_t copies = 0; ///< number of members on whose disks an accepted change is known to be
+    /** \brief The version of an accepted change that has no reply since it has too few copies; it
+     * may still be lost.
+     */
+    std::optional<std::uint64_t> versionWithoutCopies;
 
     auto operator<=>(const ApplyResponse &other) const = default;
 };
--- a/test/RulesDistributionTest.cpp
+++ b/test/RulesDistributionTest.cpp
@@ -1,6 +1,8 @@
 #include <Hibiscus/Rules>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace Hibiscus;
 
 namespace {
@@ -25,8 +27,10 @@
 class ControlGroup
 {
 public:
-    explicit ControlGroup(const std::vector<std::string> &names, std::size_t voters = 3)
+    explicit ControlGroup(const std::vector<std::string> &names, std::size_t voters = 3,
+                          std::size_t requiredCopies = 1)
     {
+        this->options.requiredCopies = requiredCopies;
         this->options.replicated.replica.desiredVoters = voters;
         this->options.replicated.entriesPerSnapshot = 8;
         const std::vector<NodeName> nodes(names.begin(), names.end());
@@ -39,7 +43,7 @@
     {
         const NodeName node(name);
         DurableState empty;
-        empty.self = { .node = node, .incarnation = 2 };
+        empty.self = { .node = node, .incarnation = this->nextIncarnation++ };
         this->start(node, empty);
     }
 
@@ -53,6 +57,29 @@
 
     void removeNode(const NodeName &name) { this->members.erase(name); }
 
+    /** \returns the response to the change to \a version since the last call, if there is one. */
+    std::optional<ApplyResponse> takeResponse(std::uint64_t version)
+    {
+        const auto found = this->applyResponses.find(version);
+        if (found == this->applyResponses.end())
+            return std::nullopt;
+        const ApplyResponse response = found->second;
+        this->applyResponses.erase(found);
+        return response;
+    }
+
+    /** \returns the number of nodes on whose disks \a version is in the log. */
+    std::size_t disksWith(std::uint64_t version) const
+    {
+        return std::ranges::count_if(this->disks, [&](const auto &disk) {
+            return std::ranges::any_of(disk.second.entries, [&](const LogEntry &entry) {
+                const auto *command = std::get_if<Command>(&entry.body);
+                return command != nullptr
+                    && decode<ApplyRules>(command->bytes)->assignedVersion == version;
+            });
+        });
+    }
+
     void run(Duration span)
     {
         const TimePoint end = this->now + span;
@@ -75,6 +102,16 @@
         this->deliverMessages(this->leaderName(), out);
     }
 
+    /** \returns the responses to a read of the rules at the leader. */
+    std::vector<RulesReadResponse> read()
+    {
+        ControlNode::Outbox out;
+        this->readResponses.clear();
+        this->leader().requestRead({ .node = NodeName("o"), .number = 1 }, this->now, out);
+        this->deliverMessages(this->leaderName(), out);
+        return this->readResponses;
+    }
+
     /** \returns the updates that \a member sends in reply to \a message. */
     template<typename Message>
     std::vector<AddressedUpdate> updatesInReplyTo(const NodeName &member, const Message &message)
@@ -125,6 +162,10 @@
         const ReplicaOutbox output = std::exchange(out.log.replica, {});
         for (const StorageWrite &write : output.writes)
             applyWrite(write, this->disks.at(from));
+        for (const ApplyResponse &response : out.applyResponses)
+            this->applyResponses[response.request.number] = response;
+        this->readResponses.insert(this->readResponses.end(), out.readResponses.begin(),
+                                   out.readResponses.end());
         for (const auto *messages : { &output.sendBeforeSync, &output.sendAfterSync })
             for (const ReplicaEnvelope &envelope : *messages) {
                 if (envelope.to == from || !this->members.contains(envelope.to))
@@ -139,6 +180,9 @@
     TimePoint now { 1'800'000'000s };
     std::map<NodeName, ControlNode> members;
     std::map<NodeName, DurableState> disks;
+    std::map<std::uint64_t, ApplyResponse> applyResponses; ///< by version
+    std::vector<RulesReadResponse> readResponses;
+    std::uint64_t nextIncarnation = 2;
 };
 
 constexpr const char *rulesText = "refuse service=x # a\n";
@@ -195,6 +239,119 @@
     EXPECT_EQ(group.leader().state().version(), 7U);
 }
 
+/** \brief Three founders, one of them down, that wait for more nodes; two disks may be lost. */
+class RulesWithoutCopies : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        this->group.run(3s);
+        ASSERT_FALSE(this->group.leaderName().isEmpty());
+        this->group.removeNode(this->group.followerName());
+        this->group.apply(7, rulesText);
+    }
+
+    ControlGroup group { { "r1", "r2", "r3" }, 5, 3 };
+};
+
+// Guards against a change that is acknowledged while it is on two disks, both of which may be lost.
+TEST_F(RulesWithoutCopies, ChangeIsNotAcknowledged)
+{
+    this->group.run(2s);
+    EXPECT_FALSE(this->group.takeResponse(7));
+    this->group.run(2s);
+    const auto response = this->group.takeResponse(7);
+    ASSERT_TRUE(response);
+    EXPECT_FALSE(response->reply);
+    EXPECT_FALSE(response->leader);
+    EXPECT_EQ(response->versionWithoutCopies, 7U);
+    EXPECT_EQ(response->copies, 2U);
+    EXPECT_EQ(this->group.disksWith(7), 2U);
+}
+
+// Guards against an operator who is told of success when repeating a change that is held, but still
+// on two disks only.
+TEST_F(RulesWithoutCopies, RepeatedChangeIsNotAcknowledgedEither)
+{
+    this->group.run(4s);
+    this->group.takeResponse(7);
+    ASSERT_EQ(this->group.leader().state().version(), 7U);
+    this->group.apply(7, rulesText);
+    EXPECT_FALSE(this->group.takeResponse(7));
+    this->group.run(4s);
+    const auto response = this->group.takeResponse(7);
+    ASSERT_TRUE(response);
+    EXPECT_FALSE(response->reply);
+    this->group.addNode("r4");
+    this->group.apply(7, rulesText);
+    this->group.run(500ms);
+    const auto repeated = this->group.takeResponse(7);
+    ASSERT_TRUE(repeated);
+    EXPECT_TRUE(repeated->reply);
+}
+
+// Guards against a change that is refused although it is on as many disks as are needed, one of
+// them that of a node that has only just joined, and against a wait for more than these.
+TEST_F(RulesWithoutCopies, ChangeIsAcknowledgedOnceAThirdNodeHasIt)
+{
+    this->group.run(500ms);
+    EXPECT_FALSE(this->group.takeResponse(7));
+    this->group.addNode("r4");
+    std::optional<ApplyResponse> response;
+    for (int i = 0; i < 50 && !response; ++i) {
+        this->group.run(10ms);
+        response = this->group.takeResponse(7);
+        EXPECT_EQ(response.has_value(), this->group.disksWith(7) >= 3) << "step " << i;
+    }
+    ASSERT_TRUE(response);
+    ASSERT_TRUE(response->reply);
+    EXPECT_EQ(response->reply->version, 7U);
+    EXPECT_EQ(response->copies, 3U);
+    EXPECT_FALSE(response->versionWithoutCopies);
+}
+
+// Guards against an operator who can't read the rules while changes lack copies.
+TEST_F(RulesWithoutCopies, RulesCanBeRead)
+{
+    this->group.run(4s);
+    const std::vector<RulesReadResponse> responses = this->group.read();
+    ASSERT_EQ(responses.size(), 1U);
+    ASSERT_TRUE(responses[0].file);
+    EXPECT_EQ(responses[0].file->version, 7U);
+}
+
+// Guards against the loss of a version that was acknowledged as early as possible, together with
+// any two disks.
+TEST(RulesDistribution, AcknowledgedVersionSurvivesTheLossOfAnyTwoDisks)
+{
+    const std::vector<NodeName> nodes
+        = { NodeName("r1"), NodeName("r2"), NodeName("r3"), NodeName("r4"), NodeName("r5") };
+    for (std::size_t first = 0; first < nodes.size(); ++first)
+        for (std::size_t second = first + 1; second < nodes.size(); ++second) {
+            ControlGroup group({ "r1", "r2", "r3" }, 5, 3);
+            group.addNode("r4");
+            group.addNode("r5");
+            group.run(8s);
+            ASSERT_EQ(group.leader().replica().membership().voterCount(), 5U);
+            group.apply(7, rulesText);
+            const auto response = group.takeResponse(7);
+            ASSERT_TRUE(response);
+            ASSERT_TRUE(response->reply);
+            EXPECT_GE(group.disksWith(7), 3U);
+            std::vector<NodeName> kept = nodes;
+            std::erase_if(kept, [&](const NodeName &node) {
+                return node == nodes[first] || node == nodes[second];
+            });
+            group.restart(kept);
+            group.addNode(nodes[first].str());
+            group.addNode(nodes[second].str());
+            group.run(8s);
+            ASSERT_FALSE(group.leaderName().isEmpty());
+            EXPECT_EQ(group.leader().state().version(), 7U);
+            EXPECT_EQ(group.leader().replica().membership().voterCount(), 5U);
+        }
+}
+
 /** \brief A group whose members lose power with an acknowledged change behind their snapshots. */
 class RulesAfterPowerLoss : public testing::Test
 {
