RulesFaultSoak: the group asks for n + 1 copies; disks that are lost already count as losses

The simulation gets the option that the registry sets (requiredCopies). The check of copies counted an acknowledgement as wrong when one of the n disks had been lost between the member's sync and the answer (a slow disk at the leader): with one of n disks lost only n - 1 more may be, until all have caught up, so n copies are enough then.

--- a/test/support/RulesSimulation.cpp
+++ b/test/support/RulesSimulation.cpp
@@ -57,6 +57,7 @@
     this->controlOptions.replicated.entriesPerSnapshot = options.entriesPerSnapshot;
     this->controlOptions.replicated.bytesPerSnapshot = 1'000'000;
     this->controlOptions.confirmationTimeout = 700ms;
+    this->controlOptions.requiredCopies = options.toleratedLosses + 1;
     for (std::size_t i = 0; i < this->machines.size(); ++i) {
         const bool isRegistry = i < options.registries;
         Machine &machine = this->machines[i];
@@ -123,6 +124,7 @@
     this->machines[machine].disk = { .self = { .node = this->machines[machine].name,
                                                .incarnation = this->nextIncarnation++ } };
     this->disksMayBeLost = false;
+    ++this->lostDisks;
 }
 
 void RulesSimulation::freeze(std::size_t number, Duration span)
@@ -575,14 +577,16 @@
             ++copies;
             holders += " " + other.name.str();
         }
-    if (copies <= this->options.toleratedLosses)
+    // What is lost already counts towards the losses that may occur until all have caught up.
+    if (copies + this->lostDisks <= this->options.toleratedLosses)
         this->report(RulesCheck::Copies,
                      machine.name.str() + " acknowledges version " + std::to_string(version)
                          + ", which is on " + std::to_string(copies) + " disks (" + holders
                          + " ), with "
                          + std::to_string(machine.registry->replica().membership().voterCount())
                          + " voters and " + std::to_string(this->options.toleratedLosses)
-                         + " tolerated losses");
+                         + " tolerated losses, of which " + std::to_string(this->lostDisks)
+                         + " have occurred");
 }
 
 void RulesSimulation::checkLeader(Machine &machine)
@@ -660,6 +664,8 @@
               return this->isRegistry(m)
                   && (!this->isRunning(m) || this->now() < until + catchUpTime);
           });
+    if (this->disksMayBeLost)
+        this->lostDisks = 0;
 }
 
 } // namespace Hibiscus::Fake
--- a/test/support/RulesSimulation.h
+++ b/test/support/RulesSimulation.h
@@ -216,6 +216,7 @@
     std::uint64_t acknowledgedBeforePowerLoss = 0;
     bool isOperatorAtWork = true;
     bool disksMayBeLost = false;
+    std::size_t lostDisks = 0; ///< disks lost since all nodes had caught up
     TimePoint disruptedUntil;
     std::array<std::vector<std::string>, static_cast<std::size_t>(RulesCheck::Count)> reports;
 };
