Loopback fleets: processes are killed, stopped, terminated and started again by name

Tests of whole processes had to start them again on their own, and lost the logs of the first life. Fleet now names its processes, starts them again with their settings (not as a first start), empties the data folder of a registry node, tells which processes ended by themselves, writes a log for each life, and can keep its folder.

--- a/scripts/loopback_fleet.py
+++ b/scripts/loopback_fleet.py
@@ -1,10 +1,12 @@
 """Whole gateways and registry nodes on loopback, with stand-ins of targets that implement the wire.
 
-Shared by bench/gateway_cost.py and test/gateway_process_test.py. All addresses are in 127.0.0.0/8.
+Shared by bench/gateway_cost.py, test/gateway_process_test.py and test/rules_process_test.py. All addresses are in 127.0.0.0/8.
 """
 import asyncio
 import json
+import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import tempfile
@@ -36,8 +38,8 @@
     orders for another name; it kills everything when its lease expires.
     """
 
-    def __init__(self, name, domain, address, registries):
-        self.name, self.domain, self.address = name, domain, address
+    def __init__(self, name, domain, address, registries, service=SERVICE):
+        self.name, self.domain, self.address, self.service = name, domain, address, service
         self.registries, self.owner = registries, ""
         self.born = int(time.time() * 1000)
         self.started_at = time.monotonic()
@@ -55,7 +57,7 @@
     async def announce(self):
         while True:
             self.sequence += 1
-            body = {"service": SERVICE, "address": f"{self.address}:{TARGET_PORT}", "zone": self.domain,
+            body = {"service": self.service, "address": f"{self.address}:{TARGET_PORT}", "zone": self.domain,
                     "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
                     "capacity": {"cpu": 64000, "mem_mb": 262144, "gpu": 0}, "labels": ["a", "r1", self.domain],
                     "clock_ms": self.clock(), "seq": self.sequence, "born": self.born}
@@ -88,7 +90,7 @@
                 data = json.dumps({"clock_ms": self.clock(), "born": self.born, **reply}).encode()
                 writer.write(b"HTTP/1.1 %d Status\r\ncontent-type: application/json\r\n"
                              b"content-length: %d\r\n\r\n" % (status, len(data)) + data)
-        except (asyncio.IncompleteReadError, OSError):
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -181,7 +183,14 @@
     finally:
         writer.close()
     status = int(answer.split(b" ", 2)[1])
-    payload = answer.partition(b"\r\n\r\n")[2]
+    head, _, payload = answer.partition(b"\r\n\r\n")
+    if b"transfer-encoding: chunked" in head.lower():
+        chunks, rest = [], payload
+        while (size := int(rest.partition(b"\r\n")[0], 16)) > 0:
+            rest = rest.partition(b"\r\n")[2]
+            chunks.append(rest[:size])
+            rest = rest[size + 2:]
+        payload = b"".join(chunks)
     return status, json.loads(payload) if payload.startswith(b"{") else {}
 
 
@@ -199,19 +208,25 @@
 class Fleet:
     """Processes and stand-ins of targets, each in the next one of the domains.
 
-    Fleets with different values of `network` can run at the same time.
+    Fleets with different values of `network` can run at the same time. A process is named by its role
+    and number (registry-0). The first life of a process writes `log`, the others `log-2` and so on.
     """
 
-    def __init__(self, binaries, gateways, targets, domains=3, registries=3, network=1):
-        self.binaries, self.folder = pathlib.Path(binaries), tempfile.TemporaryDirectory()
+    def __init__(self, binaries, gateways, targets, domains=3, registries=3, network=1,
+                 tolerated_losses=None, services=(SERVICE,)):
+        self.binaries = pathlib.Path(binaries)
+        self.folder = tempfile.TemporaryDirectory(ignore_cleanup_errors=True)
         self.domains = domains
+        self.tolerated_losses = registries // 2 if tolerated_losses is None else tolerated_losses
         self.registries = [f"127.{network}.0.{i + 1}" for i in range(registries)]
         self.gateways = [f"127.{network + 1}.{i // 200}.{i % 200 + 1}" for i in range(gateways)]
         control = [f"{ip}:{CONTROL_PORT}" for ip in self.registries]
         self.targets = [StandInTarget(f"i-{i:05d}", f"d{i % domains}",
-                                      f"127.{network + 2}.{i // 200}.{i % 200 + 1}", control)
+                                      f"127.{network + 2}.{i // 200}.{i % 200 + 1}", control,
+                                      services[i // domains % len(services)])
                         for i in range(targets)]
         self.processes, self.tasks = [], []
+        self.places, self.lives, self.ending = {}, {}, set()
 
     def start_process(self, role, number, ip):
         folder = pathlib.Path(self.folder.name) / f"{role}-{number}"
@@ -219,7 +234,7 @@
         settings = {"node": f"{role}-{number}", "domain": f"d{number % self.domains}", "ip": ip,
                     "peer_address": f"{ip}:{PEER_PORT}", "metrics_address": f"{ip}:{METRICS_PORT}",
                     "registry_seeds": [f"{r}:{CONTROL_PORT}" for r in self.registries],
-                    "tolerated_losses": len(self.registries) // 2, "is_first_start": True,
+                    "tolerated_losses": self.tolerated_losses, "is_first_start": True,
                     "processor_share": 0.1, "lease_ms": LONGEST_LEASE_MS, "stop_bound_s": 6,
                     "heartbeat_ms": 1500}
         if role == "gateway":
@@ -228,10 +243,72 @@
             settings |= {"operators_address": f"{ip}:{CONTROL_PORT}", "data_folder": str(folder / "data")}
             (folder / "data").mkdir()
         (folder / "settings.json").write_text(json.dumps(settings))
-        with open(folder / "log", "wb") as log:
-            self.processes.append((role, subprocess.Popen(
-                [str(self.binaries / f"hibiscus-{role}"), f"--profile={folder / 'settings.json'}"],
-                stdout=log, stderr=log)))
+        name = f"{role}-{number}"
+        self.places[name], self.lives[name] = len(self.processes), 1
+        self.processes.append((role, self.launch(name, "log")))
+
+    def launch(self, name, log_name):
+        folder = pathlib.Path(self.folder.name) / name
+        with open(folder / log_name, "wb") as log:
+            return subprocess.Popen([str(self.binaries / f"hibiscus-{name.partition('-')[0]}"),
+                                     f"--profile={folder / 'settings.json'}"], stdout=log, stderr=log)
+
+    def process(self, name):
+        return self.processes[self.places[name]][1]
+
+    def names(self, role=None):
+        return [name for name in self.places if role in (None, name.partition("-")[0])]
+
+    def log_of(self, name):
+        """Returns the path of the log of the newest life of a process."""
+        life = self.lives[name]
+        return pathlib.Path(self.folder.name) / name / ("log" if life == 1 else f"log-{life}")
+
+    def is_running(self, name):
+        return self.process(name).poll() is None
+
+    def send_signal(self, names, number):
+        for name in names:
+            if self.is_running(name):
+                self.process(name).send_signal(number)
+
+    def kill(self, names):
+        """Kills processes at once, and returns when they are gone."""
+        self.ending |= {name for name in names if self.is_running(name)}
+        self.send_signal(names, signal.SIGKILL)
+        for name in names:
+            self.process(name).wait()
+
+    def terminate(self, names):
+        self.ending |= set(names)
+        self.send_signal(names, signal.SIGTERM)
+
+    def freeze(self, names):
+        self.send_signal(names, signal.SIGSTOP)
+
+    def resume(self, names):
+        self.send_signal(names, signal.SIGCONT)
+
+    def lose_disk(self, name):
+        """Empties the data folder of a registry node that does not run."""
+        data = pathlib.Path(self.folder.name) / name / "data"
+        shutil.rmtree(data)
+        data.mkdir()
+
+    def start_again(self, names):
+        """Starts processes that have ended, with their settings, but not as a first start."""
+        for name in names:
+            path = pathlib.Path(self.folder.name) / name / "settings.json"
+            path.write_text(json.dumps(json.loads(path.read_text()) | {"is_first_start": False}))
+            self.lives[name] += 1
+            self.ending.discard(name)
+            role = name.partition("-")[0]
+            self.processes[self.places[name]] = (role, self.launch(name, f"log-{self.lives[name]}"))
+
+    def ended_by_themselves(self):
+        """Returns the processes that ended although nothing here ended them, with their exit codes."""
+        return {name: self.process(name).returncode for name in self.places
+                if name not in self.ending and not self.is_running(name)}
 
     async def start(self, timeout_ms=1500):
         for i, ip in enumerate(self.registries):
@@ -260,7 +337,8 @@
             await asyncio.sleep(0.5)
         raise TimeoutError("no registry node accepted the rules")
 
-    async def stop(self):
+    async def stop(self, keep_folder=False):
+        """Ends everything; returns the path of the kept folder, or an empty one."""
         for _, process in self.processes:
             process.send_signal(signal.SIGKILL)
         for _, process in self.processes:
@@ -271,4 +349,8 @@
         for task in others:
             task.cancel()
         await asyncio.gather(*others, return_exceptions=True)
+        kept = tempfile.mkdtemp(prefix="hibiscus-fleet-") if keep_folder else ""
+        if kept:
+            os.rename(self.folder.name, kept)
         self.folder.cleanup()
+        return kept
