--- a/Hibiscus/src/Rules/GatewayRules.cpp
+++ b/Hibiscus/src/Rules/GatewayRules.cpp
@@ -20,6 +20,7 @@
                                .heldVersion = held.version,
                                .heldDigest = held.digest };
     std::vector<AddressedFetch> requests;
+    requests.reserve(registries.size() + 1);
     for (const NodeName &registry : registries)
         requests.push_back({ .to = registry, .fetch = fetch });
     if (!acceptsLastKnown)
