--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -286,7 +286,7 @@
             [&](const NodeList &list) { this->handleNodeList(list, now); },
             [&](const RulesUpdate &update) { this->handleRulesUpdate(update); },
             [&](const FetchRules &fetch) {
-                if (const auto offer = this->rules.offer())
+                if (const auto offer = this->rules.offerTo(fetch, now))
                     this->relay.send(fetch.node, *offer);
             },
             [](const auto &) {},
--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -472,9 +472,9 @@
 }
 
 // A node that lost its disk joins as a learner, and replaces its previous voter only once the
-// learner holds all committed entries. Only one membership change is in progress at a time. While
-// the group has as many voters as it should, a voter is removed before its successor is added. With
-// fewer, the successor is added first, since the next removal would make the quorum smaller.
+// learner holds all committed entries. Only one membership change is in progress at a time. A voter
+// whose disk is lost is removed before its successor is added, unless the group has fewer voters
+// than it should: the next removal would make the quorum smaller.
 void Replica::changeMembers(TimePoint now, ReplicaOutbox &out)
 {
     if (!this->isLeaderReady() || !this->isMembershipCommitted())
@@ -551,7 +551,7 @@
 std::optional<GroupMembership> Replica::membershipWithoutSurplus(TimePoint now) const
 {
     const std::size_t desired = this->options.desiredVoters;
-    if (desired == 0 || this->activeMembership.voterCount() <= desired)
+    if (desired == 0 || this->activeMembership.voterCount() != desired + 1)
         return std::nullopt;
     if (const auto silent = this->silentMember(MemberRole::Voter, now))
         return this->activeMembership.without(*silent);
@@ -559,7 +559,8 @@
     for (const Member &member : this->activeMembership.members) {
         if (member.role != MemberRole::Voter || member.id == this->self())
             continue;
-        if (!this->isHeard(member.id, now))
+        // A leader that was just elected takes all for present; only a reply tells.
+        if (!this->isHeard(member.id, now) || this->progress.at(member.id).acknowledgedRound == 0)
             return std::nullopt;
         surplus = member.id;
     }
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -73,15 +73,20 @@
     /** \brief Gives up leadership, candidacy and the known leader, for the time in which the
      * replica is given neither messages nor ticks.
      */
-    void suspend(TimePoint now) { this->becomeFollower(now); }
+    void suspend(TimePoint now)
+    {
+        this->becomeFollower(now);
+        this->caughtUp = false;
+    }
 
     // Queries.
     bool isLeader() const { return this->replicaRole == ReplicaRole::Leader; }
     /** \returns whether the leader has committed an entry of its own term. */
     bool isLeaderReady() const;
-    /** \brief Whether this replica has, since its start, held every entry that was committed before
-     * the election of some leader that it has heard from. Until then its committed entries may be
-     * those of its snapshot only, and older than what the group has acknowledged.
+    /** \brief Whether this replica has, since its start and since it was last suspended, held every
+     * entry that was committed before the election of some leader that it has heard from. Until
+     * then its committed entries may be those of its snapshot only, and older than what the group
+     * has acknowledged. It says nothing of what was committed since.
      */
     bool hasCaughtUp() const { return this->caughtUp; }
     ReplicaRole role() const { return this->replicaRole; }
@@ -170,7 +175,7 @@
      */
     std::optional<GroupMembership> membershipAfterCatchUp(const MemberId &learner,
                                                           TimePoint now) const;
-    /** \returns the change after which there are no more voters than desired, if there are more. */
+    /** \returns the change that ends the replacement of a silent voter, whose successor votes. */
     std::optional<GroupMembership> membershipWithoutSurplus(TimePoint now) const;
     bool isHeard(const MemberId &id, TimePoint now) const;
     /** \returns a silent voter whose node is heard as another voter, which has replaced it. */
--- a/Hibiscus/src/Rules/ControlNode.cpp
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -36,13 +36,14 @@
         = std::ranges::any_of(this->options.recipients, [&](const RulesRecipient &recipient) {
               return recipient.node == acknowledgement.node;
           });
+    // The next leader has to know what the nodes hold; otherwise it sends each the whole file.
+    RecipientState &recipientState = this->recipientStates[acknowledgement.node];
+    const bool isChanged = recipientState.acknowledgement != acknowledgement;
+    recipientState.acknowledgement = acknowledgement;
     if (!this->replica().isLeader() || !isListed) {
         this->sendCatchUp(acknowledgement, now, out);
         return;
     }
-    RecipientState &recipientState = this->recipientStates[acknowledgement.node];
-    const bool isChanged = recipientState.acknowledgement != acknowledgement;
-    recipientState.acknowledgement = acknowledgement;
     // The acknowledged version is not the one sent, so the base of the delta was missing: send
     // again without waiting for the resend interval.
     if (isChanged && recipientState.sentVersion != acknowledgement.version)
@@ -53,8 +54,9 @@
 void ControlNode::receive(const FetchRules &fetch, TimePoint now, Outbox &out)
 {
     if (!this->replica().isLeader()) {
-        const bool hasRules = this->replica().hasCaughtUp() && this->state().version() > 0;
-        if (fetch.acceptsLastKnown && hasRules)
+        const bool hasNewer
+            = this->replica().hasCaughtUp() && this->state().version() > fetch.heldVersion;
+        if (fetch.acceptsLastKnown && hasNewer)
             out.updates.push_back({ .to = fetch.node, .update = this->wholeFile(false) });
         return;
     }
@@ -154,6 +156,7 @@
         this->redirectPendingRequests(out);
         return;
     }
+    this->wasLeader = true;
     this->respondToReads(now, out);
     if (this->replica().isLeaderReady())
         this->sendUpdates(now, out);
@@ -175,7 +178,9 @@
     this->confirmingFetches.clear();
     this->fetchToken.reset();
     this->sentCopies.clear();
-    this->recipientStates.clear();
+    if (std::exchange(this->wasLeader, false))
+        for (auto &[node, recipientState] : this->recipientStates)
+            recipientState.sentVersion.reset();
 }
 
 void ControlNode::sendUpdates(TimePoint now, Outbox &out)
--- a/Hibiscus/src/Rules/ControlNode.h
+++ b/Hibiscus/src/Rules/ControlNode.h
@@ -22,7 +22,7 @@
     std::vector<RulesRecipient> recipients;
     Duration resendInterval = 400ms;
     Duration confirmationTimeout = 3s; ///< maximum wait for acknowledgements of an apply
-    /** \brief Number of members on whose disks an accepted change must be before it is
+    /** \brief Number of nodes on whose disks an accepted change must be before it is
      * acknowledged; one more than the disks that may be lost at once.
      */
     std::size_t requiredCopies = 1;
@@ -44,7 +44,7 @@
     std::optional<NodeName> leader;
     std::vector<RulesRecipient> confirmed;
     std::vector<RulesRecipient> unconfirmed;
-    std::size_t copies = 0; ///< number of members on whose disks an accepted change is known to be
+    std::size_t copies = 0; ///< number of nodes on whose disks an accepted change is known to be
     /** \brief The version of an accepted change that has no reply since it has too few copies; it
      * may still be lost.
      */
@@ -115,7 +115,7 @@
     const RulesState &state() const { return this->replicated.stateMachine(); }
 
 private:
-    /** \brief The leader's distribution state of an entry node; dropped when leadership is lost. */
+    /** \brief What an entry node has acknowledged, and what this member has sent it as leader. */
     struct RecipientState
     {
         std::optional<RulesAcknowledgement> acknowledgement;
@@ -157,12 +157,12 @@
     std::map<NodeName, RecipientState> recipientStates;
     std::vector<PendingApply> pendingApplies;
     std::map<std::uint64_t, RequestId> pendingReads;
-    /** \brief The nodes that wait for confirmed rules, with what they hold; the first map is of
-     * those that the read \a fetchToken confirms, the second of those that came after it.
-     */
+    std::optional<std::uint64_t> fetchToken; ///< the read in progress for the nodes that wait
+    /** \brief What the nodes hold that wait for the read in progress. */
     std::map<NodeName, RulesAcknowledgement> confirmingFetches;
+    /** \brief What the nodes hold that wait for the next read. */
     std::map<NodeName, RulesAcknowledgement> waitingFetches;
-    std::optional<std::uint64_t> fetchToken;
+    bool wasLeader = false;
     std::map<NodeName, SentCopy> sentCopies;
     std::map<std::uint64_t, RulesFile> recentFiles; ///< bases for deltas, by version
     TimePoint currentVersionAt; ///< time at which this member applied the current version
--- a/Hibiscus/src/Rules/GatewayRules.cpp
+++ b/Hibiscus/src/Rules/GatewayRules.cpp
@@ -1,5 +1,7 @@
 #include "Hibiscus/src/Rules/GatewayRules.h"
 
+#include <utility>
+
 namespace Hibiscus {
 
 // Rules that a quorum confirms are preferred. If no quorum is reachable for a while, serving with
@@ -9,11 +11,11 @@
                                                           const std::vector<NodeName> &peers,
                                                           TimePoint now)
 {
+    this->recordStep(now);
     if (this->activeRules.status() == RulesStatus::Confirmed || now < this->requestDueAt)
         return {};
     this->requestDueAt = now + this->options.requestInterval;
-    const bool acceptsLastKnown
-        = !this->acceptsOnlyConfirmed(now) && this->activeRules.status() == RulesStatus::None;
+    const bool acceptsLastKnown = !this->acceptsOnlyConfirmed(now);
     const RulesAcknowledgement held = this->activeRules.acknowledgement();
     const FetchRules fetch = { .node = held.node,
                                .acceptsLastKnown = false,
@@ -25,7 +27,8 @@
         requests.push_back({ .to = registry, .fetch = fetch });
     if (!acceptsLastKnown)
         return requests;
-    // Each answer is a whole file, so one node of each kind is asked at a time.
+    // Each answer is a whole file, so one node of each kind is asked at a time. The first one to
+    // answer may be behind the others, so they are asked for newer rules.
     const std::size_t turn = this->lastKnownTurn++;
     if (!registries.empty())
         requests.at(turn % registries.size()).fetch.acceptsLastKnown = true;
@@ -38,6 +41,7 @@
 
 RulesReceipt GatewayRules::receive(const RulesUpdate &update, TimePoint now)
 {
+    this->recordStep(now);
     // Members that are behind the others may not know it: a follower that is cut off, or a leader
     // that stood still while another one was elected.
     if (!update.isConfirmed && this->acceptsOnlyConfirmed(now)
@@ -67,16 +71,23 @@
     return since && now >= *since + this->options.outdatedLifetime;
 }
 
-std::optional<RulesUpdate> GatewayRules::offer() const
+std::optional<RulesUpdate> GatewayRules::offerTo(const FetchRules &request, TimePoint now) const
 {
-    if (this->activeRules.status() == RulesStatus::None)
+    const bool isNewer = this->activeRules.file().version > request.heldVersion;
+    if (!this->hasRules() || this->isOutdated(now) || !isNewer)
         return std::nullopt;
     return RulesUpdate { .content = this->activeRules.file(), .sender = this->activeRules.self() };
 }
 
+void GatewayRules::recordStep(TimePoint now)
+{
+    if (now >= std::exchange(this->steppedAt, now) + this->options.stallTime)
+        this->waitsSince = now;
+}
+
 bool GatewayRules::acceptsOnlyConfirmed(TimePoint now) const
 {
-    return now < this->startedAt + this->options.confirmedOnlyTime;
+    return now < this->waitsSince + this->options.confirmedOnlyTime;
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Rules/GatewayRules.h
+++ b/Hibiscus/src/Rules/GatewayRules.h
@@ -10,6 +10,10 @@
     Duration requestInterval = 300ms;
     /** \brief Time after the start in which only rules that a quorum confirms are adopted. */
     Duration confirmedOnlyTime = 3s;
+    /** \brief Time between two steps after which a gateway has stood still, so that this time
+     * begins anew.
+     */
+    Duration stallTime = 1s;
     /** \brief Time for which older rules stay in use after a newer version is known to be accepted;
      * a part of the two seconds or more within which a change has to be in force.
      */
@@ -39,7 +43,7 @@
 {
 public:
     GatewayRules(const GatewayRulesOptions &options, const NodeName &self, TimePoint startedAt)
-        : options(options), startedAt(startedAt), activeRules(self)
+        : options(options), waitsSince(startedAt), steppedAt(startedAt), activeRules(self)
     { }
 
     // Commands.
@@ -64,14 +68,18 @@
     bool isOutdated(TimePoint now) const;
     /** \returns the latest time at which a quorum confirmed the rules in force. */
     TimePoint confirmedAt() const { return this->latestConfirmationAt; }
-    /** \returns the rules for a peer that requests them; nothing before there are any. */
-    std::optional<RulesUpdate> offer() const;
+    /** \returns the rules for a peer that sends \a request; nothing if it holds them, or if
+     * requests may not be served by them here.
+     */
+    std::optional<RulesUpdate> offerTo(const FetchRules &request, TimePoint now) const;
 
 private:
+    void recordStep(TimePoint now);
     bool acceptsOnlyConfirmed(TimePoint now) const;
 
     GatewayRulesOptions options;
-    TimePoint startedAt;
+    TimePoint waitsSince; ///< start of the time in which only confirmed rules are adopted
+    TimePoint steppedAt;
     TimePoint requestDueAt;
     std::size_t lastKnownTurn = 0; ///< selects the node that is asked for its last known rules
     TimePoint latestConfirmationAt;
--- a/test/GatewayRulesTest.cpp
+++ b/test/GatewayRulesTest.cpp
@@ -45,9 +45,11 @@
     GatewayRules rules({}, self, startedAt);
     const std::vector<NodeName> registries = { NodeName("r1"), NodeName("r2"), NodeName("r3") };
     const std::vector<NodeName> peers = { NodeName("g2"), NodeName("g3") };
-    EXPECT_EQ(lastKnownRequestsIn(rules.takeDueRequests(registries, peers, startedAt)), 0U);
     std::set<NodeName> asked;
-    for (TimePoint now = startedAt + 3s; now < startedAt + 4s; now += 10ms) {
+    TimePoint now = startedAt;
+    for (; now < startedAt + 3s; now += 10ms)
+        EXPECT_EQ(lastKnownRequestsIn(rules.takeDueRequests(registries, peers, now)), 0U);
+    for (; now < startedAt + 4s; now += 10ms) {
         const auto requests = rules.takeDueRequests(registries, peers, now);
         if (requests.empty())
             continue;
@@ -59,9 +61,48 @@
     EXPECT_EQ(asked.size(), registries.size() + peers.size());
     EXPECT_EQ(rules.receive(wholeFile(4), startedAt + 4s), RulesReceipt::Adopted);
     EXPECT_TRUE(rules.hasRules());
-    const auto requests = rules.takeDueRequests(registries, peers, startedAt + 5s);
-    EXPECT_EQ(requests.size(), registries.size());
-    EXPECT_EQ(lastKnownRequestsIn(requests), 0U) << "these only want a confirmation";
+    const auto requests = rules.takeDueRequests(registries, peers, startedAt + 4500ms);
+    EXPECT_EQ(requests.size(), registries.size() + 1);
+    EXPECT_EQ(lastKnownRequestsIn(requests), 2U);
+    for (const AddressedFetch &request : requests)
+        EXPECT_EQ(request.fetch.heldVersion, 4U) << "only newer rules are requested";
+    EXPECT_EQ(rules.receive(wholeFile(6), startedAt + 4500ms), RulesReceipt::Adopted);
+}
+
+// Guards against a gateway that passes rules on by which it serves no requests itself.
+TEST(GatewayRules, OutdatedRulesAreNotOffered)
+{
+    GatewayRules rules({}, self, startedAt);
+    const FetchRules request = { .node = NodeName("g2"), .acceptsLastKnown = true };
+    EXPECT_FALSE(rules.offerTo(request, startedAt));
+    RulesUpdate confirmed = wholeFile(0);
+    confirmed.isConfirmed = true;
+    rules.receive(confirmed, startedAt);
+    EXPECT_FALSE(rules.offerTo(request, startedAt)) << "no rules were ever applied";
+    rules.receive(wholeFile(5), startedAt);
+    EXPECT_TRUE(rules.offerTo(request, startedAt));
+    EXPECT_FALSE(rules.offerTo({ .node = NodeName("g2"), .heldVersion = 5 }, startedAt));
+    rules.recordAcceptedVersion(6, startedAt + 1s);
+    EXPECT_TRUE(rules.offerTo(request, startedAt + 1s));
+    EXPECT_FALSE(rules.offerTo(request, startedAt + 3s));
+}
+
+// Guards against a gateway that adopts unconfirmed rules at once, since it stood still for the time
+// in which it should have waited for confirmed ones.
+TEST(GatewayRules, WaitForConfirmedRulesBeginsAnewAfterAStall)
+{
+    GatewayRules rules({}, self, startedAt);
+    const std::vector<NodeName> registries = { NodeName("r1") };
+    rules.takeDueRequests(registries, {}, startedAt);
+    EXPECT_EQ(rules.receive(wholeFile(4), startedAt + 4s), RulesReceipt::Refused);
+    TimePoint now = startedAt + 4s;
+    for (; now < startedAt + 6500ms; now += 100ms)
+        EXPECT_EQ(lastKnownRequestsIn(rules.takeDueRequests(registries, {}, now)), 0U);
+    std::size_t requests = 0;
+    for (; now < startedAt + 8s; now += 100ms)
+        requests += lastKnownRequestsIn(rules.takeDueRequests(registries, {}, now));
+    EXPECT_GT(requests, 0U);
+    EXPECT_EQ(rules.receive(wholeFile(4), now), RulesReceipt::Adopted);
 }
 
 } // namespace
--- a/test/RulesDistributionTest.cpp
+++ b/test/RulesDistributionTest.cpp
@@ -126,6 +126,20 @@
         return std::exchange(this->updates, {});
     }
 
+    /** \brief A gateway announces itself to all members, which then list it as a recipient. */
+    void announce(const RulesAcknowledgement &acknowledgement)
+    {
+        for (auto &[name, member] : this->members) {
+            ControlNode::Outbox out;
+            member.receive(acknowledgement, this->now, out);
+            member.setRecipients({ { .node = acknowledgement.node } });
+            this->deliverMessages(name, out);
+        }
+    }
+
+    /** \returns the updates that all members have sent since this was last called. */
+    std::vector<AddressedUpdate> takeUpdates() { return std::exchange(this->updates, {}); }
+
     NodeName leaderName() const
     {
         for (const auto &[name, member] : this->members)
@@ -434,6 +448,22 @@
     EXPECT_EQ(wholeFilesIn(updates), 1U) << "a lost copy is sent again";
 }
 
+// Guards against a leader that sends each gateway the whole file as soon as it is elected, in the
+// way of the copies that they request.
+TEST_F(RulesAfterPowerLoss, NewLeaderSendsGatewaysNothingThatTheyHoldOrRequest)
+{
+    for (const std::uint64_t version : { std::uint64_t(0), this->acknowledged }) {
+        this->group.restart({ NodeName("r1"), NodeName("r2"), NodeName("r3") });
+        const std::uint64_t digest = version == 0 ? 0 : digestOf(rulesText);
+        this->group.announce({ .node = gateway, .version = version, .digest = digest });
+        ASSERT_TRUE(this->group.leaderName().isEmpty());
+        this->group.takeUpdates();
+        this->group.run(2s);
+        ASSERT_FALSE(this->group.leaderName().isEmpty());
+        EXPECT_TRUE(this->group.takeUpdates().empty()) << "the gateway has version " << version;
+    }
+}
+
 // Guards against a whole file for a gateway that only lacks the confirmation of what it holds.
 TEST_F(RulesAfterPowerLoss, HeldRulesAreConfirmedWithoutACopy)
 {
--- a/test/support/RulesSimulation.cpp
+++ b/test/support/RulesSimulation.cpp
@@ -435,8 +435,8 @@
                    [&](const AcceptedVersion &accepted) {
                        rules.recordAcceptedVersion(accepted.version, this->now());
                    },
-                   [&](const FetchRules &) {
-                       if (const auto offer = rules.offer())
+                   [&](const FetchRules &fetch) {
+                       if (const auto offer = rules.offerTo(fetch, this->now()))
                            this->transmit(machine.number, from, *offer);
                    },
                    [&](const RulesUpdate &update) {
