ControlNode: a new leader waits for the reports of recipients that report regularly

Entry nodes of the older dispatcher do not report by themselves: one that started again with older rules counted as up to date.

Change: acknowledgements are dropped with leadership, as before. The option recipientsReport (set by RegistryProcess, whose gateways announce what they hold every 480 ms) lets a leader wait for the first report in place of sending the whole file.

--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -53,6 +53,7 @@
     options.replicated.entriesPerSnapshot = changesPerSnapshot;
     options.replicated.bytesPerSnapshot = logBytesPerSnapshot;
     options.confirmationTimeout = confirmationTimeout;
+    options.recipientsReport = true;
     options.requiredCopies = copiesFor(profile.toleratedLosses);
     return options;
 }
--- a/Hibiscus/src/Rules/ControlNode.cpp
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -36,14 +36,13 @@
         = std::ranges::any_of(this->options.recipients, [&](const RulesRecipient &recipient) {
               return recipient.node == acknowledgement.node;
           });
-    // The next leader has to know what the nodes hold; otherwise it sends each the whole file.
-    RecipientState &recipientState = this->recipientStates[acknowledgement.node];
-    const bool isChanged = recipientState.acknowledgement != acknowledgement;
-    recipientState.acknowledgement = acknowledgement;
     if (!this->replica().isLeader() || !isListed) {
         this->sendCatchUp(acknowledgement, now, out);
         return;
     }
+    RecipientState &recipientState = this->recipientStates[acknowledgement.node];
+    const bool isChanged = recipientState.acknowledgement != acknowledgement;
+    recipientState.acknowledgement = acknowledgement;
     // The acknowledged version is not the one sent, so the base of the delta was missing: send
     // again without waiting for the resend interval.
     if (isChanged && recipientState.sentVersion != acknowledgement.version)
@@ -156,7 +155,6 @@
         this->redirectPendingRequests(out);
         return;
     }
-    this->wasLeader = true;
     this->respondToReads(now, out);
     if (this->replica().isLeaderReady())
         this->sendUpdates(now, out);
@@ -178,9 +176,7 @@
     this->confirmingFetches.clear();
     this->fetchToken.reset();
     this->sentCopies.clear();
-    if (std::exchange(this->wasLeader, false))
-        for (auto &[node, recipientState] : this->recipientStates)
-            recipientState.sentVersion.reset();
+    this->recipientStates.clear();
 }
 
 void ControlNode::sendUpdates(TimePoint now, Outbox &out)
@@ -190,7 +186,9 @@
         RecipientState &recipientState = this->recipientStates[recipient.node];
         const auto &acknowledgement = recipientState.acknowledgement;
         // A node without rules requests them until they are confirmed.
-        if (acknowledgement && acknowledgement->digest == 0)
+        const bool requestsRules = acknowledgement && acknowledgement->digest == 0;
+        const bool willReport = !acknowledgement && this->options.recipientsReport;
+        if (requestsRules || willReport)
             continue;
         const bool isCurrent = acknowledgement && acknowledgement->version >= version;
         const bool isResendDue = now >= recipientState.sentAt + this->options.resendInterval;
--- a/Hibiscus/src/Rules/ControlNode.h
+++ b/Hibiscus/src/Rules/ControlNode.h
@@ -20,6 +20,10 @@
 {
     Replicated<RulesState>::Options replicated;
     std::vector<RulesRecipient> recipients;
+    /** \brief Whether each recipient regularly reports what it holds. A leader then sends it
+     * nothing before its first report; otherwise it begins with the whole file.
+     */
+    bool recipientsReport = false;
     Duration resendInterval = 400ms;
     Duration confirmationTimeout = 3s; ///< maximum wait for acknowledgements of an apply
     /** \brief Number of nodes on whose disks an accepted change must be before it is
@@ -115,7 +119,7 @@
     const RulesState &state() const { return this->replicated.stateMachine(); }
 
 private:
-    /** \brief What an entry node has acknowledged, and what this member has sent it as leader. */
+    /** \brief The leader's distribution state of an entry node; dropped when leadership is lost. */
     struct RecipientState
     {
         std::optional<RulesAcknowledgement> acknowledgement;
@@ -162,7 +166,6 @@
     std::map<NodeName, RulesAcknowledgement> confirmingFetches;
     /** \brief What the nodes hold that wait for the next read. */
     std::map<NodeName, RulesAcknowledgement> waitingFetches;
-    bool wasLeader = false;
     std::map<NodeName, SentCopy> sentCopies;
     std::map<std::uint64_t, RulesFile> recentFiles; ///< bases for deltas, by version
     TimePoint currentVersionAt; ///< time at which this member applied the current version
--- a/test/RulesDistributionTest.cpp
+++ b/test/RulesDistributionTest.cpp
@@ -34,6 +34,7 @@
         this->options.requiredCopies = requiredCopies;
         this->options.replicated.replica.desiredVoters = voters;
         this->options.replicated.entriesPerSnapshot = 8;
+        this->options.recipientsReport = true;
         const std::vector<NodeName> nodes(names.begin(), names.end());
         for (const NodeName &node : nodes)
             this->start(node, initialState(node, nodes));
--- a/test/support/RulesSimulation.cpp
+++ b/test/support/RulesSimulation.cpp
@@ -57,6 +57,7 @@
     this->controlOptions.replicated.entriesPerSnapshot = options.entriesPerSnapshot;
     this->controlOptions.replicated.bytesPerSnapshot = 1'000'000;
     this->controlOptions.confirmationTimeout = 700ms;
+    this->controlOptions.recipientsReport = true;
     this->controlOptions.requiredCopies = options.toleratedLosses + 1;
     for (std::size_t i = 0; i < this->machines.size(); ++i) {
         const bool isRegistry = i < options.registries;
