ControlNode: nodes that do not request rules again are sent them, with whatever they acknowledge

The cause is in: a node without rules (digest 0) is sent nothing that it does not request.

Change: this holds only for recipients that report regularly and request rules until they are confirmed (recipientsReport, set by RegistryProcess); others are sent the whole file, as before.

--- a/Hibiscus/src/Rules/ControlNode.cpp
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -185,10 +185,8 @@
     for (const RulesRecipient &recipient : this->options.recipients) {
         RecipientState &recipientState = this->recipientStates[recipient.node];
         const auto &acknowledgement = recipientState.acknowledgement;
-        // A node without rules requests them until they are confirmed.
-        const bool requestsRules = acknowledgement && acknowledgement->digest == 0;
-        const bool willReport = !acknowledgement && this->options.recipientsReport;
-        if (requestsRules || willReport)
+        const bool isWithoutRules = !acknowledgement || acknowledgement->digest == 0;
+        if (this->options.recipientsReport && isWithoutRules)
             continue;
         const bool isCurrent = acknowledgement && acknowledgement->version >= version;
         const bool isResendDue = now >= recipientState.sentAt + this->options.resendInterval;
@@ -283,9 +281,8 @@
                               Outbox &out) const
 {
     const bool isNewer = acknowledgement.version < this->state().version();
-    // A node without rules requests them.
-    const bool isWithoutRules = acknowledgement.digest == 0;
-    if (isWithoutRules || (acknowledgement.version == 0 && !this->replica().hasCaughtUp()))
+    const bool requestsRules = this->options.recipientsReport && acknowledgement.digest == 0;
+    if (requestsRules || (acknowledgement.version == 0 && !this->replica().hasCaughtUp()))
         return;
     if (!isNewer || now < this->currentVersionAt + this->options.catchUpDelay)
         return;
--- a/Hibiscus/src/Rules/ControlNode.h
+++ b/Hibiscus/src/Rules/ControlNode.h
@@ -20,8 +20,8 @@
 {
     Replicated<RulesState>::Options replicated;
     std::vector<RulesRecipient> recipients;
-    /** \brief Whether each recipient regularly reports what it holds. A leader then sends it
-     * nothing before its first report; otherwise it begins with the whole file.
+    /** \brief Whether each recipient regularly reports what it holds, and requests rules until they
+     * are confirmed. It is then sent nothing before it reports any; otherwise the whole file.
      */
     bool recipientsReport = false;
     Duration resendInterval = 400ms;
