--- a/review/worker2.py
+++ b/review/worker2.py
@@ -82,7 +82,7 @@
                 await writer.drain()
                 if headers.get("connection") == "close":
                     break
-        except (asyncio.IncompleteReadError, OSError):
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -211,5 +211,14 @@
                 if run.task.partition(".")[0] == job]
 
     def stop(self):
+        self.run(self.cancel_all())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join()
+
+    async def cancel_all(self):
+        for worker in self.workers:
+            worker.server.close()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
