--- a/review/worker2.py
+++ b/review/worker2.py
@@ -186,14 +186,15 @@
 class Workers:
     """Workers that run on an event loop of their own thread."""
 
-    def __init__(self, deployment, record, count, service):
+    def __init__(self, deployment, record, count, service, phase_s=0.0):
+        """Worker i sends its first heartbeat `phase_s` seconds later than worker i - 1."""
         self.loop = asyncio.new_event_loop()
         controls = [f"{deployment.nodes[n]['ip']}:{deployment.control}" for n in deployment.cores()]
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
-        self.workers = self.run(self.make(deployment, record, count, service, controls))
+        self.workers = self.run(self.make(deployment, record, count, service, controls, phase_s))
 
-    async def make(self, deployment, record, count, service, controls):
+    async def make(self, deployment, record, count, service, controls, phase_s):
         workers = []
         for i in range(count):
             worker = Worker(f"i-{i:08x}", deployment.zones[i % len(deployment.zones)],
@@ -201,6 +202,7 @@
                             controls, record)
             await worker.serve()
             workers.append(worker)
+            await asyncio.sleep(phase_s)
         return workers
 
     def run(self, coroutine, timeout=10):
