--- a/review/worker2.py
+++ b/review/worker2.py
@@ -48,23 +48,27 @@
     async def beat(self):
         turn = 0
         while True:
-            self.sequence += 1
-            body = {"service": self.service, "address": self.address, "zone": self.zone,
-                    "version": "v1", "slots": 8, "state": self.state, "cold_remaining_ms": 0,
-                    "capacity": self.capacity, "labels": ["a", "r1-1"], "clock_ms": self.clock(),
-                    "seq": self.sequence, "born": self.born}
-            to = self.owner or self.controls[turn % len(self.controls)]
+            await self.beat_once(turn)
             turn += 1
-            try:
-                status, answer = await asyncio.wait_for(
-                    post(to, f"/api/instances/{self.name}/heartbeat", body), 1)
-                if status // 100 != 2:
-                    raise OSError(str(status))
-                self.owner = answer.get("heartbeat_addr") or self.owner
-                await asyncio.sleep(HEARTBEAT_S)
-            except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-                self.owner = ""
-                await asyncio.sleep(0.1)
+
+    async def beat_once(self, turn):
+        """Sends one heartbeat, and waits until the next one is due."""
+        self.sequence += 1
+        body = {"service": self.service, "address": self.address, "zone": self.zone,
+                "version": "v1", "slots": 8, "state": self.state, "cold_remaining_ms": 0,
+                "capacity": self.capacity, "labels": ["a", "r1-1"], "clock_ms": self.clock(),
+                "seq": self.sequence, "born": self.born}
+        to = self.owner or self.controls[turn % len(self.controls)]
+        try:
+            status, answer = await asyncio.wait_for(
+                post(to, f"/api/instances/{self.name}/heartbeat", body), 1)
+            if status // 100 != 2:
+                raise OSError(str(status))
+            self.owner = answer.get("heartbeat_addr") or self.owner
+            await asyncio.sleep(HEARTBEAT_S)
+        except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            self.owner = ""
+            await asyncio.sleep(0.1)
 
     async def connection(self, reader, writer):
         try:
