--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,8 +9,9 @@
 from fleet2 import BOUNDS, CannotRun, Deployment, Operator, Record  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SIGTERM_AFTER_S = 2.0  # "planned" with the x = 2.0 of the site file: the new one first, then SIGTERM
-LOSS_AFTER_S = BOUNDS["catch_up_s"] + 0.8  # after the start of the successor
+# The new one first, then SIGTERM: as the bench does for "planned", once the successor has had catch_up_s.
+SIGTERM_AFTER_S = BOUNDS["catch_up_s"]
+LOSS_AFTER_S = SIGTERM_AFTER_S + 2.5  # after the start of the successor; the removed one is gone by then
 DOWN_S = 1.0
 # Far longer than what the pages allow: recovery_s and catch_up_s after the machine is back.
 PATIENCE_S = 2 * (BOUNDS["recovery_s"] + BOUNDS["catch_up_s"])
