Registry: a member that is asked to stop hands over its vote

A member that gets SIGTERM now tells all members (LeaveRequest, each 100 ms until it ends). The leader gives its vote to a learner that has caught up, and makes it a learner itself; followers remember the request for the case that the leader is lost. With a learner the process waits for that for up to 3 s, otherwise 1 s as before. Its disk counts as no copy of an operator's change. Who is heard again has come back. Followers of a leader that leaves don't wait for an election timeout of silence.

The changes of the members move to ReplicaMembers.cpp, and the tests' ReplicaGroup to test/support.

--- a/Hibiscus/src/Journal/JournalNode.h
+++ b/Hibiscus/src/Journal/JournalNode.h
@@ -30,6 +30,7 @@
     void receive(const JournalRequest &request, TimePoint now, Outbox &out);
     void tick(TimePoint now, Outbox &out);
     void requestJoin(const std::vector<NodeName> &nodes, Outbox &out) const;
+    void requestLeave(Outbox &out) const { this->replicated.requestLeave(out); }
     void stepDown(TimePoint now) { this->replicated.stepDown(now); }
     /** \brief Suspends the replica, whose disk has failed; redirects all requests.
      * \sa DiskGuard
--- a/Hibiscus/src/Process/ReplicaLifecycle.h
+++ b/Hibiscus/src/Process/ReplicaLifecycle.h
@@ -6,8 +6,8 @@
 
 namespace Hibiscus {
 
-/** \brief Steps that the processes of all replicas share: requesting to join the group, stepping
- * down as leader before a stop, and logging changes of role and of the members.
+/** \brief Steps that the processes of all replicas share: requesting to join the group, handing
+ * over leadership and vote before a stop, and logging changes of role and of the members.
  */
 class ReplicaLifecycle
 {
@@ -26,19 +26,36 @@
             this->nextJoinAt = now + joinInterval;
             node.requestJoin(group, out);
         }
-        if (stopRequests() > 0 && this->stopDeadline == TimePoint()) {
+        if (stopRequests() > 0 && !this->stopRequestedAt) {
             logEvent("stopping");
             node.stepDown(now);
-            this->stopDeadline = now + leaderElectionTime;
+            this->stopRequestedAt = now;
+        }
+        if (isDiskAvailable && this->stopRequestedAt && now >= this->nextLeaveAt) {
+            this->nextLeaveAt = now + leaveInterval;
+            node.requestLeave(out);
         }
         this->logRole(node.replica());
-        return stopRequests() > 1 || (stopRequests() > 0 && now >= this->stopDeadline);
+        return stopRequests() > 1 || this->isStopDue(node.replica(), now);
     }
 
 private:
     static constexpr Duration joinInterval = 500ms;
     /** \brief Time after stepping down in which the others elect a leader and this member votes. */
     static constexpr Duration leaderElectionTime = 1s;
+    static constexpr Duration leaveInterval = 100ms;
+    /** \brief Limit of the wait for a successor in the vote: two elections and the exchange, within
+     * the time that a process is given to stop.
+     */
+    static constexpr Duration voteHandoverTime = 3s;
+
+    bool isStopDue(const Replica &replica, TimePoint now) const
+    {
+        if (!this->stopRequestedAt)
+            return false;
+        const Duration limit = replica.mayHandOverVote() ? voteHandoverTime : leaderElectionTime;
+        return now >= *this->stopRequestedAt + limit;
+    }
 
     void logRole(const Replica &replica)
     {
@@ -73,7 +90,8 @@
     }
 
     TimePoint nextJoinAt;
-    TimePoint stopDeadline;
+    TimePoint nextLeaveAt;
+    std::optional<TimePoint> stopRequestedAt;
     bool wasLeader = false;
     bool wasReady = false;
     GroupMembership loggedMembership;
--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -88,16 +88,6 @@
     applyWrite(out.writes.back(), this->durable);
 }
 
-void Replica::requestJoin(const std::vector<NodeName> &nodes, ReplicaOutbox &out) const
-{
-    // A member that knows no leader may have been replaced while it was down.
-    if (this->isMember() && this->knownLeader)
-        return;
-    for (const NodeName &node : nodes)
-        if (node != this->self().node)
-            this->send({ .node = node, .incarnation = 0 }, JoinRequest {}, out.sendBeforeSync);
-}
-
 void Replica::stepDown(TimePoint now)
 {
     if (this->isLeader())
@@ -112,12 +102,12 @@
 
 // A node that lost its disk is two members until the former one is removed. What the former one
 // has acknowledged is gone, and the disk of the other counts once.
-std::size_t Replica::copiesOf(std::uint64_t index) const
+std::size_t Replica::copiesOf(std::uint64_t index, TimePoint now) const
 {
     std::map<NodeName, bool> holds = { { this->self().node, this->lastIndex() >= index } };
     if (this->isLeader())
         for (const auto &[id, memberProgress] : this->progress) {
-            if (id.node == this->self().node)
+            if (id.node == this->self().node || this->isLeaving(id, now))
                 continue;
             bool &nodeHolds = holds.try_emplace(id.node, true).first->second;
             nodeHolds = nodeHolds && memberProgress.matchIndex >= index;
@@ -280,12 +270,6 @@
     this->confirmReads(out);
 }
 
-void Replica::handle(const JoinRequest &, const MemberId &from, TimePoint now, ReplicaOutbox &)
-{
-    if (this->isLeader() && !this->activeMembership.contains(from))
-        this->joinRequests[from] = now;
-}
-
 void Replica::adoptTerm(std::uint64_t term, TimePoint now, ReplicaOutbox &out)
 {
     if (term <= this->term())
@@ -471,154 +455,6 @@
     });
 }
 
-// A node that lost its disk joins as a learner, and replaces its previous voter only once the
-// learner holds all committed entries. Only one membership change is in progress at a time. A voter
-// whose disk is lost is removed before its successor is added, unless the group has fewer voters
-// than it should: the next removal would make the quorum smaller.
-void Replica::changeMembers(TimePoint now, ReplicaOutbox &out)
-{
-    if (!this->isLeaderReady() || !this->isMembershipCommitted())
-        return;
-    const std::optional<GroupMembership> next = this->nextMembership(now);
-    if (!next)
-        return;
-    this->append(*next, out);
-    this->adoptMembershipFromLog();
-    this->trackMembers(now);
-    this->sendAppends(now, out);
-    this->advanceCommit(out);
-}
-
-std::optional<GroupMembership> Replica::nextMembership(TimePoint now) const
-{
-    if (auto joined = this->membershipAfterJoin(now))
-        return joined;
-    if (const auto former = this->replacedVoter(now))
-        return this->activeMembership.without(*former);
-    if (auto reduced = this->membershipWithoutSurplus(now))
-        return reduced;
-    for (const Member &member : this->activeMembership.members)
-        if (member.role == MemberRole::Learner)
-            if (auto changed = this->membershipAfterCatchUp(member.id, now))
-                return changed;
-    const auto silent = this->silentMember(MemberRole::Learner, now);
-    if (silent && this->options.desiredVoters > 0)
-        return this->activeMembership.without(*silent);
-    return std::nullopt;
-}
-
-std::optional<GroupMembership> Replica::membershipAfterJoin(TimePoint now) const
-{
-    for (const auto &[id, requestedAt] : this->joinRequests) {
-        GroupMembership changed = this->activeMembership;
-        for (const Member &member : this->activeMembership.members)
-            if (member.id.node == id.node && member.role == MemberRole::Learner)
-                changed = changed.without(member.id);
-        const bool replacesLearner = changed != this->activeMembership;
-        const bool isRecent = now < requestedAt + 4 * this->options.electionTimeout;
-        if (!isRecent || this->activeMembership.contains(id))
-            continue;
-        return replacesLearner ? changed : changed.with({ .id = id, .role = MemberRole::Learner });
-    }
-    return std::nullopt;
-}
-
-std::optional<GroupMembership> Replica::membershipAfterCatchUp(const MemberId &learner,
-                                                               TimePoint now) const
-{
-    const Progress &learnerProgress = this->progress.at(learner);
-    if (!this->isHeard(learner, now) || learnerProgress.matchIndex < this->committedIndex)
-        return std::nullopt;
-    for (const Member &previousVoter : this->activeMembership.members) {
-        const bool isSameNode
-            = previousVoter.id.node == learner.node && previousVoter.id != learner;
-        const bool isRemovable
-            = previousVoter.role == MemberRole::Voter && this->mayRemoveVoter(previousVoter.id);
-        if (isSameNode && isRemovable)
-            return this->activeMembership.without(previousVoter.id);
-    }
-    const std::size_t desired = this->options.desiredVoters;
-    const std::size_t voters = this->activeMembership.voterCount();
-    const bool replacesSilentVoter
-        = voters == desired && this->silentMember(MemberRole::Voter, now).has_value();
-    if (desired == 0 || voters < desired || replacesSilentVoter)
-        return this->activeMembership.with({ .id = learner, .role = MemberRole::Voter });
-    return std::nullopt;
-}
-
-// A silent voter may come back with all that was acknowledged, while those that remain lose a disk.
-// So it is removed only once its successor votes.
-std::optional<GroupMembership> Replica::membershipWithoutSurplus(TimePoint now) const
-{
-    const std::size_t desired = this->options.desiredVoters;
-    if (desired == 0 || this->activeMembership.voterCount() != desired + 1)
-        return std::nullopt;
-    if (const auto silent = this->silentMember(MemberRole::Voter, now))
-        return this->activeMembership.without(*silent);
-    std::optional<MemberId> surplus;
-    for (const Member &member : this->activeMembership.members) {
-        if (member.role != MemberRole::Voter || member.id == this->self())
-            continue;
-        // A leader that was just elected takes all for present; only a reply tells.
-        if (!this->isHeard(member.id, now) || this->progress.at(member.id).acknowledgedRound == 0)
-            return std::nullopt;
-        surplus = member.id;
-    }
-    if (!surplus)
-        return std::nullopt;
-    return this->activeMembership.with({ .id = *surplus, .role = MemberRole::Learner });
-}
-
-std::optional<MemberId> Replica::replacedVoter(TimePoint now) const
-{
-    for (const Member &former : this->activeMembership.members) {
-        if (former.role != MemberRole::Voter || this->isHeard(former.id, now))
-            continue;
-        const auto replaces = [&](const Member &other) {
-            return other.role == MemberRole::Voter && other.id != former.id
-                && other.id.node == former.id.node && this->isHeard(other.id, now);
-        };
-        if (std::ranges::any_of(this->activeMembership.members, replaces))
-            return former.id;
-    }
-    return std::nullopt;
-}
-
-bool Replica::isHeard(const MemberId &id, TimePoint now) const
-{
-    return id == this->self()
-        || now < this->progress.at(id).lastSeenAt + this->options.electionTimeout;
-}
-
-// Two members of one node have one disk, so the nodes of the voters are counted.
-bool Replica::mayRemoveVoter(const MemberId &id) const
-{
-    if (this->options.desiredVoters == 0)
-        return true;
-    const auto nodesOf = [](const GroupMembership &membership) {
-        std::set<NodeName> nodes;
-        for (const Member &member : membership.members)
-            if (member.role == MemberRole::Voter)
-                nodes.insert(member.id.node);
-        return nodes.size();
-    };
-    const std::size_t remaining = nodesOf(this->activeMembership.without(id));
-    return remaining + 1 >= this->options.desiredVoters
-        || remaining == nodesOf(this->activeMembership);
-}
-
-std::optional<MemberId> Replica::silentMember(MemberRole role, TimePoint now) const
-{
-    const Duration timeout = role == MemberRole::Voter ? this->options.voterSilenceTimeout
-                                                       : this->options.learnerSilenceTimeout;
-    for (const Member &member : this->activeMembership.members) {
-        const bool isOther = member.role == role && member.id != this->self();
-        if (isOther && now >= this->progress.at(member.id).lastSeenAt + timeout)
-            return member.id;
-    }
-    return std::nullopt;
-}
-
 void Replica::adoptMembershipFromLog()
 {
     this->activeMembership = this->durable.snapshot.membership;
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -21,6 +21,10 @@
     std::size_t desiredVoters = 0;
     Duration voterSilenceTimeout = 3s; ///< then a caught-up learner replaces the voter
     Duration learnerSilenceTimeout = 15s; ///< then the learner is removed, if desiredVoters > 0
+    /** \brief Time after a member's last LeaveRequest in which its vote is moved without waiting
+     * for voterSilenceTimeout: the time that a successor may need to start and catch up.
+     */
+    Duration leaveTimeout = 15s;
 };
 
 /** \brief The output of a step of a Replica, for its process to execute.
@@ -68,6 +72,8 @@
     void compact(std::uint64_t index, Bytes state, ReplicaOutbox &out);
     /** \brief Sends join requests to \a nodes, unless this is a member that knows a leader. */
     void requestJoin(const std::vector<NodeName> &nodes, ReplicaOutbox &out) const;
+    /** \brief Tells the other members that this one stops soon. \sa LeaveRequest */
+    void requestLeave(ReplicaOutbox &out) const;
     /** \brief Gives up leadership, and delays its next candidacy so that another is elected. */
     void stepDown(TimePoint now);
     /** \brief Gives up leadership, candidacy and the known leader, for the time in which the
@@ -100,11 +106,14 @@
     const std::optional<MemberId> &leader() const { return this->knownLeader; }
     const GroupMembership &membership() const { return this->activeMembership; }
     /** \returns the number of nodes, learners among them, on whose disks the log is known to be up
-     * to \a index; on a member that is not the leader only its own is known.
+     * to \a index; on a member that is not the leader only its own is known. Members that are
+     * leaving do not count, since their disks may be gone with them.
      */
-    std::size_t copiesOf(std::uint64_t index) const;
+    std::size_t copiesOf(std::uint64_t index, TimePoint now) const;
     const std::vector<LogEntry> &entries() const { return this->durable.entries; }
     bool isMember() const { return this->activeMembership.contains(this->self()); }
+    /** \returns whether a successor could take the vote of this member before it stops. */
+    bool mayHandOverVote() const;
 
 private:
     /** \brief The leader's replication state of another member. */
@@ -138,6 +147,8 @@
     void handle(const AppendReply &reply, const MemberId &from, TimePoint now, ReplicaOutbox &out);
     void handle(const JoinRequest &request, const MemberId &from, TimePoint now,
                 ReplicaOutbox &out);
+    void handle(const LeaveRequest &request, const MemberId &from, TimePoint now,
+                ReplicaOutbox &out);
 
     void adoptTerm(std::uint64_t term, TimePoint now, ReplicaOutbox &out);
     void followLeader(const MemberId &leader, TimePoint now);
@@ -178,6 +189,10 @@
     /** \returns the change that ends the replacement of a silent voter, whose successor votes. */
     std::optional<GroupMembership> membershipWithoutSurplus(TimePoint now) const;
     bool isHeard(const MemberId &id, TimePoint now) const;
+    /** \returns whether the member \a id has announced its stop and was not heard after it. */
+    bool isLeaving(const MemberId &id, TimePoint now) const;
+    /** \returns a voter that is leaving. */
+    std::optional<MemberId> leavingVoter(TimePoint now) const;
     /** \returns a silent voter whose node is heard as another voter, which has replaced it. */
     std::optional<MemberId> replacedVoter(TimePoint now) const;
     /** \returns whether the group keeps enough voters without the voter \a id. */
@@ -202,6 +217,7 @@
     std::set<MemberId> votes;
     std::map<MemberId, Progress> progress;
     std::map<MemberId, TimePoint> joinRequests;
+    std::map<MemberId, TimePoint> leaveRequests; ///< the latest; kept by followers, too
     std::vector<PendingRead> pendingReads;
     std::uint64_t round = 0;
     std::uint64_t termStartIndex = 0;
--- a/Hibiscus/src/Replication/ReplicaMessage.h
+++ b/Hibiscus/src/Replication/ReplicaMessage.h
@@ -81,9 +81,20 @@
     { }
 };
 
+/** \brief A member's announcement that its process stops soon, repeated until it does. The leader
+ * then gives its vote to a learner that has caught up, if there is one.
+ */
+struct LeaveRequest
+{
+    auto operator<=>(const LeaveRequest &) const = default;
+    template<typename Archive>
+    void serialize(Archive &)
+    { }
+};
+
 /** \brief The messages between replicas of one group. */
 using ReplicaMessage = std::variant<VoteRequest, VoteReply, AppendRequest, SnapshotRequest,
-                                    AppendReply, JoinRequest>;
+                                    AppendReply, JoinRequest, LeaveRequest>;
 
 /** \brief A message with its sender and receiver. */
 struct ReplicaEnvelope
--- a/Hibiscus/src/Replication/Replicated.h
+++ b/Hibiscus/src/Replication/Replicated.h
@@ -124,6 +124,8 @@
         this->localReplica.requestJoin(nodes, out.replica);
     }
 
+    void requestLeave(Outbox &out) const { this->localReplica.requestLeave(out.replica); }
+
     void stepDown(TimePoint now) { this->localReplica.stepDown(now); }
 
     /** \brief Suspends the replica, whose latest writes are not durable: answers all requests, also
--- a/Hibiscus/src/Rules/ControlNode.cpp
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -253,7 +253,7 @@
             const bool isInForce = this->isInForceAt(recipient.node, response.reply->version);
             (isInForce ? response.confirmed : response.unconfirmed).push_back(recipient);
         }
-        response.copies = this->replica().copiesOf(pending.index);
+        response.copies = this->replica().copiesOf(pending.index, now);
         const bool hasCopies = response.copies >= this->options.requiredCopies;
         const bool isComplete = hasCopies && response.unconfirmed.empty();
         const bool isDue = isComplete || now >= pending.respondBy;
--- a/Hibiscus/src/Rules/ControlNode.h
+++ b/Hibiscus/src/Rules/ControlNode.h
@@ -107,6 +107,7 @@
     void requestJoin(const std::vector<NodeName> &nodes, Outbox &out) const;
     /** \brief Replaces the list of entry nodes to which versions are distributed. */
     void setRecipients(const std::vector<RulesRecipient> &recipients);
+    void requestLeave(Outbox &out) const { this->replicated.requestLeave(out.log); }
     void stepDown(TimePoint now) { this->replicated.stepDown(now); }
     /** \brief Suspends the replica, whose disk has failed: drops the updates in \a out and
      * redirects all requests. It goes on to send the version it holds to entry nodes that ask for
--- a/test/ReplicationTest.cpp
+++ b/test/ReplicationTest.cpp
@@ -1,3 +1,4 @@
+#include "test/support/ReplicaGroup.h"
 #include "test/support/Simulation.h"
 
 #include <gtest/gtest.h>
@@ -9,6 +10,8 @@
 
 using namespace Hibiscus;
 
+using Fake::ReplicaGroup;
+
 namespace {
 
 /** \brief A journal group without other processes, and a client that opens jobs one by one. */
@@ -68,116 +71,6 @@
     int nextJobNumber = 1;
 };
 
-/** \brief Replicas that exchange messages without delay. */
-class ReplicaGroup
-{
-public:
-    explicit ReplicaGroup(const std::vector<const char *> &names,
-                          const ReplicaOptions &options = {})
-        : options(options)
-    {
-        DurableState durable;
-        for (const char *name : names)
-            durable.snapshot.membership.members.push_back(
-                { .id = { .node = NodeName(name), .incarnation = 1 } });
-        for (const Member &member : durable.snapshot.membership.members) {
-            durable.self = member.id;
-            this->replicas.try_emplace(member.id.node, this->options, durable,
-                                       this->replicas.size() + 1, this->now);
-        }
-    }
-
-    Replica &leader()
-    {
-        for (int i = 0; i < 10'000; ++i) {
-            for (auto &[name, replica] : this->replicas)
-                if (replica.isLeader())
-                    return replica;
-            this->step();
-        }
-        throw std::runtime_error("no leader is elected");
-    }
-
-    void step()
-    {
-        this->now += 10ms;
-        ReplicaOutbox out;
-        for (auto &[name, replica] : this->replicas) {
-            replica.tick(this->now, out);
-            if (!replica.isMember())
-                replica.requestJoin(this->names(), out);
-        }
-        this->deliver(std::move(out));
-    }
-
-    void run(Duration span)
-    {
-        for (const TimePoint end = this->now + span; this->now < end;)
-            this->step();
-    }
-
-    /** \brief The node \a name loses its disk, and is back at once. */
-    void loseDisk(const NodeName &name)
-    {
-        DurableState empty;
-        empty.self = { .node = name, .incarnation = this->nextIncarnation++ };
-        this->replicas.erase(name);
-        this->replicas.try_emplace(name, this->options, empty, empty.self.incarnation, this->now);
-    }
-
-    std::vector<NodeName> names() const
-    {
-        std::vector<NodeName> names;
-        for (const auto &[name, replica] : this->replicas)
-            names.push_back(name);
-        return names;
-    }
-
-    static std::size_t voterNodes(const GroupMembership &membership)
-    {
-        std::set<NodeName> nodes;
-        for (const Member &member : membership.members)
-            if (member.role == MemberRole::Voter)
-                nodes.insert(member.id.node);
-        return nodes.size();
-    }
-
-    /** \returns the voters that are the present members of their nodes. */
-    std::size_t presentVoters(const GroupMembership &membership) const
-    {
-        return std::ranges::count_if(this->replicas, [&](const auto &item) {
-            return membership.isVoter(item.second.self());
-        });
-    }
-
-    void deliver(ReplicaOutbox out)
-    {
-        while (!out.sendBeforeSync.empty() || !out.sendAfterSync.empty()) {
-            ReplicaOutbox next;
-            for (const auto *envelopes : { &out.sendBeforeSync, &out.sendAfterSync })
-                for (const ReplicaEnvelope &envelope : *envelopes) {
-                    const std::size_t size = encode(envelope).size();
-                    this->largestMessage = std::max(this->largestMessage, size);
-                    if (this->silent.contains(envelope.to))
-                        this->bytesToSilent += size;
-                    if (this->silent.contains(envelope.to)
-                        || this->silent.contains(envelope.from.node))
-                        continue;
-                    this->replicas.at(envelope.to).receive(envelope, this->now, next);
-                }
-            out = std::move(next);
-        }
-    }
-
-    ReplicaOptions options;
-    std::uint64_t nextIncarnation = 2;
-    TimePoint now { 1'800'000'000s };
-    std::map<NodeName, Replica> replicas;
-    std::set<NodeName> silent; ///< members that neither send nor receive
-    std::size_t largestMessage = 0;
-    std::size_t bytesToSilent = 0;
-};
-
 // Guards against an append that is larger than any message may be: the member would never get the
 // entries after a silence.
 TEST(Replication, EntriesOfAnAppendAreBoundedInBytes)
@@ -445,7 +338,7 @@
     group.leader().propose({ Bytes(10, 'x') }, group.now, out);
     group.deliver(std::move(out));
     const std::uint64_t index = group.leader().lastIndex();
-    EXPECT_EQ(group.leader().copiesOf(index), 4U);
+    EXPECT_EQ(group.leader().copiesOf(index, group.now), 4U);
     group.loseDisk(others[1]);
     bool wasTwoMembers = false;
     for (int i = 0; i < 100; ++i) {
@@ -458,10 +351,10 @@
         wasTwoMembers = wasTwoMembers || isTwoMembers;
         if (!wasTwoMembers)
             continue;
-        EXPECT_LE(group.leader().copiesOf(index), 4U) << "step " << i;
+        EXPECT_LE(group.leader().copiesOf(index, group.now), 4U) << "step " << i;
     }
     EXPECT_TRUE(wasTwoMembers);
-    EXPECT_EQ(group.leader().copiesOf(index), 4U);
+    EXPECT_EQ(group.leader().copiesOf(index, group.now), 4U);
 }
 
 TEST(Replication, MemberWithLostDiskRejoinsAsNewMemberAndCatchesUp)
--- a/test/support/Process.h
+++ b/test/support/Process.h
@@ -139,6 +139,7 @@
                           [](const SnapshotRequest &) { return Step::Snapshot; },
                           [](const AppendReply &) { return Step::AppendReply; },
                           [](const JoinRequest &) { return Step::Join; },
+                          [](const LeaveRequest &) { return Step::Join; },
                       },
                       message);
 }
