Gateways: targets stay with their domain; former registry nodes stay contacts

A gateway that had taken over targets of a domain without gateways wanted to return them once it had one again, but chose their next owner after it had dropped them, and took its own domain for theirs (FleetNode::preferredOwner). So they were dropped, or given to a gateway of the wrong domain, and came back with their next heartbeat, for good. The domain is now that of the released target.

A node that heard of no registry node for 8 s contacted the seeds of its settings only; if all of these had been replaced, it stayed alone. It goes on to contact the registry nodes that it knew last (Directory::formerRegistries), until it hears of another.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -91,7 +91,7 @@
         if (heartbeat.target.state == TargetState::Draining)
             return;
         if (this->isDraining) {
-            if (const auto newOwner = this->preferredOwner(name, now))
+            if (const auto newOwner = this->preferredOwner(name, heartbeat.target.domain, now))
                 this->recordTransfer(name, *newOwner, now);
             return;
         }
@@ -527,7 +527,7 @@
 void FleetNode::transferTargets(TimePoint now)
 {
     for (const LeasedTarget &target : this->targetOwner.takeReleasedTargets()) {
-        const auto newOwner = this->preferredOwner(target.name, now);
+        const auto newOwner = this->preferredOwner(target.name, target.domain, now);
         if (!newOwner || !this->isConfirmed(this->peers.at(*newOwner), now))
             continue;
         Peer &peer = this->peers.at(*newOwner);
@@ -546,7 +546,8 @@
         return now >= item.second.receivedAt + this->options.departureLifetime;
     });
     for (const TargetName &target : this->targetOwner.targetNames()) {
-        const auto newOwner = this->preferredOwner(target, now);
+        const LeasedTarget *known = this->targetOwner.findTarget(target);
+        const auto newOwner = this->preferredOwner(target, known->domain, now);
         if (!newOwner)
             continue;
         // A listed node may have failed, so it has to respond before it gets a target.
@@ -574,10 +575,9 @@
     return owner != this->peers.end() && this->isListed(owner->second, now);
 }
 
-std::optional<NodeName> FleetNode::preferredOwner(const TargetName &target, TimePoint now) const
+std::optional<NodeName> FleetNode::preferredOwner(const TargetName &target,
+                                                  const DomainName &domain, TimePoint now) const
 {
-    const LeasedTarget *known = this->targetOwner.findTarget(target);
-    const DomainName domain = known == nullptr ? this->options.domain : known->domain;
     std::vector<OwnerCandidate> candidates;
     if (!this->isDraining && this->options.domain == domain)
         candidates.push_back({ .node = this->options.self, .weight = this->options.weight });
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -279,7 +279,9 @@
     void recordTransfer(const TargetName &target, const NodeName &owner, TimePoint now);
     /** \returns whether \a target was transferred to a peer that should still own it. */
     bool isTransferred(const TargetName &target, TimePoint now) const;
-    std::optional<NodeName> preferredOwner(const TargetName &target, TimePoint now) const;
+    /** \returns the node that should own \a target, of \a domain, if it is another than this. */
+    std::optional<NodeName> preferredOwner(const TargetName &target, const DomainName &domain,
+                                           TimePoint now) const;
     std::vector<OwnerView> ownerViews(TimePoint now) const;
     Peer &findOrAddPeer(const NodeName &name, TimePoint now);
     void selectPeers(TimePoint now);
--- a/Hibiscus/src/Membership/Directory.cpp
+++ b/Hibiscus/src/Membership/Directory.cpp
@@ -69,11 +69,25 @@
     if (now < this->expiryCheckedAt + this->options.expiryCheckInterval)
         return;
     this->expiryCheckedAt = now;
+    const std::set<NodeName> knownBefore = this->knownRegistries();
     std::erase_if(this->entries, [&](const auto &item) {
         return now >= item.second.listedAt + this->options.expiryTimeout;
     });
     std::erase_if(this->lists,
                   [&](const auto &item) { return !this->entries.contains(item.first); });
+    if (!this->knownRegistries().empty())
+        this->formerRegistries.clear();
+    else if (!knownBefore.empty())
+        this->formerRegistries = knownBefore;
+}
+
+std::set<NodeName> Directory::knownRegistries() const
+{
+    std::set<NodeName> names;
+    for (const auto &[name, entry] : this->entries)
+        if (entry.record.kind == NodeKind::Registry)
+            names.insert(name);
+    return names;
 }
 
 std::vector<NodeName> Directory::takeDueAnnouncements(TimePoint now)
@@ -157,12 +171,13 @@
     return records;
 }
 
+// All seeds may have been replaced since the settings were written, so a node that was cut off for
+// longer than the expiry goes on to contact the registry nodes that it knew before.
 std::vector<NodeName> Directory::registries() const
 {
     std::set<NodeName> names = this->seeds;
-    for (const auto &[name, entry] : this->entries)
-        if (entry.record.kind == NodeKind::Registry)
-            names.insert(name);
+    names.merge(this->knownRegistries());
+    names.insert(this->formerRegistries.begin(), this->formerRegistries.end());
     return { names.begin(), names.end() };
 }
 
--- a/Hibiscus/src/Membership/Directory.h
+++ b/Hibiscus/src/Membership/Directory.h
@@ -80,11 +80,14 @@
     };
 
     std::vector<NodeRecord> gatewaysSeenWithin(Duration span, TimePoint now) const;
+    std::set<NodeName> knownRegistries() const;
     void rebuildList(const NodeRecord &own, TimePoint now);
 
     DirectoryOptions options;
     NodeName self;
     std::set<NodeName> seeds;
+    /** \brief The registry nodes known last, while none is known any more but the seeds. */
+    std::set<NodeName> formerRegistries;
     std::map<NodeName, Entry> entries;
     std::map<NodeName, ReceivedList> lists; ///< keyed by the registry node that sent the list
     std::uint64_t ownListedIncarnation = 0;
--- a/test/DirectoryTest.cpp
+++ b/test/DirectoryTest.cpp
@@ -81,4 +81,28 @@
     EXPECT_EQ(registryDirectory.liveGateways(startTime + 3200ms).size(), 1U);
 }
 
+// Guards against a node that is alone for good, since it was cut off for longer than the expiry and
+// all registry nodes that its settings name have been replaced meanwhile.
+TEST(Directory, RegistryNodesThatWereKnownAreStillContactedAfterALongSilence)
+{
+    const NodeRecord successor = recordOf("r4", NodeKind::Registry);
+    Directory registryDirectory({}, successor.node);
+    registryDirectory.recordAnnouncement(recordOf("r5", NodeKind::Registry), startTime);
+    Directory directory({}, NodeName("g1"));
+    directory.setSeeds({ NodeName("r1") });
+    directory.mergeList(registryDirectory.buildList(successor, 0, startTime), startTime);
+    const std::vector<NodeName> all = { NodeName("r1"), NodeName("r4"), NodeName("r5") };
+    for (TimePoint now = startTime; now < startTime + 60s; now += 1s) {
+        directory.removeExpired(now);
+        EXPECT_EQ(directory.registries(), all);
+    }
+    EXPECT_TRUE(directory.gateways().empty());
+    const NodeRecord another = recordOf("r6", NodeKind::Registry);
+    Directory anotherDirectory({}, another.node);
+    directory.mergeList(anotherDirectory.buildList(another, 0, startTime + 60s), startTime + 60s);
+    directory.removeExpired(startTime + 61s);
+    EXPECT_EQ(directory.registries(), (std::vector<NodeName> { NodeName("r1"), NodeName("r6") }))
+        << "those that were replaced are forgotten once another is known";
+}
+
 } // namespace
