Gateways: DELETE cancels a job in progress; jobs with an uncertain start are held

The gateway that gets it now ends the job if it coordinates it, and passes the request on to all listed gateways (CancelJobRequest): 200 once one had it in progress, 410 once all have said that they don't, 503 if one has not replied after 0.5 s. The callers of the job get 200 with the state "cancelled", its runs are stopped, and a copy of its submission that comes within 10 s starts nothing.

The target's owner now announces such a job to all gateways (JobHold), from 0.3 s after the start without a response until the target was reached, at most for 13 s; a submission of it is answered with 504 at once.

The messages raise wireProtocolVersion to 8.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -122,6 +122,10 @@
         return "deadline-over";
     case OutcomeReason::OwnerLost:
         return "owner-lost";
+    case OutcomeReason::Cancelled:
+        return "cancelled";
+    case OutcomeReason::StartUncertain:
+        return "start-uncertain";
     case OutcomeReason::None:
         break;
     }
@@ -135,6 +139,8 @@
         return "in-progress";
     case JobHistory::Answered:
         return "answered";
+    case JobHistory::Cancelled:
+        return "cancelled";
     case JobHistory::CallerLeft:
         return "caller-left";
     case JobHistory::Unknown:
@@ -198,12 +204,34 @@
     this->jobs.erase(found);
 }
 
+// A copy of the submission may still arrive, so the job is remembered also if it is unknown here.
+bool FleetCoordinator::cancelJob(const std::string &job, TimePoint now)
+{
+    if (const auto found = this->answeredJobs.find(job); found != this->answeredJobs.end())
+        return found->second.outcome.status == TransientJobStatus::Cancelled
+            && found->second.wasInProgress;
+    const auto found = this->jobs.find(job);
+    if (found != this->jobs.end() && !found->second.isFinished) {
+        this->finishJob(found->second, TransientJobStatus::Cancelled, OutcomeReason::Cancelled,
+                        now);
+        this->removeFinishedJobs(now);
+        return true;
+    }
+    this->answeredJobs[job] = { .outcome = { .job = job,
+                                             .status = TransientJobStatus::Cancelled,
+                                             .reason = OutcomeReason::Cancelled },
+                                .answeredAt = now,
+                                .wasInProgress = false };
+    return false;
+}
+
 JobHistory FleetCoordinator::historyOf(const std::string &job) const
 {
     if (this->jobs.contains(job))
         return JobHistory::InProgress;
-    if (this->answeredJobs.contains(job))
-        return JobHistory::Answered;
+    if (const auto found = this->answeredJobs.find(job); found != this->answeredJobs.end())
+        return found->second.outcome.status == TransientJobStatus::Cancelled ? JobHistory::Cancelled
+                                                                             : JobHistory::Answered;
     return this->leftJobs.contains(job) ? JobHistory::CallerLeft : JobHistory::Unknown;
 }
 
@@ -389,11 +417,15 @@
 
 std::set<NodeName> FleetCoordinator::ownersFor(std::uint64_t caller) const
 {
-    std::set<NodeName> owners;
     const auto callerEntry = this->jobOfCaller.find(caller);
-    if (callerEntry == this->jobOfCaller.end())
-        return owners;
-    const auto found = this->jobs.find(callerEntry->second);
+    return callerEntry == this->jobOfCaller.end() ? std::set<NodeName>()
+                                                  : this->ownersOf(callerEntry->second);
+}
+
+std::set<NodeName> FleetCoordinator::ownersOf(const std::string &job) const
+{
+    std::set<NodeName> owners;
+    const auto found = this->jobs.find(job);
     if (found == this->jobs.end())
         return owners;
     for (const auto &tasks : found->second.tasks)
@@ -565,7 +597,9 @@
                            .retryAfter = this->options.minRetryAfter,
                            .elapsed = now - job.arrivedAt,
                            .requestedRuns = job.requestedRuns };
-    if (status == TransientJobStatus::Completed || status == TransientJobStatus::Failed)
+    const bool isFinal = status == TransientJobStatus::Completed
+        || status == TransientJobStatus::Failed || status == TransientJobStatus::Cancelled;
+    if (isFinal)
         this->answeredJobs[job.definition.id] = { .outcome = outcome, .answeredAt = now };
     this->outcomes.push_back(std::move(outcome));
 }
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -31,7 +31,8 @@
      * may send the job again.
      */
     Unfinished,
-    Refused ///< no task has started, and none will start
+    Refused, ///< no task has started, and none will start
+    Cancelled ///< on request; runs that go on are stopped, and none will start
 };
 
 /** \brief Reason why a job was refused, abandoned or failed. */
@@ -43,7 +44,9 @@
     Draining, ///< this node is stopping
     TaskFailed, ///< a task has failed too often
     DeadlineExceeded,
-    OwnerLost ///< the owner of a run was lost: the run may still go on
+    OwnerLost, ///< the owner of a run was lost: the run may still go on
+    Cancelled,
+    StartUncertain ///< an earlier start may still be executed
 };
 
 /** \returns the name of \a reason for logs. */
@@ -68,6 +71,7 @@
     Unknown,
     InProgress, ///< another caller waits for it
     Answered,
+    Cancelled,
     CallerLeft ///< its last caller left before it was answered
 };
 
@@ -154,6 +158,10 @@
     /** \brief Removes a disconnected caller, and stops its job unless another caller waits for it.
      */
     void removeCaller(std::uint64_t caller, TimePoint now);
+    /** \brief Ends \a job for all of its callers, and also if it is submitted again later.
+     * \returns whether it was in progress here before it was first cancelled.
+     */
+    bool cancelJob(const std::string &job, TimePoint now);
     /** \brief Handles the end of a run that the current incarnation of \a owner reports. */
     void handleRunEnd(const NodeName &owner, const RunEnd &end, TimePoint now);
     /** \brief Marks runs at other incarnations of \a owner as uncertain. It may still live, with a
@@ -182,6 +190,8 @@
     std::vector<RunName> wantedRunsAt(const NodeName &owner) const;
     /** \returns the assigned runs by owner. */
     std::map<NodeName, std::vector<RunName>> wantedRuns() const;
+    /** \returns the owners with runs of \a job. */
+    std::set<NodeName> ownersOf(const std::string &job) const;
     /** \returns the owners with runs of the job that \a caller waits for. */
     std::set<NodeName> ownersFor(std::uint64_t caller) const;
     std::size_t jobCount() const { return this->jobs.size(); }
@@ -218,6 +228,7 @@
     {
         JobOutcome outcome;
         TimePoint answeredAt;
+        bool wasInProgress = true; ///< otherwise it was cancelled before it was submitted here
     };
 
     using Jobs = std::map<std::string, Job>;
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -25,6 +25,10 @@
 constexpr Duration transferLifetime = 4500ms;
 /** \brief Interval of checks whether the report has changed; a part of the report interval. */
 constexpr Duration refreshInterval = 20ms;
+/** \brief Interval of checks for starts that may be executed late; short against the second after
+ * which callers send a job again.
+ */
+constexpr Duration holdInterval = 50ms;
 /** \brief Interval of the selection of peers. */
 constexpr Duration selectionInterval = 100ms;
 /** \brief Time for which run ends are collected before they are reported: some round trips. */
@@ -53,13 +57,22 @@
                   .domain = options.domain,
                   .peerCount = options.selectedPeerCount,
                   .minOtherDomainPeers = options.minOtherDomainPeers }),
-      ownerFence(options.fence)
+      ownerFence(options.fence), jobHolds(options.holds, options.self)
 { }
 
 void FleetNode::submit(const TransientJob &job, const RoutePolicy &policy, std::uint64_t caller,
                        TimePoint now)
 {
     this->beginEvent(now);
+    const JobHistory history = this->jobCoordinator.historyOf(job.id);
+    const bool isKnown = history != JobHistory::Unknown && history != JobHistory::CallerLeft;
+    if (!isKnown && this->jobHolds.isHeld(job.id, now)) {
+        this->heldOutcomes.push_back({ .job = job.id,
+                                       .callerTokens = { caller },
+                                       .status = TransientJobStatus::Unfinished,
+                                       .reason = OutcomeReason::StartUncertain });
+        return;
+    }
     this->jobCoordinator.submit(job, policy, caller, this->ownerViews(now), now);
 }
 
@@ -68,11 +81,38 @@
     this->beginEvent(now);
     const std::set<NodeName> owners = this->jobCoordinator.ownersFor(caller);
     this->jobCoordinator.removeCaller(caller, now);
+    this->notifyOwners(owners);
+}
+
+bool FleetNode::cancelJob(const std::string &job, TimePoint now)
+{
+    this->beginEvent(now);
+    const std::set<NodeName> owners = this->jobCoordinator.ownersOf(job);
+    const bool wasInProgress = this->jobCoordinator.cancelJob(job, now);
+    this->notifyOwners(owners);
+    return wasInProgress;
+}
+
+void FleetNode::notifyOwners(const std::set<NodeName> &owners)
+{
     for (const NodeName &owner : owners)
         if (const auto found = this->peers.find(owner); found != this->peers.end())
             found->second.hasPendingMessage = true;
 }
 
+std::vector<NodeName> FleetNode::peersToAsk(TimePoint now)
+{
+    std::vector<NodeName> names;
+    for (auto &[name, peer] : this->peers) {
+        if (!this->isListed(peer, now))
+            continue;
+        peer.askedAt = now;
+        peer.isConnected = true;
+        names.push_back(name);
+    }
+    return names;
+}
+
 void FleetNode::handleHeartbeat(const TargetHeartbeat &heartbeat, TimePoint now)
 {
     this->beginEvent(now);
@@ -228,6 +268,12 @@
         this->adoptTransferred(target, message.from, now);
 }
 
+void FleetNode::receive(const JobHold &hold, TimePoint now)
+{
+    this->beginEvent(now);
+    this->jobHolds.receive(hold, now);
+}
+
 void FleetNode::handleAcknowledgement(Peer &peer, const FleetMessage &message)
 {
     if (message.receiverIncarnation != this->currentIncarnation)
@@ -353,6 +399,18 @@
     this->targetOwner.tick([&](const Requester &r) { return this->lastContact(r, now); }, now);
     this->transferTargets(now);
     this->fenceLostOwners(now);
+    this->announceHolds(now);
+}
+
+void FleetNode::announceHolds(TimePoint now)
+{
+    if (now < this->holdsCheckedAt + internal::holdInterval)
+        return;
+    this->holdsCheckedAt = now;
+    const auto ownsTarget = [&](const TargetName &t) { return this->targetOwner.ownsTarget(t); };
+    for (JobHold &hold :
+         this->jobHolds.update(this->targetOwner.uncertainStarts(now), ownsTarget, now))
+        this->announcedHolds.push_back(std::move(hold));
 }
 
 void FleetNode::guard(const FleetMessage &message, TimePoint now)
@@ -395,6 +453,9 @@
     this->counts.fencedForPeers += static_cast<std::uint64_t>(
         std::ranges::count(out.fences, OrderStatus::Done, &FenceRecord::status));
     out.outcomes = this->jobCoordinator.takeOutcomes();
+    for (JobOutcome &outcome : std::exchange(this->heldOutcomes, {}))
+        out.outcomes.push_back(std::move(outcome));
+    out.holds = std::exchange(this->announcedHolds, {});
     out.targetChanges = this->targetOwner.takeChanges();
     out.targetStates = std::exchange(this->targetStates, {});
     out.unsuccessfulRuns = this->jobCoordinator.takeUnsuccessfulRuns();
@@ -815,7 +876,9 @@
             out.messages.push_back(
                 { .to = name, .message = this->composeMessage(name, peer, runsByPeer, now) });
             ++this->counts.sentMessages;
-        } else if (peer.isConnected && now >= peer.sentAt + this->options.idleConnectionTimeout) {
+        } else if (peer.isConnected
+                   && now >= std::max(peer.sentAt, peer.askedAt)
+                           + this->options.idleConnectionTimeout) {
             peer.isConnected = false;
             out.idlePeers.push_back(name);
         }
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -20,6 +20,7 @@
     FleetCoordinatorOptions coordinator;
     FleetOwnerOptions owner;
     OwnerFenceOptions fence;
+    JobHoldsOptions holds;
     std::uint32_t selectedPeerCount = 5; ///< selected peers, if there are enough
     /** \brief At least this many of them are in other failure domains. */
     std::uint32_t minOtherDomainPeers = 2;
@@ -96,6 +97,7 @@
     std::vector<AttemptRecord> attempts;
     std::vector<ForeignRun> foreignRuns;
     std::vector<FenceRecord> fences;
+    std::vector<JobHold> holds; ///< to be sent to all peers that may coordinate a job
     std::vector<NodeName> removedPeers; ///< peers removed after a long silence
     std::vector<NodeName> idlePeers; ///< peers whose connection may be closed for now
     std::optional<std::uint64_t> raisedIncarnation; ///< incarnation from now on, if it has changed
@@ -133,9 +135,16 @@
     void submit(const TransientJob &job, const RoutePolicy &policy, std::uint64_t caller,
                 TimePoint now);
     void removeCaller(std::uint64_t caller, TimePoint now);
+    /** \sa FleetCoordinator::cancelJob() */
+    bool cancelJob(const std::string &job, TimePoint now);
+    /** \returns the peers that may coordinate a job: all that are listed. The process may send them
+     * requests of its own; their connections are kept open for these.
+     */
+    std::vector<NodeName> peersToAsk(TimePoint now);
     /** \brief Handles the heartbeat of a target that this node owns or should own. */
     void handleHeartbeat(const TargetHeartbeat &heartbeat, TimePoint now);
     void receive(const FleetMessage &message, TimePoint now);
+    void receive(const JobHold &hold, TimePoint now);
     void handleStartResponse(const OrderAddress &from, const RunName &run,
                              const OrderResponse &response, TimePoint now);
     void handleStopResponse(const OrderAddress &from, const RunName &run,
@@ -208,6 +217,7 @@
         TimePoint listedAt;
         TimePoint lastSeenAt;
         TimePoint sentAt;
+        TimePoint askedAt; ///< latest request by the process itself
         SentState sentReport;
         SentState sentTargets; ///< the own targets, sent to a guardian
         /** \brief Highest sequence number that the peer has received. */
@@ -250,6 +260,8 @@
         std::map<Requester, RequesterState> requesters;
     };
 
+    /** \brief Has the next messages to \a owners sent at once. */
+    void notifyOwners(const std::set<NodeName> &owners);
     /** \brief Records an event, and invalidates contacts if the node stalled before it. */
     void beginEvent(TimePoint now);
     /** \returns whether \a peer has acknowledged a message that was sent recently. */
@@ -304,6 +316,8 @@
     /** \brief Records what \a message says of its sender's targets, if this node guards them. */
     void guard(const FleetMessage &message, TimePoint now);
     void fenceLostOwners(TimePoint now);
+    /** \brief Announces the jobs whose starts may still be executed. \sa JobHolds */
+    void announceHolds(TimePoint now);
     FleetMessage composeMessage(const NodeName &to, Peer &peer, const RunsByPeer &runsByPeer,
                                 TimePoint now);
     void sendMessages(TimePoint now, FleetOutbox &out);
@@ -320,6 +334,10 @@
     FleetOwner targetOwner;
     PeerSelection selection;
     OwnerFence ownerFence;
+    JobHolds jobHolds;
+    std::vector<JobHold> announcedHolds; ///< for the next output
+    std::vector<JobOutcome> heldOutcomes; ///< of jobs that must not be started, for the next output
+    TimePoint holdsCheckedAt;
     std::vector<DrivenTarget> drivenTargets; ///< own targets, as reported to guardians
     std::uint64_t targetsVersion = 0;
     /** \brief Version since which only tokens have changed; they may wait for the next message. */
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -331,6 +331,15 @@
     return false;
 }
 
+std::vector<UncertainStart> FleetOwner::uncertainStarts(TimePoint now) const
+{
+    std::vector<UncertainStart> starts;
+    for (const auto &[name, driver] : this->drivers)
+        for (UncertainStart &start : driver.uncertainStarts(now))
+            starts.push_back(std::move(start));
+    return starts;
+}
+
 std::vector<DrivenTarget> FleetOwner::drivenTargets(TimePoint now) const
 {
     std::vector<DrivenTarget> targets;
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -181,6 +181,7 @@
     OwnerReport report(TimePoint now) const;
     /** \returns all targets, for the guardians of this node. */
     std::vector<DrivenTarget> drivenTargets(TimePoint now) const;
+    std::vector<UncertainStart> uncertainStarts(TimePoint now) const;
     /** \returns the requesters of all queued, running and ended runs. */
     std::map<Requester, RequesterState> requesters() const;
     /** \returns the run ends that \a requester has not acknowledged. */
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -281,14 +281,28 @@
 {
     OrderAddress address = this->address();
     address.fencingToken = this->token;
-    const bool isFenceWanted = std::ranges::any_of(this->runs, [&](const auto &r) {
-        return r.second.phase == Phase::Unanswered && !r.second.stopConfirmedAt
-            && r.second.startToken >= this->acceptedToken
-            && now >= r.second.unansweredAt + this->options.fenceDelay;
-    });
+    const bool isFenceWanted = std::ranges::any_of(
+        this->runs, [&](const auto &r) { return this->isUncertain(r.second, now); });
     return { .address = address, .isFenceWanted = isFenceWanted };
 }
 
+bool TargetDriver::isUncertain(const Run &run, TimePoint now) const
+{
+    return run.phase == Phase::Unanswered && !run.stopConfirmedAt
+        && run.startToken >= this->acceptedToken
+        && now >= run.unansweredAt + this->options.fenceDelay;
+}
+
+std::vector<UncertainStart> TargetDriver::uncertainStarts(TimePoint now) const
+{
+    std::vector<UncertainStart> starts;
+    for (const auto &[name, run] : this->runs)
+        if (this->isUncertain(run, now))
+            starts.push_back(
+                { .run = name, .target = this->heartbeat.name, .unansweredAt = run.unansweredAt });
+    return starts;
+}
+
 std::uint64_t TargetDriver::orderToken() const
 {
     return FencingToken::raised(this->token, this->raises);
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hibiscus/src/Fleet/DrivenTarget.h"
+#include "Hibiscus/src/Fleet/JobHolds.h"
 #include "Hibiscus/src/Fleet/TargetOrder.h"
 
 #include <map>
@@ -168,6 +169,8 @@
     bool isRegaining() const { return this->regaining; }
     /** \returns what guardians need to fence the orders of this driver. */
     DrivenTarget describe(TimePoint now) const;
+    /** \returns the starts that the target may still execute, a while after they were sent. */
+    std::vector<UncertainStart> uncertainStarts(TimePoint now) const;
     /** \returns whether the target has ended, or has announced that and has no run left. */
     bool isEnded() const { return this->ended || (this->isDeparting && this->runs.empty()); }
     /** \returns whether the target is empty, and has accepted this driver's token since the last
@@ -212,6 +215,7 @@
         std::optional<TimePoint> stopConfirmedAt;
     };
 
+    bool isUncertain(const Run &run, TimePoint now) const;
     std::uint64_t orderToken() const;
     OrderAddress address() const;
     /** \brief Run of a previous owner. */
--- a/Hibiscus/src/Net/WireMessage.h
+++ b/Hibiscus/src/Net/WireMessage.h
@@ -12,11 +12,12 @@
 /** \brief Any message between the processes of the system. New alternatives go to the end, since a
  * message is encoded with the index of its alternative.
  */
-using WireMessage = std::variant<ReplicaEnvelope, PeerMessage, JournalRequest, JournalResponse,
-                                 RulesUpdate, RulesAcknowledgement, FetchRules, FleetMessage,
-                                 TargetHeartbeat, NodeAnnouncement, NodeList>;
+using WireMessage
+    = std::variant<ReplicaEnvelope, PeerMessage, JournalRequest, JournalResponse, RulesUpdate,
+                   RulesAcknowledgement, FetchRules, FleetMessage, TargetHeartbeat,
+                   NodeAnnouncement, NodeList, CancelJobRequest, CancelJobReply, JobHold>;
 
 /** \brief To be increased with each change of the messages that earlier versions cannot decode. */
-inline constexpr std::uint32_t wireProtocolVersion = 7;
+inline constexpr std::uint32_t wireProtocolVersion = 8;
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -61,6 +61,8 @@
         return "completed";
     if (status == TransientJobStatus::Failed)
         return "failed";
+    if (status == TransientJobStatus::Cancelled)
+        return "cancelled";
     return status == TransientJobStatus::Unfinished ? "unfinished" : "refused";
 }
 
@@ -179,12 +181,65 @@
                                    { .body = this->context.protocol.renderPendingCount(0) });
         return;
     }
-    // Transient jobs are not kept after their answer, so there is nothing to show or to cancel.
+    if (request.method == "DELETE" && !id.empty()) {
+        this->onCancel(request.token, id);
+        return;
+    }
+    // Transient jobs are not kept after their answer, so there is nothing to show.
     const bool isLookUp = request.method == "GET" || request.method == "DELETE";
     this->callerServer.respond(
         request.token, { .status = isLookUp ? internal::StatusGone : internal::StatusNotAllowed });
 }
 
+// The request is passed on also if the job is in progress here, since after a broken connection it
+// may be in progress at another node, too.
+void GatewayProcess::onCancel(std::uint64_t token, const std::string &job)
+{
+    const TimePoint now = this->loop.now();
+    const bool wasInProgress = this->node.cancelJob(job, now);
+    if (this->cancelRounds.isFull()) {
+        logEvent("cancel-refused", { { "job", job }, { "reason", "too-many-cancels" } });
+        this->refuse(token, internal::StatusUnavailable, 1s, "too-many-cancels");
+        return;
+    }
+    const std::vector<NodeName> peers = this->node.peersToAsk(now);
+    CancelJobRequest request = this->cancelRounds.begin(token, job, wasInProgress, peers, now);
+    request.from = this->context.name();
+    for (const NodeName &peer : peers)
+        this->relay.send(peer, request);
+    this->respondToCancels();
+}
+
+void GatewayProcess::onCancelRequest(const CancelJobRequest &request)
+{
+    const bool wasInProgress = this->node.cancelJob(request.job, this->loop.now());
+    if (wasInProgress)
+        logEvent("job-cancelled",
+                 { { "job", request.job }, { "requested_by", request.from.str() } });
+    this->relay.send(request.from,
+                     CancelJobReply { .from = this->context.name(),
+                                      .number = request.number,
+                                      .wasInProgress = wasInProgress });
+}
+
+void GatewayProcess::respondToCancels()
+{
+    for (const CancelDecision &decision : this->cancelRounds.takeDecisions(this->loop.now())) {
+        logEvent("cancel-answered",
+                 { { "job", decision.job },
+                   { "verdict", toString(decision.verdict) },
+                   { "silent_peers", std::to_string(decision.silentPeers) } });
+        if (decision.verdict == CancelVerdict::Unconfirmed)
+            this->refuse(decision.caller, internal::StatusUnavailable, 1s, "cancel-unconfirmed");
+        else if (decision.verdict == CancelVerdict::Unknown)
+            this->callerServer.respond(decision.caller, { .status = internal::StatusGone });
+        else
+            this->callerServer.respond(
+                decision.caller,
+                { .body = this->context.protocol.renderJobStatus(TransientJobStatus::Cancelled) });
+    }
+}
+
 void GatewayProcess::onSubmit(const HttpRequest &request, const RouteRule &route,
                               const std::string &id)
 {
@@ -284,6 +339,12 @@
             [&](const FleetMessage &fleetMessage) { this->node.receive(fleetMessage, now); },
             [&](const TargetHeartbeat &heartbeat) { this->node.handleHeartbeat(heartbeat, now); },
             [&](const NodeList &list) { this->handleNodeList(list, now); },
+            [&](const CancelJobRequest &request) { this->onCancelRequest(request); },
+            [&](const JobHold &hold) { this->node.receive(hold, now); },
+            [&](const CancelJobReply &reply) {
+                this->cancelRounds.handleReply(reply);
+                this->respondToCancels();
+            },
             [&](const RulesUpdate &update) { this->handleRulesUpdate(update); },
             [&](const FetchRules &fetch) {
                 if (const auto offer = this->rules.offerTo(fetch, now))
@@ -324,6 +385,7 @@
                                    .rulesDigest = acknowledgement.digest });
     }
     this->requestRules(now);
+    this->respondToCancels();
     if (const auto profile = this->settingsWatcher.takeChange(now))
         this->reload(*profile);
     if (stopRequests() > 0)
@@ -384,6 +446,8 @@
                    { "cause", toString(fence.cause) },
                    { "verdict", toString(fence.status) },
                    { "since_cause_ms", std::to_string(toMilliseconds(fence.sinceCause)) } });
+    for (const JobHold &hold : out.holds)
+        this->announce(hold);
     for (const NodeName &peer : out.idlePeers)
         this->relay.disconnect(peer);
     for (const NodeName &peer : out.removedPeers) {
@@ -392,6 +456,17 @@
     }
 }
 
+void GatewayProcess::announce(const JobHold &hold)
+{
+    const std::vector<NodeName> peers = this->node.peersToAsk(this->loop.now());
+    logEvent("job-held",
+             { { "job", hold.job },
+               { "span_ms", std::to_string(toMilliseconds(hold.span)) },
+               { "peers", std::to_string(peers.size()) } });
+    for (const NodeName &peer : peers)
+        this->relay.send(peer, hold);
+}
+
 void GatewayProcess::send(const StartOrder &order)
 {
     HttpCall call = this->context.protocol.makeStartCall(order);
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -30,12 +30,16 @@
     void onCallerRequest(const HttpRequest &request);
     void onSubmit(const HttpRequest &request, const RouteRule &route, const std::string &id);
     void onCallerLeft(std::uint64_t token);
+    void onCancel(std::uint64_t token, const std::string &job);
+    void onCancelRequest(const CancelJobRequest &request);
+    void respondToCancels();
     void onTargetRequest(const HttpRequest &request);
     void onMetricsRequest(const HttpRequest &request);
     void onMessage(const WireMessage &message);
     void handleNodeList(const NodeList &list, TimePoint now);
     void onTick();
     void flushOutput();
+    void announce(const JobHold &hold);
     void send(const StartOrder &order);
     void send(const StopOrder &order);
     void send(const PollOrder &order);
@@ -64,6 +68,7 @@
     LoadMeter loadMeter { loadLogInterval };
     std::map<std::uint64_t, WaitingCaller> waitingCallers;
     std::map<std::string, std::uint64_t> refusalCounts; ///< number of refused requests by reason
+    CancelRounds cancelRounds { {} };
     RefusalLog refusalLog;
     std::set<NodeName> refusedOffers; ///< nodes whose refused offer of rules was logged
     TimePoint stopRequestedAt;
--- /dev/null
+++ b/test/JobHoldsTest.cpp
@@ -0,0 +1,100 @@
+#include <Hibiscus/Fleet>
+#include <gtest/gtest.h>
+
+using namespace Hibiscus;
+
+namespace {
+
+const TimePoint startTime(1'800'000'000s);
+const UncertainStart start
+    = { .run = { .job = "j", .attempt = 1 }, .target = TargetName("t"), .unansweredAt = startTime };
+
+bool ownsAll(const TargetName &)
+{
+    return true;
+}
+
+bool ownsNone(const TargetName &)
+{
+    return false;
+}
+
+// Guards against two runs of a task: a job is sent again to another node, while a start of its
+// first attempt is on its way to a target that is cut off.
+TEST(JobHolds, JobIsHeldAtAllNodesUntilItsStartCanHaveNoEffect)
+{
+    JobHolds owner({}, NodeName("a"));
+    JobHolds other({}, NodeName("b"));
+    const std::vector<JobHold> holds = owner.update({ start }, ownsAll, startTime);
+    ASSERT_EQ(holds.size(), 1U);
+    other.receive(holds[0], startTime);
+    for (const JobHolds *node : { &owner, &other }) {
+        EXPECT_TRUE(node->isHeld("j", startTime + 1s));
+        EXPECT_FALSE(node->isHeld("k", startTime + 1s));
+    }
+    EXPECT_TRUE(owner.update({ start }, ownsAll, startTime + 500ms).empty());
+    const std::vector<JobHold> releases = owner.update({}, ownsAll, startTime + 600ms);
+    ASSERT_EQ(releases.size(), 1U);
+    other.receive(releases[0], startTime + 600ms);
+    for (const JobHolds *node : { &owner, &other })
+        EXPECT_FALSE(node->isHeld("j", startTime + 600ms));
+}
+
+// An owner that has given the target up learns nothing more of it, so only the time decides.
+TEST(JobHolds, StartAtATargetThatWasGivenUpIsHeldUntilItCanNoLongerBeExecuted)
+{
+    JobHolds owner({}, NodeName("a"));
+    JobHolds late({}, NodeName("b"));
+    owner.update({ start }, ownsAll, startTime);
+    const std::vector<JobHold> repeated = owner.update({}, ownsNone, startTime + 5s);
+    ASSERT_EQ(repeated.size(), 1U);
+    late.receive(repeated[0], startTime + 5s);
+    const Duration lateness = JobHoldsOptions {}.maxLateness;
+    for (JobHolds *node : { &owner, &late }) {
+        EXPECT_TRUE(node->isHeld("j", startTime + lateness - 1ms));
+        EXPECT_FALSE(node->isHeld("j", startTime + lateness));
+    }
+    owner.update({}, ownsNone, startTime + lateness);
+    EXPECT_EQ(owner.size(), 0U);
+}
+
+TEST(JobHolds, HoldsOfSeveralNodesAreIndependent)
+{
+    JobHolds node({}, NodeName("a"));
+    node.receive({ .from = NodeName("b"), .job = "j", .span = 5s }, startTime);
+    node.receive({ .from = NodeName("c"), .job = "j", .span = 5s }, startTime);
+    node.receive({ .from = NodeName("b"), .job = "j" }, startTime);
+    EXPECT_TRUE(node.isHeld("j", startTime));
+    node.receive({ .from = NodeName("c"), .job = "j" }, startTime);
+    EXPECT_FALSE(node.isHeld("j", startTime));
+    EXPECT_EQ(node.size(), 0U);
+}
+
+// Guards against memory that grows with announcements.
+TEST(JobHolds, NumberAndTimeOfHoldsAreBounded)
+{
+    JobHolds node({ .maxHolds = 2 }, NodeName("a"));
+    for (const char *job : { "j", "k", "l" })
+        node.receive({ .from = NodeName("b"), .job = job, .span = 1h }, startTime);
+    EXPECT_EQ(node.size(), 2U);
+    EXPECT_FALSE(node.isHeld("j", startTime + JobHoldsOptions {}.maxLateness));
+    node.receive({ .from = NodeName("b"), .job = "m", .span = 1s }, startTime + 20s);
+    EXPECT_EQ(node.size(), 1U);
+}
+
+TEST(JobHolds, HeldJobIsAnsweredAsUnfinishedAndNotStarted)
+{
+    FleetNodeOptions options;
+    options.self = NodeName("a");
+    options.domain = DomainName("d");
+    FleetNode node(options);
+    node.receive(JobHold { .from = NodeName("b"), .job = "j", .span = 5s }, startTime);
+    node.submit({ .id = "j" }, {}, 7, startTime);
+    const FleetOutbox out = node.flush(startTime);
+    ASSERT_EQ(out.outcomes.size(), 1U);
+    EXPECT_EQ(out.outcomes[0].status, TransientJobStatus::Unfinished);
+    EXPECT_EQ(out.outcomes[0].reason, OutcomeReason::StartUncertain);
+    EXPECT_EQ(node.coordinator().jobCount(), 0U);
+}
+
+} // namespace
--- a/test/support/FleetSimulation.cpp
+++ b/test/support/FleetSimulation.cpp
@@ -222,6 +222,8 @@
         this->execute(gateway, order);
     for (const AddressedFleetMessage &item : out.messages)
         this->send(gateway, item);
+    for (const JobHold &hold : out.holds)
+        this->sendToAll(gateway, hold);
     for (const JobOutcome &outcome : out.outcomes) {
         bool isReceived = false;
         for (const std::uint64_t token : outcome.callerTokens) {
@@ -271,6 +273,20 @@
     });
 }
 
+void FleetSimulation::sendToAll(Gateway &from, const JobHold &hold)
+{
+    for (const auto &[name, gateway] : this->gateways) {
+        if (name == from.name || this->isDisconnected(from.name, name)
+            || this->isDrawn(this->options.lostMessageShare))
+            continue;
+        ++from.traffic.messages;
+        this->scheduler.after(this->delay(from.name, name), [this, &to = *gateway, hold] {
+            this->deliver(to, this->costOf(&FleetProcessor::perMessage),
+                          [hold](FleetNode &node, TimePoint now) { node.receive(hold, now); });
+        });
+    }
+}
+
 FleetSimulation::OrderFate FleetSimulation::drawFate(const Gateway &from, const FleetTarget &target,
                                                      double lateShare)
 {
--- a/test/support/FleetSimulation.h
+++ b/test/support/FleetSimulation.h
@@ -231,6 +231,7 @@
     TimePoint occupy(Gateway &gateway, Duration cost);
     Duration costOf(Duration FleetProcessor::*item) const;
     void send(Gateway &from, const AddressedFleetMessage &item);
+    void sendToAll(Gateway &from, const JobHold &hold);
     /** \brief What happens to an order on its way, and to its response. */
     struct OrderFate
     {
