--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -31,7 +31,8 @@
      * may send the job again.
      */
     Unfinished,
-    Refused ///< no task has started, and none will start
+    Refused, ///< no task has started, and none will start
+    Cancelled ///< on request; runs that go on are stopped, and none will start
 };
 
 /** \brief Reason why a job was refused, abandoned or failed. */
@@ -44,7 +45,9 @@
     TaskFailed, ///< a task has failed too often
     DeadlineExceeded,
     OwnerLost, ///< the owner of a run was lost: the run may still go on
-    TaskTooLong ///< the progress of a task shows that it can't end before the deadline
+    TaskTooLong, ///< the progress of a task shows that it can't end before the deadline
+    Cancelled,
+    StartUncertain ///< an earlier start may still be executed
 };
 
 /** \returns the name of \a reason for logs. */
@@ -69,6 +72,7 @@
     Unknown,
     InProgress, ///< another caller waits for it
     Answered,
+    Cancelled,
     CallerLeft ///< its last caller left before it was answered
 };
 
@@ -159,6 +163,10 @@
     /** \brief Removes a disconnected caller, and stops its job unless another caller waits for it.
      */
     void removeCaller(std::uint64_t caller, TimePoint now);
+    /** \brief Ends \a job for all of its callers, and also if it is submitted again later.
+     * \returns whether it was in progress here before it was first cancelled.
+     */
+    bool cancelJob(const std::string &job, TimePoint now);
     /** \brief Handles the end of a run that the current incarnation of \a owner reports. */
     void handleRunEnd(const NodeName &owner, const RunEnd &end, TimePoint now);
     /** \brief Handles the report of \a owner that a withdrawn run is on a target. */
@@ -195,6 +203,8 @@
     std::map<NodeName, std::vector<RunName>> withdrawnRuns() const;
     /** \returns the owners of runs that were withdrawn since the last call. */
     std::set<NodeName> takeWithdrawalOwners() { return std::exchange(this->withdrawalOwners, {}); }
+    /** \returns the owners with runs of \a job. */
+    std::set<NodeName> ownersOf(const std::string &job) const;
     /** \returns the owners with runs of the job that \a caller waits for. */
     std::set<NodeName> ownersFor(std::uint64_t caller) const;
     std::size_t jobCount() const { return this->jobs.size(); }
@@ -241,6 +251,7 @@
     {
         JobOutcome outcome;
         TimePoint answeredAt;
+        bool wasInProgress = true; ///< otherwise it was cancelled before it was submitted here
     };
 
     using Jobs = std::map<std::string, Job>;
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -25,6 +25,10 @@
 constexpr Duration transferLifetime = 4500ms;
 /** \brief Interval of checks whether the report has changed; a part of the report interval. */
 constexpr Duration refreshInterval = 20ms;
+/** \brief Interval of checks for starts that may be executed late; short against the second after
+ * which callers send a job again.
+ */
+constexpr Duration holdInterval = 50ms;
 /** \brief Interval of the selection of peers. */
 constexpr Duration selectionInterval = 100ms;
 /** \brief Time for which run ends are collected before they are reported: some round trips. */
@@ -53,13 +57,22 @@
                   .domain = options.domain,
                   .peerCount = options.selectedPeerCount,
                   .minOtherDomainPeers = options.minOtherDomainPeers }),
-      ownerFence(options.fence)
+      ownerFence(options.fence), jobHolds(options.holds, options.self)
 { }
 
 void FleetNode::submit(const TransientJob &job, const RoutePolicy &policy, std::uint64_t caller,
                        TimePoint now)
 {
     this->beginEvent(now);
+    const JobHistory history = this->jobCoordinator.historyOf(job.id);
+    const bool isKnown = history != JobHistory::Unknown && history != JobHistory::CallerLeft;
+    if (!isKnown && this->jobHolds.isHeld(job.id, now)) {
+        this->heldOutcomes.push_back({ .job = job.id,
+                                       .callerTokens = { caller },
+                                       .status = TransientJobStatus::Unfinished,
+                                       .reason = OutcomeReason::StartUncertain });
+        return;
+    }
     this->jobCoordinator.submit(job, policy, caller, this->ownerViews(now), now);
 }
 
@@ -68,11 +81,38 @@
     this->beginEvent(now);
     const std::set<NodeName> owners = this->jobCoordinator.ownersFor(caller);
     this->jobCoordinator.removeCaller(caller, now);
+    this->notifyOwners(owners);
+}
+
+bool FleetNode::cancelJob(const std::string &job, TimePoint now)
+{
+    this->beginEvent(now);
+    const std::set<NodeName> owners = this->jobCoordinator.ownersOf(job);
+    const bool wasInProgress = this->jobCoordinator.cancelJob(job, now);
+    this->notifyOwners(owners);
+    return wasInProgress;
+}
+
+void FleetNode::notifyOwners(const std::set<NodeName> &owners)
+{
     for (const NodeName &owner : owners)
         if (const auto found = this->peers.find(owner); found != this->peers.end())
             found->second.hasPendingMessage = true;
 }
 
+std::vector<NodeName> FleetNode::peersToAsk(TimePoint now)
+{
+    std::vector<NodeName> names;
+    for (auto &[name, peer] : this->peers) {
+        if (!this->isListed(peer, now))
+            continue;
+        peer.askedAt = now;
+        peer.isConnected = true;
+        names.push_back(name);
+    }
+    return names;
+}
+
 void FleetNode::handleHeartbeat(const TargetHeartbeat &heartbeat, TimePoint now)
 {
     this->beginEvent(now);
@@ -91,7 +131,7 @@
         if (heartbeat.target.state == TargetState::Draining)
             return;
         if (this->isDraining) {
-            if (const auto newOwner = this->preferredOwner(name, now))
+            if (const auto newOwner = this->preferredOwner(name, heartbeat.target.domain, now))
                 this->recordTransfer(name, *newOwner, now);
             return;
         }
@@ -230,6 +270,12 @@
         this->adoptTransferred(target, message.from, now);
 }
 
+void FleetNode::receive(const JobHold &hold, TimePoint now)
+{
+    this->beginEvent(now);
+    this->jobHolds.receive(hold, now);
+}
+
 void FleetNode::handleAcknowledgement(Peer &peer, const FleetMessage &message)
 {
     if (message.receiverIncarnation != this->currentIncarnation)
@@ -358,6 +404,18 @@
     this->targetOwner.tick([&](const Requester &r) { return this->lastContact(r, now); }, now);
     this->transferTargets(now);
     this->fenceLostOwners(now);
+    this->announceHolds(now);
+}
+
+void FleetNode::announceHolds(TimePoint now)
+{
+    if (now < this->holdsCheckedAt + internal::holdInterval)
+        return;
+    this->holdsCheckedAt = now;
+    const auto ownsTarget = [&](const TargetName &t) { return this->targetOwner.ownsTarget(t); };
+    for (JobHold &hold :
+         this->jobHolds.update(this->targetOwner.uncertainStarts(now), ownsTarget, now))
+        this->announcedHolds.push_back(std::move(hold));
 }
 
 void FleetNode::guard(const FleetMessage &message, TimePoint now)
@@ -405,6 +463,9 @@
     this->counts.fencedForPeers += static_cast<std::uint64_t>(
         std::ranges::count(out.fences, OrderStatus::Done, &FenceRecord::status));
     out.outcomes = this->jobCoordinator.takeOutcomes();
+    for (JobOutcome &outcome : std::exchange(this->heldOutcomes, {}))
+        out.outcomes.push_back(std::move(outcome));
+    out.holds = std::exchange(this->announcedHolds, {});
     out.targetChanges = this->targetOwner.takeChanges();
     out.targetStates = std::exchange(this->targetStates, {});
     out.unsuccessfulRuns = this->jobCoordinator.takeUnsuccessfulRuns();
@@ -544,7 +605,7 @@
 void FleetNode::transferTargets(TimePoint now)
 {
     for (const LeasedTarget &target : this->targetOwner.takeReleasedTargets()) {
-        const auto newOwner = this->preferredOwner(target.name, now);
+        const auto newOwner = this->preferredOwner(target.name, target.domain, now);
         if (!newOwner || !this->isConfirmed(this->peers.at(*newOwner), now))
             continue;
         Peer &peer = this->peers.at(*newOwner);
@@ -563,7 +624,8 @@
         return now >= item.second.receivedAt + this->options.departureLifetime;
     });
     for (const TargetName &target : this->targetOwner.targetNames()) {
-        const auto newOwner = this->preferredOwner(target, now);
+        const LeasedTarget *known = this->targetOwner.findTarget(target);
+        const auto newOwner = this->preferredOwner(target, known->domain, now);
         if (!newOwner)
             continue;
         // A listed node may have failed, so it has to respond before it gets a target.
@@ -591,10 +653,9 @@
     return owner != this->peers.end() && this->isListed(owner->second, now);
 }
 
-std::optional<NodeName> FleetNode::preferredOwner(const TargetName &target, TimePoint now) const
+std::optional<NodeName> FleetNode::preferredOwner(const TargetName &target,
+                                                  const DomainName &domain, TimePoint now) const
 {
-    const LeasedTarget *known = this->targetOwner.findTarget(target);
-    const DomainName domain = known == nullptr ? this->options.domain : known->domain;
     std::vector<OwnerCandidate> candidates;
     if (!this->isDraining && this->options.domain == domain)
         candidates.push_back({ .node = this->options.self, .weight = this->options.weight });
@@ -837,7 +898,9 @@
             out.messages.push_back(
                 { .to = name, .message = this->composeMessage(name, peer, runsByPeer, now) });
             ++this->counts.sentMessages;
-        } else if (peer.isConnected && now >= peer.sentAt + this->options.idleConnectionTimeout) {
+        } else if (peer.isConnected
+                   && now >= std::max(peer.sentAt, peer.askedAt)
+                           + this->options.idleConnectionTimeout) {
             peer.isConnected = false;
             out.idlePeers.push_back(name);
         }
