--- a/Hibiscus/src/Core/BinaryArchive.h
+++ b/Hibiscus/src/Core/BinaryArchive.h
@@ -61,6 +61,9 @@
             throw cereal::Exception("the input is too short");
     }
 
+    /** \returns whether all bytes have been read. */
+    bool isAtEnd() const { return this->bytes.empty(); }
+
 private:
     std::string_view bytes; ///< what has not been read yet
 };
--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -22,6 +22,8 @@
     Capacity free;
     double slowness = 1; ///< learned ratio of run time to the caller's estimate
     bool acceptsWork = false;
+    /** \brief Whether it would accept work if its owner might start runs in its failure domain. */
+    bool isWithheld = false;
     bool isReconciled = false; ///< no run of a previous owner is left on it
 
     /** \returns whether it offers \a wantedService and has \a label; an empty label matches all. */
@@ -38,7 +40,7 @@
 
     auto operator<=>(const OwnedTarget &other) const = default;
     HIBISCUS_FIELDS(name, incarnation, fencingToken, service, labels, capacity, free, slowness,
-                    acceptsWork, isReconciled)
+                    acceptsWork, isWithheld, isReconciled)
 };
 
 /** \brief Snapshot of an owner's targets and queue. */
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -102,7 +102,7 @@
         for (const auto &[node, peer] : this->peers) {
             const auto isDriven = [&](const OwnedTarget &t) {
                 return t.name == name && t.incarnation >= heartbeat.target.incarnation
-                    && t.acceptsWork;
+                    && (t.acceptsWork || t.isWithheld);
             };
             if (this->isConfirmed(peer, now)
                 && std::ranges::any_of(peer.report.targets, isDriven)) {
@@ -332,6 +332,12 @@
     return found->second;
 }
 
+void FleetNode::setEvacuatedDomains(const std::set<DomainName> &domains, TimePoint now)
+{
+    this->beginEvent(now);
+    this->targetOwner.setEvacuatedDomains(domains, now);
+}
+
 void FleetNode::drain(TimePoint shutdownAt)
 {
     this->isDraining = true;
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -148,6 +148,8 @@
     void raiseIncarnation(std::uint64_t seen, TimePoint now);
     /** \brief Adds or updates \a peer from its directory record. */
     void updatePeer(const NodeRecord &peer, TimePoint now);
+    /** \brief Starts no run on the targets of \a domains from now on, whoever hands them over. */
+    void setEvacuatedDomains(const std::set<DomainName> &domains, TimePoint now);
     /** \brief Transfers targets as they become empty, and accepts only jobs that should be answered
      * by \a shutdownAt.
      */
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -19,6 +19,10 @@
 void FleetOwner::updateTarget(const LeasedTarget &target, TimePoint now)
 {
     const auto found = this->drivers.find(target.name);
+    const bool isCurrent
+        = found == this->drivers.end() || !found->second.target().isNewerThan(target);
+    if (isCurrent)
+        this->evacuatedTargets.recordHeartbeat(target, now);
     if (found != this->drivers.end()) {
         TargetDriver &driver = found->second;
         if (target.incarnation <= driver.target().incarnation) {
@@ -225,6 +229,7 @@
 
 void FleetOwner::startQueuedRuns(const LastContact &lastContact, TimePoint now)
 {
+    this->returnEvacuatedRuns(now);
     this->endInfeasibleRuns(now);
     const std::vector<HeldRun *> queued = this->queuedRuns(now);
     for (HeldRun *run : queued) {
@@ -255,13 +260,18 @@
         if (now < run->queuedAt + this->options.returnDelay
             || !reserveCapacity(run->request, run->bounds))
             continue;
-        run->stage = Stage::Ended;
-        run->end = RunEndKind::Returned;
-        run->endedAt = now;
+        this->returnRun(*run, now);
         ++this->counts.returned;
     }
 }
 
+void FleetOwner::returnRun(HeldRun &run, TimePoint now)
+{
+    run.stage = Stage::Ended;
+    run.end = RunEndKind::Returned;
+    run.endedAt = now;
+}
+
 void FleetOwner::invalidateTargetContacts(TimePoint now)
 {
     for (auto &[name, driver] : this->drivers)
@@ -272,16 +282,18 @@
 {
     OwnerReport report;
     for (const auto &[name, driver] : this->drivers)
-        report.targets.push_back({ .name = name,
-                                   .incarnation = driver.target().incarnation,
-                                   .fencingToken = driver.fencingToken(),
-                                   .service = driver.target().service,
-                                   .labels = driver.target().labels,
-                                   .capacity = driver.target().capacity,
-                                   .free = driver.free(),
-                                   .slowness = this->runTimes.slowness(driver.target()),
-                                   .acceptsWork = driver.acceptsWork(now),
-                                   .isReconciled = driver.isReconciled() });
+        report.targets.push_back(
+            { .name = name,
+              .incarnation = driver.target().incarnation,
+              .fencingToken = driver.fencingToken(),
+              .service = driver.target().service,
+              .labels = driver.target().labels,
+              .capacity = driver.target().capacity,
+              .free = this->usableCapacity(driver, now),
+              .slowness = this->runTimes.slowness(driver.target()),
+              .acceptsWork = this->acceptsRuns(driver, now),
+              .isWithheld = driver.acceptsWork(now) && !this->acceptsRuns(driver, now),
+              .isReconciled = driver.isReconciled() });
     for (const auto &[name, run] : this->runs) {
         if (run.stage != Stage::Queued)
             continue;
@@ -514,7 +526,7 @@
     return std::ranges::any_of(this->drivers, [&](const auto &item) {
         const LeasedTarget &target = item.second.target();
         const Duration time = this->runTimes.expectedRunTime(target, run.request.estimate);
-        return target.service == run.request.service && item.second.acceptsWork(now)
+        return target.service == run.request.service && this->acceptsRuns(item.second, now)
             && target.capacity.covers(run.request.demand)
             && satisfies(target.labels, run.request.requiredLabel)
             && fitnessOf(run.bounds, time, now) != Fitness::Infeasible;
@@ -586,8 +598,9 @@
 {
     const LeasedTarget &target = driver.target();
     const std::uint32_t limit = run.request.maxPerTarget;
-    return target.service == run.request.service && driver.free().covers(run.request.demand)
-        && satisfies(target.labels, run.request.requiredLabel) && driver.acceptsWork(now)
+    return target.service == run.request.service
+        && this->usableCapacity(driver, now).covers(run.request.demand)
+        && satisfies(target.labels, run.request.requiredLabel) && this->acceptsRuns(driver, now)
         && (limit == 0 || driver.runCountOf(run.request.run.job, run.request.run.step) < limit);
 }
 
@@ -631,6 +644,7 @@
             this->releasedTargets.push_back(driver.target());
         this->recordChange(driver, reason);
         this->runTimes.remove(item->first);
+        this->evacuatedTargets.removeTarget(item->first);
         this->endRunsAsUnknown(driver, now);
         item = this->drivers.erase(item);
     }
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hibiscus/src/Fleet/EvacuatedTargets.h"
 #include "Hibiscus/src/Fleet/Fitness.h"
 #include "Hibiscus/src/Fleet/FleetMessage.h"
 #include "Hibiscus/src/Fleet/RunTimes.h"
@@ -43,6 +44,10 @@
      * that the job's messages may have been delayed.
      */
     Duration maxOvertime = 900ms;
+    /** \brief Whether nothing is started before the first setEvacuatedDomains(), since the node may
+     * have known of an evacuation before its restart.
+     */
+    bool awaitsEvacuations = false;
 };
 
 /** \brief Requester of a run: one incarnation of an entry node. */
@@ -71,6 +76,7 @@
     std::uint64_t failed = 0;
     std::uint64_t notStarted = 0;
     std::uint64_t returned = 0; ///< returned, since another owner had free capacity
+    std::uint64_t evacuated = 0; ///< returned, since only evacuated targets could run them
     std::uint64_t stopped = 0;
     std::uint64_t lost = 0;
     std::uint64_t adoptedTargets = 0; ///< targets taken over
@@ -134,7 +140,9 @@
      */
     using ReserveCapacity = std::function<bool(const RunRequest &, const RunBounds &)>;
 
-    explicit FleetOwner(const FleetOwnerOptions &options) : options(options) { }
+    explicit FleetOwner(const FleetOwnerOptions &options)
+        : options(options), evacuatedTargets(options.awaitsEvacuations)
+    { }
 
     // Commands.
     /** \brief Adds \a target, or updates it from a newer heartbeat. */
@@ -166,6 +174,10 @@
      * \a reserveCapacity finds capacity elsewhere.
      */
     void returnQueuedRuns(const ReserveCapacity &reserveCapacity, TimePoint now);
+    /** \brief Starts no run in \a domains from now on. Runs there go on; queued ones that have no
+     * other target here are returned to their coordinators.
+     */
+    void setEvacuatedDomains(const std::set<DomainName> &domains, TimePoint now);
     /** \brief Stops new work until each target has responded again, after this node stalled. */
     void invalidateTargetContacts(TimePoint now);
     /** \brief Marks all run ends of \a requester as reported. */
@@ -236,6 +248,20 @@
     void recordRestart(TargetDriver &driver, TimePoint now);
     TargetDriver *selectTarget(const HeldRun &run, TimePoint validUntil, TimePoint now);
     bool canRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
+    bool acceptsRuns(const TargetDriver &driver, TimePoint now) const
+    {
+        return driver.acceptsWork(now) && this->evacuatedTargets.mayStartOn(driver.target().domain);
+    }
+    Capacity usableCapacity(const TargetDriver &driver, TimePoint now) const
+    {
+        return this->evacuatedTargets.usableCapacity(driver.target(), driver.free(), now);
+    }
+    /** \returns whether all own targets that could ever execute \a run are being evacuated, and
+     * there are any.
+     */
+    bool hasOnlyEvacuatedTargets(const HeldRun &run) const;
+    void returnEvacuatedRuns(TimePoint now);
+    void returnRun(HeldRun &run, TimePoint now);
     bool isTaskRunning(const RunName &run) const;
     bool shouldWaitForFasterTarget(const HeldRun &run, TimePoint now) const;
     void stopStragglers(TimePoint now);
@@ -254,6 +280,7 @@
     std::vector<LeasedTarget> releasedTargets;
     Runs runs;
     RunTimes runTimes;
+    EvacuatedTargets evacuatedTargets;
     DriverOutbox out;
     std::vector<TargetChange> changes;
     std::vector<AttemptRecord> attempts;
--- a/Hibiscus/src/Fleet/LeasedTarget.h
+++ b/Hibiscus/src/Fleet/LeasedTarget.h
@@ -28,6 +28,7 @@
     TargetState state = TargetState::Ready;
     std::uint64_t sequence = 0; ///< grows with each heartbeat of one incarnation
     std::int64_t clockMs = 0; ///< the target's own steady clock, ms
+    Duration coldRemaining {}; ///< how much longer the target is slow after its start
 
     /** \returns whether this is a later heartbeat of the same target than \a other. */
     bool isNewerThan(const LeasedTarget &other) const
@@ -38,7 +39,7 @@
 
     auto operator<=>(const LeasedTarget &other) const = default;
     HIBISCUS_FIELDS(name, incarnation, address, service, domain, kind, labels, capacity, state,
-                    sequence, clockMs)
+                    sequence, clockMs, coldRemaining)
 };
 
 /** \returns whether \a labels of a target contain the required \a label; empty: any target. */
--- a/Hibiscus/src/Membership/NodeRecord.h
+++ b/Hibiscus/src/Membership/NodeRecord.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Hibiscus/src/Membership/Evacuations.h"
+
 #include <Hibiscus/Core>
 
 #include <vector>
@@ -47,9 +49,10 @@
     std::uint64_t digest = 0; ///< digest of the node records
     std::vector<NodeRecord> nodes; ///< left empty if the receiver holds a list with this digest
     std::uint64_t rulesVersion = 0; ///< newest accepted version known to the sender
+    Evacuations evacuations; ///< newest known to the sender
 
     auto operator<=>(const NodeList &other) const = default;
-    HIBISCUS_FIELDS(sender, digest, nodes, rulesVersion)
+    HIBISCUS_FIELDS(sender, digest, nodes, rulesVersion, evacuations)
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Net/WireMessage.h
+++ b/Hibiscus/src/Net/WireMessage.h
@@ -17,6 +17,6 @@
                                  TargetHeartbeat, NodeAnnouncement, NodeList>;
 
 /** \brief To be increased with each change of the messages that earlier versions cannot decode. */
-inline constexpr std::uint32_t wireProtocolVersion = 7;
+inline constexpr std::uint32_t wireProtocolVersion = 8;
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Process/ExternalProtocol.h
+++ b/Hibiscus/src/Process/ExternalProtocol.h
@@ -42,9 +42,18 @@
     auto operator<=>(const ReplaceRulesRequest &other) const = default;
 };
 
+/** \brief An operator's request to start or finish the evacuation of a failure domain. */
+struct ChangeEvacuationRequest
+{
+    DomainName domain;
+    bool isEvacuated = false; ///< whether the domain is evacuated from now on
+
+    auto operator<=>(const ChangeEvacuationRequest &other) const = default;
+};
+
 /** \brief The result of parsing a request of an operator or a target. */
-using ControlRequest
-    = std::variant<ReadRulesRequest, ReplaceRulesRequest, TargetHeartbeat, Unsupported, Malformed>;
+using ControlRequest = std::variant<ReadRulesRequest, ReplaceRulesRequest, ChangeEvacuationRequest,
+                                    TargetHeartbeat, Unsupported, Malformed>;
 
 /** \brief Functions that translate the protocol of callers, targets and operators.
  *
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -48,6 +48,7 @@
     options.weight = record.weight;
     options.targetsAddress = record.targetsAddress;
     options.owner.driver.lease = context.profile.lease;
+    options.owner.awaitsEvacuations = true;
     constexpr Duration startMargin = 150ms; // for the way of a start, and for the drift of clocks
     constexpr Duration heartbeatMargin = 200ms; // heartbeats come approximately at their interval
     options.owner.driver.heartbeatLifetime = std::max(context.profile.drainTime - startMargin,
@@ -299,6 +300,8 @@
     this->directory.mergeList(list, now);
     this->node.raiseIncarnation(this->directory.listedIncarnation(), now);
     this->rules.recordAcceptedVersion(list.rulesVersion, now);
+    this->rules.recordEvacuations(list.evacuations);
+    this->applyEvacuations(list.sender);
     for (const NodeRecord &gateway : this->directory.gatewaysListedBy(list.sender))
         this->node.updatePeer(gateway, now);
 }
@@ -507,6 +510,7 @@
 {
     const std::uint64_t previousVersion = this->rules.active().file().version;
     const RulesReceipt receipt = this->rules.receive(update, this->loop.now());
+    this->applyEvacuations(update.sender);
     const RulesAcknowledgement acknowledgement = this->rules.active().acknowledgement();
     if (receipt == RulesReceipt::Refused) {
         if (this->refusedOffers.insert(update.sender).second)
@@ -532,6 +536,27 @@
         this->relay.send(registry, acknowledgement);
 }
 
+// The first list of a registry node that lags behind may lack an evacuation that the first rules
+// bring.
+void GatewayProcess::applyEvacuations(const NodeName &sender)
+{
+    const Evacuations &evacuations = this->rules.active().evacuations();
+    const bool hasFirstRules = this->rules.active().status() != RulesStatus::None;
+    if (!hasFirstRules || this->evacuationsInForce == evacuations)
+        return;
+    logEvent(
+        "evacuations-in-force",
+        { { "revision", std::to_string(evacuations.revision) },
+          { "former",
+            std::to_string(this->evacuationsInForce ? this->evacuationsInForce->revision : 0) },
+          { "domains", joined(evacuations.domains) },
+          { "sender", sender.str() },
+          { "running", std::to_string(this->node.owner().runningRunCount()) },
+          { "queued", std::to_string(this->node.owner().queuedRunCount()) } });
+    this->evacuationsInForce = evacuations;
+    this->node.setEvacuatedDomains(evacuations.domains, this->loop.now());
+}
+
 // Addresses stay the same until the process exits; the settings below may change.
 void GatewayProcess::reload(const NodeProfile &profile)
 {
@@ -583,6 +608,9 @@
     count("hibiscus_runs_not_started_total", "Starts that targets refused.", owner.notStarted);
     count("hibiscus_runs_returned_total", "Waiting runs given back, since another owner had room.",
           owner.returned);
+    count("hibiscus_runs_evacuated_total",
+          "Waiting runs given back, since only evacuated targets could execute them.",
+          owner.evacuated);
     count("hibiscus_runs_straggling_total", "Runs stopped for taking too long.", owner.stragglers);
     count("hibiscus_runs_stopped_total", "Runs stopped on request.", owner.stopped);
     count("hibiscus_runs_lost_total", "Runs lost with a target or its lease.", owner.lost);
@@ -608,6 +636,8 @@
     gauge("hibiscus_running_runs", "Runs on own targets.", this->node.owner().runningRunCount());
     gauge("hibiscus_targets", "Own targets.", this->node.owner().targetNames().size());
     gauge("hibiscus_live_peers", "Peers that answer.", this->node.livePeerCount(this->loop.now()));
+    gauge("hibiscus_evacuated_domains", "Failure domains where nothing is started.",
+          this->rules.active().evacuations().domains.size());
     gauge("hibiscus_rules_version", "Version of the rules in force.",
           this->rules.active().file().version);
     this->metrics.setGauge("hibiscus_rules_confirmation_age_seconds",
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -43,6 +43,10 @@
     void refuse(std::uint64_t token, int status, Duration retryAfter, const char *reason);
     void requestRules(TimePoint now);
     void handleRulesUpdate(const RulesUpdate &update);
+    /** \brief Puts the evacuations into force that this node has learned of with its first rules,
+     * or later.
+     */
+    void applyEvacuations(const NodeName &sender);
     void reload(const NodeProfile &profile);
     void continueStop(TimePoint now);
     bool isReady() const;
@@ -66,6 +70,7 @@
     std::map<std::string, std::uint64_t> refusalCounts; ///< number of refused requests by reason
     RefusalLog refusalLog;
     std::set<NodeName> refusedOffers; ///< nodes whose refused offer of rules was logged
+    std::optional<Evacuations> evacuationsInForce;
     TimePoint stopRequestedAt;
     TimePoint lastRequestAt;
 };
--- a/Hibiscus/src/Process/NodeContext.cpp
+++ b/Hibiscus/src/Process/NodeContext.cpp
@@ -163,4 +163,12 @@
     return std::move(*profile);
 }
 
+std::string joined(const std::set<DomainName> &domains)
+{
+    std::string text;
+    for (const DomainName &domain : domains)
+        text += (text.empty() ? "" : ",") + domain.str();
+    return text;
+}
+
 } // namespace Hibiscus
--- a/Hibiscus/src/Process/NodeContext.h
+++ b/Hibiscus/src/Process/NodeContext.h
@@ -62,4 +62,7 @@
     TimePoint nextCheckAt;
 };
 
+/** \returns \a domains with commas between them, for the log. */
+std::string joined(const std::set<DomainName> &domains);
+
 } // namespace Hibiscus
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -28,6 +28,7 @@
 
 constexpr int statusRedirect = 307;
 constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
 // If as many disks as tolerated are lost at once, the remaining members still form a quorum, and
@@ -105,9 +106,12 @@
                                                     { .contentType = "text/plain; version=0.0.4",
                                                       .body = this->metrics.text() });
                     }),
-      metrics(nodeContext.profile.label), settingsWatcher(nodeContext.settingsPath)
+      metrics(nodeContext.profile.label), settingsWatcher(nodeContext.settingsPath),
+      knownDomains({}, { nodeContext.profile.domains.begin(), nodeContext.profile.domains.end() },
+                   this->loop.now())
 {
     this->directory.setSeeds(this->context.seeds());
+    this->knownDomains.record(this->context.profile.domain);
 }
 
 int RegistryProcess::run()
@@ -149,6 +153,9 @@
                    [&](const ReplaceRulesRequest &replacement) {
                        this->replaceRules(request, replacement);
                    },
+                   [&](const ChangeEvacuationRequest &evacuation) {
+                       this->changeEvacuation(request, evacuation);
+                   },
                    [&](const TargetHeartbeat &heartbeat) {
                        this->handleHeartbeat(request.token, heartbeat);
                    },
@@ -195,9 +202,54 @@
                      this->loop.now(), this->out);
 }
 
+// Only the leader refuses a domain, as the others may have started later. A domain that may exist
+// is refused with an answer after which operators try again.
+void RegistryProcess::changeEvacuation(const HttpRequest &request,
+                                       const ChangeEvacuationRequest &change)
+{
+    const TimePoint now = this->loop.now();
+    const bool isLeader = this->node.replica().isLeader();
+    const DomainStatus status = this->statusOf(change.domain, now);
+    if (isLeader && status != DomainStatus::Known) {
+        this->refuseEvacuation(request, change.domain, status == DomainStatus::Unknown);
+        return;
+    }
+    logEvent("evacuation-requested",
+             { { "domain", change.domain.str() },
+               { "evacuated", change.isEvacuated ? "yes" : "no" },
+               { "leader", isLeader ? "yes" : "no" } });
+    this->requestPaths[request.token] = request.path;
+    const ChangeEvacuation command = { .domain = change.domain, .isEvacuated = change.isEvacuated };
+    this->node.apply({ .node = this->context.name(), .number = request.token }, command, now,
+                     this->out);
+}
+
+void RegistryProcess::refuseEvacuation(const HttpRequest &request, const DomainName &domain,
+                                       bool isUnknown)
+{
+    ++this->evacuationCounts[isUnknown ? "unknown_domain" : "domain_not_known_yet"];
+    logEvent("evacuation-refused",
+             { { "path", request.path },
+               { "domain", domain.str() },
+               { "reason", isUnknown ? "unknown-domain" : "domain-not-known-yet" } });
+    this->http.respond(
+        request.token,
+        { .status = isUnknown ? internal::statusNotFound : internal::statusUnavailable,
+          .contentType = "text/plain",
+          .body = "no failure domain " + domain.str() + " is known\n" });
+}
+
+DomainStatus RegistryProcess::statusOf(const DomainName &domain, TimePoint now) const
+{
+    if (this->node.state().evacuations().domains.contains(domain))
+        return DomainStatus::Known;
+    return this->knownDomains.statusOf(domain, now);
+}
+
 void RegistryProcess::handleHeartbeat(std::uint64_t token, const TargetHeartbeat &heartbeat)
 {
     const TimePoint now = this->loop.now();
+    this->knownDomains.record(heartbeat.target.domain);
     const std::vector<NodeRecord> liveGateways = this->directory.liveGateways(now);
     const bool isLeaving = heartbeat.isLeaving || heartbeat.target.state == TargetState::Draining;
     // The owner of the target must learn this at once, and this node does not know which gateway it
@@ -264,6 +316,8 @@
     NodeList list = this->directory.answer(announcement,
                                            this->context.record(NodeKind::Registry, false), now);
     list.rulesVersion = this->node.state().version();
+    list.evacuations = this->node.state().evacuations();
+    this->knownDomains.record(announcement.self.domain);
     this->relay.send(announcement.self.node, list);
     if (announcement.self.kind == NodeKind::Gateway)
         this->node.receive({ .node = announcement.self.node,
@@ -290,10 +344,21 @@
         this->context.profile.registrySeeds = profile->registrySeeds;
         this->directory.setSeeds(this->context.seeds());
     }
+    this->logChanges();
+}
+
+void RegistryProcess::logChanges()
+{
     const std::uint64_t version = this->node.state().version();
     if (version != this->loggedRulesVersion)
         logEvent("rules-accepted", { { "version", std::to_string(version) } });
     this->loggedRulesVersion = version;
+    const Evacuations &evacuations = this->node.state().evacuations();
+    if (evacuations.revision != this->loggedRevision)
+        logEvent("evacuations-accepted",
+                 { { "revision", std::to_string(evacuations.revision) },
+                   { "domains", joined(evacuations.domains) } });
+    this->loggedRevision = evacuations.revision;
 }
 
 void RegistryProcess::updateRecipients(TimePoint now)
@@ -333,6 +398,10 @@
 
 void RegistryProcess::respond(const ApplyResponse &response)
 {
+    if (response.revisionWithoutCopies || (response.reply && response.reply->evacuationRevision)) {
+        this->respondToEvacuation(response);
+        return;
+    }
     if (response.versionWithoutCopies)
         logEvent(
             "rules-not-acknowledged",
@@ -356,6 +425,28 @@
                        { .status = isAccepted ? 200 : internal::statusBadRequest, .body = "{}" });
 }
 
+void RegistryProcess::respondToEvacuation(const ApplyResponse &response)
+{
+    const std::uint64_t token = response.request.number;
+    const auto path = this->requestPaths.find(token);
+    const bool isAcknowledged = response.reply.has_value();
+    const std::uint64_t revision
+        = isAcknowledged ? *response.reply->evacuationRevision : *response.revisionWithoutCopies;
+    ++this->evacuationCounts[isAcknowledged ? "acknowledged" : "not_acknowledged"];
+    logEvent(isAcknowledged ? "evacuation-acknowledged" : "evacuation-not-acknowledged",
+             { { "path", path == this->requestPaths.end() ? "" : path->second },
+               { "revision", std::to_string(revision) },
+               { "copies", std::to_string(response.copies) },
+               { "needed",
+                 std::to_string(internal::copiesFor(this->context.profile.toleratedLosses)) } });
+    if (!isAcknowledged) {
+        this->redirect(token, response.leader);
+        return;
+    }
+    this->requestPaths.erase(token);
+    this->http.respond(token, { .body = "{}" });
+}
+
 void RegistryProcess::respond(const RulesReadResponse &response)
 {
     if (!response.file) {
@@ -402,6 +493,12 @@
     updateRelayMetrics(this->metrics, this->relay.counters());
     this->metrics.setGauge("hibiscus_rules_version", "Version of the rules this member holds.",
                            static_cast<double>(this->node.state().version()));
+    this->metrics.setGauge("hibiscus_evacuated_domains", "Failure domains that are evacuated.",
+                           static_cast<double>(this->node.state().evacuations().domains.size()));
+    for (const auto &[outcome, number] : this->evacuationCounts)
+        this->metrics.setCounter("hibiscus_evacuation_requests_" + outcome + "_total",
+                                 "Requests to start or finish an evacuation, by outcome.",
+                                 static_cast<double>(number));
     this->metrics.setGauge("hibiscus_known_gateways", "Gateways that changes wait for.",
                            static_cast<double>(this->knownGateways.size()));
 }
--- a/Hibiscus/src/Process/RegistryProcess.h
+++ b/Hibiscus/src/Process/RegistryProcess.h
@@ -25,6 +25,12 @@
 private:
     void onRequest(const HttpRequest &request);
     void replaceRules(const HttpRequest &request, const ReplaceRulesRequest &replacement);
+    void changeEvacuation(const HttpRequest &request, const ChangeEvacuationRequest &change);
+    void refuseEvacuation(const HttpRequest &request, const DomainName &domain, bool isUnknown);
+    /** \returns whether \a domain exists, as far as the leader can tell. */
+    DomainStatus statusOf(const DomainName &domain, TimePoint now) const;
+    void respondToEvacuation(const ApplyResponse &response);
+    void logChanges();
     void handleHeartbeat(std::uint64_t token, const TargetHeartbeat &heartbeat);
     void onMessage(const WireMessage &message);
     void handleAnnouncement(const NodeAnnouncement &announcement, TimePoint now);
@@ -54,6 +60,9 @@
     /** \brief The paths of the requests that wait for the control group, by token. */
     std::map<std::uint64_t, std::string> requestPaths;
     std::uint64_t loggedRulesVersion = 0;
+    std::uint64_t loggedRevision = 0; ///< of the evacuations
+    std::map<std::string, std::uint64_t> evacuationCounts; ///< requests by what became of them
+    KnownDomains knownDomains;
     std::vector<RulesRecipient> knownGateways;
     TimePoint recipientsCheckedAt;
 };
--- a/Hibiscus/src/Rules/ActiveRules.cpp
+++ b/Hibiscus/src/Rules/ActiveRules.cpp
@@ -4,6 +4,7 @@
 
 std::optional<RulesAcknowledgement> ActiveRules::receive(const RulesUpdate &update)
 {
+    this->recordEvacuations(update.evacuations);
     std::optional<RulesFile> file;
     if (const auto *wholeFile = std::get_if<RulesFile>(&update.content))
         file = *wholeFile;
@@ -49,6 +50,13 @@
         this->outdatedFrom = now;
 }
 
+// Each revision that a node sends is committed, so a higher one is newer, whoever sends it.
+void ActiveRules::recordEvacuations(const Evacuations &evacuations)
+{
+    if (evacuations.isNewerThan(this->currentEvacuations))
+        this->currentEvacuations = evacuations;
+}
+
 std::optional<TimePoint> ActiveRules::outdatedSince() const
 {
     if (this->newestAcceptedVersion <= this->currentFile.version)
--- a/Hibiscus/src/Rules/ActiveRules.h
+++ b/Hibiscus/src/Rules/ActiveRules.h
@@ -27,12 +27,16 @@
     /** \brief Records that the control group accepted \a version, even if it is not held here yet.
      */
     void recordAcceptedVersion(std::uint64_t version, TimePoint now);
+    /** \brief Adopts \a evacuations, unless this or a newer revision is known here. */
+    void recordEvacuations(const Evacuations &evacuations);
 
     // Queries.
     const NodeName &self() const { return this->node; }
     RulesStatus status() const { return this->currentStatus; }
     const RulesFile &file() const { return this->currentFile; }
     const RuleSet &rules() const { return this->parsedRules; }
+    /** \returns the newest evacuations that this node has learned of, also before it has rules. */
+    const Evacuations &evacuations() const { return this->currentEvacuations; }
     RulesAcknowledgement acknowledgement() const;
     /** \returns the time since which a newer version than the one in force is known to be accepted,
      * or nothing if none is.
@@ -48,6 +52,7 @@
     RuleSet parsedRules;
     std::uint64_t newestAcceptedVersion = 0; ///< newest one that this node knows of
     TimePoint outdatedFrom; ///< valid while a newer version is known
+    Evacuations currentEvacuations;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Rules/ControlNode.cpp
+++ b/Hibiscus/src/Rules/ControlNode.cpp
@@ -12,9 +12,13 @@
 // repetition waits for copies as well.
 static ApplyResponse withoutReply(const ApplyResponse &response)
 {
-    return { .request = response.request,
-             .copies = response.copies,
-             .versionWithoutCopies = response.reply->version };
+    const std::optional<std::uint64_t> revision = response.reply->evacuationRevision;
+    ApplyResponse result = { .request = response.request, .copies = response.copies };
+    if (revision)
+        result.revisionWithoutCopies = revision;
+    else
+        result.versionWithoutCopies = response.reply->version;
+    return result;
 }
 
 } // namespace internal
@@ -53,8 +57,9 @@
 void ControlNode::receive(const FetchRules &fetch, TimePoint now, Outbox &out)
 {
     if (!this->replica().isLeader()) {
-        const bool hasNewer
-            = this->replica().hasCaughtUp() && this->state().version() > fetch.heldVersion;
+        const bool hasNewer = this->replica().hasCaughtUp()
+            && (this->state().version() > fetch.heldVersion
+                || this->state().evacuations().revision > fetch.heldRevision);
         if (fetch.acceptsLastKnown && hasNewer)
             out.updates.push_back({ .to = fetch.node, .update = this->wholeFile(false) });
         return;
@@ -79,7 +84,15 @@
 void ControlNode::apply(const RequestId &request, ApplyRules command, TimePoint now, Outbox &out)
 {
     command.at = now;
-    this->replicated.submit(request, command, now, out.log);
+    this->replicated.submit(request, { .body = std::move(command) }, now, out.log);
+    this->processReplicaOutput(now, out);
+}
+
+void ControlNode::apply(const RequestId &request, ChangeEvacuation command, TimePoint now,
+                        Outbox &out)
+{
+    command.at = now;
+    this->replicated.submit(request, { .body = std::move(command) }, now, out.log);
     this->processReplicaOutput(now, out);
 }
 
@@ -214,8 +227,10 @@
         if (const auto found = this->pendingReads.find(token); found != this->pendingReads.end()) {
             const RulesFile file
                 = { .version = this->state().version(), .text = this->state().text() };
-            out.readResponses.push_back(
-                { .request = found->second, .file = file, .source = this->state().source() });
+            out.readResponses.push_back({ .request = found->second,
+                                          .file = file,
+                                          .source = this->state().source(),
+                                          .evacuations = this->state().evacuations() });
             this->pendingReads.erase(found);
         }
         if (token == this->fetchToken)
@@ -243,13 +258,18 @@
     this->fetchToken.reset();
 }
 
+// Entry nodes learn of an evacuation by the lists of the registry nodes, in a part of the time that
+// they have for it, so its acknowledgement does not wait for them.
 void ControlNode::respondToApplies(TimePoint now, Outbox &out)
 {
     std::erase_if(this->pendingApplies, [&](PendingApply &pending) {
         ApplyResponse &response = pending.response;
         response.confirmed.clear();
         response.unconfirmed.clear();
+        const bool awaitsRecipients = !response.reply->evacuationRevision;
         for (const RulesRecipient &recipient : this->options.recipients) {
+            if (!awaitsRecipients)
+                break;
             const bool isInForce = this->isInForceAt(recipient.node, response.reply->version);
             (isInForce ? response.confirmed : response.unconfirmed).push_back(recipient);
         }
@@ -302,13 +322,17 @@
         return this->wholeFile(false);
     const RulesDelta delta = RulesDelta::between(base->second.text, this->state().text());
     return { .content = VersionedDelta { .version = this->state().version(), .delta = delta },
-             .sender = this->replica().self().node };
+             .sender = this->replica().self().node,
+             .evacuations = this->state().evacuations() };
 }
 
 RulesUpdate ControlNode::wholeFile(bool isConfirmed) const
 {
     const RulesFile file = { .version = this->state().version(), .text = this->state().text() };
-    return { .content = file, .isConfirmed = isConfirmed, .sender = this->replica().self().node };
+    return { .content = file,
+             .isConfirmed = isConfirmed,
+             .sender = this->replica().self().node,
+             .evacuations = this->state().evacuations() };
 }
 
 bool ControlNode::isInForceAt(const NodeName &node, std::uint64_t version) const
--- a/Hibiscus/src/Rules/ControlNode.h
+++ b/Hibiscus/src/Rules/ControlNode.h
@@ -53,6 +53,8 @@
      * may still be lost.
      */
     std::optional<std::uint64_t> versionWithoutCopies;
+    /** \brief The same for a change of the evacuations. */
+    std::optional<std::uint64_t> revisionWithoutCopies;
 
     auto operator<=>(const ApplyResponse &other) const = default;
 };
@@ -64,6 +66,7 @@
     std::optional<RulesFile> file; ///< no value if this member is not the leader
     std::string source; ///< the document that the rules were generated from; may be empty
     std::optional<NodeName> leader;
+    Evacuations evacuations; ///< the newest, confirmed by a quorum
 
     auto operator<=>(const RulesReadResponse &other) const = default;
 };
@@ -102,6 +105,8 @@
     void receive(const RulesAcknowledgement &acknowledgement, TimePoint now, Outbox &out);
     void receive(const FetchRules &fetch, TimePoint now, Outbox &out);
     void apply(const RequestId &request, ApplyRules command, TimePoint now, Outbox &out);
+    /** \brief Starts or finishes an evacuation; the response does not wait for entry nodes. */
+    void apply(const RequestId &request, ChangeEvacuation command, TimePoint now, Outbox &out);
     void requestRead(const RequestId &request, TimePoint now, Outbox &out);
     void tick(TimePoint now, Outbox &out);
     void requestJoin(const std::vector<NodeName> &nodes, Outbox &out) const;
--- a/Hibiscus/src/Rules/GatewayRules.cpp
+++ b/Hibiscus/src/Rules/GatewayRules.cpp
@@ -20,7 +20,8 @@
     const FetchRules fetch = { .node = held.node,
                                .acceptsLastKnown = false,
                                .heldVersion = held.version,
-                               .heldDigest = held.digest };
+                               .heldDigest = held.digest,
+                               .heldRevision = this->activeRules.evacuations().revision };
     std::vector<AddressedFetch> requests;
     requests.reserve(registries.size() + 1);
     for (const NodeName &registry : registries)
@@ -45,8 +46,10 @@
     // Members that are behind the others may not know it: a follower that is cut off, or a leader
     // that stood still while another one was elected.
     if (!update.isConfirmed && this->acceptsOnlyConfirmed(now)
-        && this->activeRules.status() == RulesStatus::None)
+        && this->activeRules.status() == RulesStatus::None) {
+        this->activeRules.recordEvacuations(update.evacuations);
         return RulesReceipt::Refused;
+    }
     const std::uint64_t previousVersion = this->activeRules.file().version;
     const RulesStatus previousStatus = this->activeRules.status();
     this->activeRules.receive(update);
@@ -73,10 +76,13 @@
 
 std::optional<RulesUpdate> GatewayRules::offerTo(const FetchRules &request, TimePoint now) const
 {
-    const bool isNewer = this->activeRules.file().version > request.heldVersion;
+    const bool isNewer = this->activeRules.file().version > request.heldVersion
+        || this->activeRules.evacuations().revision > request.heldRevision;
     if (!this->hasRules() || this->isOutdated(now) || !isNewer)
         return std::nullopt;
-    return RulesUpdate { .content = this->activeRules.file(), .sender = this->activeRules.self() };
+    return RulesUpdate { .content = this->activeRules.file(),
+                         .sender = this->activeRules.self(),
+                         .evacuations = this->activeRules.evacuations() };
 }
 
 void GatewayRules::recordStep(TimePoint now)
--- a/Hibiscus/src/Rules/GatewayRules.h
+++ b/Hibiscus/src/Rules/GatewayRules.h
@@ -60,6 +60,12 @@
         this->activeRules.recordAcceptedVersion(version, now);
     }
 
+    /** \brief Adopts \a evacuations, unless this or a newer revision is known here. */
+    void recordEvacuations(const Evacuations &evacuations)
+    {
+        this->activeRules.recordEvacuations(evacuations);
+    }
+
     // Queries.
     const ActiveRules &active() const { return this->activeRules; }
     /** \returns whether any rules were ever applied, and are known here. */
@@ -68,8 +74,8 @@
     bool isOutdated(TimePoint now) const;
     /** \returns the latest time at which a quorum confirmed the rules in force. */
     TimePoint confirmedAt() const { return this->latestConfirmationAt; }
-    /** \returns the rules for a peer that sends \a request; nothing if it holds them, or if
-     * requests may not be served by them here.
+    /** \returns the rules and evacuations for a peer that sends \a request; nothing if it holds
+     * them, or if requests may not be served by them here.
      */
     std::optional<RulesUpdate> offerTo(const FetchRules &request, TimePoint now) const;
 
--- a/Hibiscus/src/Rules/RulesMessage.h
+++ b/Hibiscus/src/Rules/RulesMessage.h
@@ -33,9 +33,10 @@
     bool isConfirmed = false; ///< a quorum confirmed that this is the newest accepted version
     bool isCatchUp = false; ///< sent to an outdated node, by a member that may lag behind
     NodeName sender;
+    Evacuations evacuations; ///< the newest that the sender knows
 
     auto operator<=>(const RulesUpdate &other) const = default;
-    HIBISCUS_FIELDS(content, isConfirmed, isCatchUp, sender)
+    HIBISCUS_FIELDS(content, isConfirmed, isCatchUp, sender, evacuations)
 };
 
 /** \brief What a RulesUpdate says of its version; for the log. */
@@ -68,9 +69,10 @@
     bool acceptsLastKnown = false;
     std::uint64_t heldVersion = 0; ///< the version in force on the node
     std::uint64_t heldDigest = 0; ///< digest of its file; 0: no rules are in force yet
+    std::uint64_t heldRevision = 0; ///< revision of the evacuations that the node knows
 
     auto operator<=>(const FetchRules &other) const = default;
-    HIBISCUS_FIELDS(node, acceptsLastKnown, heldVersion, heldDigest)
+    HIBISCUS_FIELDS(node, acceptsLastKnown, heldVersion, heldDigest, heldRevision)
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Rules/RulesState.cpp
+++ b/Hibiscus/src/Rules/RulesState.cpp
@@ -29,6 +29,36 @@
 
 } // namespace internal
 
+ApplyReply RulesState::apply(const RulesCommand &command)
+{
+    return std::visit(
+        Overloaded {
+            [this](const ApplyRules &rules) { return this->apply(rules); },
+            [this](const ChangeEvacuation &change) { return this->changeEvacuation(change); },
+        },
+        command.body);
+}
+
+// A change that was committed on too few disks may be lost after some nodes have learned of it. As
+// revisions follow the clock, a later change still has a higher one.
+ApplyReply RulesState::changeEvacuation(const ChangeEvacuation &command)
+{
+    const bool isRepeated
+        = this->currentEvacuations.domains.contains(command.domain) == command.isEvacuated;
+    if (!isRepeated) {
+        const auto time = static_cast<std::uint64_t>(
+            std::max<std::int64_t>(0, toMilliseconds(command.at.time_since_epoch())));
+        this->currentEvacuations.revision = std::max(this->currentEvacuations.revision + 1, time);
+        if (command.isEvacuated)
+            this->currentEvacuations.domains.insert(command.domain);
+        else
+            this->currentEvacuations.domains.erase(command.domain);
+    }
+    return { .status = ApplyStatus::Accepted,
+             .version = this->currentVersion,
+             .evacuationRevision = this->currentEvacuations.revision };
+}
+
 ApplyReply RulesState::apply(const ApplyRules &command)
 {
     const bool isAssigned = command.assignedVersion > 0;
@@ -91,17 +121,24 @@
 {
     Bytes bytes;
     internal::BinaryWriter archive(bytes);
-    archive(this->currentVersion, this->currentText, this->currentSource, this->changes);
+    archive(this->currentVersion, this->currentText, this->currentSource, this->changes,
+            this->currentEvacuations);
     return bytes;
 }
 
+// Snapshots from before there were evacuations end with the history.
 void RulesState::restore(const Bytes &bytes)
 {
     internal::BinaryReader archive(bytes);
     const std::uint64_t previousVersion = this->currentVersion;
+    const std::uint64_t previousRevision = this->currentEvacuations.revision;
     archive(this->currentVersion, this->currentText, this->currentSource, this->changes);
+    if (!archive.isAtEnd())
+        archive(this->currentEvacuations);
     HIBISCUS_INVARIANT(this->currentVersion >= previousVersion,
                        "the version of the rules never decreases");
+    HIBISCUS_INVARIANT(this->currentEvacuations.revision >= previousRevision,
+                       "the revision of the evacuations never decreases");
     this->historyBytes = 0;
     for (const RulesChange &change : this->changes)
         this->historyBytes += encode(change).size();
--- a/Hibiscus/src/Rules/RulesState.h
+++ b/Hibiscus/src/Rules/RulesState.h
@@ -1,38 +1,23 @@
 #pragma once
 
 #include "Hibiscus/src/Rules/RuleSet.h"
+#include "Hibiscus/src/Rules/RulesCommand.h"
 #include "Hibiscus/src/Rules/RulesDelta.h"
 
+#include <Hibiscus/Membership>
+
 #include <deque>
 
 namespace Hibiscus {
 
-/** \brief A command to replace the rules file, if it still has the version that the author saw. */
-struct ApplyRules
-{
-    std::string applyId; ///< identifies the command across resends
-    std::uint64_t expectedVersion = 0;
-    std::string author;
-    std::string text;
-    TimePoint at; ///< set by the control group's leader
-    /** \brief The version number, if assigned by an external system: the highest one wins, whatever
-     * the order of arrival. 0: the next version is used, if expectedVersion is the current one.
-     */
-    std::uint64_t assignedVersion = 0;
-    std::string source; ///< the document that the text was generated from, returned to readers
-
-    auto operator<=>(const ApplyRules &other) const = default;
-    HIBISCUS_FIELDS(applyId, expectedVersion, author, text, at, assignedVersion, source)
-};
-
-/** \brief The outcome of an ApplyRules command. */
+/** \brief The outcome of a RulesCommand. */
 enum class ApplyStatus : std::uint8_t {
-    Accepted, ///< accepted as ApplyReply::version
+    Accepted, ///< accepted as ApplyReply::version, or as ApplyReply::evacuationRevision
     Conflict, ///< another change came first; see ApplyReply::conflictingAuthor
     Invalid ///< the file has an error and was rejected as a whole
 };
 
-/** \brief The state machine's reply to an ApplyRules command. */
+/** \brief The state machine's reply to a RulesCommand. */
 struct ApplyReply
 {
     ApplyStatus status = ApplyStatus::Invalid;
@@ -41,9 +26,11 @@
     std::string conflictingAuthor; ///< on a conflict: author of the current version
     std::vector<std::string>
         conflictingLines; ///< on a conflict: first lines that this author inserted
+    /** \brief The revision with the change, if the command was a ChangeEvacuation. */
+    std::optional<std::uint64_t> evacuationRevision;
 
     auto operator<=>(const ApplyReply &other) const = default;
-    HIBISCUS_FIELDS(status, version, error, conflictingAuthor, conflictingLines)
+    HIBISCUS_FIELDS(status, version, error, conflictingAuthor, conflictingLines, evacuationRevision)
 };
 
 /** \brief One accepted change of the rules file. */
@@ -59,15 +46,19 @@
     HIBISCUS_FIELDS(version, applyId, author, at, lines)
 };
 
-/** \brief The state machine of the control group: the rules file, its version and its history. */
+/** \brief The state machine of the control group: the rules file, its version and its history, and
+ * the evacuated failure domains.
+ */
 class RulesState
 {
 public:
-    using CommandType = ApplyRules;
+    using CommandType = RulesCommand;
     using ReplyType = ApplyReply;
 
     // Commands.
+    ApplyReply apply(const RulesCommand &command);
     ApplyReply apply(const ApplyRules &command);
+    ApplyReply changeEvacuation(const ChangeEvacuation &command);
     void restore(const Bytes &bytes);
 
     // Queries.
@@ -76,6 +67,7 @@
     const std::string &text() const { return this->currentText; }
     const std::string &source() const { return this->currentSource; }
     const std::deque<RulesChange> &history() const { return this->changes; }
+    const Evacuations &evacuations() const { return this->currentEvacuations; }
 
 private:
     ApplyReply conflict() const;
@@ -87,6 +79,7 @@
     std::string currentSource;
     std::deque<RulesChange> changes;
     std::size_t historyBytes = 0; ///< encoded size of the changes
+    Evacuations currentEvacuations;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Settings/NodeProfile.cpp
+++ b/Hibiscus/src/Settings/NodeProfile.cpp
@@ -26,6 +26,8 @@
     NodeProfile profile;
     profile.label = json.at("node").get<std::string>();
     profile.domain = DomainName(json.at("domain").get<std::string>());
+    for (const std::string &domain : json.value("domains", std::vector<std::string>()))
+        profile.domains.emplace_back(domain);
     profile.ip = json.at("ip").get<std::string>();
     profile.peerAddress = json.at("peer_address").get<std::string>();
     profile.targetsAddress = json.value("targets_address", withNextPort(profile.peerAddress));
--- a/Hibiscus/src/Settings/NodeProfile.h
+++ b/Hibiscus/src/Settings/NodeProfile.h
@@ -11,6 +11,10 @@
 {
     std::string label; ///< name of the node in logs
     DomainName domain;
+    /** \brief Names of all failure domains; may be empty, then they are learned from announcements
+     * of nodes and targets.
+     */
+    std::vector<DomainName> domains;
     std::string ip;
     std::string peerAddress; ///< IP:port for the other nodes; the same port on every node
     /** \brief IP:port for heartbeats of targets; by default the port after that of peerAddress. */
--- a/Hibiscus/src/Settings/NodeProfileSchema.h
+++ b/Hibiscus/src/Settings/NodeProfileSchema.h
@@ -10,6 +10,7 @@
   "properties": {
     "node": { "type": "string", "minLength": 1 },
     "domain": { "type": "string", "minLength": 1 },
+    "domains": { "type": "array", "items": { "type": "string", "minLength": 1 } },
     "ip": { "type": "string", "minLength": 7 },
     "peer_address": { "$ref": "#/definitions/address" },
     "targets_address": { "$ref": "#/definitions/address" },
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -84,6 +84,46 @@
     EXPECT_FALSE(std::get<TargetHeartbeat>(request).isLeaving);
 }
 
+ControlRequest parseEvacuation(const std::string &path, const std::string &method = "POST")
+{
+    return protocol.readControlRequest({ .method = method, .path = path });
+}
+
+TEST(Platform, EvacuationsAreStartedAndFinished)
+{
+    EXPECT_EQ(parseEvacuation("/api/evacuate/thu-duc/start"),
+              ControlRequest(ChangeEvacuationRequest { .domain = DomainName("thu-duc"),
+                                                       .isEvacuated = true }));
+    EXPECT_EQ(parseEvacuation("/api/evacuate/a/finish"),
+              ControlRequest(ChangeEvacuationRequest { .domain = DomainName("a") }));
+}
+
+// Guards against an evacuation of another domain than the operator means, and against a final
+// refusal of calls that are not known here.
+TEST(Platform, UnreadableEvacuationsAreMalformed)
+{
+    for (const char *path :
+         { "/api/evacuate/", "/api/evacuate/a", "/api/evacuate//start", "/api/evacuate/a/",
+           "/api/evacuate/a/stop", "/api/evacuate/a/start/", "/api/evacuate/a/b/start",
+           "/api/evacuate/a\"/start", "/api/evacuate/\xff/start" })
+        EXPECT_TRUE(std::holds_alternative<Malformed>(parseEvacuation(path))) << path;
+    const std::string longName(300, 'a');
+    EXPECT_TRUE(
+        std::holds_alternative<Malformed>(parseEvacuation("/api/evacuate/" + longName + "/start")));
+    EXPECT_TRUE(
+        std::holds_alternative<Unsupported>(parseEvacuation("/api/evacuate/a/start", "GET")));
+    EXPECT_TRUE(std::holds_alternative<Unsupported>(parseEvacuation("/api/evacuate")));
+}
+
+TEST(Platform, AHeartbeatTellsHowLongATargetStaysCold)
+{
+    Json body = heartbeatBody();
+    body["cold_remaining_ms"] = 2500;
+    const ControlRequest request = parseHeartbeat(body.dump());
+    ASSERT_TRUE(std::holds_alternative<TargetHeartbeat>(request));
+    EXPECT_EQ(std::get<TargetHeartbeat>(request).target.coldRemaining, 2500ms);
+}
+
 TEST(Platform, ADeregistrationDescribesALeavingTarget)
 {
     const ControlRequest request = protocol.readControlRequest(
--- a/test/RulesDistributionTest.cpp
+++ b/test/RulesDistributionTest.cpp
@@ -104,6 +104,18 @@
         this->deliverMessages(this->leaderName(), out);
     }
 
+    /** \brief Starts or finishes an evacuation at \a member, as request \a number. */
+    void changeEvacuation(const NodeName &member, std::uint64_t number, const std::string &domain,
+                          bool isEvacuated)
+    {
+        const ChangeEvacuation command
+            = { .domain = DomainName(domain), .isEvacuated = isEvacuated };
+        ControlNode::Outbox out;
+        this->members.at(member).apply({ .node = NodeName("o"), .number = number }, command,
+                                       this->now, out);
+        this->deliverMessages(member, out);
+    }
+
     /** \returns the responses to a read of the rules at the leader. */
     std::vector<RulesReadResponse> read()
     {
@@ -498,4 +510,147 @@
     EXPECT_FALSE(activeRules.outdatedSince());
 }
 
+const std::set<DomainName> domainA = { DomainName("a") };
+
+// Guards against the loss of an evacuation that was acknowledged as early as possible, together
+// with any two disks, and against members that differ.
+TEST(EvacuationDistribution, AcknowledgedEvacuationSurvivesTheLossOfAnyTwoDisks)
+{
+    const std::vector<NodeName> nodes
+        = { NodeName("r1"), NodeName("r2"), NodeName("r3"), NodeName("r4"), NodeName("r5") };
+    for (std::size_t first = 0; first < nodes.size(); ++first)
+        for (std::size_t second = first + 1; second < nodes.size(); ++second) {
+            ControlGroup group({ "r1", "r2", "r3" }, 5, 3);
+            group.addNode("r4");
+            group.addNode("r5");
+            group.run(8s);
+            group.changeEvacuation(group.leaderName(), 1, "a", true);
+            const auto response = group.takeResponse(1);
+            ASSERT_TRUE(response);
+            ASSERT_TRUE(response->reply);
+            EXPECT_GE(response->copies, 3U);
+            std::vector<NodeName> kept = nodes;
+            std::erase_if(kept, [&](const NodeName &node) {
+                return node == nodes[first] || node == nodes[second];
+            });
+            group.restart(kept);
+            group.addNode(nodes[first].str());
+            group.addNode(nodes[second].str());
+            group.run(8s);
+            ASSERT_FALSE(group.leaderName().isEmpty());
+            for (const NodeName &node : nodes) {
+                EXPECT_EQ(group.member(node).state().evacuations().domains, domainA);
+                EXPECT_EQ(group.member(node).state().evacuations().revision,
+                          response->reply->evacuationRevision);
+            }
+        }
+}
+
+// Guards against an evacuation that is in force after its acknowledgement was refused, but may be
+// lost.
+TEST(EvacuationDistribution, IsNotAcknowledgedWithoutCopies)
+{
+    ControlGroup group({ "r1", "r2", "r3" }, 5, 3);
+    group.run(3s);
+    group.removeNode(group.followerName());
+    group.changeEvacuation(group.leaderName(), 1, "a", true);
+    EXPECT_FALSE(group.takeResponse(1));
+    group.run(4s);
+    const auto response = group.takeResponse(1);
+    ASSERT_TRUE(response);
+    EXPECT_FALSE(response->reply);
+    EXPECT_TRUE(response->revisionWithoutCopies);
+    EXPECT_FALSE(response->versionWithoutCopies);
+    group.addNode("r4");
+    group.run(1s);
+    group.changeEvacuation(group.leaderName(), 2, "a", true);
+    group.run(500ms);
+    const auto repeated = group.takeResponse(2);
+    ASSERT_TRUE(repeated);
+    ASSERT_TRUE(repeated->reply);
+    EXPECT_EQ(repeated->reply->evacuationRevision, response->revisionWithoutCopies)
+        << "a repeated request makes no change";
+}
+
+// Guards against a member without a quorum that tells the operator of success, and against an
+// acknowledgement that waits for gateways.
+TEST(EvacuationDistribution, OnlyTheLeaderOfAQuorumAcknowledges)
+{
+    ControlGroup group({ "r1", "r2", "r3" });
+    group.run(3s);
+    group.announce({ .node = gateway, .version = 0, .digest = digestOf("") });
+    const NodeName leader = group.leaderName();
+    const NodeName follower = group.followerName();
+    group.changeEvacuation(follower, 1, "a", true);
+    const auto redirected = group.takeResponse(1);
+    ASSERT_TRUE(redirected);
+    EXPECT_FALSE(redirected->reply);
+    EXPECT_EQ(redirected->leader, leader);
+    group.changeEvacuation(leader, 2, "a", true);
+    const auto acknowledged = group.takeResponse(2);
+    ASSERT_TRUE(acknowledged);
+    EXPECT_TRUE(acknowledged->reply);
+    for (const NodeName &name : group.names())
+        if (name != leader)
+            group.removeNode(name);
+    group.changeEvacuation(leader, 3, "a", false);
+    group.run(5s);
+    const auto refused = group.takeResponse(3);
+    ASSERT_TRUE(refused);
+    EXPECT_FALSE(refused->reply);
+    EXPECT_FALSE(refused->leader);
+    EXPECT_EQ(group.member(leader).state().evacuations().domains, domainA);
+}
+
+// Guards against crossing requests after which members differ, or a read that is older than what
+// was acknowledged.
+TEST(EvacuationDistribution, OrderInTheLogDecidesAndReadsAreNeverOlder)
+{
+    ControlGroup group({ "r1", "r2", "r3" });
+    group.run(3s);
+    std::uint64_t latest = 0;
+    for (std::uint64_t number = 1; number <= 40; ++number) {
+        group.changeEvacuation(group.leaderName(), number, number % 3 == 0 ? "b" : "a",
+                               number % 2 == 0);
+        const auto response = group.takeResponse(number);
+        ASSERT_TRUE(response && response->reply);
+        EXPECT_GE(response->reply->evacuationRevision, latest);
+        latest = *response->reply->evacuationRevision;
+        const std::vector<RulesReadResponse> reads = group.read();
+        ASSERT_EQ(reads.size(), 1U);
+        EXPECT_EQ(reads[0].evacuations.revision, latest);
+    }
+    group.run(1s);
+    for (const NodeName &name : group.names())
+        EXPECT_EQ(group.member(name).state().evacuations(), group.leader().state().evacuations());
+    EXPECT_GT(group.leader().replica().snapshotIndex(), 1U) << "the log was compacted";
+}
+
+// Guards against a restarted gateway that starts runs in an evacuated domain: its first rules bring
+// the evacuations, also where it holds the rules already or a member offers its last known ones.
+TEST(EvacuationDistribution, FirstRulesBringTheEvacuations)
+{
+    ControlGroup group({ "r1", "r2", "r3" });
+    group.run(3s);
+    group.apply(5, rulesText);
+    group.changeEvacuation(group.leaderName(), 1, "a", true);
+    group.run(1s);
+    const std::uint64_t digest = digestOf(rulesText);
+    for (const FetchRules &fetch :
+         { FetchRules { .node = gateway },
+           FetchRules { .node = gateway, .heldVersion = 5, .heldDigest = digest } }) {
+        const auto updates = group.updatesInReplyTo(group.leaderName(), fetch);
+        ASSERT_EQ(updates.size(), 1U);
+        EXPECT_TRUE(updates[0].update.isConfirmed);
+        EXPECT_EQ(updates[0].update.evacuations.domains, domainA);
+    }
+    FetchRules lastKnown
+        = { .node = gateway, .acceptsLastKnown = true, .heldVersion = 5, .heldDigest = digest };
+    const auto updates = group.updatesInReplyTo(group.followerName(), lastKnown);
+    ASSERT_EQ(updates.size(), 1U);
+    EXPECT_EQ(updates[0].update.evacuations.domains, domainA);
+    lastKnown.heldRevision = updates[0].update.evacuations.revision;
+    EXPECT_TRUE(group.updatesInReplyTo(group.followerName(), lastKnown).empty());
+}
+
 } // namespace
--- a/test/support/FleetSimulation.cpp
+++ b/test/support/FleetSimulation.cpp
@@ -17,6 +17,10 @@
 constexpr Duration heartbeatTimeout = 1s; ///< time until a target calls the next node
 /** \brief Time after the acknowledgement of a departure in which work may still be started. */
 constexpr Duration drainTime = 2s;
+/** \brief Longest time until a gateway learns of an evacuation: two lists of a registry node. */
+constexpr int maxEvacuationDelayMs = 1000;
+/** \brief Time after its acknowledgement in which runs may still be started there. */
+constexpr Duration evacuationTime = 2s;
 /** \brief Time after a fault of a gateway in which that is not required of it. */
 constexpr Duration contactTime = 3s;
 constexpr Duration initialUptime = 100s; ///< of the targets at the begin of a simulation
@@ -125,6 +129,8 @@
     gateway.isDark = false;
     gateway.resumedAt = this->now();
     gateway.deferredWork.clear();
+    if (nodeOptions.owner.awaitsEvacuations)
+        this->sendEvacuations(gateway);
     for (const auto &[name, other] : this->gateways)
         gateway.node->updatePeer(this->recordOf(*other), this->clockOf(gateway));
     const auto tick = std::make_shared<std::function<void()>>();
@@ -444,6 +450,7 @@
     }
     this->checkConcurrentRuns(target, order.run, from);
     this->checkDeparture(target, order.run, from);
+    this->checkEvacuation(target, order.run, from);
     if (this->refusedJobs.contains(order.run.job))
         this->recordViolation("job " + order.run.job
                               + " was refused, but one of its tasks is started");
@@ -498,6 +505,52 @@
             + " ms before that it leaves, at " + std::to_string(this->secondsSinceStart()) + " s");
 }
 
+void FleetSimulation::setEvacuatedDomains(const std::set<std::string> &domains)
+{
+    std::erase_if(this->evacuatedAt,
+                  [&](const auto &item) { return !domains.contains(item.first.str()); });
+    for (const std::string &domain : domains)
+        this->evacuatedAt.try_emplace(DomainName(domain), this->now());
+    for (const auto &[name, gateway] : this->gateways)
+        this->sendEvacuations(*gateway);
+}
+
+void FleetSimulation::sendEvacuations(Gateway &gateway)
+{
+    std::uniform_int_distribution<int> delay(0, maxEvacuationDelayMs);
+    this->scheduler.after(std::chrono::milliseconds(delay(this->random)), [this, &gateway] {
+        this->deliver(gateway, this->costOf(&FleetProcessor::perMessage),
+                      [this](FleetNode &node, TimePoint now) {
+                          std::set<DomainName> domains;
+                          for (const auto &[domain, since] : this->evacuatedAt)
+                              domains.insert(domain);
+                          node.setEvacuatedDomains(domains, now);
+                      });
+    });
+}
+
+void FleetSimulation::cool(const std::string &domain, Duration span)
+{
+    for (auto &[name, target] : this->targets)
+        if (target.description.domain == DomainName(domain))
+            target.coldUntil = this->now() + span;
+}
+
+void FleetSimulation::checkEvacuation(const FleetTarget &target, const RunName &run,
+                                      const Sender &from)
+{
+    const auto evacuated = this->evacuatedAt.find(target.description.domain);
+    const bool isAllowed = from.isLate || evacuated == this->evacuatedAt.end()
+        || this->now() <= evacuated->second + evacuationTime
+        || this->now() < from.gateway->resumedAt + contactTime;
+    if (!isAllowed)
+        this->recordViolation(toString(run) + " is started by " + from.gateway->name + " on "
+                              + describe(target) + ", whose domain was evacuated "
+                              + std::to_string(toMilliseconds(this->now() - evacuated->second))
+                              + " ms before, at " + std::to_string(this->secondsSinceStart())
+                              + " s");
+}
+
 bool FleetSimulation::hasCapacityFor(const FleetTarget &target, const RunName &run) const
 {
     Capacity used = this->demands.at(run.job);
@@ -673,6 +726,7 @@
     FleetTarget &target = this->targets.at(name);
     if (!target.isUp)
         return;
+    target.description.coldRemaining = std::max(target.coldUntil - this->now(), Duration());
     ++target.description.sequence;
     target.description.clockMs = this->clockMsOf(target);
     const std::string to = target.heartbeatGateway;
--- a/test/support/FleetSimulation.h
+++ b/test/support/FleetSimulation.h
@@ -126,6 +126,7 @@
     std::string heartbeatGateway; ///< name of a gateway; empty: any
     std::optional<TimePoint> departureAcknowledgedAt; ///< of its announcement that it leaves
     TimePoint silentUntil; ///< it sends no heartbeats until then
+    TimePoint coldUntil; ///< its heartbeats say so
     double answeredWithErrorShare = 0; ///< share of executed starts that it answers with an error
     std::set<std::string> unreachableGateways; ///< gateways that cannot reach it
     std::map<std::string, PathLoss> pathLosses; ///< by gateway
@@ -180,6 +181,12 @@
     /** \brief Makes runs that \a target starts from now on take \a factor times as long. */
     void slowDown(const std::string &target, double factor);
     void setDraining(const std::string &target);
+    /** \brief Acknowledges that \a domains are evacuated from now on, and no others. Each gateway
+     * learns of it a little later, or after its next start.
+     */
+    void setEvacuatedDomains(const std::set<std::string> &domains);
+    /** \brief Makes the targets of \a domain cold for \a span. */
+    void cool(const std::string &domain, Duration span);
     /** \brief Restarts \a target under its name after \a downFor. Its first heartbeat follows after
      * \a heartbeatDelay; orders reach it before.
      */
@@ -275,6 +282,8 @@
     bool hasCapacityFor(const FleetTarget &target, const RunName &run) const;
     void renewLease(FleetTarget &target, std::optional<std::int64_t> expiryMs);
     void checkDeparture(const FleetTarget &target, const RunName &run, const Sender &from);
+    void checkEvacuation(const FleetTarget &target, const RunName &run, const Sender &from);
+    void sendEvacuations(Gateway &gateway);
     void checkConcurrentRuns(const FleetTarget &target, const RunName &run, const Sender &from);
     void endRun(FleetTarget &target, const RunName &run, TargetRunEnd end);
     void expireLease(FleetTarget &target);
@@ -314,6 +323,7 @@
     std::mt19937_64 random;
     std::map<std::string, std::unique_ptr<Gateway>> gateways;
     std::map<std::string, FleetTarget> targets;
+    std::map<DomainName, TimePoint> evacuatedAt; ///< since when each domain is evacuated
     OwnerAssignment ownerAssignment { OwnerAssignmentOptions {} }; ///< of the registry node
     std::map<std::uint64_t, Caller> callers;
     std::map<std::string, std::vector<Duration>> taskTimes; ///< run times at speed 1, by job
