--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hibiscus/src/Fleet/EvacuatedTargets.h"
 #include "Hibiscus/src/Fleet/Fitness.h"
 #include "Hibiscus/src/Fleet/FleetMessage.h"
 #include "Hibiscus/src/Fleet/RunAssessment.h"
@@ -48,6 +49,10 @@
      * that the job's messages may have been delayed.
      */
     Duration maxOvertime = 900ms;
+    /** \brief Whether nothing is started before the first setEvacuatedDomains(), since the node may
+     * have known of an evacuation before its restart.
+     */
+    bool awaitsEvacuations = false;
 };
 
 /** \brief Requester of a run: one incarnation of an entry node. */
@@ -76,6 +81,7 @@
     std::uint64_t failed = 0;
     std::uint64_t notStarted = 0;
     std::uint64_t returned = 0; ///< returned, since another owner had free capacity
+    std::uint64_t evacuated = 0; ///< returned, since only evacuated targets could run them
     std::uint64_t stopped = 0;
     std::uint64_t lost = 0;
     std::uint64_t adoptedTargets = 0; ///< targets taken over
@@ -159,7 +165,9 @@
      */
     using ReserveCapacity = std::function<bool(const RunRequest &, const RunBounds &)>;
 
-    explicit FleetOwner(const FleetOwnerOptions &options) : options(options) { }
+    explicit FleetOwner(const FleetOwnerOptions &options)
+        : options(options), evacuatedTargets(options.awaitsEvacuations)
+    { }
 
     // Commands.
     /** \brief Adds \a target, or updates it from a newer heartbeat. */
@@ -194,6 +202,10 @@
      * \a reserveCapacity finds capacity elsewhere.
      */
     void returnQueuedRuns(const ReserveCapacity &reserveCapacity, TimePoint now);
+    /** \brief Starts no run in \a domains from now on. Runs there go on; queued ones that have no
+     * other target here are returned to their coordinators.
+     */
+    void setEvacuatedDomains(const std::set<DomainName> &domains, TimePoint now);
     /** \brief Stops new work until each target has responded again, after this node stalled. */
     void invalidateTargetContacts(TimePoint now);
     /** \brief Marks all run ends of \a requester as reported. */
@@ -275,6 +287,20 @@
     bool canRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
     /** \returns whether \a run can start on the target once it has room. */
     bool couldRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
+    bool acceptsRuns(const TargetDriver &driver, TimePoint now) const
+    {
+        return driver.acceptsWork(now) && this->evacuatedTargets.mayStartOn(driver.target().domain);
+    }
+    Capacity usableCapacity(const TargetDriver &driver, TimePoint now) const
+    {
+        return this->evacuatedTargets.usableCapacity(driver.target(), driver.free(), now);
+    }
+    /** \returns whether all own targets that could ever execute \a run are being evacuated, and
+     * there are any.
+     */
+    bool hasOnlyEvacuatedTargets(const HeldRun &run) const;
+    void returnEvacuatedRuns(TimePoint now);
+    void returnRun(HeldRun &run, TimePoint now);
     bool isTaskRunning(const RunName &run) const;
     bool shouldWaitForFasterTarget(const HeldRun &run, TimePoint now) const;
     void stopStragglers(TimePoint now);
@@ -302,6 +328,7 @@
     std::vector<LeasedTarget> releasedTargets;
     Runs runs;
     RunTimes runTimes;
+    EvacuatedTargets evacuatedTargets;
     DriverOutbox out;
     std::vector<TargetChange> changes;
     std::vector<AttemptRecord> attempts;
