--- a/Hibiscus/src/Settings/NodeProfile.cpp
+++ b/Hibiscus/src/Settings/NodeProfile.cpp
@@ -38,6 +38,8 @@
     profile.dataFolder = json.value("data_folder", "");
     profile.toleratedLosses = json.value("tolerated_losses", profile.toleratedLosses);
     profile.processorShare = json.value("processor_share", profile.processorShare);
+    profile.memoryMb = json.value("memory_mb", profile.memoryMb);
+    profile.maxDescriptors = json.value("max_fds", profile.maxDescriptors);
     constexpr double millisecondsPerSecond = 1000;
     const auto milliseconds = [&](const char *key, Duration fallback) {
         return json.contains(key) ? fromSeconds(json.at(key).get<double>() / millisecondsPerSecond)
--- a/Hibiscus/src/Settings/NodeProfile.h
+++ b/Hibiscus/src/Settings/NodeProfile.h
@@ -29,6 +29,9 @@
     /** \brief Number of disks that may be lost at once without losing rules. */
     std::uint32_t toleratedLosses = 1;
     double processorShare = 1; ///< available processor time, in cores
+    /** \brief Memory of the process, in megabytes; by default that of the smallest supported VM. */
+    std::uint32_t memoryMb = 120;
+    std::uint32_t maxDescriptors = 0; ///< that the process may open; 0: as the system says
     Duration lease = 1s; ///< maximum lease that targets grant
     Duration stopTimeout = 6s; ///< time in which the process must exit after a request to stop
     Duration heartbeat = 1500ms; ///< interval between heartbeats of a target
--- a/Hibiscus/src/Settings/NodeProfileSchema.h
+++ b/Hibiscus/src/Settings/NodeProfileSchema.h
@@ -24,6 +24,8 @@
     "data_folder": { "type": "string" },
     "tolerated_losses": { "type": "integer", "minimum": 0, "maximum": 3 },
     "processor_share": { "type": "number", "exclusiveMinimum": 0, "maximum": 10000 },
+    "memory_mb": { "type": "integer", "minimum": 1, "maximum": 1000000 },
+    "max_fds": { "type": "integer", "minimum": 1, "maximum": 10000000 },
     "lease_ms": { "type": "number", "minimum": 1, "maximum": 86400000 },
     "stop_bound_s": { "type": "number", "minimum": 0, "maximum": 86400 },
     "heartbeat_ms": { "type": "number", "minimum": 1, "maximum": 86400000 },
--- a/scripts/loopback_fleet.py
+++ b/scripts/loopback_fleet.py
@@ -213,7 +213,8 @@
     """
 
     def __init__(self, binaries, gateways, targets, domains=3, registries=3, network=1,
-                 tolerated_losses=None, services=(SERVICE,)):
+                 tolerated_losses=None, services=(SERVICE,), settings=None):
+        self.settings = settings or {}  # of each process, besides the usual ones
         self.binaries = pathlib.Path(binaries)
         self.folder = tempfile.TemporaryDirectory(ignore_cleanup_errors=True)
         self.domains = domains
@@ -236,7 +237,7 @@
                     "registry_seeds": [f"{r}:{CONTROL_PORT}" for r in self.registries],
                     "tolerated_losses": self.tolerated_losses, "is_first_start": True,
                     "processor_share": 0.1, "lease_ms": LONGEST_LEASE_MS, "stop_bound_s": 6,
-                    "heartbeat_ms": 1500}
+                    "heartbeat_ms": 1500} | self.settings
         if role == "gateway":
             settings |= {"callers_address": f"{ip}:{CALLER_PORT}", "readiness_address": f"{ip}:{READY_PORT}"}
         else:
