Limits: one budget of memory for all connections of a process

Cause: h2o reads a whole request into the buffer of its connection before a handler sees it, up to 4 MB (24 MB between processes) each and without a sum; buffers kept the size of their largest request; connections and their times had no bound but 75 s; the configuration's limits were ignored. Change: MemoryBudget decides without sockets; HttpServer accounts for each connection after each read. Over the budget (a quarter of memory_mb) the largest unfinished request is closed first, a whole one never; it is refused with 503 before it is looked at while those in progress take half. Bounds of connections (max_fds), headers and their time, bodies and answers; max_body_bytes of the configuration is in force at the callers' port (413). Buffers and free memory are given back. parseJson is linear and reads at most 300,000 values. Lines on refusals are bounded, closed connections counted by reason. A limit for each client address is not built. Not run yet when this was written: the unit tests, and all other tests.

--- a/Hibiscus/src/Core/Json.h
+++ b/Hibiscus/src/Core/Json.h
@@ -6,20 +6,19 @@
 namespace Hibiscus {
 
 /** \brief Number of levels of a document that are kept; those that this system reads have fewer. */
-inline constexpr int maxJsonDepth = 16;
+inline constexpr std::size_t maxJsonDepth = 16;
+/** \brief Number of values of a document that this system reads. A configuration of the largest
+ * size has fewer, since its names and values are several bytes long.
+ */
+inline constexpr std::size_t maxJsonValues = 300'000;
 
 /** \returns the document in \a text, without the values nested deeper than maxJsonDepth; discarded
- * if it is no JSON.
+ * if it is no JSON, or has more than maxJsonValues.
  *
  * Copies and comparisons of a document recurse, so its depth must not depend on the sender. A value
  * that is too deep becomes an empty one, so that it does not hide the other entries of its list.
+ * A value takes many times the memory of its text, if that has two or three bytes.
  */
-inline nlohmann::json parseJson(const std::string &text)
-{
-    const auto isKept = [](int depth, nlohmann::json::parse_event_t, const nlohmann::json &) {
-        return depth <= maxJsonDepth;
-    };
-    return nlohmann::json::parse(text, isKept, false);
-}
+nlohmann::json parseJson(const std::string &text);
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Net/EventLoop.cpp
+++ b/Hibiscus/src/Net/EventLoop.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <malloc.h>
 
 namespace Hibiscus {
 
@@ -17,6 +18,14 @@
                                                 + std::chrono::nanoseconds(time.tv_nsec));
 }
 
+/** \brief Returns free memory to the system: the allocator keeps what many connections freed. */
+static void releaseFreeMemory()
+{
+#ifdef __GLIBC__
+    ::malloc_trim(0);
+#endif
+}
+
 } // namespace internal
 
 EventLoop::EventLoop()
@@ -59,6 +68,9 @@
             this->latestTickDelay = now - nextTickAt;
             nextTickAt = now + interval;
             onTick();
+            this->memoryBudget.tick(now);
+            if (this->memoryBudget.takeRelease(now))
+                internal::releaseFreeMemory();
         }
         afterIteration();
         // h2o frees closed sockets at the start of a run. One that was written to and closed since
--- a/Hibiscus/src/Net/EventLoop.h
+++ b/Hibiscus/src/Net/EventLoop.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Hibiscus/src/Net/MemoryBudget.h"
+
 #include <Hibiscus/Core>
 
 #include <functional>
@@ -33,12 +35,15 @@
      */
     void run(Duration interval, const Callback &onTick, const Callback &afterIteration);
     void stop() { this->isRunning = false; }
+    /** \brief The budget of the connections that all servers on this loop accept. */
+    MemoryBudget &memory() { return this->memoryBudget; }
 
     // Queries.
     /** \returns the current time, which never decreases while the process runs. */
     TimePoint now() const;
     /** \returns the delay of the latest tick behind its scheduled time. */
     Duration tickDelay() const { return this->latestTickDelay; }
+    const MemoryBudget &memory() const { return this->memoryBudget; }
     h2o_loop_t *native() const { return this->loop; }
 
 private:
@@ -63,6 +68,7 @@
     TimePoint startWallTime;
     Duration startBootTime {};
     Duration latestTickDelay {};
+    MemoryBudget memoryBudget;
     bool isRunning = false;
 };
 
--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -36,6 +37,54 @@
     return authority.substr(0, authority.find(':'));
 }
 
+/** \brief Capacity from which the buffer of an idle connection is freed: several ordinary requests.
+ */
+constexpr std::size_t maxIdleBufferBytes = 16'384;
+
+/** \returns the response that tells why a request is not handled, or an empty one. */
+static std::string_view refusalFor(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::HeaderSize:
+        return "HTTP/1.1 431 Error\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    case CloseReason::HeaderTime:
+    case CloseReason::BodyTime:
+        return "HTTP/1.1 408 Error\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    case CloseReason::Memory:
+    case CloseReason::Connections:
+        return "HTTP/1.1 503 Error\r\nconnection: close\r\nretry-after: 1\r\n"
+               "content-length: 0\r\n\r\n";
+    case CloseReason::AnswerTime:
+        break;
+    }
+    return {};
+}
+
+// h2o doubles a buffer that is full, so at least half of it has been written; chunks are decoded in
+// their place, so what is left of them may be a small part of that.
+/** \returns the memory that \a input takes. */
+static std::size_t memoryOf(const h2o_buffer_t *input)
+{
+    return std::max(input->size, input->capacity / 2);
+}
+
+/** \returns the size of the headers in \a input, with the empty line at their end, or nothing. The
+ * first \a searched bytes are known to have no such line.
+ */
+static std::optional<std::size_t> headerBytes(std::string_view input, std::size_t searched)
+{
+    constexpr std::size_t overlap = 3; // an empty line may have arrived in part
+    std::size_t at = searched < overlap ? 0 : searched - overlap;
+    while ((at = input.find('\n', at)) != std::string_view::npos) {
+        ++at;
+        if (input.substr(at, 1) == "\n")
+            return at + 1;
+        if (input.substr(at, 2) == "\r\n")
+            return at + 2;
+    }
+    return std::nullopt;
+}
+
 /** \returns whether the client has closed, or reset, the connection \a socketFd. */
 static bool isClosedByClient(int socketFd)
 {
@@ -58,10 +107,9 @@
 {
     h2o_config_init(&this->config);
     this->config.max_request_entity_size = options.maxBodyBytes;
-    // Bodies over HTTP/2 are not in the buffers of their connections.
+    // Bodies over HTTP/2 are not in the buffers of their connections, and can't be accounted for.
     // Its requests share a connection, which can be watched for one request only.
-    if (options.maxOpenBodyBytes > 0 || options.onDisconnect)
-        this->config.http1.upgrade_to_http2 = 0;
+    this->config.http1.upgrade_to_http2 = 0;
     this->config.http1.req_timeout
         = static_cast<std::uint64_t>(toMilliseconds(options.idleTimeout));
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("hibiscusstream"));
@@ -75,12 +123,20 @@
     this->acceptor = {};
     this->acceptor.ctx = &this->context;
     this->acceptor.hosts = this->config.hosts;
+    this->resumption.native.cb = onResume;
+    this->resumption.owner = this;
 }
 
 HttpServer::~HttpServer()
 {
-    for (const auto &[socket, connection] : this->connections)
-        socket->on_close = {};
+    for (const auto &[id, connection] : this->connections) {
+        connection->socket->on_close = {};
+        if (connection->socket->_cb.read == onRead)
+            connection->socket->_cb.read = connection->read;
+        this->loop.memory().remove(id);
+    }
+    if (h2o_timeout_is_linked(&this->resumption.native) != 0)
+        h2o_timeout_unlink(&this->resumption.native);
     this->stopListening();
     if (this->watcher != nullptr)
         h2o_socket_close(std::exchange(this->watcher, nullptr));
@@ -115,6 +171,11 @@
     this->unwatch(found->second);
     h2o_req_t *request = found->second.native;
     this->requests.erase(found);
+    Connection *connection = connectionOf(request);
+    connection->isHandled = false;
+    this->loop.memory().update(connection->id, ConnectionUse::Answered,
+                               internal::memoryOf(connection->socket->input)
+                                   + response.body.size());
     request->res.status = response.status;
     if (this->closesAfterResponses)
         request->http1_is_persistent = 0;
@@ -142,20 +203,159 @@
     h2o_context_request_shutdown(&this->context);
 }
 
-void HttpServer::countBodiesOf(h2o_socket_t *socket)
+// h2o reads whole requests into the buffers of their connections before it calls a handler. So the
+// callback that it registers for what has arrived is replaced by one that accounts for it.
+void HttpServer::addConnection(h2o_socket_t *socket)
 {
-    auto connection = std::make_unique<Connection>();
+    auto added = std::make_unique<Connection>();
+    Connection *connection = added.get();
     connection->owner = this;
     connection->socket = socket;
+    const MemoryBudget::ConnectionId id = this->loop.memory().add(
+        this->options.isEssential,
+        [this, connection](CloseReason reason) { this->close(*connection, reason); });
+    connection->id = id;
+    this->connections[id] = std::move(added);
     socket->on_close.cb = onConnectionClosed;
-    socket->on_close.data = connection.get();
-    this->connections[socket] = std::move(connection);
+    socket->on_close.data = connection;
+    h2o_accept(&this->acceptor, socket);
+    if (const auto found = this->connections.find(id); found != this->connections.end())
+        this->resume(*found->second);
 }
 
 void HttpServer::onConnectionClosed(void *connection)
 {
     const auto *closed = static_cast<const Connection *>(connection);
-    closed->owner->connections.erase(closed->socket);
+    HttpServer *owner = closed->owner;
+    const MemoryBudget::ConnectionId id = closed->id;
+    owner->loop.memory().remove(id);
+    owner->connections.erase(id);
+}
+
+void HttpServer::onRead(h2o_socket_t *socket, const char *error)
+{
+    auto *connection = static_cast<Connection *>(socket->on_close.data);
+    HttpServer *owner = connection->owner;
+    const MemoryBudget::ConnectionId id = connection->id;
+    if (error == nullptr && !owner->acceptsHeaders(*connection)) {
+        owner->loop.memory().countClosed(CloseReason::HeaderSize);
+        owner->close(*connection, CloseReason::HeaderSize);
+        return;
+    }
+    connection->read(socket, error);
+    const auto found = owner->connections.find(id);
+    if (found == owner->connections.end())
+        return;
+    owner->updateUse(*found->second);
+    owner->loop.memory().enforce();
+}
+
+// The response has been sent, and h2o reads the next request of the connection.
+void HttpServer::awaitNextRequest(MemoryBudget::ConnectionId id)
+{
+    this->finished.push_back(id);
+    if (h2o_timeout_is_linked(&this->resumption.native) == 0)
+        h2o_timeout_link(this->loop.native(), &this->context.zero_timeout,
+                         &this->resumption.native);
+}
+
+void HttpServer::onResume(h2o_timeout_entry_t *timer)
+{
+    HttpServer *owner = reinterpret_cast<Resumption *>(timer)->owner;
+    for (const MemoryBudget::ConnectionId id : std::exchange(owner->finished, {}))
+        if (const auto found = owner->connections.find(id); found != owner->connections.end())
+            owner->resume(*found->second);
+}
+
+// h2o keeps the buffer of a connection at the size of its largest request.
+void HttpServer::resume(Connection &connection)
+{
+    h2o_socket_t *socket = connection.socket;
+    if (socket->_cb.read != nullptr && socket->_cb.read != onRead) {
+        connection.read = socket->_cb.read;
+        socket->_cb.read = onRead;
+    }
+    const bool isIdle = socket->_cb.read != nullptr && socket->input->size == 0;
+    if (isIdle && socket->input->capacity > internal::maxIdleBufferBytes) {
+        h2o_buffer_dispose(&socket->input);
+        h2o_buffer_init(&socket->input, &h2o_socket_buffer_prototype);
+    }
+    this->updateUse(connection);
+}
+
+void HttpServer::updateUse(Connection &connection)
+{
+    MemoryBudget &memory = this->loop.memory();
+    const h2o_socket_t *socket = connection.socket;
+    if (connection.isHandled) {
+        memory.update(connection.id, ConnectionUse::Handled, internal::memoryOf(socket->input));
+        return;
+    }
+    if (socket->_cb.read == nullptr)
+        return; // a response is being sent
+    if (socket->input->size == 0) {
+        memory.update(connection.id,
+                      connection.hasServed ? ConnectionUse::Idle : ConnectionUse::Unused, 0);
+        return;
+    }
+    const bool hasHeaders
+        = connection.hasHeaders || (this->acceptsHeaders(connection) && connection.hasHeaders);
+    memory.update(connection.id, hasHeaders ? ConnectionUse::Body : ConnectionUse::Headers,
+                  internal::memoryOf(socket->input));
+}
+
+/** \returns false if the headers that have arrived are over the limit. */
+bool HttpServer::acceptsHeaders(Connection &connection)
+{
+    if (connection.hasHeaders)
+        return true;
+    const h2o_buffer_t *input = connection.socket->input;
+    const auto size
+        = internal::headerBytes({ input->bytes, input->size }, connection.searchedBytes);
+    connection.searchedBytes = input->size;
+    connection.hasHeaders = size.has_value();
+    const std::size_t limit = this->loop.memory().currentLimits().maxHeaderBytes;
+    return size.value_or(input->size) <= limit;
+}
+
+// h2o closes a connection whose callback receives an error. One that it writes to can't be closed
+// that way, and is reset.
+void HttpServer::close(Connection &connection, CloseReason reason)
+{
+    connection.isClosing = true;
+    h2o_socket_t *socket = connection.socket;
+    const int socketFd = h2o_socket_get_fd(socket);
+    if (socket->_cb.read == onRead) {
+        const std::string_view refusal = internal::refusalFor(reason);
+        if (socket->input->size > 0 && !refusal.empty())
+            ::send(socketFd, refusal.data(), refusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        connection.read(socket, h2o_socket_error_closed);
+        return;
+    }
+    const linger reset = { .l_onoff = 1, .l_linger = 0 };
+    ::setsockopt(socketFd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    ::shutdown(socketFd, SHUT_RDWR);
+}
+
+HttpServer::Connection *HttpServer::connectionOf(const h2o_req_t *request)
+{
+    const h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
+    return static_cast<Connection *>(socket->on_close.data);
+}
+
+// Nothing of the request was handled, so the client may send it again.
+void HttpServer::refuseUnhandled(h2o_req_t *request)
+{
+    Connection *connection = connectionOf(request);
+    connection->isHandled = false;
+    this->loop.memory().countRefused();
+    this->loop.memory().update(connection->id, ConnectionUse::Answered,
+                               internal::memoryOf(connection->socket->input));
+    request->res.status = 503;
+    request->res.reason = "Error";
+    h2o_add_header(&request->pool, &request->res.headers, H2O_TOKEN_RETRY_AFTER, nullptr,
+                   H2O_STRLIT("1"));
+    h2o_send_inline(request, "", 0);
 }
 
 // The largest bodies are given up first, so that small messages get through while somebody sends
@@ -164,10 +364,12 @@
 {
     std::size_t total = 0;
     std::vector<Connection *> open;
-    for (const auto &[socket, connection] : this->connections) {
+    if (this->options.maxOpenBodyBytes == 0)
+        return;
+    for (const auto &[id, connection] : this->connections) {
         if (connection->isClosing)
             continue;
-        total += socket->input->size;
+        total += connection->socket->input->size;
         open.push_back(connection.get());
     }
     if (total <= this->options.maxOpenBodyBytes)
@@ -199,6 +401,12 @@
 {
     const auto *guard = static_cast<RequestGuard *>(memory);
     HttpServer *owner = guard->owner;
+    if (const auto served = owner->connections.find(guard->connection);
+        served != owner->connections.end()) {
+        served->second->isHandled = false;
+        served->second->hasServed = true;
+        owner->awaitNextRequest(guard->connection);
+    }
     const auto found = owner->requests.find(guard->token);
     if (found == owner->requests.end())
         return;
@@ -218,17 +426,29 @@
     for (int i = 0; i < maxAccepts; ++i) {
         h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
         if (socket == nullptr)
-            return;
-        if (server->options.maxOpenBodyBytes > 0)
-            server->countBodiesOf(socket);
-        h2o_accept(&server->acceptor, socket);
+            break;
+        server->addConnection(socket);
     }
+    server->loop.memory().enforce();
 }
 
 void HttpServer::handle(h2o_req_t *request)
 {
+    Connection *connection = connectionOf(request);
+    connection->hasHeaders = false;
+    connection->searchedBytes = 0;
+    connection->isHandled = true;
+    auto *guard = static_cast<RequestGuard *>(
+        h2o_mem_alloc_shared(&request->pool, sizeof(RequestGuard), onRequestDisposed));
+    *guard = { .owner = this, .token = this->nextToken++, .connection = connection->id };
+    if (!this->options.isEssential && !this->loop.memory().mayHandle()) {
+        this->refuseUnhandled(request);
+        return;
+    }
+    this->loop.memory().update(connection->id, ConnectionUse::Handled,
+                               internal::memoryOf(connection->socket->input));
     HttpRequest message;
-    message.token = this->nextToken++;
+    message.token = guard->token;
     message.method = internal::textOf(request->method);
     message.path = internal::textOf(request->path_normalized);
     message.body = request->entity.base == nullptr ? "" : internal::textOf(request->entity);
@@ -241,9 +461,6 @@
         if (!value.empty())
             message.headers.push_back({ .name = name, .value = std::move(value) });
     }
-    auto *guard = static_cast<RequestGuard *>(
-        h2o_mem_alloc_shared(&request->pool, sizeof(RequestGuard), onRequestDisposed));
-    *guard = { .owner = this, .token = message.token };
     const OpenRequest open
         = { .native = request,
             .socketFd = h2o_socket_get_fd(request->conn->callbacks->get_socket(request->conn)) };
@@ -254,7 +471,10 @@
     }
     // The request may have waited in the socket while this process was stalled.
     if (internal::isClosedByClient(open.socketFd)) {
-        logEvent("request-of-departed-client", { { "path", message.path } });
+        if (this->departureLines.take(this->loop.now()))
+            logEvent("request-of-departed-client",
+                     { { "path", message.path },
+                       { "omitted", std::to_string(this->departureLines.takeOmitted()) } });
         this->endDeparted(message.token);
         return;
     }
--- a/Hibiscus/src/Net/HttpServer.h
+++ b/Hibiscus/src/Net/HttpServer.h
@@ -3,8 +3,11 @@
 #include "Hibiscus/src/Net/Address.h"
 #include "Hibiscus/src/Net/EventLoop.h"
 
+#include <Hibiscus/Telemetry>
 #include <map>
 #include <memory>
+#include <unordered_map>
+#include <vector>
 
 namespace Hibiscus {
 
@@ -47,7 +50,10 @@
     auto operator<=>(const HttpResponse &other) const = default;
 };
 
-/** \brief HTTP server on the event loop; a handler may respond at any later time. */
+/** \brief HTTP server on the event loop; a handler may respond at any later time.
+ *
+ * Its connections are paid out of the MemoryBudget of the loop, which may close them.
+ */
 class HttpServer
 {
 public:
@@ -67,6 +73,10 @@
         std::size_t maxBodyBytes = defaultMaxBodyBytes; ///< larger ones are refused unread
         /** \brief Limit of the memory for bodies that have arrived in part; 0: none. */
         std::size_t maxOpenBodyBytes = 0;
+        /** \brief Whether requests and connections are those of the system itself: they are served
+         * also while the MemoryBudget refuses others.
+         */
+        bool isEssential = false;
         Duration idleTimeout = 75s; ///< longer than clients keep an unused connection open
         std::vector<std::string> keptHeaders; ///< names of the headers to pass on, in lower case
         DisconnectHandler onDisconnect; ///< may be empty
@@ -86,6 +96,8 @@
     void stopListening();
     /** \brief Closes each connection after its next response, and announces it there. */
     void closeAfterResponses() { this->closesAfterResponses = true; }
+    /** \brief Replaces Options::maxBodyBytes for the requests that follow. */
+    void setMaxBodyBytes(std::size_t bytes) { this->config.max_request_entity_size = bytes; }
     /** \brief Closes the connections with the largest open bodies while all of them are over
      * Options::maxOpenBodyBytes; must be called every few tens of milliseconds.
      */
@@ -109,6 +121,7 @@
     {
         HttpServer *owner;
         std::uint64_t token;
+        MemoryBudget::ConnectionId connection;
     };
 
     struct OpenRequest
@@ -117,16 +130,38 @@
         int socketFd;
     };
 
-    /** \brief Connection whose open body counts. */
     struct Connection
     {
         HttpServer *owner = nullptr;
         h2o_socket_t *socket = nullptr;
+        MemoryBudget::ConnectionId id = 0;
+        h2o_socket_cb read = nullptr; ///< h2o's own callback for what has arrived
+        std::size_t searchedBytes = 0; ///< part of the input without the end of the headers
+        bool hasHeaders = false; ///< the end of the headers of a request has arrived
+        bool hasServed = false;
+        bool isHandled = false; ///< a whole request waits for its response
         bool isClosing = false;
     };
 
+    /** \brief Timer that runs after the events of the current iteration. */
+    struct Resumption
+    {
+        /** \brief Must be the first member: h2o passes its address as that of the timer. */
+        h2o_timeout_entry_t native;
+        HttpServer *owner;
+    };
+
     static void onConnectionClosed(void *connection);
-    void countBodiesOf(h2o_socket_t *socket);
+    static void onRead(h2o_socket_t *socket, const char *error);
+    static void onResume(h2o_timeout_entry_t *timer);
+    static Connection *connectionOf(const h2o_req_t *request);
+    void addConnection(h2o_socket_t *socket);
+    void resume(Connection &connection);
+    void updateUse(Connection &connection);
+    bool acceptsHeaders(Connection &connection);
+    void close(Connection &connection, CloseReason reason);
+    void refuseUnhandled(h2o_req_t *request);
+    void awaitNextRequest(MemoryBudget::ConnectionId id);
     static int onRequest(h2o_handler_t *handler, h2o_req_t *request);
     static void onRequestDisposed(void *memory);
     static void onAccept(h2o_socket_t *listener, const char *error);
@@ -148,10 +183,13 @@
     int watcherFd = -1;
     h2o_socket_t *watcher = nullptr; ///< owns watcherFd
     std::map<std::uint64_t, OpenRequest> requests;
-    std::map<h2o_socket_t *, std::unique_ptr<Connection>> connections; ///< if their bodies count
+    std::unordered_map<MemoryBudget::ConnectionId, std::unique_ptr<Connection>> connections;
+    Resumption resumption = {};
+    std::vector<MemoryBudget::ConnectionId> finished; ///< connections whose request has ended
     std::uint64_t excessBodies = 0; ///< open bodies that were given up
     std::uint64_t nextToken = 1;
     bool closesAfterResponses = false;
+    LineLimit departureLines;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Net/HttpTransport.cpp
+++ b/Hibiscus/src/Net/HttpTransport.cpp
@@ -33,7 +33,8 @@
           server(loop,
                  { .address = options.address,
                    .maxBodyBytes = options.maxBatchBytes,
-                   .maxOpenBodyBytes = 2 * options.maxBatchBytes },
+                   .maxOpenBodyBytes = 2 * options.maxBatchBytes,
+                   .isEssential = true },
                  [this](const HttpRequest &request) { this->onRequest(request); }),
           client(loop, { .connectionsPerServer = 1, .idleTimeout = idleConnectionLifetime })
     { }
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -117,12 +117,14 @@
                                                               ? internal::StatusOk
                                                               : internal::StatusUnavailable });
                       }),
-      targetServer(this->loop, { .address = *Address::parse(node.profile.targetsAddress) },
+      targetServer(this->loop,
+                   { .address = *Address::parse(node.profile.targetsAddress), .isEssential = true },
                    [this](const HttpRequest &request) { this->onTargetRequest(request); }),
       metricsServer(this->loop, { .address = *Address::parse(node.profile.metricsAddress) },
                     [this](const HttpRequest &request) { this->onMetricsRequest(request); }),
       client(this->loop, {}), metrics(node.profile.label), settingsWatcher(node.settingsPath)
 {
+    this->loop.memory().setLimits(this->context.connectionLimits());
     this->directory.setSeeds(this->context.seeds());
 }
 
@@ -152,20 +154,14 @@
     const TimePoint now = this->loop.now();
     if (!this->rules.hasRules() || this->rules.isOutdated(now)) {
         const char *reason = this->rules.hasRules() ? "old-rules" : "no-rules";
-        logEvent("request-refused",
-                 { { "path", request.path },
-                   { "reason", reason },
-                   { "rules_version", std::to_string(this->rules.active().file().version) } });
+        this->logRefusal(request, reason);
         this->refuse(request.token, internal::StatusUnavailable, 1s, reason);
         return;
     }
     const RouteRule *route = this->rules.active().rules().routeFor(request.host, request.path);
     if (route == nullptr) {
         ++this->refusalCounts["no-route"];
-        logEvent("request-refused",
-                 { { "path", request.path },
-                   { "reason", "no-route" },
-                   { "rules_version", std::to_string(this->rules.active().file().version) } });
+        this->logRefusal(request, "no-route");
         this->callerServer.respond(request.token, { .status = internal::StatusNotFound });
         return;
     }
@@ -185,20 +181,39 @@
         request.token, { .status = isLookUp ? internal::StatusGone : internal::StatusNotAllowed });
 }
 
+void GatewayProcess::logRefusal(const HttpRequest &request, const char *reason)
+{
+    if (!this->refusalLines.take(this->loop.now()))
+        return;
+    constexpr std::size_t maxLoggedPath = 128; // clients choose it
+    logEvent("request-refused",
+             { { "path", request.path.substr(0, maxLoggedPath) },
+               { "reason", reason },
+               { "rules_version", std::to_string(this->rules.active().file().version) },
+               { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
+}
+
 void GatewayProcess::onSubmit(const HttpRequest &request, const RouteRule &route,
                               const std::string &id)
 {
     const ParsedJob body = this->context.protocol.readJob(id, request.body);
     if (const auto *malformed = std::get_if<Malformed>(&body)) {
         ++this->refusalCounts["malformed"];
-        logEvent("job-refused", { { "job", id }, { "reason", malformed->reason } });
+        if (this->refusalLines.take(this->loop.now()))
+            logEvent("job-refused",
+                     { { "job", id },
+                       { "reason", malformed->reason },
+                       { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
         this->callerServer.respond(request.token, { .status = internal::StatusBadRequest });
         return;
     }
     if (const auto *unsupported = std::get_if<Unsupported>(&body)) {
-        logEvent(
-            "job-refused",
-            { { "job", id }, { "reason", "not-offered" }, { "feature", unsupported->feature } });
+        if (this->refusalLines.take(this->loop.now()))
+            logEvent("job-refused",
+                     { { "job", id },
+                       { "reason", "not-offered" },
+                       { "feature", unsupported->feature },
+                       { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
         this->refuse(request.token, internal::StatusUnavailable, 2s, "not-offered");
         return;
     }
@@ -517,6 +532,7 @@
         return;
     }
     if (receipt == RulesReceipt::Adopted) {
+        this->enforceRequestLimits();
         const bool isConfirmed = this->rules.active().status() == RulesStatus::Confirmed;
         logEvent("rules-in-force",
                  { { "version", std::to_string(acknowledgement.version) },
@@ -532,6 +548,23 @@
         this->relay.send(registry, acknowledgement);
 }
 
+// Bodies are refused from exactly the limit that callers keep. Of headers and their time, callers
+// and this process may take a different view of what counts, so that they get a margin.
+void GatewayProcess::enforceRequestLimits()
+{
+    const RequestLimits limits
+        = this->rules.active().rules().requestLimits().value_or(RequestLimits());
+    MemoryBudget::Limits changed = this->context.connectionLimits();
+    constexpr std::size_t margin = 2;
+    if (limits.maxHeaderBytes > 0)
+        changed.maxHeaderBytes = margin * limits.maxHeaderBytes;
+    changed.headerTimeout = std::max<Duration>(
+        changed.headerTimeout, margin * std::chrono::milliseconds(limits.headerTimeoutMs));
+    this->loop.memory().setLimits(changed);
+    this->callerServer.setMaxBodyBytes(limits.maxBodyBytes > 0 ? limits.maxBodyBytes
+                                                               : HttpServer::defaultMaxBodyBytes);
+}
+
 // Addresses stay the same until the process exits; the settings below may change.
 void GatewayProcess::reload(const NodeProfile &profile)
 {
@@ -602,6 +635,8 @@
         std::ranges::replace(name, '-', '_');
         count(name.c_str(), "Refused requests, by reason.", number);
     }
+    count("hibiscus_refused_body_size_total", "Requests refused for the size of their body.",
+          this->callerServer.refusedBodies());
     gauge("hibiscus_jobs", "Jobs in progress.", this->node.coordinator().jobCount());
     gauge("hibiscus_queued_runs", "Runs that wait here for room.",
           this->node.owner().queuedRunCount());
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -29,6 +29,7 @@
 
     void onCallerRequest(const HttpRequest &request);
     void onSubmit(const HttpRequest &request, const RouteRule &route, const std::string &id);
+    void logRefusal(const HttpRequest &request, const char *reason);
     void onCallerLeft(std::uint64_t token);
     void onTargetRequest(const HttpRequest &request);
     void onMetricsRequest(const HttpRequest &request);
@@ -44,6 +45,7 @@
     void requestRules(TimePoint now);
     void handleRulesUpdate(const RulesUpdate &update);
     void reload(const NodeProfile &profile);
+    void enforceRequestLimits();
     void continueStop(TimePoint now);
     bool isReady() const;
     void updateMetrics();
@@ -65,6 +67,7 @@
     std::map<std::uint64_t, WaitingCaller> waitingCallers;
     std::map<std::string, std::uint64_t> refusalCounts; ///< number of refused requests by reason
     RefusalLog refusalLog;
+    LineLimit refusalLines;
     std::set<NodeName> refusedOffers; ///< nodes whose refused offer of rules was logged
     TimePoint stopRequestedAt;
     TimePoint lastRequestAt;
--- a/Hibiscus/src/Process/NodeContext.cpp
+++ b/Hibiscus/src/Process/NodeContext.cpp
@@ -9,7 +9,9 @@
 #include <cstdlib>
 #include <fstream>
 #include <gflags/gflags.h>
+#include <malloc.h>
 #include <sstream>
+#include <sys/resource.h>
 
 DEFINE_string(
     profile, "",
@@ -35,6 +37,25 @@
     return std::max(1U, static_cast<std::uint32_t>(std::lround(processorShare * weightsPerCore)));
 }
 
+/** \returns the number of descriptors that the system lets this process open. */
+static std::size_t openFileLimit()
+{
+    rlimit limit = {};
+    constexpr std::size_t usualLimit = 1'024;
+    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : usualLimit;
+}
+
+/** \brief Large blocks are returned to the system when they are freed: buffers of large requests
+ * would otherwise keep the memory around them.
+ */
+static void configureAllocator()
+{
+#ifdef __GLIBC__
+    constexpr int largeBlockBytes = 65'536;
+    ::mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
+#endif
+}
+
 } // namespace internal
 
 std::vector<NodeName> NodeContext::seeds() const
@@ -73,6 +94,23 @@
     return options;
 }
 
+// Connections by themselves take at most half of their memory, the rest is for requests. Of the
+// descriptors a quarter remains for the connections that this process opens.
+MemoryBudget::Limits NodeContext::connectionLimits() const
+{
+    constexpr std::size_t megabyte = 1'000'000;
+    constexpr std::size_t memoryParts = 4; // the rest is for jobs, rules and the log
+    constexpr std::size_t reservedDescriptors = 200; // files, and what libraries open
+    MemoryBudget::Limits limits;
+    limits.maxBytes = this->profile.memoryMb * megabyte / memoryParts;
+    const std::size_t descriptors = this->profile.maxDescriptors > 0 ? this->profile.maxDescriptors
+                                                                     : internal::openFileLimit();
+    const std::size_t sockets = descriptors - std::min(descriptors / 2, reservedDescriptors);
+    limits.maxConnections
+        = std::min(sockets * 3 / 4, limits.maxBytes / 2 / MemoryBudget::connectionBytes);
+    return limits;
+}
+
 void NodeContext::raiseIncarnation(std::uint64_t raised)
 {
     logEvent("incarnation-raised",
@@ -107,12 +145,38 @@
     node.profile = std::move(*profile);
     node.incarnation = newIncarnation(node.profile.peerAddress);
     node.protocol = protocol;
+    internal::configureAllocator();
     installSignals();
     initializeEventLog(node.profile.label);
     return node;
 }
 
-void reportLoad(LoadMeter &meter, const EventLoop &loop, const Relay &relay, Metrics &metrics,
+// One line in each interval, whatever clients do.
+static void reportConnections(MemoryBudget &memory, Metrics &metrics)
+{
+    metrics.setGauge("hibiscus_connections", "Accepted connections.",
+                     static_cast<double>(memory.connectionCount()));
+    metrics.setGauge("hibiscus_connection_bytes", "Memory for accepted connections.",
+                     static_cast<double>(memory.usedBytes()));
+    for (const auto &[reason, count] : memory.counts()) {
+        std::string name = "hibiscus_connections_closed_" + reason + "_total";
+        std::ranges::replace(name, '-', '_');
+        metrics.setCounter(name.c_str(), "Connections closed, or requests refused, by reason.",
+                           static_cast<double>(count));
+    }
+    std::string counts;
+    for (const auto &[reason, count] : memory.takeReport())
+        counts += (counts.empty() ? "" : ", ") + reason + " " + std::to_string(count);
+    if (!counts.empty())
+        logEvent("connections-closed",
+                 { { "counts", counts },
+                   { "open", std::to_string(memory.connectionCount()) },
+                   { "bytes", std::to_string(memory.usedBytes()) },
+                   { "max_bytes", std::to_string(memory.currentLimits().maxBytes) },
+                   { "max_connections", std::to_string(memory.currentLimits().maxConnections) } });
+}
+
+void reportLoad(LoadMeter &meter, EventLoop &loop, const Relay &relay, Metrics &metrics,
                 TimePoint now)
 {
     meter.recordTick(loop.tickDelay());
@@ -123,6 +187,7 @@
     if (!reading)
         return;
     logLoad(*reading);
+    reportConnections(loop.memory(), metrics);
     metrics.setCounter("hibiscus_processor_seconds_total", "Processor time of all threads.",
                        toSeconds(totals.processorTime));
     metrics.observeSeconds("hibiscus_loop_delay_seconds",
--- a/Hibiscus/src/Process/NodeContext.h
+++ b/Hibiscus/src/Process/NodeContext.h
@@ -26,6 +26,8 @@
     std::vector<NodeName> seeds() const;
     NodeRecord record(NodeKind kind, bool isDraining) const;
     Relay::Options relayOptions() const;
+    /** \returns the limits of accepted connections, as the memory and descriptors allow. */
+    MemoryBudget::Limits connectionLimits() const;
     /** \brief Continues as incarnation \a raised, since other nodes know a higher one. */
     void raiseIncarnation(std::uint64_t raised);
 };
@@ -42,7 +44,7 @@
 /** \brief Logs the resource use of the process and updates its metrics, once per interval of
  * \a meter.
  */
-void reportLoad(LoadMeter &meter, const EventLoop &loop, const Relay &relay, Metrics &metrics,
+void reportLoad(LoadMeter &meter, EventLoop &loop, const Relay &relay, Metrics &metrics,
                 TimePoint now);
 
 /** \brief Detects changes of a settings file, both after a signal and by periodic checks. */
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -107,6 +107,7 @@
                     }),
       metrics(nodeContext.profile.label), settingsWatcher(nodeContext.settingsPath)
 {
+    this->loop.memory().setLimits(this->context.connectionLimits());
     this->directory.setSeeds(this->context.seeds());
 }
 
@@ -153,13 +154,11 @@
                        this->handleHeartbeat(request.token, heartbeat);
                    },
                    [&](const Unsupported &unsupported) {
-                       logEvent("call-refused",
-                                { { "path", request.path }, { "feature", unsupported.feature } });
+                       this->logRefusal(request, unsupported.feature);
                        this->http.respond(request.token, { .status = internal::statusUnavailable });
                    },
                    [&](const Malformed &malformed) {
-                       logEvent("call-refused",
-                                { { "path", request.path }, { "reason", malformed.reason } });
+                       this->logRefusal(request, malformed.reason);
                        this->http.respond(request.token,
                                           { .status = internal::statusBadRequest,
                                             .contentType = "text/plain",
@@ -169,6 +168,17 @@
                parsed);
 }
 
+void RegistryProcess::logRefusal(const HttpRequest &request, const std::string &reason)
+{
+    if (!this->refusalLines.take(this->loop.now()))
+        return;
+    constexpr std::size_t maxLoggedText = 128; // clients choose it
+    logEvent("call-refused",
+             { { "path", request.path.substr(0, maxLoggedText) },
+               { "reason", reason.substr(0, maxLoggedText) },
+               { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
+}
+
 // Invalid rules are refused whatever their version, so they are checked before the version is.
 void RegistryProcess::replaceRules(const HttpRequest &request,
                                    const ReplaceRulesRequest &replacement)
--- a/Hibiscus/src/Process/RegistryProcess.h
+++ b/Hibiscus/src/Process/RegistryProcess.h
@@ -24,6 +24,7 @@
 
 private:
     void onRequest(const HttpRequest &request);
+    void logRefusal(const HttpRequest &request, const std::string &reason);
     void replaceRules(const HttpRequest &request, const ReplaceRulesRequest &replacement);
     void handleHeartbeat(std::uint64_t token, const TargetHeartbeat &heartbeat);
     void onMessage(const WireMessage &message);
@@ -56,6 +57,7 @@
     std::uint64_t loggedRulesVersion = 0;
     std::vector<RulesRecipient> knownGateways;
     TimePoint recipientsCheckedAt;
+    LineLimit refusalLines;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Rules/Rule.h
+++ b/Hibiscus/src/Rules/Rule.h
@@ -117,9 +117,23 @@
                     stretchPercent)
 };
 
+/** \brief `requests max-header-bytes=N max-body-bytes=N header-timeout-ms=N`: the limits that
+ * callers keep, and that gateways therefore may enforce; 0: none.
+ */
+struct RequestLimits
+{
+    std::uint32_t maxHeaderBytes = 0;
+    std::uint32_t maxBodyBytes = 0;
+    std::uint32_t headerTimeoutMs = 0; ///< time for the headers of a request, in milliseconds
+
+    auto operator<=>(const RequestLimits &other) const = default;
+    HIBISCUS_FIELDS(maxHeaderBytes, maxBodyBytes, headerTimeoutMs)
+};
+
 /** \brief One rule of the rules file. */
-using Rule = std::variant<TeamQuota, ServiceLimit, ServiceRate, RetryLimit, TeamPriority,
-                          DrainTarget, DrainEntry, RefuseService, ServiceRule, RouteRule>;
+using Rule
+    = std::variant<TeamQuota, ServiceLimit, ServiceRate, RetryLimit, TeamPriority, DrainTarget,
+                   DrainEntry, RefuseService, ServiceRule, RouteRule, RequestLimits>;
 
 /** \brief A rule with its line in the file and the name of its requester. */
 struct RuleLine
--- a/Hibiscus/src/Rules/RuleSet.cpp
+++ b/Hibiscus/src/Rules/RuleSet.cpp
@@ -149,6 +149,7 @@
 constexpr std::uint32_t maxPriority = 9;
 constexpr std::uint32_t maxRoutePriority = 1'000'000;
 constexpr std::uint32_t maxMilliseconds = 1'000'000'000;
+constexpr std::uint32_t maxRequestBytes = 1'000'000'000;
 constexpr std::uint32_t maxAttempts = 1'000'000;
 constexpr std::uint32_t maxStretchPercent = 100'000'000;
 
@@ -174,6 +175,15 @@
     return arguments.finish(route);
 }
 
+static ParsedRule parseRequestLimits(Arguments &arguments)
+{
+    RequestLimits limits;
+    limits.maxHeaderBytes = arguments.number("max-header-bytes", maxRequestBytes);
+    limits.maxBodyBytes = arguments.number("max-body-bytes", maxRequestBytes);
+    limits.headerTimeoutMs = arguments.number("header-timeout-ms", maxMilliseconds);
+    return arguments.finish(limits);
+}
+
 static ParsedRule parseRule(const std::vector<Word> &words)
 {
     Arguments arguments(words);
@@ -203,6 +213,8 @@
         return arguments.finish(ServiceRule { .service = ServiceName(arguments.text("name")) });
     if (verb == "route")
         return parseRoute(arguments);
+    if (verb == "requests")
+        return parseRequestLimits(arguments);
     return lineError(words.front().column, "unknown rule '" + std::string(verb) + "'");
 }
 
@@ -311,6 +323,11 @@
         .has_value();
 }
 
+std::optional<RequestLimits> RuleSet::requestLimits() const
+{
+    return this->find<RequestLimits>([](const RequestLimits &) { return true; });
+}
+
 const RouteRule *RuleSet::routeFor(std::string_view host, std::string_view path) const
 {
     const RouteRule *best = nullptr;
--- a/Hibiscus/src/Rules/RuleSet.h
+++ b/Hibiscus/src/Rules/RuleSet.h
@@ -46,6 +46,8 @@
     bool isDrained(const TargetName &target) const;
     bool isDrained(const NodeName &entry) const;
     bool isRefused(const ServiceName &service) const;
+    /** \returns the limits that callers keep, if a rule names them. */
+    std::optional<RequestLimits> requestLimits() const;
     /** \returns the route of \a host with the longest prefix of \a path, or nullptr. */
     const RouteRule *routeFor(std::string_view host, std::string_view path) const;
 
--- a/test/HostileInputTest.cpp
+++ b/test/HostileInputTest.cpp
@@ -1,3 +1,4 @@
+#include "Hibiscus/src/Core/Json.h"
 #include "platform/Wire.h"
 
 #include <Hibiscus/Api>
@@ -375,6 +376,23 @@
     }
 }
 
+// Guards against a process that runs out of memory by a document of a legal size.
+TEST(HostileInput, ADocumentWithTooManyValuesIsRefused)
+{
+    const auto listOf = [](std::size_t count, const std::string &value) {
+        std::string text = "[" + value;
+        for (std::size_t i = 1; i < count; ++i)
+            text += "," + value;
+        return text + "]";
+    };
+    for (const char *value : { "{}", "[]", "0", "\"\"" }) {
+        EXPECT_EQ(parseJson(listOf(maxJsonValues - 1, value)).size(), maxJsonValues - 1) << value;
+        EXPECT_TRUE(parseJson(listOf(maxJsonValues, value)).is_discarded()) << value;
+    }
+    // Values that are nested too deep are not kept, and so don't count.
+    EXPECT_EQ(parseJson("[" + nested(2'000'000) + ",1]").size(), 2U);
+}
+
 // Guards against a node that ends when its settings are reloaded.
 TEST(HostileInput, SettingsWithAnOddValueAreRefused)
 {
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -198,6 +198,32 @@
     EXPECT_EQ(rules->routeFor("other.example", "/p#1/0123"), nullptr);
 }
 
+TEST(Platform, LimitsOfRequestsAreTranslated)
+{
+    const auto limitsOf = [](const Json &limits) -> std::optional<RequestLimits> {
+        Json body = rulesBody();
+        body["limits"] = limits;
+        const ControlRequest request = parseReplacement(body.dump());
+        const auto *replacement = std::get_if<ReplaceRulesRequest>(&request);
+        EXPECT_NE(replacement, nullptr) << limits;
+        if (replacement == nullptr)
+            return std::nullopt;
+        const auto rules = RuleSet::parse(replacement->rules);
+        EXPECT_TRUE(rules.has_value()) << limits;
+        return rules ? rules->requestLimits() : std::nullopt;
+    };
+    const RequestLimits expected
+        = { .maxHeaderBytes = 16'384, .maxBodyBytes = 262'144, .headerTimeoutMs = 3'000 };
+    EXPECT_EQ(limitsOf({ { "max_header_bytes", 16'384 },
+                         { "max_body_bytes", 262'144 },
+                         { "header_timeout_ms", 3'000 },
+                         { "idle_timeout_ms", 15'000 } }),
+              expected);
+    EXPECT_EQ(limitsOf(Json::object()), std::nullopt);
+    const RequestLimits bodyOnly = { .maxBodyBytes = 1'000'000'000 };
+    EXPECT_EQ(limitsOf({ { "max_body_bytes", 1ULL << 40U } }), bodyOnly);
+}
+
 TEST(Platform, IncompleteRulesAreMalformed)
 {
     const std::string body = rulesBody().dump();
--- a/test/RulesTest.cpp
+++ b/test/RulesTest.cpp
@@ -28,6 +28,18 @@
     EXPECT_EQ(rules->lines().back().requestedBy, "Hoa, 3 May");
 }
 
+TEST(Rules, TellsTheLimitsThatCallersKeep)
+{
+    EXPECT_FALSE(RuleSet().requestLimits().has_value());
+    const auto rules = RuleSet::parse("requests max-header-bytes=16384 max-body-bytes=262144 "
+                                      "header-timeout-ms=3000 # Lan\n");
+    ASSERT_TRUE(rules.has_value());
+    const RequestLimits expected
+        = { .maxHeaderBytes = 16'384, .maxBodyBytes = 262'144, .headerTimeoutMs = 3'000 };
+    EXPECT_EQ(rules->requestLimits(), expected);
+    EXPECT_FALSE(RuleSet::parse("requests max-body-bytes=262144 # Lan\n").has_value());
+}
+
 TEST(Rules, ErrorsReportLineAndColumn)
 {
     struct Case
--- a/test/limits_process_test.py
+++ b/test/limits_process_test.py
@@ -209,8 +209,8 @@
     def start(self, settings):
         # Programs before these settings refuse them; the bounds stay the same.
         settings = {} if "WITHOUT_LIMITS" in os.environ else settings
-        self.fleet = Fleet(BINARIES, gateways=1, targets=1, domains=1, registries=1, network=21,
-                           settings=settings)
+        self.fleet = Fleet(BINARIES, gateways=1, targets=1, domains=1, registries=1,
+                           network=int(os.environ.get("NETWORK", "21")), settings=settings)
         self.addCleanup(lambda: self.loop.run_until_complete(self.fleet.stop()))
         self.loop.run_until_complete(self.fleet.start())
         self.loop.run_until_complete(self.answer_ordinary_requests("before the crowd"))
