Limits: free memory goes back also after a single large request

Cause: the values made from one body of 3.9 MB stayed with the allocator, since its end gave back less than the 4 MB that counted. Change: the end of a request of 1 MB or more counts as a release.

--- a/Hibiscus/src/Net/MemoryBudget.cpp
+++ b/Hibiscus/src/Net/MemoryBudget.cpp
@@ -12,6 +12,10 @@
 constexpr Duration overdueInterval = 500ms;
 /** \brief Decrease that counts as a release: some hundreds of ordinary requests. */
 constexpr std::size_t releaseBytes = 4'000'000;
+/** \brief Size from which the end of a single request counts as a release as well: what was made
+ * from it may take many times its size.
+ */
+constexpr std::size_t largeRequestBytes = 1'000'000;
 /** \brief Minimum interval of releases, whose cost grows with the memory in use. */
 constexpr Duration releaseInterval = 1s;
 
@@ -78,6 +82,8 @@
     this->bytes += changed;
     this->bytes -= connection.bytes;
     this->peakBytes = std::max(this->peakBytes, this->bytes);
+    if (connection.bytes >= internal::largeRequestBytes && changed < internal::largeRequestBytes)
+        this->peakBytes = std::max(this->peakBytes, this->bytes + internal::releaseBytes);
     connection.bytes = changed;
     if (connection.use == use)
         return;
@@ -94,6 +100,8 @@
     if (found->second.use == ConnectionUse::Handled)
         this->handledBytes -= found->second.bytes;
     this->bytes -= found->second.bytes;
+    if (found->second.bytes >= internal::largeRequestBytes)
+        this->peakBytes = std::max(this->peakBytes, this->bytes + internal::releaseBytes);
     this->connections.erase(found);
 }
 
--- a/test/MemoryBudgetTest.cpp
+++ b/test/MemoryBudgetTest.cpp
@@ -150,6 +150,23 @@
     EXPECT_TRUE(fixture.budget.takeReport().empty());
 }
 
+TEST(MemoryBudget, TellsOnceThatMuchWasGivenBack)
+{
+    Fixture fixture;
+    const TimePoint now = TimePoint() + 1h;
+    const auto id = fixture.add(ConnectionUse::Handled, 100'000);
+    fixture.budget.update(id, ConnectionUse::Idle, 0);
+    EXPECT_FALSE(fixture.budget.takeRelease(now));
+    fixture.budget.update(id, ConnectionUse::Handled, 2'000'000);
+    EXPECT_FALSE(fixture.budget.takeRelease(now));
+    fixture.budget.update(id, ConnectionUse::Idle, 0);
+    EXPECT_TRUE(fixture.budget.takeRelease(now));
+    EXPECT_FALSE(fixture.budget.takeRelease(now + 2s));
+    const auto large = fixture.add(ConnectionUse::Body, 2'000'000);
+    fixture.budget.remove(large);
+    EXPECT_TRUE(fixture.budget.takeRelease(now + 2s));
+}
+
 TEST(MemoryBudget, ForgetsWhatIsRemoved)
 {
     Fixture fixture;
