--- a/test/HttpEntryFuzzTest.cpp
+++ b/test/HttpEntryFuzzTest.cpp
@@ -2,6 +2,7 @@
 
 #include <Hibiscus/Net>
 #include <array>
+#include <csignal>
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <random>
@@ -71,6 +72,8 @@
                    .onDisconnect = [this](std::uint64_t token) { std::erase(this->open, token); } },
                  [this](const HttpRequest &request) { this->open.push_back(request.token); })
     {
+        // As the processes do; h2o writes to connections that their clients have closed.
+        ::signal(SIGPIPE, SIG_IGN);
         this->loop.memory().setLimits(
             { .maxBytes = 1'000'000, .maxConnections = 40, .maxHeaderBytes = 8'000 });
         EXPECT_TRUE(this->server.listen());
--- a/test/MemoryBudgetTest.cpp
+++ b/test/MemoryBudgetTest.cpp
@@ -146,7 +146,7 @@
     fixture.budget.enforce();
     const auto report = fixture.budget.takeReport();
     EXPECT_EQ(report.at("memory"), 1U);
-    EXPECT_EQ(report.at("connections"), 2U);
+    EXPECT_EQ(report.at("connections"), 1U);
     EXPECT_TRUE(fixture.budget.takeReport().empty());
 }
 
