--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -29,6 +29,7 @@
 
     void onCallerRequest(const HttpRequest &request);
     void onSubmit(const HttpRequest &request, const RouteRule &route, const std::string &id);
+    void logRefusal(const HttpRequest &request, const char *reason);
     void onCallerLeft(std::uint64_t token);
     void onCancel(std::uint64_t token, const std::string &job);
     void onCancelRequest(const CancelJobRequest &request);
@@ -52,6 +53,7 @@
      */
     void applyEvacuations(const NodeName &sender);
     void reload(const NodeProfile &profile);
+    void enforceRequestLimits();
     void continueStop(TimePoint now);
     bool isReady() const;
     void updateMetrics();
@@ -68,12 +70,14 @@
     HttpServer metricsServer;
     HttpClient client;
     Metrics metrics;
+    MetricsText metricsText;
     SettingsWatcher settingsWatcher;
     LoadMeter loadMeter { loadLogInterval };
     std::map<std::uint64_t, WaitingCaller> waitingCallers;
     std::map<std::string, std::uint64_t> refusalCounts; ///< number of refused requests by reason
     CancelRounds cancelRounds { {} };
     RefusalLog refusalLog;
+    LineLimit refusalLines;
     std::set<NodeName> refusedOffers; ///< nodes whose refused offer of rules was logged
     std::optional<Evacuations> evacuationsInForce;
     TimePoint stopRequestedAt;
--- a/Hibiscus/src/Process/NodeContext.h
+++ b/Hibiscus/src/Process/NodeContext.h
@@ -26,6 +26,8 @@
     std::vector<NodeName> seeds() const;
     NodeRecord record(NodeKind kind, bool isDraining) const;
     Relay::Options relayOptions() const;
+    /** \returns the limits of accepted connections, as the memory and descriptors allow. */
+    MemoryBudget::Limits connectionLimits() const;
     /** \brief Continues as incarnation \a raised, since other nodes know a higher one. */
     void raiseIncarnation(std::uint64_t raised);
 };
@@ -39,10 +41,20 @@
 /** \brief Time between log lines on resource use; a few lines answer an operator's question. */
 inline constexpr Duration loadLogInterval = 2s;
 
+/** \brief Time for which rendered metrics are sent again, since clients may ask without end. */
+inline constexpr Duration metricsLifetime = 10ms;
+
+/** \brief Metrics as they were last rendered. */
+struct MetricsText
+{
+    std::string text;
+    TimePoint validUntil;
+};
+
 /** \brief Logs the resource use of the process and updates its metrics, once per interval of
  * \a meter.
  */
-void reportLoad(LoadMeter &meter, const EventLoop &loop, const Relay &relay, Metrics &metrics,
+void reportLoad(LoadMeter &meter, EventLoop &loop, const Relay &relay, Metrics &metrics,
                 TimePoint now);
 
 /** \brief Detects changes of a settings file, both after a signal and by periodic checks. */
--- a/Hibiscus/src/Process/RegistryProcess.h
+++ b/Hibiscus/src/Process/RegistryProcess.h
@@ -24,6 +24,7 @@
 
 private:
     void onRequest(const HttpRequest &request);
+    void logRefusal(const HttpRequest &request, const std::string &reason);
     void replaceRules(const HttpRequest &request, const ReplaceRulesRequest &replacement);
     void changeEvacuation(const HttpRequest &request, const ChangeEvacuationRequest &change);
     void refuseEvacuation(const HttpRequest &request, const DomainName &domain, bool isUnknown);
@@ -54,6 +55,7 @@
     HttpServer http;
     HttpServer metricsServer;
     Metrics metrics;
+    MetricsText metricsText;
     SettingsWatcher settingsWatcher;
     LoadMeter loadMeter { loadLogInterval };
     ReplicaLifecycle lifecycle;
@@ -65,6 +67,7 @@
     KnownDomains knownDomains;
     std::vector<RulesRecipient> knownGateways;
     TimePoint recipientsCheckedAt;
+    LineLimit refusalLines;
 };
 
 } // namespace Hibiscus
