--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -4,6 +4,7 @@
 #include "Hibiscus/src/Fleet/Fitness.h"
 #include "Hibiscus/src/Fleet/LeasedTarget.h"
 #include "Hibiscus/src/Fleet/Run.h"
+#include "Hibiscus/src/Fleet/TargetSpeed.h"
 
 #include <map>
 #include <optional>
@@ -94,12 +95,13 @@
     std::vector<RunName> withdrawnRuns;
     /** \brief Runs of the receiver that may have started, and that the sender is stopping. */
     std::vector<RunName> stoppingRuns;
+    std::vector<TargetSpeed> transferredSpeeds; ///< what the sender has learned of them
 
     auto operator<=>(const FleetMessage &other) const = default;
     HIBISCUS_FIELDS(from, incarnation, domain, weight, targetsAddress, sequence,
                     receiverIncarnation, acknowledgedSequence, isDraining, wantsReports,
                     requestsResponse, report, drivenTargets, runRequests, wantedRuns, runEnds,
-                    transferredTargets, withdrawnRuns, stoppingRuns)
+                    transferredTargets, withdrawnRuns, stoppingRuns, transferredSpeeds)
 };
 
 /** \brief Heartbeat of a target, forwarded to the entry node that should own it. */
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -268,6 +268,8 @@
         peer.acknowledgeEndsAt = now + internal::acknowledgeWithin;
     for (const LeasedTarget &target : message.transferredTargets)
         this->adoptTransferred(target, message.from, now);
+    for (const TargetSpeed &speed : message.transferredSpeeds)
+        this->targetOwner.adoptSpeed(speed);
 }
 
 void FleetNode::receive(const JobHold &hold, TimePoint now)
@@ -611,11 +613,14 @@
 void FleetNode::transferTargets(TimePoint now)
 {
     for (const LeasedTarget &target : this->targetOwner.takeReleasedTargets()) {
+        const auto speed = this->targetOwner.takeReleasedSpeed(target.name);
         const auto newOwner = this->preferredOwner(target.name, target.domain, now);
         if (!newOwner || !this->isConfirmed(this->peers.at(*newOwner), now))
             continue;
         Peer &peer = this->peers.at(*newOwner);
         peer.transferredTargets.push_back(target);
+        if (speed)
+            peer.transferredSpeeds.push_back(*speed);
         peer.hasPendingMessage = true;
         this->recordState("handed-over", target, *newOwner, "sent");
         this->recordTransfer(target.name, *newOwner, now);
@@ -731,6 +736,7 @@
         found != runsByPeer.withdrawnRuns.end())
         message.withdrawnRuns = found->second;
     message.transferredTargets = std::exchange(peer.transferredTargets, {});
+    message.transferredSpeeds = std::exchange(peer.transferredSpeeds, {});
     if (peer.incarnation != 0) {
         const Requester requester = { .node = to, .incarnation = peer.incarnation };
         message.runEnds = this->targetOwner.runEndsFor(requester);
