--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -155,11 +155,15 @@
                               std::uint64_t caller, const std::vector<OwnerView> &owners,
                               TimePoint now)
 {
-    if (const auto found = this->jobs.find(job.id); found != this->jobs.end()) {
-        found->second.callerTokens.push_back(caller);
+    const auto known = this->jobs.find(job.id);
+    if (known != this->jobs.end() && !known->second.isFinished) {
+        known->second.callerTokens.push_back(caller);
         this->jobOfCaller[caller] = job.id;
         return;
     }
+    // The callers of a finished job have their answer already.
+    if (known != this->jobs.end())
+        this->removeFinishedJobs(now);
     if (const auto found = this->answeredJobs.find(job.id); found != this->answeredJobs.end()) {
         JobOutcome outcome = found->second.outcome;
         outcome.callerTokens = { caller };
