FleetCoordinator: a job sent again just after its end gets the answer

Cause: until the next tick a finished job was still found by its id, so a caller that sent it again was attached to it after its answer had been handed out, and got none.

--- a/test/FleetCoordinatorTest.cpp
+++ b/test/FleetCoordinatorTest.cpp
@@ -137,6 +137,26 @@
     EXPECT_EQ(coordinator.historyOf("j"), JobHistory::Unknown);
 }
 
+// Guards against a caller that is attached to a job whose answer is already on its way.
+TEST(FleetCoordinator, AnswersAJobThatIsSentAgainWhenItHasJustFinished)
+{
+    const TimePoint now(1'800'000'000s);
+    FleetCoordinator coordinator({});
+    std::vector<OwnerView> owners = { ownerWith("a", 1) };
+    const JobStep step = { .demand = { .cpu = 27'000, .memory = 64 }, .estimate = 60ms };
+    const TransientJob job = { .id = "j", .steps = { step } };
+    coordinator.submit(job, policy(), 1, owners, now);
+    const std::vector<RunAssignment> assignments = coordinator.assignTasks(owners, now);
+    ASSERT_EQ(assignments.size(), 1U);
+    coordinator.handleRunEnd(
+        NodeName("a"), { .run = assignments[0].request.run, .kind = RunEndKind::Completed }, now);
+    coordinator.submit(job, policy(), 2, owners, now);
+    const std::vector<JobOutcome> outcomes = coordinator.takeOutcomes();
+    ASSERT_EQ(outcomes.size(), 2U);
+    EXPECT_EQ(outcomes[1].callerTokens, (std::vector<std::uint64_t> { 2 }));
+    EXPECT_EQ(outcomes[1].status, TransientJobStatus::Completed);
+}
+
 // Guards against a second run of a task at an owner that takes this node for restarted, and may
 // still be stopping the first one.
 TEST(FleetCoordinator, DisownedRunIsNotRepeatedBeforeItHasEnded)
