FleetNode: no start of a run whose job was cancelled just before

Cause: local runs learned of a cancelled or withdrawn job only in deliverLocalRunEnds, after startQueuedRuns of the same flush and after the owner's tick, so that a queued run could still be started, and had to be stopped at once. Change: endUnwantedLocalRuns is called at the top of flush and right after the coordinator's tick. Test: CancelNode.WaitingRunOfACancelledJobIsNotStarted.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -401,6 +401,7 @@
 {
     this->beginEvent(now);
     this->jobCoordinator.tick(now);
+    this->endUnwantedLocalRuns(now);
     this->selectPeers(now);
     for (auto &[name, peer] : this->peers) {
         const bool isSilent = now >= peer.confirmedAt + this->options.peerSilenceTimeout;
@@ -451,6 +452,7 @@
 FleetOutbox FleetNode::flush(TimePoint now)
 {
     this->beginEvent(now);
+    this->endUnwantedLocalRuns(now);
     this->assignTasks(now);
     this->targetOwner.startQueuedRuns([&](const Requester &r) { return this->lastContact(r, now); },
                                       now);
@@ -588,7 +590,8 @@
         now);
 }
 
-void FleetNode::deliverLocalRunEnds(TimePoint now)
+// Before any run is started, so that no run of a job starts that was cancelled or given up.
+void FleetNode::endUnwantedLocalRuns(TimePoint now)
 {
     const std::vector<RunName> names = this->jobCoordinator.wantedRunsAt(this->options.self);
     const std::set<RunName> wantedRuns(names.begin(), names.end());
@@ -600,7 +603,11 @@
         for (const RunName &run : this->targetOwner.stoppingRunsFor(this->self()))
             this->jobCoordinator.handleStopping(this->options.self, run, now);
     }
-    for (const RunName &run : wantedRuns)
+}
+
+void FleetNode::deliverLocalRunEnds(TimePoint now)
+{
+    for (const RunName &run : this->jobCoordinator.wantedRunsAt(this->options.self))
         if (!this->targetOwner.holdsRun(run, this->self()))
             this->jobCoordinator.handleRunEnd(this->options.self,
                                               { .run = run, .kind = RunEndKind::NotStarted }, now);
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -279,6 +279,8 @@
     void handleWantedRuns(Peer &peer, const FleetMessage &message, TimePoint now);
     void assignTasks(TimePoint now);
     void returnQueuedRuns(TimePoint now);
+    /** \brief Ends the own runs of jobs that were cancelled or given up. */
+    void endUnwantedLocalRuns(TimePoint now);
     void deliverLocalRunEnds(TimePoint now);
     void transferTargets(TimePoint now);
     void recordDeparture(const TargetHeartbeat &heartbeat, TimePoint now);
--- a/test/CancelTest.cpp
+++ b/test/CancelTest.cpp
@@ -103,6 +103,113 @@
     EXPECT_EQ(outcomes[0].status, TransientJobStatus::Completed);
 }
 
+/** \brief A node whose one target, which answers at once, has room for one task. */
+class CancelNodeFixture
+{
+public:
+    CancelNodeFixture()
+    {
+        for (int step = 0; step < 60; ++step)
+            this->step();
+    }
+
+    /** \brief Lets 10 ms pass. */
+    void step()
+    {
+        this->now += 10ms;
+        if (this->sequence == 0 || this->now >= this->heartbeatAt + 1s)
+            this->sendHeartbeat();
+        this->node.tick(this->now);
+        this->execute(this->node.flush(this->now));
+    }
+
+    void submit(const std::string &job, std::uint64_t caller)
+    {
+        const JobStep step = { .taskCount = 1, .demand = { .cpu = 40'000 }, .estimate = 300ms };
+        const RoutePolicy policy
+            = { .service = ServiceName("s"), .stretch = 4, .slack = 1s, .untilDeadline = 5s };
+        this->node.submit({ .id = job, .steps = { step } }, policy, caller, this->now);
+        this->execute(this->node.flush(this->now));
+    }
+
+    void execute(const FleetOutbox &out)
+    {
+        for (const TargetOrder &order : out.orders)
+            std::visit([this](const auto &item) { this->execute(item); }, order);
+    }
+
+    TimePoint now { 1'800'000'000s };
+    FleetNode node { { .self = NodeName("g"), .domain = DomainName("a") } };
+    std::vector<std::string> started; ///< jobs whose runs were started
+    std::vector<RunName> running;
+    std::vector<EndedRun> ended;
+
+private:
+    void sendHeartbeat()
+    {
+        this->heartbeatAt = this->now;
+        LeasedTarget target;
+        target.name = TargetName("t");
+        target.incarnation = 1;
+        target.service = ServiceName("s");
+        target.domain = DomainName("a");
+        target.capacity = { .cpu = 64'000 };
+        target.sequence = ++this->sequence;
+        this->node.handleHeartbeat({ .target = target }, this->now);
+    }
+
+    std::int64_t clockMs() const { return 1 + toMilliseconds(this->now - this->begin); }
+
+    void execute(const StartOrder &order)
+    {
+        this->started.push_back(order.run.job);
+        this->running.push_back(order.run);
+        this->node.handleStartResponse(order.to, order.run,
+                                       { .status = OrderStatus::Done, .clockMs = this->clockMs() },
+                                       this->now);
+    }
+
+    void execute(const StopOrder &) { }
+
+    void execute(const PollOrder &order)
+    {
+        PollResponse response
+            = { .status = OrderStatus::Done, .clockMs = this->clockMs(), .incarnation = 1 };
+        response.running = this->running;
+        response.ended = this->ended;
+        this->node.handlePollResponse(order.to, order.sentAt, response, this->now);
+    }
+
+    TimePoint begin = now;
+    TimePoint heartbeatAt;
+    std::uint64_t sequence = 0;
+};
+
+// Guards against a waiting run that takes the room that becomes free when its job was cancelled
+// already.
+TEST(CancelNode, WaitingRunOfACancelledJobIsNotStarted)
+{
+    for (const bool hasTick : { false, true }) {
+        CancelNodeFixture fixture;
+        fixture.submit("first", 1);
+        fixture.submit("second", 2);
+        ASSERT_EQ(fixture.started, (std::vector<std::string> { "first" }));
+        ASSERT_EQ(fixture.node.owner().queuedRunCount(), 1U);
+        fixture.ended
+            = { { .number = 1, .run = fixture.running.at(0), .end = TargetRunEnd::Completed } };
+        fixture.running.clear();
+        // The last of these steps ends with the response that makes room.
+        for (int step = 0; step < 30 && fixture.node.owner().runningRunCount() > 0; ++step)
+            fixture.step();
+        ASSERT_EQ(fixture.node.owner().runningRunCount(), 0U);
+        EXPECT_TRUE(fixture.node.cancelJob("second", fixture.now));
+        if (hasTick)
+            fixture.node.tick(fixture.now);
+        fixture.execute(fixture.node.flush(fixture.now));
+        EXPECT_EQ(fixture.started, (std::vector<std::string> { "first" }));
+    }
+}
+
 std::vector<CancelDecision> decisionsAfter(const std::vector<CancelJobReply> &replies,
                                            Duration after)
 {
