FleetCoordinator: refuse jobs that only evacuated targets could run

Cause: refusalReason counted evacuated targets among those that could ever run a task, so that such a job waited until its deadline. Change: targets that are withheld don't count. Test: FleetCoordinator.JobThatOnlyAnEvacuatedTargetCouldRunIsRefusedAtOnce.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -527,7 +527,7 @@
     this->fastestTargets[policy.service] = *fastest;
     for (const JobStep &step : job.steps) {
         const auto canEverRun = [&](const OwnedTarget &target) {
-            return internal::canEverRun(target, policy.service, step);
+            return !target.isWithheld && internal::canEverRun(target, policy.service, step);
         };
         const bool fits = std::ranges::any_of(owners, [&](const OwnerView &owner) {
             return std::ranges::any_of(owner.report.targets, canEverRun);
--- a/test/FleetCoordinatorTest.cpp
+++ b/test/FleetCoordinatorTest.cpp
@@ -113,6 +113,26 @@
     EXPECT_EQ(refused[0].reason, OutcomeReason::Draining);
 }
 
+// Guards against a job that waits until its deadline for a target whose domain is evacuated.
+TEST(FleetCoordinator, JobThatOnlyAnEvacuatedTargetCouldRunIsRefusedAtOnce)
+{
+    const TimePoint now(1'800'000'000s);
+    std::vector<OwnerView> owners = { ownerWith("large", 1), ownerWith("small", 1) };
+    owners[1].report.targets[0].capacity.cpu = 20'000;
+    owners[1].report.targets[0].free.cpu = 20'000;
+    const JobStep step = { .demand = { .cpu = 27'000, .memory = 64 }, .estimate = 60ms };
+    for (const bool isEvacuated : { false, true }) {
+        owners[0].report.targets[0].acceptsWork = !isEvacuated;
+        owners[0].report.targets[0].isWithheld = isEvacuated;
+        FleetCoordinator coordinator({});
+        coordinator.submit({ .id = "j", .steps = { step } }, policy(), 1, owners, now);
+        const std::vector<JobOutcome> outcomes = coordinator.takeOutcomes();
+        ASSERT_EQ(outcomes.size(), isEvacuated ? 1U : 0U);
+        if (isEvacuated)
+            EXPECT_EQ(outcomes[0].reason, OutcomeReason::NeverFits);
+    }
+}
+
 // Guards against logs that don't tell whether a job was sent again after its caller had left.
 TEST(FleetCoordinator, RemembersAJobWhoseCallerLeft)
 {
