A target is withheld only while its domain is known to be evacuated

Cause: before a gateway knew which domains are evacuated, its targets counted as withheld, so that peers left them to it although it could start nothing there. A gateway that starts while all registry nodes are down asked no peer for rules, since no list named any. Change: isWithheld says that the domain is evacuated; before that is known the target neither accepts work nor is it withheld, and peers may take it over. Rules are also asked of live peers of the own domain that are known from their messages. Test: FleetEvacuation.NothingIsStartedBeforeTheEvacuationsAreKnown expected the old meaning, in which not known was the same as evacuated; it now expects that the target is neither (two checks in place of one) and that it is withheld once the evacuation is known. FleetNode.KnowsThePeersOfItsDomainByTheirMessages.

--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -23,7 +23,9 @@
     Capacity free;
     double slowness = 1; ///< learned ratio of run time to the caller's estimate
     bool acceptsWork = false;
-    /** \brief Whether it would accept work if its owner might start runs in its failure domain. */
+    /** \brief Whether it would accept work if its failure domain were not evacuated. While its
+     * owner does not know that, it neither accepts work nor is it withheld.
+     */
     bool isWithheld = false;
     bool isReconciled = false; ///< no run of a previous owner is left on it
 
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -515,6 +515,16 @@
         this->peers, [&](const auto &item) { return this->isConfirmed(item.second, now); }));
 }
 
+std::vector<NodeName> FleetNode::livePeersOfDomain(TimePoint now) const
+{
+    std::vector<NodeName> names;
+    for (const auto &[name, peer] : this->peers)
+        if (peer.domain == this->options.domain && peer.incarnation != 0
+            && now < peer.lastSeenAt + this->options.linkTimeout)
+            names.push_back(name);
+    return names;
+}
+
 // After a stall of the process, whatever its clock showed meanwhile, this node's orders and
 // messages may have been given up by the others. Peers and targets have to respond again before it
 // uses them.
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -187,6 +187,10 @@
     bool acknowledges(const TargetHeartbeat &heartbeat) const;
     bool isIdle() const;
     std::size_t livePeerCount(TimePoint now) const;
+    /** \returns the peers of the own domain that have sent a message recently, whether or not the
+     * directory lists them.
+     */
+    std::vector<NodeName> livePeersOfDomain(TimePoint now) const;
 
 private:
     struct SentMessage
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -321,7 +321,8 @@
               .free = this->usableCapacity(driver, now),
               .slowness = this->runTimes.slowness(driver.target()),
               .acceptsWork = this->acceptsRuns(driver, now),
-              .isWithheld = driver.acceptsWork(now) && !this->acceptsRuns(driver, now),
+              .isWithheld = driver.acceptsWork(now)
+                  && this->evacuatedTargets.isEvacuated(driver.target().domain),
               .isReconciled = driver.isReconciled() });
     for (const auto &[name, run] : this->runs) {
         if (run.stage != Stage::Queued)
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -611,6 +611,8 @@
           .headers = { { .name = "retry-after", .value = std::to_string(seconds) } } });
 }
 
+// A gateway that starts while all registry nodes are down has no list of the others, but may have
+// messages of them.
 void GatewayProcess::requestRules(TimePoint now)
 {
     if (this->rules.active().status() == RulesStatus::Confirmed)
@@ -619,6 +621,9 @@
     for (const NodeRecord &gateway : this->directory.gateways())
         if (gateway.domain == this->context.profile.domain)
             peers.push_back(gateway.node);
+    for (const NodeName &peer : this->node.livePeersOfDomain(now))
+        if (std::ranges::find(peers, peer) == peers.end())
+            peers.push_back(peer);
     for (const AddressedFetch &request :
          this->rules.takeDueRequests(this->directory.registries(), peers, now))
         this->relay.send(request.to, request.fetch);
--- a/test/FleetEvacuationTest.cpp
+++ b/test/FleetEvacuationTest.cpp
@@ -178,8 +178,10 @@
     fixture.requestRun(1);
     EXPECT_EQ(fixture.owner.runningRunCount(), 0U);
     EXPECT_EQ(fixture.owner.queuedRunCount(), 1U);
-    EXPECT_TRUE(fixture.reported("u").isWithheld);
+    EXPECT_FALSE(fixture.reported("u").acceptsWork);
+    EXPECT_FALSE(fixture.reported("u").isWithheld) << "others may take it over";
     fixture.evacuate({ domainB });
+    EXPECT_TRUE(fixture.reported("u").isWithheld);
     fixture.startRuns();
     EXPECT_EQ(fixture.owner.runningRunCount(), 1U);
     EXPECT_TRUE(fixture.reported("t").acceptsWork);
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -305,6 +305,25 @@
     EXPECT_EQ(fixture.ownedState(), TargetState::Ready);
 }
 
+// Guards against a gateway that never gets rules, since it starts while no registry node lists the
+// others of its domain.
+TEST(FleetNode, KnowsThePeersOfItsDomainByTheirMessages)
+{
+    const TimePoint now(1'800'000'000s);
+    FleetNode node({ .self = NodeName("g"), .domain = DomainName("a") });
+    for (const auto &[name, domain] :
+         std::map<std::string, std::string> { { "h", "a" }, { "i", "b" } }) {
+        FleetMessage message;
+        message.from = NodeName(name);
+        message.incarnation = 1;
+        message.sequence = 1;
+        message.domain = DomainName(domain);
+        node.receive(message, now);
+    }
+    EXPECT_EQ(node.livePeersOfDomain(now), (std::vector { NodeName("h") }));
+    EXPECT_TRUE(node.livePeersOfDomain(now + 5s).empty());
+}
+
 // Guards against a target with two owners: tokens are taken from clocks, so those of two gateways
 // that took a target over in the same millisecond were equal, and neither was fenced.
 TEST(FleetNode, TwoNodesThatTakeATargetOverAtOnceHaveDifferentTokens)
