FleetCoordinator: a fast target that pauses doesn't make jobs hopeless

Cause: the fastest target, by which waiting jobs are given up, was taken from targets that accept work at the moment, and the time of a task from its estimate although its last run had shown more. Change: the fastest is taken over all targets of the service but evacuated ones, and the time of a task that is not assigned from its forecast, if there is one. Test: FleetCoordinator.WaitingJobIsGivenUpByItsForecastOnTheFastestTarget.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -518,13 +518,18 @@
                                                              TimePoint now)
 {
     std::optional<double> fastest;
+    std::optional<double> fastestLater; // also of targets that pause for a while
     for (const OwnerView &owner : owners)
-        for (const OwnedTarget &target : owner.report.targets)
-            if (target.service == policy.service && target.acceptsWork)
+        for (const OwnedTarget &target : owner.report.targets) {
+            if (target.service != policy.service || target.isWithheld)
+                continue;
+            fastestLater = std::min(fastestLater.value_or(target.slowness), target.slowness);
+            if (target.acceptsWork)
                 fastest = std::min(fastest.value_or(target.slowness), target.slowness);
+        }
     if (!fastest)
         return OutcomeReason::NoTargets;
-    this->fastestTargets[policy.service] = *fastest;
+    this->fastestTargets[policy.service] = *fastestLater;
     for (const JobStep &step : job.steps) {
         const auto canEverRun = [&](const OwnedTarget &target) {
             return !target.isWithheld && internal::canEverRun(target, policy.service, step);
@@ -736,7 +741,7 @@
             if (task.stage == Stage::Assigned || task.stage == Stage::Done)
                 continue;
             const Duration wait = std::max(Duration(), task.readyAt - now);
-            const Duration runTime = this->expectedRunTime(job.policy, job.definition.steps[step]);
+            const Duration runTime = this->expectedRunTime(job, job.definition.steps[step], task);
             ends[step] = std::max(
                 ends[step], std::max(begin, wait) + fromSeconds(slowness * toSeconds(runTime)));
         }
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -312,7 +312,8 @@
     std::map<std::string, TimePoint> leftJobs; ///< jobs whose last caller left, and when
     std::map<RouteName, EstimateModel> estimates;
     std::map<std::uint32_t, TimePoint> queueStandsSince; ///< by priority
-    std::map<ServiceName, double> fastestTargets; ///< slowness of the fastest known target
+    /** \brief Slowness of the fastest known target, also of one that gets no work at present. */
+    std::map<ServiceName, double> fastestTargets;
     std::set<NodeName> withdrawalOwners; ///< owners to be told of withdrawn runs
     std::vector<JobOutcome> outcomes;
     std::vector<UnsuccessfulRun> unsuccessfulRuns;
--- a/test/FleetCoordinatorTest.cpp
+++ b/test/FleetCoordinatorTest.cpp
@@ -133,6 +133,40 @@
     }
 }
 
+/** \returns the reason for which a job of one task of 500 ms is given up 700 ms before its
+ * deadline, if it is; its owner has stopped the task, which now seems to take \a forecast.
+ */
+std::optional<OutcomeReason> endOfWaitingJob(std::vector<OwnerView> owners, Duration forecast)
+{
+    TimePoint now(1'800'000'000s);
+    FleetCoordinator coordinator({});
+    const JobStep step = { .demand = { .cpu = 27'000, .memory = 64 }, .estimate = 500ms };
+    coordinator.submit({ .id = "j", .steps = { step } }, policy(), 1, owners, now);
+    const std::vector<RunAssignment> assignments = coordinator.assignTasks(owners, now);
+    now += 800ms;
+    coordinator.handleRunEnd(
+        assignments.at(0).owner,
+        { .run = assignments[0].request.run, .kind = RunEndKind::Stopped, .runTime = forecast },
+        now);
+    coordinator.tick(now);
+    const std::vector<JobOutcome> outcomes = coordinator.takeOutcomes();
+    return outcomes.empty() ? std::nullopt : std::optional(outcomes[0].reason);
+}
+
+// Guards against waiting jobs that are given up since the fastest target pauses for a moment, and
+// against ones that wait for a task that is known to take too long.
+TEST(FleetCoordinator, WaitingJobIsGivenUpByItsForecastOnTheFastestTarget)
+{
+    OwnerView paused = ownerWith("fast", 0.6);
+    paused.report.targets[0].acceptsWork = false;
+    const OwnerView slow = ownerWith("slow", 1.5);
+    EXPECT_TRUE(endOfWaitingJob({ slow }, {}));
+    EXPECT_FALSE(endOfWaitingJob({ slow, paused }, {}));
+    EXPECT_TRUE(endOfWaitingJob({ slow, paused }, 1200ms));
+    paused.report.targets[0].isWithheld = true;
+    EXPECT_TRUE(endOfWaitingJob({ slow, paused }, {})) << "its domain is evacuated";
+}
+
 // Guards against logs that don't tell whether a job was sent again after its caller had left.
 TEST(FleetCoordinator, RemembersAJobWhoseCallerLeft)
 {
