A run on the only target of its owner isn't given up since that is slow

Cause: if the owner of a slow or stalled target has no other fit target, there was no time elsewhere, so the verdict was to give the job up although other owners have usual targets. Change: such a run that can't end in time here is judged by its expected time with the slowness of its target undone, and stopped to run elsewhere if that fits the deadline; the coordinator chooses the owner. A run that can still end in time there goes on, as before. Test: RunForecast.RunOnTheOnlyTargetOfItsOwnerIsLeftToOtherOwnersIfThatIsSlow.

--- a/Hibiscus/src/Fleet/FleetOwnerForecast.cpp
+++ b/Hibiscus/src/Fleet/FleetOwnerForecast.cpp
@@ -58,7 +58,8 @@
                              .startedAt = run.startedAt,
                              .forecast = *driver.forecastOf(run.request.run),
                              .expectedRunTime = this->runTimes.expectedRunTime(
-                                 driver.target(), run.request.estimate) };
+                                 driver.target(), run.request.estimate),
+                             .slownessHere = slownessHere };
     const bool hasStalledHere
         = run.request.run.attempt == 1 && hasStalled(assessed.forecast, assessed.expectedRunTime);
     assessed.isTargetSlow = driver.isSlow() || hasStalledHere;
--- a/Hibiscus/src/Fleet/RunAssessment.cpp
+++ b/Hibiscus/src/Fleet/RunAssessment.cpp
@@ -49,6 +49,17 @@
     return fromSeconds((1 + forecastError) * run.slownessElsewhere.value_or(1) * toSeconds(likely));
 }
 
+/** \returns whether \a run, which can't end in time on its slow target, may do so on a target of
+ * another owner. Of those only the coordinator knows, so a usual one is assumed.
+ */
+static bool canEndAtOtherOwner(const AssessedRun &run, TimePoint now)
+{
+    if (!run.isTargetSlow || run.slownessElsewhere)
+        return false;
+    const double usualTime = toSeconds(run.expectedRunTime) / run.slownessHere;
+    return now + restartTime + fromSeconds(deadlineMargin * usualTime) <= run.bounds.deadlineAt;
+}
+
 } // namespace internal
 
 const char *toString(RunVerdict verdict)
@@ -111,7 +122,8 @@
         return run.isTargetSlow && canEndElsewhere && endElsewhere < earliestEnd
             ? RunVerdict::RunElsewhere
             : RunVerdict::Continue;
-    return canEndElsewhere ? RunVerdict::RunElsewhere : RunVerdict::GiveUp;
+    return canEndElsewhere || internal::canEndAtOtherOwner(run, now) ? RunVerdict::RunElsewhere
+                                                                     : RunVerdict::GiveUp;
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/RunAssessment.h
+++ b/Hibiscus/src/Fleet/RunAssessment.h
@@ -31,6 +31,7 @@
     Duration expectedElsewhere {};
     /** \brief Slowness of that target over that of its own; empty if there is none. */
     std::optional<double> slownessElsewhere;
+    double slownessHere = 1; ///< of its target, as learned
     /** \brief Whether its target is slow, as other runs there show, and not the task long. */
     bool isTargetSlow = false;
 
--- a/test/RunForecastTest.cpp
+++ b/test/RunForecastTest.cpp
@@ -90,6 +90,21 @@
     EXPECT_EQ(verdictOn(run), RunVerdict::RunElsewhere);
 }
 
+// Guards against a job that is given up for the only target of its owner, while other owners have
+// usual ones.
+TEST(RunForecast, RunOnTheOnlyTargetOfItsOwnerIsLeftToOtherOwnersIfThatIsSlow)
+{
+    AssessedRun run = assessedRun(forecastAt(500ms, 7 * usualTime));
+    run.expectedRunTime = 900ms;
+    run.slownessHere = 3;
+    run.slownessElsewhere.reset();
+    EXPECT_EQ(verdictOn(run), RunVerdict::GiveUp) << "the task is long by itself";
+    run.isTargetSlow = true;
+    EXPECT_EQ(verdictOn(run), RunVerdict::RunElsewhere);
+    run.slownessHere = 1;
+    EXPECT_EQ(verdictOn(run), RunVerdict::GiveUp) << "too late for any target";
+}
+
 /** \brief Owner of targets whose runs progress at a given speed; they respond at once. */
 class TargetsFixture
 {
