A run whose name is held for another requester isn't reported as never started

Cause: two coordinators that have the same job use the same run names. The second one was told NotStarted for a run that the owner holds for the first, so that it could refuse a job that has run. Change: such a run is reported as Superseded, which counts as run and raises the attempt number. Test: JobWithdrawal.RunThatIsHeldForAnotherRequesterIsNotReportedAsNeverStarted.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -317,7 +317,7 @@
     unknownRuns.clear();
     for (const RunName &run : wantedRuns)
         if (!this->targetOwner.holdsRun(run, requester))
-            unknownRuns.push_back({ .run = run, .kind = RunEndKind::NotStarted });
+            unknownRuns.push_back(this->targetOwner.endOfUnknownRun(run));
     peer.hasPendingMessage = peer.hasPendingMessage || !unknownRuns.empty();
 }
 
@@ -620,7 +620,7 @@
     for (const RunName &run : this->jobCoordinator.wantedRunsAt(this->options.self))
         if (!this->targetOwner.holdsRun(run, this->self()))
             this->jobCoordinator.handleRunEnd(this->options.self,
-                                              { .run = run, .kind = RunEndKind::NotStarted }, now);
+                                              this->targetOwner.endOfUnknownRun(run), now);
     for (const RunEnd &end : this->targetOwner.runEndsFor(this->self()))
         this->jobCoordinator.handleRunEnd(this->options.self, end, now);
 }
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -415,6 +415,14 @@
     return found != this->runs.end() && found->second.requester == requester;
 }
 
+// A run of that name that is held for another requester may have run. A later attempt number tells
+// them apart.
+RunEnd FleetOwner::endOfUnknownRun(const RunName &run) const
+{
+    return { .run = run,
+             .kind = this->runs.contains(run) ? RunEndKind::Superseded : RunEndKind::NotStarted };
+}
+
 std::vector<TargetName> FleetOwner::targetNames() const
 {
     std::vector<TargetName> names;
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -241,6 +241,8 @@
     /** \returns the cancelled runs of \a requester that are on targets still. */
     std::vector<RunName> stoppingRunsFor(const Requester &requester) const;
     bool holdsRun(const RunName &run, const Requester &requester) const;
+    /** \returns the end of \a run, which a requester wants but this owner does not hold for it. */
+    RunEnd endOfUnknownRun(const RunName &run) const;
     bool ownsTarget(const TargetName &target) const { return this->drivers.contains(target); }
     std::vector<TargetName> targetNames() const;
     const LeasedTarget *findTarget(const TargetName &target) const;
--- a/Hibiscus/src/Fleet/Run.h
+++ b/Hibiscus/src/Fleet/Run.h
@@ -51,7 +51,10 @@
     NotStarted, ///< it has not run and never will
     Returned, ///< it never ran: it was queued, and another owner has free capacity
     TooLate, ///< it never ran: it could not have met its deadline
-    Superseded, ///< it never ran: the target has seen a later attempt of the task
+    /** \brief It never ran: the target has seen a later attempt of the task, or the owner holds a
+     * run of its name for another requester.
+     */
+    Superseded,
     Stopped, ///< on request
     Lost, ///< the target ended it: the lease expired, or the target restarted
     Unknown, ///< the owner lost the target: the run may still go on
--- a/test/JobWithdrawalTest.cpp
+++ b/test/JobWithdrawalTest.cpp
@@ -138,6 +138,35 @@
     EXPECT_TRUE(owner.stoppingRunsFor(requester).empty());
 }
 
+// Guards against a job that is refused although its run of the same name, for another coordinator,
+// has run.
+TEST(JobWithdrawal, RunThatIsHeldForAnotherRequesterIsNotReportedAsNeverStarted)
+{
+    const TimePoint now(1'800'000'000s);
+    FleetNode node({ .self = NodeName("g"), .domain = DomainName("a") });
+    const RunName shared = { .job = "j", .attempt = 1 };
+    const RunName lost = { .job = "k", .attempt = 1 };
+    FleetMessage message;
+    message.incarnation = 1;
+    message.sequence = 1;
+    message.domain = DomainName("a");
+    message.from = NodeName("a");
+    message.wantedRuns = { shared };
+    message.runRequests
+        = { { .run = shared, .service = ServiceName("s"), .untilDeadline = Duration(1s) } };
+    node.receive(message, now);
+    message.from = NodeName("b");
+    message.wantedRuns = { shared, lost };
+    node.receive(message, now);
+    std::vector<RunEnd> ends;
+    for (const AddressedFleetMessage &sent : node.flush(now).messages)
+        if (sent.to == NodeName("b"))
+            ends = sent.message.runEnds;
+    EXPECT_EQ(ends,
+              (std::vector { RunEnd { .run = shared, .kind = RunEndKind::Superseded },
+                             RunEnd { .run = lost, .kind = RunEndKind::NotStarted } }));
+}
+
 // Load: a burst of 1.8 times the usual load fills all queues, so that jobs of several tasks are
 // given up while some of their tasks wait at other owners.
 TEST(JobWithdrawal, JobsThatNeverStartedInABurstAreRefused)
