DELETE: say that a job is unknown only if all nodes that may have it said so

Cause: only listed peers were asked, so that a job at a gateway that is cut off from the registry nodes, or while these are down, was answered as unknown (410). A job that was in progress here was cancelled, but refused (503) while too many rounds were in progress. Change: all known peers are asked, until they are removed; without a recent list the answer is unconfirmed (503). Known peers that have gone away make it unconfirmed until then. The limit of rounds applies to jobs that were not in progress here. Tests: CancelRounds.JobIsNotUnknownWhileNotAllNodesAreKnown, CancelNode.PeersAreAskedAlsoWhenTheyAreNoLongerListed; two calls of begin() in older tests say that all peers are known, as they meant.

--- a/Hibiscus/src/Fleet/CancelRounds.cpp
+++ b/Hibiscus/src/Fleet/CancelRounds.cpp
@@ -17,13 +17,14 @@
 
 CancelJobRequest CancelRounds::begin(std::uint64_t caller, const std::string &job,
                                      bool wasInProgress, const std::vector<NodeName> &peers,
-                                     TimePoint now)
+                                     bool knowsAllPeers, TimePoint now)
 {
     const std::uint64_t number = this->nextNumber++;
     this->rounds[number] = { .caller = caller,
                              .job = job,
                              .wasInProgress = wasInProgress,
                              .silentPeers = { peers.begin(), peers.end() },
+                             .knowsAllPeers = knowsAllPeers,
                              .startedAt = now };
     return { .number = number, .job = job };
 }
@@ -46,8 +47,8 @@
             return false;
         CancelVerdict verdict = CancelVerdict::Cancelled;
         if (!round.wasInProgress)
-            verdict
-                = round.silentPeers.empty() ? CancelVerdict::Unknown : CancelVerdict::Unconfirmed;
+            verdict = round.silentPeers.empty() && round.knowsAllPeers ? CancelVerdict::Unknown
+                                                                       : CancelVerdict::Unconfirmed;
         decisions.push_back({ .caller = round.caller,
                               .job = round.job,
                               .verdict = verdict,
--- a/Hibiscus/src/Fleet/CancelRounds.h
+++ b/Hibiscus/src/Fleet/CancelRounds.h
@@ -34,7 +34,7 @@
 enum class CancelVerdict : std::uint8_t {
     Cancelled, ///< it was in progress at some node, which has cancelled it
     Unknown, ///< no node had it in progress
-    Unconfirmed ///< a node that may have it in progress has not replied
+    Unconfirmed ///< a node that may have it in progress has not replied, or is not known
 };
 
 /** \returns the name of \a verdict for logs. */
@@ -72,11 +72,11 @@
 
     // Commands.
     /** \brief Starts a round for \a caller, which asks \a peers. \a wasInProgress tells whether
-     * the job was in progress here.
+     * the job was in progress here, \a knowsAllPeers whether no other node may have it.
      * \returns the request to send to each of the peers.
      */
     CancelJobRequest begin(std::uint64_t caller, const std::string &job, bool wasInProgress,
-                           const std::vector<NodeName> &peers, TimePoint now);
+                           const std::vector<NodeName> &peers, bool knowsAllPeers, TimePoint now);
     void handleReply(const CancelJobReply &reply);
     std::vector<CancelDecision> takeDecisions(TimePoint now);
 
@@ -90,6 +90,7 @@
         std::string job;
         bool wasInProgress = false;
         std::set<NodeName> silentPeers;
+        bool knowsAllPeers = false;
         TimePoint startedAt;
     };
 
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -104,8 +104,6 @@
 {
     std::vector<NodeName> names;
     for (auto &[name, peer] : this->peers) {
-        if (!this->isListed(peer, now))
-            continue;
         peer.askedAt = now;
         peer.isConnected = true;
         names.push_back(name);
@@ -365,6 +363,7 @@
 
 void FleetNode::updatePeer(const NodeRecord &record, TimePoint now)
 {
+    this->listReceivedAt = now;
     if (record.node == this->options.self)
         return;
     Peer &peer = this->findOrAddPeer(record.node, now);
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -138,8 +138,9 @@
     void removeCaller(std::uint64_t caller, TimePoint now);
     /** \sa FleetCoordinator::cancelJob() */
     bool cancelJob(const std::string &job, TimePoint now);
-    /** \returns the peers that may coordinate a job: all that are listed. The process may send them
-     * requests of its own; their connections are kept open for these.
+    /** \returns the peers that may coordinate a job: all that are known, since one that is no
+     * longer listed may only be cut off from the registry nodes. The process may send them requests
+     * of its own; their connections are kept open for these.
      */
     std::vector<NodeName> peersToAsk(TimePoint now);
     /** \brief Handles the heartbeat of a target that this node owns or should own. */
@@ -187,6 +188,11 @@
     bool acknowledges(const TargetHeartbeat &heartbeat) const;
     bool isIdle() const;
     std::size_t livePeerCount(TimePoint now) const;
+    /** \returns whether a list of nodes has arrived recently, so that all peers are known. */
+    bool knowsAllPeers(TimePoint now) const
+    {
+        return now < this->listReceivedAt + this->options.listingLifetime;
+    }
     /** \returns the peers of the own domain that have sent a message recently, whether or not the
      * directory lists them.
      */
@@ -349,6 +355,7 @@
     std::vector<JobHold> announcedHolds; ///< for the next output
     std::vector<JobOutcome> heldOutcomes; ///< of jobs that must not be started, for the next output
     TimePoint holdsCheckedAt;
+    TimePoint listReceivedAt; ///< time of the latest list of nodes
     std::vector<DrivenTarget> drivenTargets; ///< own targets, as reported to guardians
     std::uint64_t targetsVersion = 0;
     /** \brief Version since which only tokens have changed; they may wait for the next message. */
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -216,13 +216,15 @@
 {
     const TimePoint now = this->loop.now();
     const bool wasInProgress = this->node.cancelJob(job, now);
-    if (this->cancelRounds.isFull()) {
+    // A job that was in progress here is answered at once, and needs no room for its round.
+    if (!wasInProgress && this->cancelRounds.isFull()) {
         logEvent("cancel-refused", { { "job", job }, { "reason", "too-many-cancels" } });
         this->refuse(token, internal::StatusUnavailable, 1s, "too-many-cancels");
         return;
     }
     const std::vector<NodeName> peers = this->node.peersToAsk(now);
-    CancelJobRequest request = this->cancelRounds.begin(token, job, wasInProgress, peers, now);
+    CancelJobRequest request = this->cancelRounds.begin(token, job, wasInProgress, peers,
+                                                        this->node.knowsAllPeers(now), now);
     request.from = this->context.name();
     for (const NodeName &peer : peers)
         this->relay.send(peer, request);
--- a/test/CancelTest.cpp
+++ b/test/CancelTest.cpp
@@ -214,7 +214,7 @@
                                            Duration after)
 {
     CancelRounds rounds({});
-    rounds.begin(7, "j", false, { NodeName("b"), NodeName("c") }, startTime);
+    rounds.begin(7, "j", false, { NodeName("b"), NodeName("c") }, true, startTime);
     for (const CancelJobReply &reply : replies)
         rounds.handleReply(reply);
     return rounds.takeDecisions(startTime + after);
@@ -237,10 +237,33 @@
     EXPECT_EQ(decisionsAfter({ no }, 2s)[0].silentPeers, 1U);
 }
 
+// Guards against a job that is said to be unknown while a node has it that no list has named.
+TEST(CancelRounds, JobIsNotUnknownWhileNotAllNodesAreKnown)
+{
+    CancelRounds rounds({});
+    rounds.begin(7, "j", false, { NodeName("b") }, false, startTime);
+    rounds.handleReply({ .from = NodeName("b"), .number = 1 });
+    const std::vector<CancelDecision> decisions = rounds.takeDecisions(startTime);
+    ASSERT_EQ(decisions.size(), 1U);
+    EXPECT_EQ(decisions[0].verdict, CancelVerdict::Unconfirmed);
+}
+
+// Guards against a job that runs on at a gateway that is cut off from the registry nodes only.
+TEST(CancelNode, PeersAreAskedAlsoWhenTheyAreNoLongerListed)
+{
+    FleetNode node({ .self = NodeName("g"), .domain = DomainName("a") });
+    EXPECT_FALSE(node.knowsAllPeers(startTime));
+    node.updatePeer({ .node = NodeName("h"), .domain = DomainName("a") }, startTime);
+    EXPECT_TRUE(node.knowsAllPeers(startTime + 1s));
+    const TimePoint later = startTime + 3s;
+    EXPECT_FALSE(node.knowsAllPeers(later));
+    EXPECT_EQ(node.peersToAsk(later), (std::vector { NodeName("h") }));
+}
+
 TEST(CancelRounds, JobThatIsInProgressHereNeedsNoReply)
 {
     CancelRounds rounds({});
-    rounds.begin(7, "j", true, { NodeName("b") }, startTime);
+    rounds.begin(7, "j", true, { NodeName("b") }, true, startTime);
     const std::vector<CancelDecision> decisions = rounds.takeDecisions(startTime);
     ASSERT_EQ(decisions.size(), 1U);
     EXPECT_EQ(decisions[0].verdict, CancelVerdict::Cancelled);
