A wide task can run alone on a cold target

Cause: a task that needs more than the usable half of a cold target whose domain was evacuated waited there until the target was warm. Change: while nothing runs on a target its whole capacity counts for the first run. Test: FleetEvacuation.WideTaskRunsAloneOnAColdTarget.

--- a/Hibiscus/src/Fleet/FleetOwnerPlacement.cpp
+++ b/Hibiscus/src/Fleet/FleetOwnerPlacement.cpp
@@ -105,8 +105,10 @@
 {
     const LeasedTarget &target = driver.target();
     const std::uint32_t limit = run.request.maxPerTarget;
-    return target.service == run.request.service
-        && this->usableCapacity(driver, now).covers(run.request.demand)
+    // A wide task would otherwise wait until a cold target is warm; alone it delays no other.
+    const bool isIdle = driver.free() == target.capacity;
+    const Capacity usable = isIdle ? driver.free() : this->usableCapacity(driver, now);
+    return target.service == run.request.service && usable.covers(run.request.demand)
         && satisfies(target.labels, run.request.requiredLabel) && this->acceptsRuns(driver, now)
         && (limit == 0 || driver.runCountOf(run.request.run.job, run.request.run.step) < limit);
 }
--- a/test/FleetEvacuationTest.cpp
+++ b/test/FleetEvacuationTest.cpp
@@ -43,12 +43,12 @@
         this->answerPolls();
     }
 
-    void requestRun(std::uint32_t index)
+    void requestRun(std::uint32_t index, std::int64_t cpu = 27'000)
     {
         RunRequest request;
         request.run = { .job = "j", .index = index, .attempt = 1 };
         request.service = ServiceName("s");
-        request.demand = { .cpu = 27'000 };
+        request.demand = { .cpu = cpu };
         request.estimate = 1s;
         request.untilObjective = 10s;
         request.untilDeadline = 10s;
@@ -225,6 +225,23 @@
     EXPECT_EQ(fixture.reported("t").free.cpu, 10'000);
 }
 
+// Guards against a wide task that waits until a cold target, on which nothing runs, is warm.
+TEST(FleetEvacuation, WideTaskRunsAloneOnAColdTarget)
+{
+    EvacuationFixture fixture;
+    fixture.addTarget("t", domainA);
+    fixture.evacuate({ domainA });
+    fixture.pass(100ms);
+    fixture.evacuate({});
+    fixture.pass(10ms);
+    fixture.addTarget("t", domainA, 4s);
+    ASSERT_EQ(fixture.reported("t").free.cpu, 32'000);
+    fixture.requestRun(1, 50'000);
+    EXPECT_EQ(fixture.owner.runningRunCount(), 1U);
+    fixture.requestRun(2, 10'000);
+    EXPECT_EQ(fixture.owner.runningRunCount(), 1U) << "the target is cold";
+}
+
 // Guards against small deployments that never use a cold target that was not evacuated.
 TEST(FleetEvacuation, OtherColdTargetsAreFilledAtOnce)
 {
