JobHolds: a heartbeat of a target doesn't withdraw the hold on its job

Cause: a hold was withdrawn as soon as this node drove the target again and the new driver listed no uncertain start. The new driver knows of none: after a heartbeat had brought the target back, but before it had accepted the new token, the earlier start could still be executed. Change: it is withdrawn only once the target has settled, with a token above that of the start. Test: FleetOwner.TargetSettlesOnceItHasAcceptedOrdersAndNotByItsHeartbeat.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -420,9 +420,9 @@
     if (now < this->holdsCheckedAt + internal::holdInterval)
         return;
     this->holdsCheckedAt = now;
-    const auto ownsTarget = [&](const TargetName &t) { return this->targetOwner.ownsTarget(t); };
+    const auto hasSettled = [&](const TargetName &t) { return this->targetOwner.hasSettled(t); };
     for (JobHold &hold :
-         this->jobHolds.update(this->targetOwner.uncertainStarts(now), ownsTarget, now))
+         this->jobHolds.update(this->targetOwner.uncertainStarts(now), hasSettled, now))
         this->announcedHolds.push_back(std::move(hold));
 }
 
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -244,6 +244,14 @@
     /** \returns the end of \a run, which a requester wants but this owner does not hold for it. */
     RunEnd endOfUnknownRun(const RunName &run) const;
     bool ownsTarget(const TargetName &target) const { return this->drivers.contains(target); }
+    /** \returns whether \a target is an own one that has accepted this owner's orders, and so
+     * refuses those of earlier owners.
+     */
+    bool hasSettled(const TargetName &target) const
+    {
+        const auto found = this->drivers.find(target);
+        return found != this->drivers.end() && found->second.isReconciled();
+    }
     std::vector<TargetName> targetNames() const;
     const LeasedTarget *findTarget(const TargetName &target) const;
     std::size_t queuedRunCount() const;
--- a/Hibiscus/src/Fleet/JobHolds.cpp
+++ b/Hibiscus/src/Fleet/JobHolds.cpp
@@ -5,7 +5,7 @@
 namespace Hibiscus {
 
 std::vector<JobHold> JobHolds::update(const std::vector<UncertainStart> &uncertain,
-                                      const std::function<bool(const TargetName &)> &ownsTarget,
+                                      const std::function<bool(const TargetName &)> &hasSettled,
                                       TimePoint now)
 {
     this->removeExpired(now);
@@ -18,7 +18,7 @@
     }
     std::erase_if(this->starts, [&](const auto &item) {
         const UncertainStart &start = item.second;
-        const bool isCertain = !present.contains(start.run) && ownsTarget(start.target);
+        const bool isCertain = !present.contains(start.run) && hasSettled(start.target);
         const bool isOver = now >= start.unansweredAt + this->options.maxLateness;
         if (isCertain || isOver)
             changedJobs.insert(start.run.job);
--- a/Hibiscus/src/Fleet/JobHolds.h
+++ b/Hibiscus/src/Fleet/JobHolds.h
@@ -62,12 +62,13 @@
         : options(options), self(self) { }
 
     // Commands.
-    /** \brief Compares the starts that are uncertain now with those before. \a ownsTarget tells
-     * whether this node still drives a target; otherwise it learns no more of the start there.
+    /** \brief Compares the starts that are uncertain now with those before. \a hasSettled tells
+     * whether this node drives a target that has accepted its orders. Otherwise it knows no more of
+     * the start there: it has given the target up, or just taken it over again.
      * \returns what is to be announced to the other entry nodes.
      */
     std::vector<JobHold> update(const std::vector<UncertainStart> &uncertain,
-                                const std::function<bool(const TargetName &)> &ownsTarget,
+                                const std::function<bool(const TargetName &)> &hasSettled,
                                 TimePoint now);
     /** \brief Records the announcement of another node. */
     void receive(const JobHold &hold, TimePoint now);
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -324,6 +324,21 @@
     EXPECT_TRUE(node.livePeersOfDomain(now + 5s).empty());
 }
 
+// Guards against a withdrawn hold, and with it two runs of a task: a heartbeat of a target that was
+// given up says nothing of a start that may still arrive there.
+TEST(FleetOwner, TargetSettlesOnceItHasAcceptedOrdersAndNotByItsHeartbeat)
+{
+    FleetOwner owner { {} };
+    const TargetName name("t");
+    EXPECT_FALSE(owner.hasSettled(name));
+    owner.updateTarget({ .name = name, .incarnation = 1, .sequence = 1 },
+                       TimePoint(1'800'000'000s));
+    EXPECT_TRUE(owner.ownsTarget(name));
+    EXPECT_FALSE(owner.hasSettled(name));
+    const OwnerFixture settled;
+    EXPECT_TRUE(settled.owner.hasSettled(name));
+}
+
 // Guards against a target with two owners: tokens are taken from clocks, so those of two gateways
 // that took a target over in the same millisecond were equal, and neither was fenced.
 TEST(FleetNode, TwoNodesThatTakeATargetOverAtOnceHaveDifferentTokens)
