DELETE: gateways that are gone for good are no longer asked

Cause: all peers were asked until they are forgotten, 10 s after their last list. A gateway that was removed would have kept each DELETE of an unknown job without a clear answer for that time, longer than operators of the platform wait.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -104,6 +104,9 @@
 {
     std::vector<NodeName> names;
     for (auto &[name, peer] : this->peers) {
+        const TimePoint knownAt = std::max({ peer.addedAt, peer.lastSeenAt, peer.listedAt });
+        if (now >= knownAt + this->options.askedPeerLifetime)
+            continue;
         peer.askedAt = now;
         peer.isConnected = true;
         names.push_back(name);
