--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -48,9 +48,9 @@
     Duration stallThreshold = 500ms;
     /** \brief A peer that neither sent a message nor was listed for longer is removed. */
     Duration peerRemovalTimeout = 10s;
-    /** \brief A peer that neither sent a message nor was listed for longer is not asked for a job: a
-     * peer that is gone for good must not keep callers without an answer. Its own jobs have reached
-     * their deadline by then, as long as routes allow less than this time.
+    /** \brief A peer that neither sent a message nor was listed for longer is not asked for a job:
+     * a peer that is gone for good must not keep callers without an answer. Its own jobs have
+     * reached their deadline by then, as long as routes allow less than this time.
      */
     Duration askedPeerLifetime = 2500ms;
     Duration idleConnectionTimeout = 5s; ///< a connection without messages for longer is closed
@@ -144,8 +144,8 @@
     /** \sa FleetCoordinator::cancelJob() */
     bool cancelJob(const std::string &job, TimePoint now);
     /** \returns the peers that may coordinate a job: also those that are no longer listed, for a
-     * while, since they may only be cut off from the registry nodes. The process may send them requests
-     * of its own; their connections are kept open for these.
+     * while, since they may only be cut off from the registry nodes. The process may send them
+     * requests of its own; their connections are kept open for these.
      */
     std::vector<NodeName> peersToAsk(TimePoint now);
     /** \brief Handles the heartbeat of a target that this node owns or should own. */
