HttpServer: account for bodies after 100 Continue

Cause: h2o stops reading, writes "100 Continue" and then reads with a callback of its own, so the server's callback was lost until the end of the request, and the body was in no budget. Change: while nothing is read and the headers are there, the buffer counts as a body, and the callback for the written interim response is wrapped; it restores the server's callback for reading.

--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -133,6 +133,8 @@
         connection->socket->on_close = {};
         if (connection->socket->_cb.read == onRead)
             connection->socket->_cb.read = connection->read;
+        if (connection->socket->_cb.write == onInterimWritten)
+            connection->socket->_cb.write = connection->write;
         this->loop.memory().remove(id);
     }
     if (h2o_timeout_is_linked(&this->resumption.native) != 0)
@@ -250,6 +252,20 @@
     owner->loop.memory().enforce();
 }
 
+// h2o has sent "100 Continue", and reads the body with a callback of its own.
+void HttpServer::onInterimWritten(h2o_socket_t *socket, const char *error)
+{
+    const auto *connection = static_cast<Connection *>(socket->on_close.data);
+    HttpServer *owner = connection->owner;
+    const MemoryBudget::ConnectionId id = connection->id;
+    connection->write(socket, error);
+    const auto found = owner->connections.find(id);
+    if (found == owner->connections.end())
+        return;
+    owner->resume(*found->second);
+    owner->loop.memory().enforce();
+}
+
 // The response has been sent, and h2o reads the next request of the connection.
 void HttpServer::awaitNextRequest(MemoryBudget::ConnectionId id)
 {
@@ -283,16 +299,25 @@
     this->updateUse(connection);
 }
 
+// Without a callback for reading a response is being sent, or "100 Continue" before the body.
 void HttpServer::updateUse(Connection &connection)
 {
     MemoryBudget &memory = this->loop.memory();
-    const h2o_socket_t *socket = connection.socket;
+    h2o_socket_t *socket = connection.socket;
     if (connection.isHandled) {
         memory.update(connection.id, ConnectionUse::Handled, internal::memoryOf(socket->input));
         return;
     }
-    if (socket->_cb.read == nullptr)
-        return; // a response is being sent
+    if (socket->_cb.read == nullptr) {
+        if (!connection.hasHeaders)
+            return;
+        memory.update(connection.id, ConnectionUse::Body, internal::memoryOf(socket->input));
+        if (socket->_cb.write != nullptr && socket->_cb.write != onInterimWritten) {
+            connection.write = socket->_cb.write;
+            socket->_cb.write = onInterimWritten;
+        }
+        return;
+    }
     if (socket->input->size == 0) {
         memory.update(connection.id,
                       connection.hasServed ? ConnectionUse::Idle : ConnectionUse::Unused, 0);
--- a/Hibiscus/src/Net/HttpServer.h
+++ b/Hibiscus/src/Net/HttpServer.h
@@ -136,6 +136,7 @@
         h2o_socket_t *socket = nullptr;
         MemoryBudget::ConnectionId id = 0;
         h2o_socket_cb read = nullptr; ///< h2o's own callback for what has arrived
+        h2o_socket_cb write = nullptr; ///< h2o's own callback for an interim response
         std::size_t searchedBytes = 0; ///< part of the input without the end of the headers
         bool hasHeaders = false; ///< the end of the headers of a request has arrived
         bool hasServed = false;
@@ -153,6 +154,7 @@
 
     static void onConnectionClosed(void *connection);
     static void onRead(h2o_socket_t *socket, const char *error);
+    static void onInterimWritten(h2o_socket_t *socket, const char *error);
     static void onResume(h2o_timeout_entry_t *timer);
     static Connection *connectionOf(const h2o_req_t *request);
     void addConnection(h2o_socket_t *socket);
--- a/test/limits_process_test.py
+++ b/test/limits_process_test.py
@@ -318,8 +318,13 @@
         start = head("POST", path, f"content-length: {LEGAL_BODY}")
         return [Client((ip, port), start, LEGAL_BODY - 1) for _ in range(1200)]
 
+    # "100 Continue" is sent before h2o reads the body.
+    def short_of_3_9_mb_expecting_continue(ip, port, path):
+        start = head("POST", path, "expect: 100-continue", f"content-length: {ILLEGAL_BODY}")
+        return [Client((ip, port), start, ILLEGAL_BODY - 1) for _ in range(60)]
+
     for port_name, role, port, path, _ in (PORTS[0], PORTS[5]):
-        for crowd in (short_of_3_9_mb, many_of_250_kb):
+        for crowd in (short_of_3_9_mb, short_of_3_9_mb_expecting_continue, many_of_250_kb):
             add_test(f"{role}_{port_name}_{crowd.__name__}", role,
                      lambda ip, c=crowd, p=port, s=path: c(ip, p, s), SMALLEST_VM, LARGE_CROWD_MB)
 
