MemoryBudget: close essential connections last, with room for one batch

Cause: over the limit of memory the largest unfinished request was closed first, also a batch of a peer, against what the header says; and a legal batch of 24 MB had no room beside the connections. Change: other candidates come first, however small; the budget is at least one largest batch and the room of all connections, where that is at most a third of the memory (39.1 of 120 MB by computation). Test: an essential body larger than the others is kept until only it is left. Not run yet; the processes' peaks with the larger budget are not measured yet.

--- a/Hibiscus/src/Net/MemoryBudget.cpp
+++ b/Hibiscus/src/Net/MemoryBudget.cpp
@@ -118,19 +118,21 @@
     this->isClosing = false;
 }
 
+// An essential connection comes after all others, however large its request is.
 void MemoryBudget::closeLargest()
 {
-    using Candidate = std::tuple<bool, std::size_t, std::uint64_t, ConnectionId>;
+    using Candidate = std::tuple<bool, bool, std::size_t, std::uint64_t, ConnectionId>;
     std::vector<Candidate> candidates;
     for (const auto &[id, connection] : this->connections)
         if (connection.use != ConnectionUse::Handled)
-            candidates.emplace_back(internal::isUnfinished(connection.use), connection.bytes,
+            candidates.emplace_back(!connection.isEssential,
+                                    internal::isUnfinished(connection.use), connection.bytes,
                                     this->changes - connection.changedAt, id);
     std::ranges::sort(candidates, std::greater());
     const std::size_t target = internal::remainder(this->limits.maxBytes);
     std::size_t rest = this->bytes;
     std::vector<ConnectionId> excess;
-    for (const auto &[isUnfinished, bytes, age, id] : candidates) {
+    for (const auto &[isOrdinary, isUnfinished, bytes, age, id] : candidates) {
         if (rest <= target)
             break;
         rest -= bytes;
--- a/Hibiscus/src/Process/NodeContext.cpp
+++ b/Hibiscus/src/Process/NodeContext.cpp
@@ -95,11 +95,14 @@
 }
 
 // Connections by themselves take at most half of their memory, the rest is for requests. Of the
-// descriptors a quarter remains for the connections that this process opens.
+// descriptors a quarter remains for the connections that this process opens. Where the memory allows
+// it, the largest batch of a peer has room beside all connections: otherwise it would be given up
+// each time.
 MemoryBudget::Limits NodeContext::connectionLimits() const
 {
     constexpr std::size_t megabyte = 1'000'000;
     constexpr std::size_t memoryParts = 4; // the rest is for jobs, rules and the log
+    constexpr std::size_t largestMemoryParts = 3; // at least two thirds are left for them
     constexpr std::size_t reservedDescriptors = 200; // files, and what libraries open
     MemoryBudget::Limits limits;
     limits.maxBytes = this->profile.memoryMb * megabyte / memoryParts;
@@ -108,6 +111,10 @@
     const std::size_t sockets = descriptors - std::min(descriptors / 2, reservedDescriptors);
     limits.maxConnections
         = std::min(sockets * 3 / 4, limits.maxBytes / 2 / MemoryBudget::connectionBytes);
+    const std::size_t needed = maxMessageBytes + batchOverheadBytes
+        + limits.maxConnections * MemoryBudget::connectionBytes;
+    if (needed <= this->profile.memoryMb * megabyte / largestMemoryParts)
+        limits.maxBytes = std::max(limits.maxBytes, needed);
     return limits;
 }
 
--- a/test/MemoryBudgetTest.cpp
+++ b/test/MemoryBudgetTest.cpp
@@ -58,6 +58,25 @@
     EXPECT_EQ(fixture.closed.front().second, CloseReason::Memory);
 }
 
+TEST(MemoryBudget, ClosesEssentialConnectionsOnlyAfterAllOthers)
+{
+    Fixture fixture;
+    fixture.budget.setLimits({ .maxBytes = 1'000'000 });
+    const auto batch = fixture.add(ConnectionUse::Body, 800'000, true);
+    const auto small = fixture.add(ConnectionUse::Body, 100'000);
+    const auto idle = fixture.add(ConnectionUse::Idle, 0);
+    const auto large = fixture.add(ConnectionUse::Body, 150'000);
+    fixture.budget.enforce();
+    EXPECT_FALSE(fixture.isClosed(batch));
+    EXPECT_TRUE(fixture.isClosed(large));
+    EXPECT_TRUE(fixture.isClosed(small));
+    EXPECT_FALSE(fixture.isClosed(idle));
+    fixture.budget.update(batch, ConnectionUse::Body, 1'200'000);
+    fixture.budget.enforce();
+    EXPECT_TRUE(fixture.isClosed(idle));
+    EXPECT_TRUE(fixture.isClosed(batch));
+}
+
 // The job of a whole request may have begun, and so its caller must get a true answer.
 TEST(MemoryBudget, ClosesNoRequestThatIsHandled)
 {
