MemoryBudget: answers that were just sent are closed after idle connections

Cause: an answer just sent was closed for the number of connections before idle ones, by a reset that drops what the system still holds of it, and for memory before unused connections. Change: such an answer ranks with recent connections; for memory it comes after all others unless it is old or large. A connection is reset only for memory or an overdue answer. Tests: both orders.

--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -344,7 +344,8 @@
 }
 
 // h2o closes a connection whose callback receives an error. One that it writes to can't be closed
-// that way, and is reset.
+// that way, and is shut down. What the system still holds of an answer that isn't read is dropped
+// only if its memory or time is the reason.
 void HttpServer::close(Connection &connection, CloseReason reason)
 {
     connection.isClosing = true;
@@ -358,7 +359,8 @@
         return;
     }
     const linger reset = { .l_onoff = 1, .l_linger = 0 };
-    ::setsockopt(socketFd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    if (reason == CloseReason::Memory || reason == CloseReason::AnswerTime)
+        ::setsockopt(socketFd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
     ::shutdown(socketFd, SHUT_RDWR);
 }
 
--- a/Hibiscus/src/Net/MemoryBudget.cpp
+++ b/Hibiscus/src/Net/MemoryBudget.cpp
@@ -24,6 +24,9 @@
  */
 constexpr std::size_t parts = 8;
 
+/** \brief Size from which a response counts as large: many times an ordinary one. */
+constexpr std::size_t largeAnswerBytes = 65'536;
+
 /** \returns what remains of a limit after an excess. */
 static std::size_t remainder(std::size_t limit)
 {
@@ -121,18 +124,18 @@
 // An essential connection comes after all others, however large its request is.
 void MemoryBudget::closeLargest()
 {
-    using Candidate = std::tuple<bool, bool, std::size_t, std::uint64_t, ConnectionId>;
+    using Candidate = std::tuple<bool, int, std::size_t, std::uint64_t, ConnectionId>;
     std::vector<Candidate> candidates;
     for (const auto &[id, connection] : this->connections)
         if (connection.use != ConnectionUse::Handled)
-            candidates.emplace_back(!connection.isEssential,
-                                    internal::isUnfinished(connection.use), connection.bytes,
+            candidates.emplace_back(!connection.isEssential, this->memoryRankOf(connection),
+                                    connection.bytes,
                                     this->changes - connection.changedAt, id);
     std::ranges::sort(candidates, std::greater());
     const std::size_t target = internal::remainder(this->limits.maxBytes);
     std::size_t rest = this->bytes;
     std::vector<ConnectionId> excess;
-    for (const auto &[isOrdinary, isUnfinished, bytes, age, id] : candidates) {
+    for (const auto &[isOrdinary, rank, bytes, age, id] : candidates) {
         if (rest <= target)
             break;
         rest -= bytes;
@@ -141,19 +144,41 @@
     this->close(excess, CloseReason::Memory);
 }
 
+bool MemoryBudget::isRecent(const Connection &connection) const
+{
+    return this->changes - connection.changedAt < this->limits.maxConnections / internal::parts;
+}
+
+// Its client is about to read the answer. A burst makes many changes in a short time, so that an
+// answer is old only when a check for overdue connections has seen it, too.
+bool MemoryBudget::isJustAnswered(const Connection &connection) const
+{
+    return connection.use == ConnectionUse::Answered
+        && (connection.seenAt == TimePoint() || this->isRecent(connection));
+}
+
 // Connections whose latest change is long ago come first; a client that has just connected is given
 // the time for a request. An idle connection is that of a client that was served.
 int MemoryBudget::rankOf(const Connection &connection) const
 {
-    const bool isRecent
-        = this->changes - connection.changedAt < this->limits.maxConnections / internal::parts;
     if (connection.isEssential)
         return 3;
-    if (isRecent)
+    if (this->isRecent(connection) || this->isJustAnswered(connection))
         return 2;
     return connection.use == ConnectionUse::Idle ? 1 : 0;
 }
 
+/** \returns the rank for which a connection is closed for memory, the highest first. */
+int MemoryBudget::memoryRankOf(const Connection &connection) const
+{
+    if (internal::isUnfinished(connection.use))
+        return 3;
+    if (connection.use != ConnectionUse::Answered)
+        return 1;
+    const bool isLarge = connection.bytes >= internal::largeAnswerBytes;
+    return isLarge || !this->isJustAnswered(connection) ? 2 : 0;
+}
+
 void MemoryBudget::closeLeastUsed()
 {
     using Candidate = std::tuple<int, std::uint64_t, ConnectionId>;
--- a/Hibiscus/src/Net/MemoryBudget.h
+++ b/Hibiscus/src/Net/MemoryBudget.h
@@ -27,9 +27,10 @@
 
 /** \brief Decides which of the connections of all servers of a process it can afford.
  *
- * Over the limit of memory the largest unfinished requests are given up first, and then the largest
- * responses that are not read. A whole request keeps its connection, since its job may have begun;
- * it is refused before that, while too much memory is held by others.
+ * Over the limit of memory the largest unfinished requests are given up first, then old or large
+ * responses that are not read, unused connections, and small responses that were just sent. A whole
+ * request keeps its connection, since its job may have begun; it is refused before that, while too
+ * much memory is held by others.
  */
 class MemoryBudget
 {
@@ -101,7 +102,10 @@
         TimePoint seenAt; ///< time of the first tick since that change
     };
 
+    bool isRecent(const Connection &connection) const;
+    bool isJustAnswered(const Connection &connection) const;
     int rankOf(const Connection &connection) const;
+    int memoryRankOf(const Connection &connection) const;
     void closeLargest();
     void closeLeastUsed();
     void close(const std::vector<ConnectionId> &ids, CloseReason reason);
--- a/test/MemoryBudgetTest.cpp
+++ b/test/MemoryBudgetTest.cpp
@@ -131,6 +131,39 @@
     EXPECT_FALSE(fixture.isClosed(added));
 }
 
+TEST(MemoryBudget, ClosesIdleConnectionsBeforeAnswersThatWereJustSent)
+{
+    Fixture fixture;
+    fixture.budget.setLimits({ .maxConnections = 16 });
+    const auto answer = fixture.add(ConnectionUse::Answered, 500);
+    const auto idle = fixture.add(ConnectionUse::Idle, 0);
+    for (int i = 0; i < 15; ++i)
+        fixture.add(ConnectionUse::Idle, 0);
+    fixture.budget.enforce();
+    EXPECT_TRUE(fixture.isClosed(idle));
+    EXPECT_FALSE(fixture.isClosed(answer));
+}
+
+TEST(MemoryBudget, ClosesSmallAnswersForMemoryLastUntilTheyAreOld)
+{
+    Fixture fixture;
+    const MemoryBudget::Limits limits = { .maxBytes = 16 * base };
+    const auto answer = fixture.add(ConnectionUse::Answered, 500);
+    const auto large = fixture.add(ConnectionUse::Answered, 100'000);
+    for (int i = 0; i < 14; ++i)
+        fixture.add(ConnectionUse::Idle, 0);
+    fixture.budget.setLimits(limits);
+    fixture.budget.enforce();
+    EXPECT_TRUE(fixture.isClosed(large));
+    EXPECT_EQ(fixture.closed.size(), 3U);
+    EXPECT_FALSE(fixture.isClosed(answer));
+    fixture.budget.tick(TimePoint() + 1h);
+    for (int i = 0; i < 3; ++i)
+        fixture.add(ConnectionUse::Idle, 0);
+    fixture.budget.enforce();
+    EXPECT_TRUE(fixture.isClosed(answer));
+}
+
 TEST(MemoryBudget, ClosesOverdueRequests)
 {
     Fixture fixture;
