MemoryBudget: whole requests are counted without their connections

Cause: each whole request counted with the 8 KiB of its connection, which the limit of connections already pays for, so that a burst of ordinary callers was refused on the smallest VM. Change: only the bytes of request and response count, and less than half of the budget is asked for. Test: small requests on as many connections as fit meet no limit.

--- a/Hibiscus/src/Net/MemoryBudget.cpp
+++ b/Hibiscus/src/Net/MemoryBudget.cpp
@@ -79,9 +79,9 @@
     Connection &connection = found->second;
     const std::size_t changed = connectionBytes + bytes;
     if (connection.use == ConnectionUse::Handled)
-        this->handledBytes -= connection.bytes;
+        this->handledBytes -= connection.bytes - connectionBytes;
     if (use == ConnectionUse::Handled)
-        this->handledBytes += changed;
+        this->handledBytes += bytes;
     this->bytes += changed;
     this->bytes -= connection.bytes;
     this->peakBytes = std::max(this->peakBytes, this->bytes);
@@ -101,7 +101,7 @@
     if (found == this->connections.end())
         return;
     if (found->second.use == ConnectionUse::Handled)
-        this->handledBytes -= found->second.bytes;
+        this->handledBytes -= found->second.bytes - connectionBytes;
     this->bytes -= found->second.bytes;
     if (found->second.bytes >= internal::largeRequestBytes)
         this->peakBytes = std::max(this->peakBytes, this->bytes + internal::releaseBytes);
@@ -229,10 +229,11 @@
         this->close(ids, reason);
 }
 
-// The other half remains for requests that are still arriving.
+// The other half remains for requests that are still arriving, and for connections by themselves,
+// which their own limit bounds: a burst of small requests meets no other one.
 bool MemoryBudget::mayHandle() const
 {
-    return this->limits.maxBytes == 0 || this->handledBytes <= this->limits.maxBytes / 2;
+    return this->limits.maxBytes == 0 || this->handledBytes < this->limits.maxBytes / 2;
 }
 
 std::map<std::string, std::uint64_t> MemoryBudget::counts() const
--- a/Hibiscus/src/Net/MemoryBudget.h
+++ b/Hibiscus/src/Net/MemoryBudget.h
@@ -116,7 +116,8 @@
     std::uint64_t refused = 0;
     std::map<std::string, std::uint64_t> reported; ///< totals of the latest report
     std::size_t bytes = 0;
-    std::size_t handledBytes = 0; ///< part of the whole requests that wait for their responses
+    /** \brief Part of the whole requests that wait for their responses, without connectionBytes. */
+    std::size_t handledBytes = 0;
     std::size_t peakBytes = 0; ///< since the latest release
     ConnectionId lastId = 0;
     std::uint64_t changes = 0;
--- a/test/MemoryBudgetTest.cpp
+++ b/test/MemoryBudgetTest.cpp
@@ -100,6 +100,24 @@
     EXPECT_TRUE(fixture.budget.mayHandle());
 }
 
+TEST(MemoryBudget, HandlesSmallRequestsOfAllConnections)
+{
+    Fixture fixture;
+    constexpr std::size_t maxBytes = 1'000'000;
+    constexpr std::size_t count = maxBytes / 2 / base;
+    fixture.budget.setLimits({ .maxBytes = maxBytes, .maxConnections = count });
+    std::vector<MemoryBudget::ConnectionId> all;
+    for (std::size_t i = 0; i < count; ++i)
+        all.push_back(fixture.add(ConnectionUse::Handled, 2'000));
+    EXPECT_TRUE(fixture.budget.mayHandle());
+    for (const auto id : all)
+        fixture.budget.update(id, ConnectionUse::Handled, base);
+    EXPECT_TRUE(fixture.budget.mayHandle());
+    for (const auto id : all)
+        fixture.budget.remove(id);
+    EXPECT_TRUE(fixture.budget.mayHandle());
+}
+
 TEST(MemoryBudget, ClosesSilentConnectionsBeforeThoseOfServedClients)
 {
     Fixture fixture;
