HttpServer: readiness and metrics are served while others are refused

Cause: while whole requests took half of the budget, readiness checks and metrics got 503 as well, so that a busy gateway looked unready; and these ports took bodies of 4 MB, which they never need. Change: an option apart from isEssential, and a limit of 4 KiB for their bodies. Test: with the budget used up, a server with the option responds and one without refuses.

--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -468,7 +468,8 @@
     auto *guard = static_cast<RequestGuard *>(
         h2o_mem_alloc_shared(&request->pool, sizeof(RequestGuard), onRequestDisposed));
     *guard = { .owner = this, .token = this->nextToken++, .connection = connection->id };
-    if (!this->options.isEssential && !this->loop.memory().mayHandle()) {
+    const bool isExempt = this->options.isEssential || this->options.isNeverRefused;
+    if (!isExempt && !this->loop.memory().mayHandle()) {
         this->refuseUnhandled(request);
         return;
     }
--- a/Hibiscus/src/Net/HttpServer.h
+++ b/Hibiscus/src/Net/HttpServer.h
@@ -67,6 +67,9 @@
 
     static constexpr std::size_t defaultMaxBodyBytes = 4'000'000;
 
+    /** \brief Limit for servers that need no bodies, as for readiness and metrics. */
+    static constexpr std::size_t smallBodyBytes = 4'096;
+
     struct Options
     {
         Address address;
@@ -77,6 +80,10 @@
          * also while the MemoryBudget refuses others.
          */
         bool isEssential = false;
+        /** \brief Whether requests are served also while the MemoryBudget refuses others, as checks
+         * of the process must be; its connections are closed like others.
+         */
+        bool isNeverRefused = false;
         Duration idleTimeout = 75s; ///< longer than clients keep an unused connection open
         std::vector<std::string> keptHeaders; ///< names of the headers to pass on, in lower case
         DisconnectHandler onDisconnect; ///< may be empty
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -134,7 +134,10 @@
                      .keptHeaders = node.protocol.callerHeaders,
                      .onDisconnect = [this](std::uint64_t token) { this->onCallerLeft(token); } },
                    [this](const HttpRequest &request) { this->onCallerRequest(request); }),
-      readinessServer(this->loop, { .address = *Address::parse(node.profile.readinessAddress) },
+      readinessServer(this->loop,
+                      { .address = *Address::parse(node.profile.readinessAddress),
+                        .maxBodyBytes = HttpServer::smallBodyBytes,
+                        .isNeverRefused = true },
                       [this](const HttpRequest &request) {
                           const bool isReady = this->isReady();
                           this->readinessServer.respond(request.token,
@@ -145,7 +148,10 @@
       targetServer(this->loop,
                    { .address = *Address::parse(node.profile.targetsAddress), .isEssential = true },
                    [this](const HttpRequest &request) { this->onTargetRequest(request); }),
-      metricsServer(this->loop, { .address = *Address::parse(node.profile.metricsAddress) },
+      metricsServer(this->loop,
+                    { .address = *Address::parse(node.profile.metricsAddress),
+                      .maxBodyBytes = HttpServer::smallBodyBytes,
+                      .isNeverRefused = true },
                     [this](const HttpRequest &request) { this->onMetricsRequest(request); }),
       client(this->loop, {}), metrics(node.profile.label), settingsWatcher(node.settingsPath)
 {
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -99,7 +99,10 @@
           [](const NodeName &) {}),
       http(this->loop, { .address = *Address::parse(nodeContext.profile.operatorsAddress) },
            [this](const HttpRequest &request) { this->onRequest(request); }),
-      metricsServer(this->loop, { .address = *Address::parse(nodeContext.profile.metricsAddress) },
+      metricsServer(this->loop,
+                    { .address = *Address::parse(nodeContext.profile.metricsAddress),
+                      .maxBodyBytes = HttpServer::smallBodyBytes,
+                      .isNeverRefused = true },
                     [this](const HttpRequest &request) {
                         const TimePoint now = this->loop.now();
                         if (now >= this->metricsText.validUntil) {
--- a/test/HttpEntryFuzzTest.cpp
+++ b/test/HttpEntryFuzzTest.cpp
@@ -64,10 +64,11 @@
 class Entry
 {
 public:
-    Entry()
+    explicit Entry(bool isNeverRefused = false)
         : server(this->loop,
                  { .address = ownAddress(),
                    .maxBodyBytes = 100'000,
+                   .isNeverRefused = isNeverRefused,
                    .keptHeaders = { "deadline-ms" },
                    .onDisconnect = [this](std::uint64_t token) { std::erase(this->open, token); } },
                  [this](const HttpRequest &request) { this->open.push_back(request.token); })
@@ -226,6 +227,24 @@
     EXPECT_GE(entry.memory().usedBytes(), sentBytes);
 }
 
+TEST(HttpEntryFuzz, ServesChecksWhileOtherRequestsAreRefused)
+{
+    for (const bool isNeverRefused : { false, true }) {
+        Entry entry(isNeverRefused);
+        const auto id = entry.memory().add(false, [](CloseReason) { });
+        entry.memory().update(id, ConnectionUse::Handled, 600'000);
+        Client client;
+        client.send("GET /a HTTP/1.1\r\nhost: h.example\r\n\r\n");
+        std::string received;
+        for (int i = 0; i < 1'000 && received.empty(); ++i) {
+            entry.run(2ms);
+            received = client.read();
+        }
+        const std::string expected = isNeverRefused ? "HTTP/1.1 200" : "HTTP/1.1 503";
+        EXPECT_TRUE(received.starts_with(expected)) << received;
+    }
+}
+
 // Guards against a process that anyone can end, or use up, by what he sends to its ports.
 TEST(HttpEntryFuzz, SurvivesHostileClients)
 {
