HttpServer: the header limit of the callers' configuration is that of their server

Cause: the configuration's max_header_bytes went into the limits of all ports, so that a low one refused batches of peers and heartbeats of targets. Test: the same headers pass without it and get 431 with it.

--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -339,7 +339,9 @@
         = internal::headerBytes({ input->bytes, input->size }, connection.searchedBytes);
     connection.searchedBytes = input->size;
     connection.hasHeaders = size.has_value();
-    const std::size_t limit = this->loop.memory().currentLimits().maxHeaderBytes;
+    const std::size_t limit = this->maxHeaderBytes > 0
+        ? this->maxHeaderBytes
+        : this->loop.memory().currentLimits().maxHeaderBytes;
     return size.value_or(input->size) <= limit;
 }
 
--- a/Hibiscus/src/Net/HttpServer.h
+++ b/Hibiscus/src/Net/HttpServer.h
@@ -105,6 +105,8 @@
     void closeAfterResponses() { this->closesAfterResponses = true; }
     /** \brief Replaces Options::maxBodyBytes for the requests that follow. */
     void setMaxBodyBytes(std::size_t bytes) { this->config.max_request_entity_size = bytes; }
+    /** \brief Sets a limit of the headers for this server alone; 0: that of the MemoryBudget. */
+    void setMaxHeaderBytes(std::size_t bytes) { this->maxHeaderBytes = bytes; }
     /** \brief Closes the connections with the largest open bodies while all of them are over
      * Options::maxOpenBodyBytes; must be called every few tens of milliseconds.
      */
@@ -197,6 +199,7 @@
     std::vector<MemoryBudget::ConnectionId> finished; ///< connections whose request has ended
     std::uint64_t excessBodies = 0; ///< open bodies that were given up
     std::uint64_t nextToken = 1;
+    std::size_t maxHeaderBytes = 0; ///< 0: that of the MemoryBudget
     bool closesAfterResponses = false;
     LineLimit departureLines;
 };
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -690,11 +690,10 @@
         = this->rules.active().rules().requestLimits().value_or(RequestLimits());
     MemoryBudget::Limits changed = this->context.connectionLimits();
     constexpr std::size_t margin = 2;
-    if (limits.maxHeaderBytes > 0)
-        changed.maxHeaderBytes = margin * limits.maxHeaderBytes;
     changed.headerTimeout = std::max<Duration>(
         changed.headerTimeout, margin * std::chrono::milliseconds(limits.headerTimeoutMs));
     this->loop.memory().setLimits(changed);
+    this->callerServer.setMaxHeaderBytes(margin * limits.maxHeaderBytes);
     this->callerServer.setMaxBodyBytes(limits.maxBodyBytes > 0 ? limits.maxBodyBytes
                                                                : HttpServer::defaultMaxBodyBytes);
 }
--- a/test/HttpEntryFuzzTest.cpp
+++ b/test/HttpEntryFuzzTest.cpp
@@ -94,6 +94,7 @@
     }
 
     MemoryBudget &memory() { return this->loop.memory(); }
+    void setMaxHeaderBytes(std::size_t bytes) { this->server.setMaxHeaderBytes(bytes); }
 
 private:
     void respond()
@@ -227,6 +228,25 @@
     EXPECT_GE(entry.memory().usedBytes(), sentBytes);
 }
 
+TEST(HttpEntryFuzz, LimitsTheHeadersOfOneServer)
+{
+    for (const auto &[limit, expected] :
+         std::vector<std::pair<std::size_t, std::string>> { { 0, "HTTP/1.1 200" },
+                                                            { 1'000, "HTTP/1.1 431" } }) {
+        Entry entry;
+        entry.setMaxHeaderBytes(limit);
+        Client client;
+        client.send("GET /a HTTP/1.1\r\nhost: h.example\r\nx-long: " + std::string(2'000, 'a')
+                    + "\r\n\r\n");
+        std::string received;
+        for (int i = 0; i < 1'000 && received.empty(); ++i) {
+            entry.run(2ms);
+            received = client.read();
+        }
+        EXPECT_TRUE(received.starts_with(expected)) << received;
+    }
+}
+
 TEST(HttpEntryFuzz, ServesChecksWhileOtherRequestsAreRefused)
 {
     for (const bool isNeverRefused : { false, true }) {
