Bound the log lines that clients can cause

Cause: refused batches, rules, jobs and evacuations and announcements that are not acknowledged were logged without a bound, with texts of any length that clients choose. Change: through a LineLimit with the number of omitted lines, and texts cut to 128 bytes by one function. Acknowledged evacuations and departures are still logged each.

--- a/Hibiscus/src/Net/HttpTransport.cpp
+++ b/Hibiscus/src/Net/HttpTransport.cpp
@@ -110,10 +110,18 @@
             this->options.onBatch(*batch);
         else {
             ++this->malformedBatches;
-            logError("batch-refused", { { "path", request.path } });
+            this->logMalformedBatch(request);
         }
     }
 
+    void logMalformedBatch(const HttpRequest &request)
+    {
+        if (this->refusalLines.take(this->loop.now()))
+            logError("batch-refused",
+                     { { "path", loggedText(request.path) },
+                       { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
+    }
+
     void logRefusedBodies(TimePoint now)
     {
         const std::uint64_t refused = this->server.refusedBodies();
@@ -166,6 +174,7 @@
     std::uint64_t malformedBatches = 0;
     std::uint64_t loggedRefusals = 0;
     TimePoint refusalsLoggedAt;
+    LineLimit refusalLines;
 };
 
 } // namespace internal
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -269,9 +269,8 @@
 {
     if (!this->refusalLines.take(this->loop.now()))
         return;
-    constexpr std::size_t maxLoggedPath = 128; // clients choose it
     logEvent("request-refused",
-             { { "path", request.path.substr(0, maxLoggedPath) },
+             { { "path", loggedText(request.path) },
                { "reason", reason },
                { "rules_version", std::to_string(this->rules.active().file().version) },
                { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
@@ -285,8 +284,8 @@
         ++this->refusalCounts["malformed"];
         if (this->refusalLines.take(this->loop.now()))
             logEvent("job-refused",
-                     { { "job", id },
-                       { "reason", malformed->reason },
+                     { { "job", loggedText(id) },
+                       { "reason", loggedText(malformed->reason) },
                        { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
         this->callerServer.respond(request.token, { .status = internal::StatusBadRequest });
         return;
@@ -294,9 +293,9 @@
     if (const auto *unsupported = std::get_if<Unsupported>(&body)) {
         if (this->refusalLines.take(this->loop.now()))
             logEvent("job-refused",
-                     { { "job", id },
+                     { { "job", loggedText(id) },
                        { "reason", "not-offered" },
-                       { "feature", unsupported->feature },
+                       { "feature", loggedText(unsupported->feature) },
                        { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
         this->refuse(request.token, internal::StatusUnavailable, 2s, "not-offered");
         return;
@@ -356,10 +355,12 @@
         this->relay.send(*owner, *heartbeat);
     const std::string next = this->node.heartbeatRedirectOf(heartbeat->target.name);
     if (!this->node.acknowledges(*heartbeat)) {
-        logEvent("departure-not-acknowledged",
-                 { { "target", heartbeat->target.name.str() },
-                   { "life", std::to_string(heartbeat->target.incarnation) },
-                   { "sequence", std::to_string(heartbeat->target.sequence) } });
+        if (this->departureLines.take(this->loop.now()))
+            logEvent("departure-not-acknowledged",
+                     { { "target", loggedText(heartbeat->target.name.str()) },
+                       { "life", std::to_string(heartbeat->target.incarnation) },
+                       { "sequence", std::to_string(heartbeat->target.sequence) },
+                       { "omitted", std::to_string(this->departureLines.takeOmitted()) } });
         this->targetServer.respond(request.token, { .status = internal::StatusUnavailable });
         return;
     }
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -78,6 +78,7 @@
     CancelRounds cancelRounds { {} };
     RefusalLog refusalLog;
     LineLimit refusalLines;
+    LineLimit departureLines;
     std::set<NodeName> refusedOffers; ///< nodes whose refused offer of rules was logged
     std::optional<Evacuations> evacuationsInForce;
     TimePoint stopRequestedAt;
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -187,10 +187,9 @@
 {
     if (!this->refusalLines.take(this->loop.now()))
         return;
-    constexpr std::size_t maxLoggedText = 128; // clients choose it
     logEvent("call-refused",
-             { { "path", request.path.substr(0, maxLoggedText) },
-               { "reason", reason.substr(0, maxLoggedText) },
+             { { "path", loggedText(request.path) },
+               { "reason", loggedText(reason) },
                { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
 }
 
@@ -200,9 +199,11 @@
 {
     const auto rules = RuleSet::parse(replacement.rules);
     if (!rules) {
-        logEvent("rules-refused",
-                 { { "version", std::to_string(replacement.version) },
-                   { "reason", rules.error().reason } });
+        if (this->refusalLines.take(this->loop.now()))
+            logEvent("rules-refused",
+                     { { "version", std::to_string(replacement.version) },
+                       { "reason", loggedText(rules.error().reason) },
+                       { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
         this->http.respond(request.token,
                            { .status = internal::statusBadRequest,
                              .contentType = "text/plain",
@@ -232,10 +233,12 @@
         this->refuseEvacuation(request, change.domain, status == DomainStatus::Unknown);
         return;
     }
-    logEvent("evacuation-requested",
-             { { "domain", change.domain.str() },
-               { "evacuated", change.isEvacuated ? "yes" : "no" },
-               { "leader", isLeader ? "yes" : "no" } });
+    if (this->evacuationLines.take(now))
+        logEvent("evacuation-requested",
+                 { { "domain", loggedText(change.domain.str()) },
+                   { "evacuated", change.isEvacuated ? "yes" : "no" },
+                   { "leader", isLeader ? "yes" : "no" },
+                   { "omitted", std::to_string(this->evacuationLines.takeOmitted()) } });
     this->requestPaths[request.token] = request.path;
     const ChangeEvacuation command = { .domain = change.domain, .isEvacuated = change.isEvacuated };
     this->node.apply({ .node = this->context.name(), .number = request.token }, command, now,
@@ -246,10 +249,12 @@
                                        bool isUnknown)
 {
     ++this->evacuationCounts[isUnknown ? "unknown_domain" : "domain_not_known_yet"];
-    logEvent("evacuation-refused",
-             { { "path", request.path },
-               { "domain", domain.str() },
-               { "reason", isUnknown ? "unknown-domain" : "domain-not-known-yet" } });
+    if (this->evacuationLines.take(this->loop.now()))
+        logEvent("evacuation-refused",
+                 { { "path", loggedText(request.path) },
+                   { "domain", loggedText(domain.str()) },
+                   { "reason", isUnknown ? "unknown-domain" : "domain-not-known-yet" },
+                   { "omitted", std::to_string(this->evacuationLines.takeOmitted()) } });
     this->http.respond(
         request.token,
         { .status = isUnknown ? internal::statusNotFound : internal::statusUnavailable,
@@ -276,12 +281,14 @@
         for (const NodeRecord &gateway : liveGateways)
             this->relay.send(gateway.node, heartbeat);
         const bool isAcknowledged = !liveGateways.empty();
-        logEvent(isAcknowledged ? "departure-acknowledged" : "departure-not-acknowledged",
-                 { { "target", heartbeat.target.name.str() },
+        if (isAcknowledged || this->departureLines.take(now))
+            logEvent(isAcknowledged ? "departure-acknowledged" : "departure-not-acknowledged",
+                 { { "target", loggedText(heartbeat.target.name.str()) },
                    { "life", std::to_string(heartbeat.target.incarnation) },
                    { "sequence", std::to_string(heartbeat.target.sequence) },
                    { "state", heartbeat.isLeaving ? "shutting-down" : "draining" },
-                   { "live_gateways", std::to_string(liveGateways.size()) } });
+                   { "live_gateways", std::to_string(liveGateways.size()) },
+                   { "omitted", std::to_string(this->departureLines.takeOmitted()) } });
         if (isAcknowledged)
             this->http.respond(token,
                                { .body = this->context.protocol.renderHeartbeatResponse("") });
@@ -451,8 +458,9 @@
     const std::uint64_t revision
         = isAcknowledged ? *response.reply->evacuationRevision : *response.revisionWithoutCopies;
     ++this->evacuationCounts[isAcknowledged ? "acknowledged" : "not_acknowledged"];
-    logEvent(isAcknowledged ? "evacuation-acknowledged" : "evacuation-not-acknowledged",
-             { { "path", path == this->requestPaths.end() ? "" : path->second },
+    if (isAcknowledged || this->evacuationLines.take(this->loop.now()))
+        logEvent(isAcknowledged ? "evacuation-acknowledged" : "evacuation-not-acknowledged",
+             { { "path", path == this->requestPaths.end() ? "" : loggedText(path->second) },
                { "revision", std::to_string(revision) },
                { "copies", std::to_string(response.copies) },
                { "needed",
--- a/Hibiscus/src/Process/RegistryProcess.h
+++ b/Hibiscus/src/Process/RegistryProcess.h
@@ -68,6 +68,8 @@
     std::vector<RulesRecipient> knownGateways;
     TimePoint recipientsCheckedAt;
     LineLimit refusalLines;
+    LineLimit evacuationLines;
+    LineLimit departureLines;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Telemetry/LineLimit.h
+++ b/Hibiscus/src/Telemetry/LineLimit.h
@@ -2,8 +2,21 @@
 
 #include <Hibiscus/Core>
 
+#include <string>
+#include <string_view>
+#include <utility>
+
 namespace Hibiscus {
 
+/** \brief Length to which texts that clients choose are cut in the log; enough to recognise them. */
+inline constexpr std::size_t maxLoggedText = 128;
+
+/** \returns the part of \a text that is logged. */
+inline std::string loggedText(std::string_view text)
+{
+    return std::string(text.substr(0, maxLoggedText));
+}
+
 /** \brief Bounds the log lines of an event that clients cause. */
 class LineLimit
 {
