MemoryBudget: the room for a batch is not for whole requests

Cause: with the larger budget, whole requests could take half of it, and what is made from them takes several times their size, on the smallest VM. Change: whole requests in progress have a limit of their own, half of the quarter as before. Tests: the limit of the budget and the one of the smallest VM.

--- a/Hibiscus/src/Net/MemoryBudget.cpp
+++ b/Hibiscus/src/Net/MemoryBudget.cpp
@@ -229,11 +229,13 @@
         this->close(ids, reason);
 }
 
-// The other half remains for requests that are still arriving, and for connections by themselves,
-// which their own limit bounds: a burst of small requests meets no other one.
+// The rest, as a rule the other half, remains for requests that are still arriving, and for
+// connections by themselves, which their own limit bounds: a burst of small requests meets no other.
 bool MemoryBudget::mayHandle() const
 {
-    return this->limits.maxBytes == 0 || this->handledBytes < this->limits.maxBytes / 2;
+    const std::size_t limit = this->limits.maxHandledBytes > 0 ? this->limits.maxHandledBytes
+                                                               : this->limits.maxBytes / 2;
+    return this->limits.maxBytes == 0 || this->handledBytes < limit;
 }
 
 std::map<std::string, std::uint64_t> MemoryBudget::counts() const
--- a/Hibiscus/src/Net/MemoryBudget.h
+++ b/Hibiscus/src/Net/MemoryBudget.h
@@ -42,6 +42,7 @@
     struct Limits
     {
         std::size_t maxBytes = 0; ///< of all connections; 0: no limit
+        std::size_t maxHandledBytes = 0; ///< of whole requests in progress; 0: half of maxBytes
         std::size_t maxConnections = 0; ///< accepted ones; 0: no limit
         /** \brief Largest headers of a request; those that callers may send are a small part. */
         std::size_t maxHeaderBytes = 65'536;
--- a/Hibiscus/src/Process/NodeContext.cpp
+++ b/Hibiscus/src/Process/NodeContext.cpp
@@ -111,6 +111,7 @@
     const std::size_t sockets = descriptors - std::min(descriptors / 2, reservedDescriptors);
     limits.maxConnections
         = std::min(sockets * 3 / 4, limits.maxBytes / 2 / MemoryBudget::connectionBytes);
+    limits.maxHandledBytes = limits.maxBytes / 2; // what is made from them takes more
     const std::size_t needed = maxMessageBytes + batchOverheadBytes
         + limits.maxConnections * MemoryBudget::connectionBytes;
     if (needed <= this->profile.memoryMb * megabyte / largestMemoryParts)
--- a/test/ConnectionLimitsTest.cpp
+++ b/test/ConnectionLimitsTest.cpp
@@ -23,6 +23,7 @@
               maxMessageBytes + batchOverheadBytes
                   + limits.maxConnections * MemoryBudget::connectionBytes);
     EXPECT_LE(limits.maxBytes, NodeProfile().memoryMb * megabyte / 3);
+    EXPECT_EQ(limits.maxHandledBytes, NodeProfile().memoryMb * megabyte / 8);
 }
 
 TEST(ConnectionLimits, AreAQuarterOfTheMemoryOtherwise)
--- a/test/MemoryBudgetTest.cpp
+++ b/test/MemoryBudgetTest.cpp
@@ -96,6 +96,10 @@
     EXPECT_TRUE(fixture.budget.mayHandle());
     const auto whole = fixture.add(ConnectionUse::Handled, 500'000);
     EXPECT_FALSE(fixture.budget.mayHandle());
+    fixture.budget.setLimits({ .maxBytes = 1'000'000, .maxHandledBytes = 600'000 });
+    EXPECT_TRUE(fixture.budget.mayHandle());
+    fixture.budget.setLimits({ .maxBytes = 1'000'000, .maxHandledBytes = 400'000 });
+    EXPECT_FALSE(fixture.budget.mayHandle());
     fixture.budget.update(whole, ConnectionUse::Answered, 500'000);
     EXPECT_TRUE(fixture.budget.mayHandle());
 }
