--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -133,6 +133,8 @@
         connection->socket->on_close = {};
         if (connection->socket->_cb.read == onRead)
             connection->socket->_cb.read = connection->read;
+        if (connection->socket->_cb.write == onInterimWritten)
+            connection->socket->_cb.write = connection->write;
         this->loop.memory().remove(id);
     }
     if (h2o_timeout_is_linked(&this->resumption.native) != 0)
@@ -173,6 +175,7 @@
     this->requests.erase(found);
     Connection *connection = connectionOf(request);
     connection->isHandled = false;
+    connection->isAnswered = true;
     this->loop.memory().update(connection->id, ConnectionUse::Answered,
                                internal::memoryOf(connection->socket->input)
                                    + response.body.size());
@@ -250,6 +253,20 @@
     owner->loop.memory().enforce();
 }
 
+// h2o has sent "100 Continue", and reads the body with a callback of its own.
+void HttpServer::onInterimWritten(h2o_socket_t *socket, const char *error)
+{
+    const auto *connection = static_cast<Connection *>(socket->on_close.data);
+    HttpServer *owner = connection->owner;
+    const MemoryBudget::ConnectionId id = connection->id;
+    connection->write(socket, error);
+    const auto found = owner->connections.find(id);
+    if (found == owner->connections.end())
+        return;
+    owner->resume(*found->second);
+    owner->loop.memory().enforce();
+}
+
 // The response has been sent, and h2o reads the next request of the connection.
 void HttpServer::awaitNextRequest(MemoryBudget::ConnectionId id)
 {
@@ -283,25 +300,42 @@
     this->updateUse(connection);
 }
 
+// Where h2o reads nothing, it may have written "100 Continue", also for a request that was pipelined
+// behind another one and so didn't pass onRead.
 void HttpServer::updateUse(Connection &connection)
 {
     MemoryBudget &memory = this->loop.memory();
-    const h2o_socket_t *socket = connection.socket;
+    h2o_socket_t *socket = connection.socket;
     if (connection.isHandled) {
         memory.update(connection.id, ConnectionUse::Handled, internal::memoryOf(socket->input));
         return;
     }
-    if (socket->_cb.read == nullptr)
-        return; // a response is being sent
-    if (socket->input->size == 0) {
+    if (connection.isAnswered)
+        return;
+    const bool isReading = socket->_cb.read != nullptr;
+    if (isReading && socket->input->size == 0) {
         memory.update(connection.id,
                       connection.hasServed ? ConnectionUse::Idle : ConnectionUse::Unused, 0);
         return;
     }
     const bool hasHeaders
         = connection.hasHeaders || (this->acceptsHeaders(connection) && connection.hasHeaders);
+    if (!isReading && !hasHeaders)
+        return;
     memory.update(connection.id, hasHeaders ? ConnectionUse::Body : ConnectionUse::Headers,
                   internal::memoryOf(socket->input));
+    if (hasHeaders)
+        expectInterim(connection);
+}
+
+/** \brief Takes over the callback of an interim response that is being written, if one is. */
+void HttpServer::expectInterim(Connection &connection)
+{
+    h2o_socket_t *socket = connection.socket;
+    if (socket->_cb.write == nullptr || socket->_cb.write == onInterimWritten)
+        return;
+    connection.write = socket->_cb.write;
+    socket->_cb.write = onInterimWritten;
 }
 
 /** \returns false if the headers that have arrived are over the limit. */
@@ -314,12 +348,15 @@
         = internal::headerBytes({ input->bytes, input->size }, connection.searchedBytes);
     connection.searchedBytes = input->size;
     connection.hasHeaders = size.has_value();
-    const std::size_t limit = this->loop.memory().currentLimits().maxHeaderBytes;
+    const std::size_t limit = this->maxHeaderBytes > 0
+        ? this->maxHeaderBytes
+        : this->loop.memory().currentLimits().maxHeaderBytes;
     return size.value_or(input->size) <= limit;
 }
 
 // h2o closes a connection whose callback receives an error. One that it writes to can't be closed
-// that way, and is reset.
+// that way, and is shut down. What the system still holds of an answer that isn't read is dropped
+// only if its memory or time is the reason.
 void HttpServer::close(Connection &connection, CloseReason reason)
 {
     connection.isClosing = true;
@@ -333,7 +370,8 @@
         return;
     }
     const linger reset = { .l_onoff = 1, .l_linger = 0 };
-    ::setsockopt(socketFd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    if (reason == CloseReason::Memory || reason == CloseReason::AnswerTime)
+        ::setsockopt(socketFd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
     ::shutdown(socketFd, SHUT_RDWR);
 }
 
@@ -348,6 +386,7 @@
 {
     Connection *connection = connectionOf(request);
     connection->isHandled = false;
+    connection->isAnswered = true;
     this->loop.memory().countRefused();
     this->loop.memory().update(connection->id, ConnectionUse::Answered,
                                internal::memoryOf(connection->socket->input));
@@ -404,6 +443,7 @@
     if (const auto served = owner->connections.find(guard->connection);
         served != owner->connections.end()) {
         served->second->isHandled = false;
+        served->second->isAnswered = false;
         served->second->hasServed = true;
         owner->awaitNextRequest(guard->connection);
     }
@@ -441,7 +481,8 @@
     auto *guard = static_cast<RequestGuard *>(
         h2o_mem_alloc_shared(&request->pool, sizeof(RequestGuard), onRequestDisposed));
     *guard = { .owner = this, .token = this->nextToken++, .connection = connection->id };
-    if (!this->options.isEssential && !this->loop.memory().mayHandle()) {
+    const bool isExempt = this->options.isEssential || this->options.isNeverRefused;
+    if (!isExempt && !this->loop.memory().mayHandle()) {
         this->refuseUnhandled(request);
         return;
     }
--- a/Hibiscus/src/Net/HttpServer.h
+++ b/Hibiscus/src/Net/HttpServer.h
@@ -67,6 +67,9 @@
 
     static constexpr std::size_t defaultMaxBodyBytes = 4'000'000;
 
+    /** \brief Limit for servers that need no bodies, as for readiness and metrics. */
+    static constexpr std::size_t smallBodyBytes = 4'096;
+
     struct Options
     {
         Address address;
@@ -77,6 +80,10 @@
          * also while the MemoryBudget refuses others.
          */
         bool isEssential = false;
+        /** \brief Whether requests are served also while the MemoryBudget refuses others, as checks
+         * of the process must be; its connections are closed like others.
+         */
+        bool isNeverRefused = false;
         Duration idleTimeout = 75s; ///< longer than clients keep an unused connection open
         std::vector<std::string> keptHeaders; ///< names of the headers to pass on, in lower case
         DisconnectHandler onDisconnect; ///< may be empty
@@ -98,6 +105,8 @@
     void closeAfterResponses() { this->closesAfterResponses = true; }
     /** \brief Replaces Options::maxBodyBytes for the requests that follow. */
     void setMaxBodyBytes(std::size_t bytes) { this->config.max_request_entity_size = bytes; }
+    /** \brief Sets a limit of the headers for this server alone; 0: that of the MemoryBudget. */
+    void setMaxHeaderBytes(std::size_t bytes) { this->maxHeaderBytes = bytes; }
     /** \brief Closes the connections with the largest open bodies while all of them are over
      * Options::maxOpenBodyBytes; must be called every few tens of milliseconds.
      */
@@ -136,10 +145,12 @@
         h2o_socket_t *socket = nullptr;
         MemoryBudget::ConnectionId id = 0;
         h2o_socket_cb read = nullptr; ///< h2o's own callback for what has arrived
+        h2o_socket_cb write = nullptr; ///< h2o's own callback for an interim response
         std::size_t searchedBytes = 0; ///< part of the input without the end of the headers
         bool hasHeaders = false; ///< the end of the headers of a request has arrived
         bool hasServed = false;
         bool isHandled = false; ///< a whole request waits for its response
+        bool isAnswered = false; ///< the response is being sent
         bool isClosing = false;
     };
 
@@ -153,11 +164,13 @@
 
     static void onConnectionClosed(void *connection);
     static void onRead(h2o_socket_t *socket, const char *error);
+    static void onInterimWritten(h2o_socket_t *socket, const char *error);
     static void onResume(h2o_timeout_entry_t *timer);
     static Connection *connectionOf(const h2o_req_t *request);
     void addConnection(h2o_socket_t *socket);
     void resume(Connection &connection);
     void updateUse(Connection &connection);
+    static void expectInterim(Connection &connection);
     bool acceptsHeaders(Connection &connection);
     void close(Connection &connection, CloseReason reason);
     void refuseUnhandled(h2o_req_t *request);
@@ -188,6 +201,7 @@
     std::vector<MemoryBudget::ConnectionId> finished; ///< connections whose request has ended
     std::uint64_t excessBodies = 0; ///< open bodies that were given up
     std::uint64_t nextToken = 1;
+    std::size_t maxHeaderBytes = 0; ///< 0: that of the MemoryBudget
     bool closesAfterResponses = false;
     LineLimit departureLines;
 };
--- a/Hibiscus/src/Net/MemoryBudget.h
+++ b/Hibiscus/src/Net/MemoryBudget.h
@@ -27,9 +27,10 @@
 
 /** \brief Decides which of the connections of all servers of a process it can afford.
  *
- * Over the limit of memory the largest unfinished requests are given up first, and then the largest
- * responses that are not read. A whole request keeps its connection, since its job may have begun;
- * it is refused before that, while too much memory is held by others.
+ * Over the limit of memory the largest unfinished requests are given up first, then old or large
+ * responses that are not read, unused connections, and small responses that were just sent. A whole
+ * request keeps its connection, since its job may have begun; it is refused before that, while too
+ * much memory is held by others.
  */
 class MemoryBudget
 {
@@ -41,6 +42,7 @@
     struct Limits
     {
         std::size_t maxBytes = 0; ///< of all connections; 0: no limit
+        std::size_t maxHandledBytes = 0; ///< of whole requests in progress; 0: half of maxBytes
         std::size_t maxConnections = 0; ///< accepted ones; 0: no limit
         /** \brief Largest headers of a request; those that callers may send are a small part. */
         std::size_t maxHeaderBytes = 65'536;
@@ -101,7 +103,10 @@
         TimePoint seenAt; ///< time of the first tick since that change
     };
 
+    bool isRecent(const Connection &connection) const;
+    bool isJustAnswered(const Connection &connection) const;
     int rankOf(const Connection &connection) const;
+    int memoryRankOf(const Connection &connection) const;
     void closeLargest();
     void closeLeastUsed();
     void close(const std::vector<ConnectionId> &ids, CloseReason reason);
@@ -112,7 +117,8 @@
     std::uint64_t refused = 0;
     std::map<std::string, std::uint64_t> reported; ///< totals of the latest report
     std::size_t bytes = 0;
-    std::size_t handledBytes = 0; ///< part of the whole requests that wait for their responses
+    /** \brief Part of the whole requests that wait for their responses, without connectionBytes. */
+    std::size_t handledBytes = 0;
     std::size_t peakBytes = 0; ///< since the latest release
     ConnectionId lastId = 0;
     std::uint64_t changes = 0;
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -134,7 +134,10 @@
                      .keptHeaders = node.protocol.callerHeaders,
                      .onDisconnect = [this](std::uint64_t token) { this->onCallerLeft(token); } },
                    [this](const HttpRequest &request) { this->onCallerRequest(request); }),
-      readinessServer(this->loop, { .address = *Address::parse(node.profile.readinessAddress) },
+      readinessServer(this->loop,
+                      { .address = *Address::parse(node.profile.readinessAddress),
+                        .maxBodyBytes = HttpServer::smallBodyBytes,
+                        .isNeverRefused = true },
                       [this](const HttpRequest &request) {
                           const bool isReady = this->isReady();
                           this->readinessServer.respond(request.token,
@@ -145,7 +148,10 @@
       targetServer(this->loop,
                    { .address = *Address::parse(node.profile.targetsAddress), .isEssential = true },
                    [this](const HttpRequest &request) { this->onTargetRequest(request); }),
-      metricsServer(this->loop, { .address = *Address::parse(node.profile.metricsAddress) },
+      metricsServer(this->loop,
+                    { .address = *Address::parse(node.profile.metricsAddress),
+                      .maxBodyBytes = HttpServer::smallBodyBytes,
+                      .isNeverRefused = true },
                     [this](const HttpRequest &request) { this->onMetricsRequest(request); }),
       client(this->loop, {}), metrics(node.profile.label), settingsWatcher(node.settingsPath)
 {
@@ -265,9 +271,8 @@
 {
     if (!this->refusalLines.take(this->loop.now()))
         return;
-    constexpr std::size_t maxLoggedPath = 128; // clients choose it
     logEvent("request-refused",
-             { { "path", request.path.substr(0, maxLoggedPath) },
+             { { "path", loggedText(request.path) },
                { "reason", reason },
                { "rules_version", std::to_string(this->rules.active().file().version) },
                { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
@@ -281,8 +286,8 @@
         ++this->refusalCounts["malformed"];
         if (this->refusalLines.take(this->loop.now()))
             logEvent("job-refused",
-                     { { "job", id },
-                       { "reason", malformed->reason },
+                     { { "job", loggedText(id) },
+                       { "reason", loggedText(malformed->reason) },
                        { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
         this->callerServer.respond(request.token, { .status = internal::StatusBadRequest });
         return;
@@ -290,9 +295,9 @@
     if (const auto *unsupported = std::get_if<Unsupported>(&body)) {
         if (this->refusalLines.take(this->loop.now()))
             logEvent("job-refused",
-                     { { "job", id },
+                     { { "job", loggedText(id) },
                        { "reason", "not-offered" },
-                       { "feature", unsupported->feature },
+                       { "feature", loggedText(unsupported->feature) },
                        { "omitted", std::to_string(this->refusalLines.takeOmitted()) } });
         this->refuse(request.token, internal::StatusUnavailable, 2s, "not-offered");
         return;
@@ -352,10 +357,12 @@
         this->relay.send(*owner, *heartbeat);
     const std::string next = this->node.heartbeatRedirectOf(heartbeat->target.name);
     if (!this->node.acknowledges(*heartbeat)) {
-        logEvent("departure-not-acknowledged",
-                 { { "target", heartbeat->target.name.str() },
-                   { "life", std::to_string(heartbeat->target.incarnation) },
-                   { "sequence", std::to_string(heartbeat->target.sequence) } });
+        if (this->departureLines.take(this->loop.now()))
+            logEvent("departure-not-acknowledged",
+                     { { "target", loggedText(heartbeat->target.name.str()) },
+                       { "life", std::to_string(heartbeat->target.incarnation) },
+                       { "sequence", std::to_string(heartbeat->target.sequence) },
+                       { "omitted", std::to_string(this->departureLines.takeOmitted()) } });
         this->targetServer.respond(request.token, { .status = internal::StatusUnavailable });
         return;
     }
@@ -691,11 +698,10 @@
         = this->rules.active().rules().requestLimits().value_or(RequestLimits());
     MemoryBudget::Limits changed = this->context.connectionLimits();
     constexpr std::size_t margin = 2;
-    if (limits.maxHeaderBytes > 0)
-        changed.maxHeaderBytes = margin * limits.maxHeaderBytes;
     changed.headerTimeout = std::max<Duration>(
         changed.headerTimeout, margin * std::chrono::milliseconds(limits.headerTimeoutMs));
     this->loop.memory().setLimits(changed);
+    this->callerServer.setMaxHeaderBytes(margin * limits.maxHeaderBytes);
     this->callerServer.setMaxBodyBytes(limits.maxBodyBytes > 0 ? limits.maxBodyBytes
                                                                : HttpServer::defaultMaxBodyBytes);
 }
--- a/test/HttpEntryFuzzTest.cpp
+++ b/test/HttpEntryFuzzTest.cpp
@@ -64,10 +64,11 @@
 class Entry
 {
 public:
-    Entry()
+    explicit Entry(bool isNeverRefused = false)
         : server(this->loop,
                  { .address = ownAddress(),
                    .maxBodyBytes = 100'000,
+                   .isNeverRefused = isNeverRefused,
                    .keptHeaders = { "deadline-ms" },
                    .onDisconnect = [this](std::uint64_t token) { std::erase(this->open, token); } },
                  [this](const HttpRequest &request) { this->open.push_back(request.token); })
@@ -93,6 +94,7 @@
     }
 
     MemoryBudget &memory() { return this->loop.memory(); }
+    void setMaxHeaderBytes(std::size_t bytes) { this->server.setMaxHeaderBytes(bytes); }
 
 private:
     void respond()
@@ -206,6 +208,71 @@
     EXPECT_TRUE(received.starts_with("HTTP/1.1 200")) << "seed " << seed << ": " << received;
 }
 
+bool hasContinue(const std::string &received)
+{
+    return received.find("HTTP/1.1 100") != std::string::npos;
+}
+
+// h2o reads such a body with another callback than the headers.
+TEST(HttpEntryFuzz, AccountsForABodyAfterContinue)
+{
+    for (const std::string before : { "", "GET /a HTTP/1.1\r\nhost: h.example\r\n\r\n" }) {
+        Entry entry;
+        Client client;
+        client.send(before
+                    + "POST /a HTTP/1.1\r\nhost: h.example\r\nexpect: 100-continue\r\n"
+                      "content-length: 95000\r\n\r\n");
+        std::string received;
+        for (int i = 0; i < 1'000 && !hasContinue(received); ++i) {
+            entry.run(2ms);
+            received += client.read();
+        }
+        EXPECT_TRUE(hasContinue(received)) << received;
+        constexpr std::size_t sentBytes = 90'000;
+        client.send(std::string(sentBytes, 'b'));
+        for (int i = 0; i < 1'000 && entry.memory().usedBytes() < sentBytes; ++i)
+            entry.run(2ms);
+        EXPECT_GE(entry.memory().usedBytes(), sentBytes);
+    }
+}
+
+TEST(HttpEntryFuzz, LimitsTheHeadersOfOneServer)
+{
+    for (const auto &[limit, expected] :
+         std::vector<std::pair<std::size_t, std::string>> { { 0, "HTTP/1.1 200" },
+                                                            { 1'000, "HTTP/1.1 431" } }) {
+        Entry entry;
+        entry.setMaxHeaderBytes(limit);
+        Client client;
+        client.send("GET /a HTTP/1.1\r\nhost: h.example\r\nx-long: " + std::string(2'000, 'a')
+                    + "\r\n\r\n");
+        std::string received;
+        for (int i = 0; i < 1'000 && received.empty(); ++i) {
+            entry.run(2ms);
+            received = client.read();
+        }
+        EXPECT_TRUE(received.starts_with(expected)) << received;
+    }
+}
+
+TEST(HttpEntryFuzz, ServesChecksWhileOtherRequestsAreRefused)
+{
+    for (const bool isNeverRefused : { false, true }) {
+        Entry entry(isNeverRefused);
+        const auto id = entry.memory().add(false, [](CloseReason) { });
+        entry.memory().update(id, ConnectionUse::Handled, 600'000);
+        Client client;
+        client.send("GET /a HTTP/1.1\r\nhost: h.example\r\n\r\n");
+        std::string received;
+        for (int i = 0; i < 1'000 && received.empty(); ++i) {
+            entry.run(2ms);
+            received = client.read();
+        }
+        const std::string expected = isNeverRefused ? "HTTP/1.1 200" : "HTTP/1.1 503";
+        EXPECT_TRUE(received.starts_with(expected)) << received;
+    }
+}
+
 // Guards against a process that anyone can end, or use up, by what he sends to its ports.
 TEST(HttpEntryFuzz, SurvivesHostileClients)
 {
--- a/test/MemoryBudgetTest.cpp
+++ b/test/MemoryBudgetTest.cpp
@@ -58,6 +58,25 @@
     EXPECT_EQ(fixture.closed.front().second, CloseReason::Memory);
 }
 
+TEST(MemoryBudget, ClosesEssentialConnectionsOnlyAfterAllOthers)
+{
+    Fixture fixture;
+    fixture.budget.setLimits({ .maxBytes = 1'000'000 });
+    const auto batch = fixture.add(ConnectionUse::Body, 800'000, true);
+    const auto small = fixture.add(ConnectionUse::Body, 100'000);
+    const auto idle = fixture.add(ConnectionUse::Idle, 0);
+    const auto large = fixture.add(ConnectionUse::Body, 150'000);
+    fixture.budget.enforce();
+    EXPECT_FALSE(fixture.isClosed(batch));
+    EXPECT_TRUE(fixture.isClosed(large));
+    EXPECT_TRUE(fixture.isClosed(small));
+    EXPECT_FALSE(fixture.isClosed(idle));
+    fixture.budget.update(batch, ConnectionUse::Body, 1'200'000);
+    fixture.budget.enforce();
+    EXPECT_TRUE(fixture.isClosed(idle));
+    EXPECT_TRUE(fixture.isClosed(batch));
+}
+
 // The job of a whole request may have begun, and so its caller must get a true answer.
 TEST(MemoryBudget, ClosesNoRequestThatIsHandled)
 {
@@ -77,10 +96,32 @@
     EXPECT_TRUE(fixture.budget.mayHandle());
     const auto whole = fixture.add(ConnectionUse::Handled, 500'000);
     EXPECT_FALSE(fixture.budget.mayHandle());
+    fixture.budget.setLimits({ .maxBytes = 1'000'000, .maxHandledBytes = 600'000 });
+    EXPECT_TRUE(fixture.budget.mayHandle());
+    fixture.budget.setLimits({ .maxBytes = 1'000'000, .maxHandledBytes = 400'000 });
+    EXPECT_FALSE(fixture.budget.mayHandle());
     fixture.budget.update(whole, ConnectionUse::Answered, 500'000);
     EXPECT_TRUE(fixture.budget.mayHandle());
 }
 
+TEST(MemoryBudget, HandlesSmallRequestsOfAllConnections)
+{
+    Fixture fixture;
+    constexpr std::size_t maxBytes = 1'000'000;
+    constexpr std::size_t count = maxBytes / 2 / base;
+    fixture.budget.setLimits({ .maxBytes = maxBytes, .maxConnections = count });
+    std::vector<MemoryBudget::ConnectionId> all;
+    for (std::size_t i = 0; i < count; ++i)
+        all.push_back(fixture.add(ConnectionUse::Handled, 2'000));
+    EXPECT_TRUE(fixture.budget.mayHandle());
+    for (const auto id : all)
+        fixture.budget.update(id, ConnectionUse::Handled, base);
+    EXPECT_TRUE(fixture.budget.mayHandle());
+    for (const auto id : all)
+        fixture.budget.remove(id);
+    EXPECT_TRUE(fixture.budget.mayHandle());
+}
+
 TEST(MemoryBudget, ClosesSilentConnectionsBeforeThoseOfServedClients)
 {
     Fixture fixture;
@@ -112,6 +153,39 @@
     EXPECT_FALSE(fixture.isClosed(added));
 }
 
+TEST(MemoryBudget, ClosesIdleConnectionsBeforeAnswersThatWereJustSent)
+{
+    Fixture fixture;
+    fixture.budget.setLimits({ .maxConnections = 16 });
+    const auto answer = fixture.add(ConnectionUse::Answered, 500);
+    const auto idle = fixture.add(ConnectionUse::Idle, 0);
+    for (int i = 0; i < 15; ++i)
+        fixture.add(ConnectionUse::Idle, 0);
+    fixture.budget.enforce();
+    EXPECT_TRUE(fixture.isClosed(idle));
+    EXPECT_FALSE(fixture.isClosed(answer));
+}
+
+TEST(MemoryBudget, ClosesSmallAnswersForMemoryLastUntilTheyAreOld)
+{
+    Fixture fixture;
+    const MemoryBudget::Limits limits = { .maxBytes = 16 * base };
+    const auto answer = fixture.add(ConnectionUse::Answered, 500);
+    const auto large = fixture.add(ConnectionUse::Answered, 100'000);
+    for (int i = 0; i < 14; ++i)
+        fixture.add(ConnectionUse::Idle, 0);
+    fixture.budget.setLimits(limits);
+    fixture.budget.enforce();
+    EXPECT_TRUE(fixture.isClosed(large));
+    EXPECT_EQ(fixture.closed.size(), 3U);
+    EXPECT_FALSE(fixture.isClosed(answer));
+    fixture.budget.tick(TimePoint() + 1h);
+    for (int i = 0; i < 3; ++i)
+        fixture.add(ConnectionUse::Idle, 0);
+    fixture.budget.enforce();
+    EXPECT_TRUE(fixture.isClosed(answer));
+}
+
 TEST(MemoryBudget, ClosesOverdueRequests)
 {
     Fixture fixture;
