--- a/Hibiscus/src/Net/MemoryBudget.cpp
+++ b/Hibiscus/src/Net/MemoryBudget.cpp
@@ -230,7 +230,8 @@
 }
 
 // The rest, as a rule the other half, remains for requests that are still arriving, and for
-// connections by themselves, which their own limit bounds: a burst of small requests meets no other.
+// connections by themselves, which their own limit bounds: a burst of small requests meets no
+// other one.
 bool MemoryBudget::mayHandle() const
 {
     const std::size_t limit = this->limits.maxHandledBytes > 0 ? this->limits.maxHandledBytes
