--- a/Hibiscus/src/Net/MemoryBudget.cpp
+++ b/Hibiscus/src/Net/MemoryBudget.cpp
@@ -129,8 +129,7 @@
     for (const auto &[id, connection] : this->connections)
         if (connection.use != ConnectionUse::Handled)
             candidates.emplace_back(!connection.isEssential, this->memoryRankOf(connection),
-                                    connection.bytes,
-                                    this->changes - connection.changedAt, id);
+                                    connection.bytes, this->changes - connection.changedAt, id);
     std::ranges::sort(candidates, std::greater());
     const std::size_t target = internal::remainder(this->limits.maxBytes);
     std::size_t rest = this->bytes;
