Test: braces around an EXPECT after an if

Cause: gtest's EXPECT is an if itself, which the compiler refuses there (-Wdangling-else). Change: braces. All changed sources pass the compiler's syntax check (-Werror); no test was run.

--- a/test/FleetCoordinatorTest.cpp
+++ b/test/FleetCoordinatorTest.cpp
@@ -128,8 +128,9 @@
         coordinator.submit({ .id = "j", .steps = { step } }, policy(), 1, owners, now);
         const std::vector<JobOutcome> outcomes = coordinator.takeOutcomes();
         ASSERT_EQ(outcomes.size(), isEvacuated ? 1U : 0U);
-        if (isEvacuated)
+        if (isEvacuated) {
             EXPECT_EQ(outcomes[0].reason, OutcomeReason::NeverFits);
+        }
     }
 }
 
