--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -300,8 +300,8 @@
     this->updateUse(connection);
 }
 
-// Where h2o reads nothing, it may have written "100 Continue", also for a request that was pipelined
-// behind another one and so didn't pass onRead.
+// Where h2o reads nothing, it may have written "100 Continue", also for a request that was
+// pipelined behind another one and so didn't pass onRead.
 void HttpServer::updateUse(Connection &connection)
 {
     MemoryBudget &memory = this->loop.memory();
--- a/Hibiscus/src/Net/MemoryBudget.cpp
+++ b/Hibiscus/src/Net/MemoryBudget.cpp
@@ -129,8 +129,7 @@
     for (const auto &[id, connection] : this->connections)
         if (connection.use != ConnectionUse::Handled)
             candidates.emplace_back(!connection.isEssential, this->memoryRankOf(connection),
-                                    connection.bytes,
-                                    this->changes - connection.changedAt, id);
+                                    connection.bytes, this->changes - connection.changedAt, id);
     std::ranges::sort(candidates, std::greater());
     const std::size_t target = internal::remainder(this->limits.maxBytes);
     std::size_t rest = this->bytes;
@@ -230,7 +229,8 @@
 }
 
 // The rest, as a rule the other half, remains for requests that are still arriving, and for
-// connections by themselves, which their own limit bounds: a burst of small requests meets no other.
+// connections by themselves, which their own limit bounds: a burst of small requests meets no
+// other one.
 bool MemoryBudget::mayHandle() const
 {
     const std::size_t limit = this->limits.maxHandledBytes > 0 ? this->limits.maxHandledBytes
--- a/Hibiscus/src/Process/NodeContext.cpp
+++ b/Hibiscus/src/Process/NodeContext.cpp
@@ -95,9 +95,9 @@
 }
 
 // Connections by themselves take at most half of their memory, the rest is for requests. Of the
-// descriptors a quarter remains for the connections that this process opens. Where the memory allows
-// it, the largest batch of a peer has room beside all connections: otherwise it would be given up
-// each time.
+// descriptors a quarter remains for the connections that this process opens. Where the memory
+// allows it, the largest batch of a peer has room beside all connections: otherwise it would be
+// given up each time.
 MemoryBudget::Limits NodeContext::connectionLimits() const
 {
     constexpr std::size_t megabyte = 1'000'000;
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -283,12 +283,12 @@
         const bool isAcknowledged = !liveGateways.empty();
         if (isAcknowledged || this->departureLines.take(now))
             logEvent(isAcknowledged ? "departure-acknowledged" : "departure-not-acknowledged",
-                 { { "target", loggedText(heartbeat.target.name.str()) },
-                   { "life", std::to_string(heartbeat.target.incarnation) },
-                   { "sequence", std::to_string(heartbeat.target.sequence) },
-                   { "state", heartbeat.isLeaving ? "shutting-down" : "draining" },
-                   { "live_gateways", std::to_string(liveGateways.size()) },
-                   { "omitted", std::to_string(this->departureLines.takeOmitted()) } });
+                     { { "target", loggedText(heartbeat.target.name.str()) },
+                       { "life", std::to_string(heartbeat.target.incarnation) },
+                       { "sequence", std::to_string(heartbeat.target.sequence) },
+                       { "state", heartbeat.isLeaving ? "shutting-down" : "draining" },
+                       { "live_gateways", std::to_string(liveGateways.size()) },
+                       { "omitted", std::to_string(this->departureLines.takeOmitted()) } });
         if (isAcknowledged)
             this->http.respond(token,
                                { .body = this->context.protocol.renderHeartbeatResponse("") });
@@ -459,12 +459,13 @@
         = isAcknowledged ? *response.reply->evacuationRevision : *response.revisionWithoutCopies;
     ++this->evacuationCounts[isAcknowledged ? "acknowledged" : "not_acknowledged"];
     if (isAcknowledged || this->evacuationLines.take(this->loop.now()))
-        logEvent(isAcknowledged ? "evacuation-acknowledged" : "evacuation-not-acknowledged",
-             { { "path", path == this->requestPaths.end() ? "" : loggedText(path->second) },
-               { "revision", std::to_string(revision) },
-               { "copies", std::to_string(response.copies) },
-               { "needed",
-                 std::to_string(internal::copiesFor(this->context.profile.toleratedLosses)) } });
+        logEvent(
+            isAcknowledged ? "evacuation-acknowledged" : "evacuation-not-acknowledged",
+            { { "path", path == this->requestPaths.end() ? "" : loggedText(path->second) },
+              { "revision", std::to_string(revision) },
+              { "copies", std::to_string(response.copies) },
+              { "needed",
+                std::to_string(internal::copiesFor(this->context.profile.toleratedLosses)) } });
     if (!isAcknowledged) {
         this->redirect(token, response.leader);
         return;
--- a/Hibiscus/src/Telemetry/LineLimit.h
+++ b/Hibiscus/src/Telemetry/LineLimit.h
@@ -8,7 +8,8 @@
 
 namespace Hibiscus {
 
-/** \brief Length to which texts that clients choose are cut in the log; enough to recognise them. */
+/** \brief Length to which texts that clients choose are cut in the log; enough to recognise them.
+ */
 inline constexpr std::size_t maxLoggedText = 128;
 
 /** \returns the part of \a text that is logged. */
--- a/test/HttpEntryFuzzTest.cpp
+++ b/test/HttpEntryFuzzTest.cpp
@@ -238,9 +238,8 @@
 
 TEST(HttpEntryFuzz, LimitsTheHeadersOfOneServer)
 {
-    for (const auto &[limit, expected] :
-         std::vector<std::pair<std::size_t, std::string>> { { 0, "HTTP/1.1 200" },
-                                                            { 1'000, "HTTP/1.1 431" } }) {
+    for (const auto &[limit, expected] : std::vector<std::pair<std::size_t, std::string>> {
+             { 0, "HTTP/1.1 200" }, { 1'000, "HTTP/1.1 431" } }) {
         Entry entry;
         entry.setMaxHeaderBytes(limit);
         Client client;
@@ -259,7 +258,7 @@
 {
     for (const bool isNeverRefused : { false, true }) {
         Entry entry(isNeverRefused);
-        const auto id = entry.memory().add(false, [](CloseReason) { });
+        const auto id = entry.memory().add(false, [](CloseReason) {});
         entry.memory().update(id, ConnectionUse::Handled, 600'000);
         Client client;
         client.send("GET /a HTTP/1.1\r\nhost: h.example\r\n\r\n");
