--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -231,18 +231,8 @@
         return;
     }
     ++this->counts.receivedMessages;
-    if (message.incarnation != peer.incarnation) {
-        this->ownerFence.handleLoss(message.from, FenceCause::OwnerRestarted, now);
-        this->ownerFence.removeOwner(message.from);
-        peer.lastReceivedSequence = 0;
-        peer.report = {};
-        peer.sentReport.version = 0;
-        peer.sentTargets.version = 0;
-        peer.incarnation = message.incarnation;
-        this->targetOwner.dropOlderIncarnations(
-            { .node = message.from, .incarnation = message.incarnation }, now);
-        this->jobCoordinator.updateIncarnation(message.from, message.incarnation, now);
-    }
+    if (message.incarnation != peer.incarnation)
+        this->beginIncarnation(peer, message, now);
     peer.lastReceivedSequence = message.sequence;
     peer.domain = message.domain;
     peer.weight = message.weight;
@@ -273,6 +263,20 @@
         this->targetOwner.adoptSpeed(speed);
 }
 
+void FleetNode::beginIncarnation(Peer &peer, const FleetMessage &message, TimePoint now)
+{
+    this->ownerFence.handleLoss(message.from, FenceCause::OwnerRestarted, now);
+    this->ownerFence.removeOwner(message.from);
+    peer.lastReceivedSequence = 0;
+    peer.report = {};
+    peer.sentReport.version = 0;
+    peer.sentTargets.version = 0;
+    peer.incarnation = message.incarnation;
+    this->targetOwner.dropOlderIncarnations(
+        { .node = message.from, .incarnation = message.incarnation }, now);
+    this->jobCoordinator.updateIncarnation(message.from, message.incarnation, now);
+}
+
 void FleetNode::receive(const JobHold &hold, TimePoint now)
 {
     this->beginEvent(now);
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -290,6 +290,8 @@
      * may be started for it.
      */
     std::optional<TimePoint> lastContact(const Requester &requester, TimePoint now) const;
+    /** \brief Forgets what is known of former incarnations of the sender. */
+    void beginIncarnation(Peer &peer, const FleetMessage &message, TimePoint now);
     void handleAcknowledgement(Peer &peer, const FleetMessage &message);
     void handleWantedRuns(Peer &peer, const FleetMessage &message, TimePoint now);
     void assignTasks(TimePoint now);
