--- a/test/MemoryBudgetTest.cpp
+++ b/test/MemoryBudgetTest.cpp
@@ -1,5 +1,7 @@
 #include <Hibiscus/Net>
 #include <gtest/gtest.h>
+
+#include <array>
 #include <set>
 
 using namespace Hibiscus;
@@ -128,9 +130,9 @@
     fixture.budget.setLimits({ .maxConnections = 16 });
     const auto served = fixture.add(ConnectionUse::Idle, 0);
     const auto peer = fixture.add(ConnectionUse::Unused, 0, true);
-    std::vector<MemoryBudget::ConnectionId> silent;
-    for (int i = 0; i < 15; ++i)
-        silent.push_back(fixture.add(ConnectionUse::Unused, 0));
+    std::array<MemoryBudget::ConnectionId, 15> silent {};
+    for (MemoryBudget::ConnectionId &id : silent)
+        id = fixture.add(ConnectionUse::Unused, 0);
     fixture.budget.enforce();
     EXPECT_TRUE(fixture.isClosed(silent.front()));
     EXPECT_FALSE(fixture.isClosed(silent.back()));
--- a/test/RunForecastTest.cpp
+++ b/test/RunForecastTest.cpp
@@ -185,7 +185,8 @@
 
     void endRuns()
     {
-        for (auto &[name, target] : this->targets)
+        for (auto &entry : this->targets) {
+            Target &target = entry.second;
             std::erase_if(target.running, [&](const auto &item) {
                 const bool isDone = this->progress(target, item.first) >= fullProgress;
                 if (isDone)
@@ -194,6 +195,7 @@
                                              .end = TargetRunEnd::Completed });
                 return isDone;
             });
+        }
     }
 
     std::uint32_t progress(const Target &target, const RunName &run) const
