--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -209,21 +209,14 @@
 
 void FleetCoordinator::handleRunEnd(const NodeName &owner, const RunEnd &end, TimePoint now)
 {
-    const auto found = this->jobs.find(end.run.job);
-    if (found == this->jobs.end())
-        return;
-    Job &job = found->second;
-    const bool exists
-        = end.run.step < job.tasks.size() && end.run.index < job.tasks[end.run.step].size();
-    if (!exists || job.isFinished)
-        return;
-    Task &task = job.tasks[end.run.step][end.run.index];
-    const bool isCurrent
-        = task.stage == Stage::Assigned && task.attempt == end.run.attempt && task.owner == owner;
-    if (!isCurrent)
+    const auto [found, assigned] = this->findAssigned(owner, end.run);
+    if (assigned == nullptr)
         return;
+    Job &job = *found;
+    Task &task = *assigned;
+    // A superseded run has not run itself, but a later attempt of its task may have.
     const bool neverRan = end.kind == RunEndKind::NotStarted || end.kind == RunEndKind::Returned
-        || end.kind == RunEndKind::TooLate || end.kind == RunEndKind::Superseded;
+        || end.kind == RunEndKind::TooLate;
     job.hasRun = job.hasRun || !neverRan;
     if (end.kind != RunEndKind::Completed)
         this->unsuccessfulRuns.push_back({ .owner = owner, .end = end });
@@ -265,6 +258,32 @@
         job.tasks, [&](const auto &tasks) { return std::ranges::all_of(tasks, isDone); });
     if (isComplete)
         this->finishJob(job, TransientJobStatus::Completed, OutcomeReason::None, now);
+    else if (job.withdrawal && !job.isFinished)
+        this->continueWithdrawal(job, now);
+}
+
+std::pair<FleetCoordinator::Job *, FleetCoordinator::Task *>
+FleetCoordinator::findAssigned(const NodeName &owner, const RunName &run)
+{
+    const auto found = this->jobs.find(run.job);
+    if (found == this->jobs.end() || found->second.isFinished)
+        return {};
+    Job &job = found->second;
+    if (run.step >= job.tasks.size() || run.index >= job.tasks[run.step].size())
+        return {};
+    Task &task = job.tasks[run.step][run.index];
+    const bool isCurrent
+        = task.stage == Stage::Assigned && task.attempt == run.attempt && task.owner == owner;
+    return isCurrent ? std::pair(&job, &task) : std::pair<Job *, Task *>();
+}
+
+void FleetCoordinator::handleStopping(const NodeName &owner, const RunName &run, TimePoint now)
+{
+    const auto [job, task] = this->findAssigned(owner, run);
+    if (task == nullptr || !job->withdrawal)
+        return;
+    job->hasRun = true;
+    this->continueWithdrawal(*job, now);
 }
 
 void FleetCoordinator::updateIncarnation(const NodeName &owner, std::uint64_t incarnation,
@@ -299,8 +318,12 @@
     for (auto &[id, job] : this->jobs) {
         if (job.isFinished)
             continue;
-        if (now >= job.bounds.deadlineAt + this->options.answerGracePeriod) {
-            this->abandonJob(job, OutcomeReason::DeadlineExceeded, now);
+        if (job.withdrawal) {
+            this->continueWithdrawal(job, now);
+            continue;
+        }
+        if (const auto reason = this->hopelessReason(job, now)) {
+            this->abandonJob(job, *reason, now);
             continue;
         }
         for (auto &tasks : job.tasks)
@@ -318,7 +341,7 @@
 {
     std::vector<Job *> order;
     for (auto &[id, job] : this->jobs)
-        if (!job.isFinished)
+        if (!job.isFinished && !job.withdrawal)
             order.push_back(&job);
     std::ranges::sort(order, {}, [&](const Job *job) {
         return std::tuple(job->bounds.objectiveAt < now, job->policy.priority,
@@ -340,6 +363,7 @@
                 task.stage = Stage::Assigned;
                 task.owner = owner->node;
                 task.ownerIncarnation = owner->incarnation;
+                task.assignedAt = now;
                 ++owner->startsSinceReport;
                 const RunName run = {
                     .job = job->definition.id, .step = step, .index = index, .attempt = task.attempt
@@ -387,6 +411,16 @@
     return wantedRuns;
 }
 
+std::map<NodeName, std::vector<RunName>> FleetCoordinator::withdrawnRuns() const
+{
+    std::map<NodeName, std::vector<RunName>> withdrawnRuns;
+    this->forEachAssignedTask([&](const RunName &task, const NodeName &owner) {
+        if (this->jobs.at(task.job).withdrawal)
+            withdrawnRuns[owner].push_back(task);
+    });
+    return withdrawnRuns;
+}
+
 std::set<NodeName> FleetCoordinator::ownersFor(std::uint64_t caller) const
 {
     std::set<NodeName> owners;
@@ -407,7 +441,7 @@
 {
     const auto isReady = [&](const Task &t) { return t.stage == Stage::Ready && now >= t.readyAt; };
     return std::ranges::any_of(this->jobs, [&](const auto &item) {
-        return !item.second.isFinished
+        return !item.second.isFinished && !item.second.withdrawal
             && std::ranges::any_of(item.second.tasks,
                                    [&](const auto &s) { return std::ranges::any_of(s, isReady); });
     });
@@ -445,6 +479,7 @@
                 fastest = std::min(fastest.value_or(target.slowness), target.slowness);
     if (!fastest)
         return OutcomeReason::NoTargets;
+    this->fastestTargets[policy.service] = *fastest;
     for (const JobStep &step : job.steps) {
         const auto canEverRun = [&](const OwnedTarget &target) {
             return internal::canEverRun(target, policy.service, step);
@@ -546,7 +581,7 @@
                                      TimePoint now)
 {
     const Duration needed = timeout + job.definition.steps[step].estimate;
-    if (now + needed > job.bounds.deadlineAt) {
+    if (job.withdrawal || now + needed > job.bounds.deadlineAt) {
         this->finishJob(job, TransientJobStatus::Unfinished, OutcomeReason::OwnerLost, now);
         return;
     }
@@ -571,17 +606,90 @@
 }
 
 // A job is refused only if certainly no task has run. A task that is still assigned may have
-// started.
+// started: only its owner knows. So its runs are withdrawn, and the answer waits for the owners.
 void FleetCoordinator::abandonJob(Job &job, OutcomeReason reason, TimePoint now)
 {
-    const auto mayBeRunning = [](const Task &task) {
-        return task.stage == Stage::Assigned || task.stage == Stage::Uncertain;
+    if (job.isFinished || job.withdrawal)
+        return;
+    const TimePoint lastAnswerAt = job.bounds.deadlineAt + this->options.answerGracePeriod;
+    job.withdrawal = { .reason = reason,
+                       .until = std::min(now + this->options.withdrawalTimeout, lastAnswerAt) };
+    this->continueWithdrawal(job, now);
+    if (job.isFinished)
+        return;
+    for (const auto &tasks : job.tasks)
+        for (const Task &task : tasks)
+            if (task.stage == Stage::Assigned)
+                this->withdrawalOwners.insert(task.owner);
+}
+
+void FleetCoordinator::continueWithdrawal(Job &job, TimePoint now)
+{
+    const auto hasTaskIn = [&](Stage stage) {
+        return std::ranges::any_of(job.tasks, [&](const auto &tasks) {
+            return std::ranges::any_of(tasks, [&](const Task &t) { return t.stage == stage; });
+        });
     };
-    const bool mayHaveRun = job.hasRun || std::ranges::any_of(job.tasks, [&](const auto &tasks) {
-                                return std::ranges::any_of(tasks, mayBeRunning);
-                            });
-    this->finishJob(job, mayHaveRun ? TransientJobStatus::Unfinished : TransientJobStatus::Refused,
-                    reason, now);
+    const bool mayHaveRun = job.hasRun || hasTaskIn(Stage::Uncertain);
+    const bool isUnconfirmed = hasTaskIn(Stage::Assigned);
+    if (!mayHaveRun && isUnconfirmed && now < job.withdrawal->until)
+        return;
+    this->finishJob(job,
+                    mayHaveRun || isUnconfirmed ? TransientJobStatus::Unfinished
+                                                : TransientJobStatus::Refused,
+                    job.withdrawal->reason, now);
+}
+
+double FleetCoordinator::fastestSlowness(const ServiceName &service) const
+{
+    const auto found = this->fastestTargets.find(service);
+    return found == this->fastestTargets.end() ? 1 : found->second;
+}
+
+// Owners report queued runs that are too late, so only the tasks that no owner has are checked
+// here, and runs that are expected to end when nobody waits for them any more.
+std::optional<OutcomeReason> FleetCoordinator::hopelessReason(const Job &job, TimePoint now) const
+{
+    const TimePoint lastAnswerAt = job.bounds.deadlineAt + this->options.answerGracePeriod;
+    if (now >= lastAnswerAt)
+        return OutcomeReason::DeadlineExceeded;
+    const Duration unassigned = this->minUnassignedTime(job, now);
+    if (unassigned > Duration() && now + unassigned > job.bounds.deadlineAt)
+        return job.hasRun ? OutcomeReason::DeadlineExceeded : OutcomeReason::Overloaded;
+    if (now < job.bounds.deadlineAt)
+        return std::nullopt;
+    const double slowness = this->fastestSlowness(job.policy.service);
+    for (std::size_t step = 0; step < job.tasks.size(); ++step) {
+        const Duration runTime = fromSeconds(
+            slowness * toSeconds(this->expectedRunTime(job.policy, job.definition.steps[step])));
+        for (const Task &task : job.tasks[step])
+            if (task.stage == Stage::Assigned && task.assignedAt + runTime > lastAnswerAt)
+                return OutcomeReason::DeadlineExceeded;
+    }
+    return std::nullopt;
+}
+
+Duration FleetCoordinator::minUnassignedTime(const Job &job, TimePoint now) const
+{
+    const double slowness = this->fastestSlowness(job.policy.service);
+    std::vector<Duration> ends(job.tasks.size());
+    Duration longest {};
+    for (std::size_t step = 0; step < job.tasks.size(); ++step) {
+        Duration begin {};
+        for (const std::uint32_t before : job.definition.steps[step].dependsOn)
+            begin = std::max(begin, ends.at(before));
+        ends[step] = begin;
+        for (const Task &task : job.tasks[step]) {
+            if (task.stage == Stage::Assigned || task.stage == Stage::Done)
+                continue;
+            const Duration wait = std::max(Duration(), task.readyAt - now);
+            const Duration runTime = this->expectedRunTime(job.policy, job.definition.steps[step]);
+            ends[step] = std::max(
+                ends[step], std::max(begin, wait) + fromSeconds(slowness * toSeconds(runTime)));
+        }
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
 }
 
 void FleetCoordinator::removeFinishedJobs(TimePoint now)
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -125,6 +125,10 @@
     std::size_t maxRoutes = 4096; ///< limit of routes with learned run times
     std::size_t maxAnswers = 4096; ///< limit of answers that are kept for jobs sent again
     Duration leftJobLifetime = 5s; ///< a job whose caller left is remembered for it
+    /** \brief Time in which owners confirm that withdrawn runs have not started: a few round trips
+     * between busy nodes. A caller whose job was given up waits for it at most.
+     */
+    Duration withdrawalTimeout = 150ms;
     /** \brief Lower limit of Retry-After; the time in which targets free capacity once. */
     Duration minRetryAfter = 200ms;
     Duration maxRetryAfter = 2s; ///< upper limit of Retry-After
@@ -156,6 +160,8 @@
     void removeCaller(std::uint64_t caller, TimePoint now);
     /** \brief Handles the end of a run that the current incarnation of \a owner reports. */
     void handleRunEnd(const NodeName &owner, const RunEnd &end, TimePoint now);
+    /** \brief Handles the report of \a owner that a withdrawn run is on a target. */
+    void handleStopping(const NodeName &owner, const RunName &run, TimePoint now);
     /** \brief Marks runs at other incarnations of \a owner as uncertain. It may still live, with a
      * raised incarnation.
      */
@@ -182,6 +188,12 @@
     std::vector<RunName> wantedRunsAt(const NodeName &owner) const;
     /** \returns the assigned runs by owner. */
     std::map<NodeName, std::vector<RunName>> wantedRuns() const;
+    /** \returns the assigned runs of jobs that are given up, by owner. They are among the wanted
+     * runs until their owners have confirmed whether they have started.
+     */
+    std::map<NodeName, std::vector<RunName>> withdrawnRuns() const;
+    /** \returns the owners of runs that were withdrawn since the last call. */
+    std::set<NodeName> takeWithdrawalOwners() { return std::exchange(this->withdrawalOwners, {}); }
     /** \returns the owners with runs of the job that \a caller waits for. */
     std::set<NodeName> ownersFor(std::uint64_t caller) const;
     std::size_t jobCount() const { return this->jobs.size(); }
@@ -199,6 +211,14 @@
         NodeName owner;
         std::uint64_t ownerIncarnation = 0;
         TimePoint readyAt; ///< earliest time of the next assignment
+        TimePoint assignedAt;
+    };
+
+    /** \brief Wait of a job that is given up for its owners' word on its runs. */
+    struct Withdrawal
+    {
+        OutcomeReason reason = OutcomeReason::None;
+        TimePoint until;
     };
 
     struct Job
@@ -212,6 +232,7 @@
         std::uint32_t requestedRuns = 0;
         bool hasRun = false; ///< whether a task may have run
         bool isFinished = false;
+        std::optional<Withdrawal> withdrawal; ///< set once the job is given up
     };
 
     struct AnsweredJob
@@ -225,6 +246,8 @@
     /** \brief Calls \a visit with the run and the owner of each assigned task. */
     template<typename Visit>
     void forEachAssignedTask(const Visit &visit) const;
+    /** \returns the task that \a run at \a owner is the current attempt of, and its job. */
+    std::pair<Job *, Task *> findAssigned(const NodeName &owner, const RunName &run);
     /** \returns the expected duration of the longest chain of dependent tasks. */
     Duration criticalPath(const TransientJob &job, const RoutePolicy &policy) const;
     /** \returns the expected wait for free capacity of new work with \a policy, from the owners'
@@ -252,7 +275,15 @@
     /** \brief Has \a task wait for \a timeout, in which its run ends, or gives its job up. */
     void markUncertain(Job &job, std::uint32_t step, Task &task, Duration timeout, TimePoint now);
     void finishJob(Job &job, TransientJobStatus status, OutcomeReason reason, TimePoint now);
+    /** \brief Gives \a job up: answers it once it is known whether a task has started. */
     void abandonJob(Job &job, OutcomeReason reason, TimePoint now);
+    /** \brief Answers a job that is given up if it is known whether a task has started. */
+    void continueWithdrawal(Job &job, TimePoint now);
+    /** \returns the reason to give \a job up now, if there is one. */
+    std::optional<OutcomeReason> hopelessReason(const Job &job, TimePoint now) const;
+    /** \returns the least expected time for the tasks of \a job that are not assigned. */
+    Duration minUnassignedTime(const Job &job, TimePoint now) const;
+    double fastestSlowness(const ServiceName &service) const;
     void removeFinishedJobs(TimePoint now);
     RunRequest makeRequest(const Job &job, const RunName &run, TimePoint now) const;
     static bool hasRunsAt(const Job &job, const NodeName &owner);
@@ -266,6 +297,8 @@
     std::map<std::string, TimePoint> leftJobs; ///< jobs whose last caller left, and when
     std::map<RouteName, EstimateModel> estimates;
     std::map<std::uint32_t, TimePoint> queueStandsSince; ///< by priority
+    std::map<ServiceName, double> fastestTargets; ///< slowness of the fastest known target
+    std::set<NodeName> withdrawalOwners; ///< owners to be told of withdrawn runs
     std::vector<JobOutcome> outcomes;
     std::vector<UnsuccessfulRun> unsuccessfulRuns;
     std::optional<TimePoint> shutdownAt; ///< end of this node, once it is draining
--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -88,12 +88,16 @@
     std::vector<RunName> wantedRuns; ///< all runs that the sender wants at the receiver
     std::vector<RunEnd> runEnds; ///< each is repeated until the receiver no longer wants the run
     std::vector<LeasedTarget> transferredTargets; ///< targets that the receiver owns from now on
+    /** \brief Wanted runs whose job is given up: the receiver ends them and reports how. */
+    std::vector<RunName> withdrawnRuns;
+    /** \brief Runs of the receiver that may have started, and that the sender is stopping. */
+    std::vector<RunName> stoppingRuns;
 
     auto operator<=>(const FleetMessage &other) const = default;
     HIBISCUS_FIELDS(from, incarnation, domain, weight, targetsAddress, sequence,
                     receiverIncarnation, acknowledgedSequence, isDraining, wantsReports,
                     requestsResponse, report, drivenTargets, runRequests, wantedRuns, runEnds,
-                    transferredTargets)
+                    transferredTargets, withdrawnRuns, stoppingRuns)
 };
 
 /** \brief Heartbeat of a target, forwarded to the entry node that should own it. */
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -221,6 +221,8 @@
         this->handleWantedRuns(peer, message, now);
     for (const RunEnd &end : message.runEnds)
         this->jobCoordinator.handleRunEnd(message.from, end, now);
+    for (const RunName &run : message.stoppingRuns)
+        this->jobCoordinator.handleStopping(message.from, run, now);
     // The acknowledgement is that the next message no longer lists the runs as wanted.
     if (!message.runEnds.empty() && !peer.acknowledgeEndsAt)
         peer.acknowledgeEndsAt = now + internal::acknowledgeWithin;
@@ -258,6 +260,9 @@
             continue;
         this->targetOwner.requestRun(request, requester, now);
     }
+    if (!message.withdrawnRuns.empty())
+        this->targetOwner.withdrawRuns(
+            requester, { message.withdrawnRuns.begin(), message.withdrawnRuns.end() }, now);
     peer.areRunsCancelled = false;
     // A run that is wanted but unknown was lost in transit or refused: it will not start here.
     std::vector<RunEnd> &unknownRuns = this->unknownRuns[message.from];
@@ -385,6 +390,10 @@
                                       now);
     this->returnQueuedRuns(now);
     this->deliverLocalRunEnds(now);
+    // A caller waits for the owners' word, so they are asked for a response.
+    for (const NodeName &owner : this->jobCoordinator.takeWithdrawalOwners())
+        if (const auto found = this->peers.find(owner); found != this->peers.end())
+            found->second.shouldRequestResponse = true;
     FleetOutbox out;
     this->sendMessages(now, out);
     out.orders = this->targetOwner.takeOrders();
@@ -514,6 +523,13 @@
     const std::vector<RunName> names = this->jobCoordinator.wantedRunsAt(this->options.self);
     const std::set<RunName> wantedRuns(names.begin(), names.end());
     this->targetOwner.cancelUnwantedRuns(this->self(), wantedRuns, now);
+    if (const auto withdrawn = this->jobCoordinator.withdrawnRuns();
+        withdrawn.contains(this->options.self)) {
+        const std::vector<RunName> &own = withdrawn.at(this->options.self);
+        this->targetOwner.withdrawRuns(this->self(), { own.begin(), own.end() }, now);
+        for (const RunName &run : this->targetOwner.stoppingRunsFor(this->self()))
+            this->jobCoordinator.handleStopping(this->options.self, run, now);
+    }
     for (const RunName &run : wantedRuns)
         if (!this->targetOwner.holdsRun(run, this->self()))
             this->jobCoordinator.handleRunEnd(this->options.self,
@@ -643,10 +659,14 @@
     message.runRequests = std::exchange(peer.runRequests, {});
     if (const auto found = runsByPeer.wantedRuns.find(to); found != runsByPeer.wantedRuns.end())
         message.wantedRuns = found->second;
+    if (const auto found = runsByPeer.withdrawnRuns.find(to);
+        found != runsByPeer.withdrawnRuns.end())
+        message.withdrawnRuns = found->second;
     message.transferredTargets = std::exchange(peer.transferredTargets, {});
     if (peer.incarnation != 0) {
         const Requester requester = { .node = to, .incarnation = peer.incarnation };
         message.runEnds = this->targetOwner.runEndsFor(requester);
+        message.stoppingRuns = this->targetOwner.stoppingRunsFor(requester);
         this->targetOwner.markEndsReported(requester);
         const std::vector<RunEnd> lost = std::exchange(this->unknownRuns[to], {});
         message.runEnds.insert(message.runEnds.end(), lost.begin(), lost.end());
@@ -801,6 +821,7 @@
 {
     this->refreshReport(now);
     const RunsByPeer runsByPeer = { .wantedRuns = this->jobCoordinator.wantedRuns(),
+                                    .withdrawnRuns = this->jobCoordinator.withdrawnRuns(),
                                     .requesters = this->targetOwner.requesters() };
     for (auto item = this->peers.begin(); item != this->peers.end();) {
         auto &[name, peer] = *item;
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -247,6 +247,7 @@
     struct RunsByPeer
     {
         std::map<NodeName, std::vector<RunName>> wantedRuns;
+        std::map<NodeName, std::vector<RunName>> withdrawnRuns;
         std::map<Requester, RequesterState> requesters;
     };
 
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -87,6 +87,15 @@
     this->cancelMatching(matches, false, now);
 }
 
+void FleetOwner::withdrawRuns(const Requester &requester, const std::set<RunName> &withdrawnRuns,
+                              TimePoint now)
+{
+    const auto matches = [&](const HeldRun &run) {
+        return run.requester == requester && withdrawnRuns.contains(run.request.run);
+    };
+    this->cancelMatching(matches, true, now);
+}
+
 void FleetOwner::dropOlderIncarnations(const Requester &requester, TimePoint now)
 {
     const auto matches = [&](const HeldRun &run) {
@@ -348,6 +357,16 @@
     return runEnds;
 }
 
+std::vector<RunName> FleetOwner::stoppingRunsFor(const Requester &requester) const
+{
+    std::vector<RunName> stopping;
+    for (const auto &[name, run] : this->runs)
+        if (run.stage == Stage::OnTarget && run.isStopping && run.isWanted
+            && run.requester == requester)
+            stopping.push_back(name);
+    return stopping;
+}
+
 bool FleetOwner::holdsRun(const RunName &run, const Requester &requester) const
 {
     const auto found = this->runs.find(run);
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -148,6 +148,9 @@
     /** \brief Cancels runs of \a requester that are not in \a wantedRuns. */
     void cancelUnwantedRuns(const Requester &requester, const std::set<RunName> &wantedRuns,
                             TimePoint now);
+    /** \brief Cancels \a withdrawnRuns of \a requester, which still wants to know how they end. */
+    void withdrawRuns(const Requester &requester, const std::set<RunName> &withdrawnRuns,
+                      TimePoint now);
     /** \brief Cancels all runs of older incarnations of \a requester's node. */
     void dropOlderIncarnations(const Requester &requester, TimePoint now);
     /** \brief Cancels all runs of an unreachable node, but keeps their ends for it. */
@@ -185,6 +188,8 @@
     std::map<Requester, RequesterState> requesters() const;
     /** \returns the run ends that \a requester has not acknowledged. */
     std::vector<RunEnd> runEndsFor(const Requester &requester) const;
+    /** \returns the cancelled runs of \a requester that are on targets still. */
+    std::vector<RunName> stoppingRunsFor(const Requester &requester) const;
     bool holdsRun(const RunName &run, const Requester &requester) const;
     bool ownsTarget(const TargetName &target) const { return this->drivers.contains(target); }
     std::vector<TargetName> targetNames() const;
--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -66,7 +66,8 @@
     for (const auto &[route, kind] : outcome.kinds)
         std::cout << " | " << route << " credit " << kind.earnedShare() << " late "
                   << 1.0 * kind.late / kind.jobs << " served " << kind.servedShare() << " refused "
-                  << 1.0 * kind.refused / kind.jobs << " held "
+                  << 1.0 * kind.refused / kind.jobs << " falsely unfinished "
+                  << kind.falselyUnfinished << " held "
                   << 1.0 * kind.unansweredForLong / kind.jobs << " largest "
                   << kind.largestServedShare();
     std::cout << std::endl;
--- a/test/support/FleetLoad.cpp
+++ b/test/support/FleetLoad.cpp
@@ -101,6 +101,8 @@
     outcome.unansweredForLong += isUnserved && answer.elapsed > FleetJob().timeout / 2 ? 1 : 0;
     if (answer.status == TransientJobStatus::Refused)
         ++outcome.refused;
+    if (answer.status == TransientJobStatus::Unfinished && !simulation.hasStarted(sent.id))
+        ++outcome.falselyUnfinished;
     if (answer.status != TransientJobStatus::Completed)
         return;
     const bool isInTime = answer.elapsed <= fromSeconds(stretch * toSeconds(sent.longest)) + slack;
--- a/test/support/FleetLoad.h
+++ b/test/support/FleetLoad.h
@@ -42,6 +42,7 @@
     std::uint32_t inTime = 0;
     std::uint32_t late = 0;
     std::uint32_t refused = 0;
+    std::uint32_t falselyUnfinished = 0; ///< answered as unfinished, though no task has started
     /** \brief Not served, and kept waiting for over half of the caller's timeout. */
     std::uint32_t unansweredForLong = 0;
     std::uint32_t largestJobs = 0; ///< jobs in the largest tenth
--- a/test/support/FleetSimulation.h
+++ b/test/support/FleetSimulation.h
@@ -204,6 +204,7 @@
     const FleetTraffic &traffic(const std::string &gateway) const;
     std::size_t livePeerCount(const std::string &gateway) const;
     std::size_t taskCount(const std::string &job) const { return this->taskTimes.at(job).size(); }
+    bool hasStarted(const std::string &job) const { return this->startedJobs.contains(job); }
     /** \returns the share of the jobs that were answered as completed. */
     double servedShare() const;
 
