--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -122,6 +122,8 @@
         return "deadline-over";
     case OutcomeReason::OwnerLost:
         return "owner-lost";
+    case OutcomeReason::TaskTooLong:
+        return "task-too-long";
     case OutcomeReason::None:
         break;
     }
@@ -251,8 +253,15 @@
         task.stage = Stage::Ready;
         this->abandonJob(job, OutcomeReason::Overloaded, now);
         break;
-    case RunEndKind::Returned:
+    case RunEndKind::Hopeless:
+        task.stage = Stage::Ready;
+        this->abandonJob(job, OutcomeReason::TaskTooLong, now);
+        break;
     case RunEndKind::Stopped:
+        task.forecast = end.runTime;
+        this->scheduleRetry(task, {}, now);
+        break;
+    case RunEndKind::Returned:
     case RunEndKind::Lost:
         this->scheduleRetry(task, {}, now);
         break;
@@ -332,7 +341,7 @@
                 if (task.stage != Stage::Ready || now < task.readyAt)
                     continue;
                 OwnerView *owner
-                    = this->selectOwner(*job, job->definition.steps[step], owners, now);
+                    = this->selectOwner(*job, job->definition.steps[step], task, owners, now);
                 if (owner == nullptr)
                     continue;
                 ++task.attempt;
@@ -520,6 +529,12 @@
                                           : found->second.predictedRunTime(step.estimate);
 }
 
+Duration FleetCoordinator::expectedRunTime(const Job &job, const JobStep &step,
+                                           const Task &task) const
+{
+    return task.forecast > Duration() ? task.forecast : this->expectedRunTime(job.policy, step);
+}
+
 void FleetCoordinator::unblockTasks(Job &job)
 {
     const auto isDone = [](const Task &task) { return task.stage == Stage::Done; };
@@ -610,7 +625,7 @@
              .service = job.policy.service,
              .spec = job.definition.spec,
              .demand = step.demand,
-             .estimate = this->expectedRunTime(job.policy, step),
+             .estimate = this->expectedRunTime(job, step, job.tasks[run.step][run.index]),
              .untilObjective = job.bounds.objectiveAt - now,
              .untilDeadline = job.bounds.deadlineAt - now,
              .priority = job.policy.priority,
@@ -630,12 +645,12 @@
 // Prefers free capacity nearby, on targets that are not reserved for longer tasks. Without free
 // capacity, prefers the shortest queue relative to the owner's size; one in another domain only if
 // it is clearly shorter.
-OwnerView *FleetCoordinator::selectOwner(const Job &job, const JobStep &step,
+OwnerView *FleetCoordinator::selectOwner(const Job &job, const JobStep &step, const Task &task,
                                          std::vector<OwnerView> &owners, TimePoint now) const
 {
     internal::TaskRequirements requirements
         = { .service = job.policy.service, .step = step, .bounds = job.bounds };
-    requirements.step.estimate = this->expectedRunTime(job.policy, step);
+    requirements.step.estimate = this->expectedRunTime(job, step, task);
     internal::findBestFitness(requirements, owners, now);
     OwnerView *best = nullptr;
     std::tuple<int, int, double> bestKey;
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -43,7 +43,8 @@
     Draining, ///< this node is stopping
     TaskFailed, ///< a task has failed too often
     DeadlineExceeded,
-    OwnerLost ///< the owner of a run was lost: the run may still go on
+    OwnerLost, ///< the owner of a run was lost: the run may still go on
+    TaskTooLong ///< the progress of a task shows that it can't end before the deadline
 };
 
 /** \returns the name of \a reason for logs. */
@@ -199,6 +200,7 @@
         NodeName owner;
         std::uint64_t ownerIncarnation = 0;
         TimePoint readyAt; ///< earliest time of the next assignment
+        Duration forecast {}; ///< run time by the progress of its last run; 0 if there is none
     };
 
     struct Job
@@ -242,6 +244,8 @@
     Duration retryAfter(const RoutePolicy &policy, const std::vector<OwnerView> &owners) const;
     void recordRunTime(const Job &job, const RunEnd &end);
     Duration expectedRunTime(const RoutePolicy &policy, const JobStep &step) const;
+    /** \returns the same for one task, of which there may be a forecast. */
+    Duration expectedRunTime(const Job &job, const JobStep &step, const Task &task) const;
     void unblockTasks(Job &job);
     void scheduleRetry(Task &task, Duration delay, TimePoint now);
     /** \brief Marks the assigned tasks that match as uncertain: their owners may live, but no
@@ -256,8 +260,8 @@
     void removeFinishedJobs(TimePoint now);
     RunRequest makeRequest(const Job &job, const RunName &run, TimePoint now) const;
     static bool hasRunsAt(const Job &job, const NodeName &owner);
-    OwnerView *selectOwner(const Job &job, const JobStep &step, std::vector<OwnerView> &owners,
-                           TimePoint now) const;
+    OwnerView *selectOwner(const Job &job, const JobStep &step, const Task &task,
+                           std::vector<OwnerView> &owners, TimePoint now) const;
 
     FleetCoordinatorOptions options;
     Jobs jobs;
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -391,6 +391,7 @@
     for (PollOrder &poll : this->ownerFence.takeDuePolls(now))
         out.orders.emplace_back(std::move(poll));
     out.foreignRuns = this->targetOwner.takeForeignRuns();
+    out.forecasts = this->targetOwner.takeForecasts();
     out.fences = this->ownerFence.takeRecords();
     this->counts.fencedForPeers += static_cast<std::uint64_t>(
         std::ranges::count(out.fences, OrderStatus::Done, &FenceRecord::status));
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -95,6 +95,7 @@
     std::vector<UnsuccessfulRun> unsuccessfulRuns;
     std::vector<AttemptRecord> attempts;
     std::vector<ForeignRun> foreignRuns;
+    std::vector<ForecastRecord> forecasts;
     std::vector<FenceRecord> fences;
     std::vector<NodeName> removedPeers; ///< peers removed after a long silence
     std::vector<NodeName> idlePeers; ///< peers whose connection may be closed for now
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -182,6 +182,8 @@
         driver.tick(now, this->out);
     this->processRunEnds(now);
     this->stopStragglers(now);
+    if (this->options.usesRunForecasts)
+        this->stopByForecast(now);
     this->removeLostTargets(now);
     std::erase_if(this->runs, [&](const auto &item) {
         return item.second.stage == Stage::Ended
@@ -408,6 +410,9 @@
         if (end.kind == RunEndKind::Completed && driver != this->drivers.end()) {
             const LeasedTarget &target = driver->second.target();
             const Duration runTime = now - run.startedAt;
+            const Duration expected = this->runTimes.expectedRunTime(target, run.request.estimate);
+            if (this->options.usesRunForecasts)
+                this->recordPace(run, driver->second, paceOf(runTime, expected), now);
             run.normalizedRunTime
                 = fromSeconds(toSeconds(runTime) / this->runTimes.slowness(target));
             this->runTimes.addRun(target, run.request.estimate, runTime);
@@ -416,6 +421,10 @@
             this->recordAttempt(run, driver->second, end, now);
         run.stage = Stage::Ended;
         run.end = end.kind;
+        if (end.kind == RunEndKind::Stopped && run.verdict == RunVerdict::GiveUp)
+            run.end = RunEndKind::Hopeless;
+        if (end.kind == RunEndKind::Stopped)
+            run.normalizedRunTime = run.forecastRunTime;
         run.endedAt = now;
         if (!run.isWanted)
             this->runs.erase(found);
@@ -438,6 +447,7 @@
         ++this->counts.notStarted;
         break;
     case RunEndKind::Stopped:
+    case RunEndKind::Hopeless:
         ++this->counts.stopped;
         break;
     case RunEndKind::Lost:
@@ -512,15 +522,21 @@
 bool FleetOwner::shouldWaitForFasterTarget(const HeldRun &run, TimePoint now) const
 {
     return std::ranges::any_of(this->drivers, [&](const auto &item) {
-        const LeasedTarget &target = item.second.target();
-        const Duration time = this->runTimes.expectedRunTime(target, run.request.estimate);
-        return target.service == run.request.service && item.second.acceptsWork(now)
-            && target.capacity.covers(run.request.demand)
-            && satisfies(target.labels, run.request.requiredLabel)
+        const Duration time
+            = this->runTimes.expectedRunTime(item.second.target(), run.request.estimate);
+        return this->couldRunOn(item.second, run, now)
             && fitnessOf(run.bounds, time, now) != Fitness::Infeasible;
     });
 }
 
+bool FleetOwner::couldRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const
+{
+    const LeasedTarget &target = driver.target();
+    return target.service == run.request.service && driver.acceptsWork(now)
+        && target.capacity.covers(run.request.demand)
+        && satisfies(target.labels, run.request.requiredLabel);
+}
+
 void FleetOwner::stopStragglers(TimePoint now)
 {
     for (auto &[name, run] : this->runs) {
@@ -540,14 +556,21 @@
     }
 }
 
+Duration FleetOwner::stragglerBound(Duration expectedRunTime) const
+{
+    return fromSeconds(this->options.stragglerFactor * toSeconds(expectedRunTime))
+        + this->options.stragglerSlack;
+}
+
 // A run counts as a straggler only if its target itself has listed it as running that late, not if
 // the target had no opportunity to report its end, and only while there is time to run it again.
 bool FleetOwner::isStragglingOn(const HeldRun &run, const TargetDriver &driver, TimePoint now) const
 {
-    const Duration time = this->runTimes.expectedRunTime(driver.target(), run.request.estimate);
-    const Duration bound = fromSeconds(this->options.stragglerFactor * toSeconds(time))
-        + this->options.stragglerSlack;
+    const Duration bound = this->stragglerBound(
+        this->runTimes.expectedRunTime(driver.target(), run.request.estimate));
     const auto listedAt = driver.listedAt(run.request.run);
+    if (this->options.usesRunForecasts && driver.listsProgress())
+        return false;
     return listedAt && *listedAt >= run.startedAt + bound
         && fitnessOf(run.bounds, this->minExpectedRunTime(run.request), now) != Fitness::Infeasible;
 }
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -2,6 +2,7 @@
 
 #include "Hibiscus/src/Fleet/Fitness.h"
 #include "Hibiscus/src/Fleet/FleetMessage.h"
+#include "Hibiscus/src/Fleet/RunAssessment.h"
 #include "Hibiscus/src/Fleet/RunTimes.h"
 #include "Hibiscus/src/Fleet/TargetDriver.h"
 
@@ -29,6 +30,10 @@
     Duration stragglerSlack = 60ms; ///< added to that bound, for the round trips of short runs
     std::uint32_t stragglersToAvoid = 2; ///< in a row: the target is at fault, not the estimate
     Duration stragglerAvoidance = 1500ms; ///< pause in new work for such a target
+    /** \brief Whether runs are stopped by forecasts from their progress, where targets list it,
+     * instead of by stragglerFactor.
+     */
+    bool usesRunForecasts = false;
     /** \brief Time in the queue before a run may be returned to its coordinator: a few round trips,
      * so that runs do not follow capacity that is free only for a moment.
      */
@@ -75,6 +80,9 @@
     std::uint64_t lost = 0;
     std::uint64_t adoptedTargets = 0; ///< targets taken over
     std::uint64_t stragglers = 0; ///< runs stopped for taking too long
+    std::uint64_t hopeless = 0; ///< runs stopped, since they could not meet their deadline
+    std::uint64_t spared = 0; ///< runs that were slow, but forecast to end earliest where they were
+    std::uint64_t slowTargets = 0; ///< times that a target was avoided for slow runs or a stall
     std::uint64_t fencedTargets = 0; ///< targets lost to another owner
     std::uint64_t regainedTargets = 0; ///< targets kept after a guardian had fenced them
 };
@@ -107,6 +115,23 @@
     auto operator<=>(const AttemptRecord &other) const = default;
 };
 
+/** \brief Decision on a run by its progress, for the log. */
+struct ForecastRecord
+{
+    RunName run;
+    TargetName target;
+    RunVerdict verdict = RunVerdict::Continue;
+    bool isTargetSlow = false;
+    std::uint32_t percent = 0; ///< progress of the run in the latest list
+    Duration elapsed {}; ///< time of that list since the run's start
+    Duration listAge {}; ///< time since the target's latest response
+    Duration expectedRunTime {}; ///< before the start
+    Duration forecastRunTime {}; ///< shortest run time that agrees with the progress
+    Duration untilDeadline {};
+
+    auto operator<=>(const ForecastRecord &other) const = default;
+};
+
 /** \brief Run of another owner that was found on a target, for the log. */
 struct ForeignRun
 {
@@ -175,6 +200,8 @@
     /** \returns the starts of later attempts, and the attempts that ended without completion. */
     std::vector<AttemptRecord> takeAttempts() { return std::exchange(this->attempts, {}); }
 
+    /** \returns the decisions to stop runs by their progress, and to spare slow ones. */
+    std::vector<ForecastRecord> takeForecasts() { return std::exchange(this->forecasts, {}); }
     std::vector<ForeignRun> takeForeignRuns() { return std::exchange(this->foreignRuns, {}); }
 
     // Queries.
@@ -213,6 +240,10 @@
         bool isReported = false; ///< whether its end has been sent
         bool isStopping = false;
         bool isStraggler = false;
+        RunPace pace = RunPace::Unknown; ///< latest pace by its progress
+        RunVerdict verdict = RunVerdict::Continue;
+        bool isSpared = false; ///< whether it was counted as spared
+        Duration forecastRunTime {}; ///< forecast, normalized, if it was stopped by its progress
     };
 
     using Runs = std::map<RunName, HeldRun>;
@@ -236,10 +267,21 @@
     void recordRestart(TargetDriver &driver, TimePoint now);
     TargetDriver *selectTarget(const HeldRun &run, TimePoint validUntil, TimePoint now);
     bool canRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
+    /** \returns whether \a run can start on the target once it has room. */
+    bool couldRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
     bool isTaskRunning(const RunName &run) const;
     bool shouldWaitForFasterTarget(const HeldRun &run, TimePoint now) const;
     void stopStragglers(TimePoint now);
+    /** \returns the run time after which a run counts as a straggler. */
+    Duration stragglerBound(Duration expectedRunTime) const;
     bool isStragglingOn(const HeldRun &run, const TargetDriver &driver, TimePoint now) const;
+    /** \brief Stops runs by their progress. */
+    void stopByForecast(TimePoint now);
+    void recordPace(HeldRun &run, TargetDriver &driver, RunPace pace, TimePoint now);
+    AssessedRun describeForAssessment(const HeldRun &run, const TargetDriver &driver,
+                                      TimePoint now) const;
+    void applyVerdict(HeldRun &run, TargetDriver &driver, const AssessedRun &assessed,
+                      RunVerdict verdict, TimePoint now);
     void endInfeasibleRuns(TimePoint now);
     /** \returns how long \a run may go on if its requester wanted it at \a wantedAt. */
     TimePoint validUntil(const HeldRun &run, TimePoint wantedAt) const;
@@ -257,6 +299,7 @@
     DriverOutbox out;
     std::vector<TargetChange> changes;
     std::vector<AttemptRecord> attempts;
+    std::vector<ForecastRecord> forecasts;
     std::vector<ForeignRun> foreignRuns;
     FleetOwnerCounters counts;
 };
--- a/Hibiscus/src/Fleet/Run.cpp
+++ b/Hibiscus/src/Fleet/Run.cpp
@@ -21,6 +21,8 @@
         return "stopped";
     case RunEndKind::Lost:
         return "lost";
+    case RunEndKind::Hopeless:
+        return "hopeless";
     case RunEndKind::Unknown:
         break;
     }
--- a/Hibiscus/src/Fleet/Run.h
+++ b/Hibiscus/src/Fleet/Run.h
@@ -54,7 +54,8 @@
     Superseded, ///< it never ran: the target has seen a later attempt of the task
     Stopped, ///< on request
     Lost, ///< the target ended it: the lease expired, or the target restarted
-    Unknown ///< the owner lost the target: the run may still go on
+    Unknown, ///< the owner lost the target: the run may still go on
+    Hopeless ///< stopped, since its progress showed that it could not meet its deadline
 };
 
 /** \returns the name of \a kind for logs. */
@@ -78,7 +79,9 @@
 {
     RunName run;
     RunEndKind kind = RunEndKind::NotStarted;
-    /** \brief Run time divided by the slowness of its target; 0 unless it completed. */
+    /** \brief Run time divided by the slowness of its target, if it completed. If it was stopped to
+     * run elsewhere, a forecast of it, or 0 if there is none; 0 otherwise.
+     */
     Duration runTime {};
 
     auto operator<=>(const RunEnd &other) const = default;
--- a/Hibiscus/src/Fleet/RunTimes.cpp
+++ b/Hibiscus/src/Fleet/RunTimes.cpp
@@ -34,6 +34,12 @@
     this->byTarget[target.name].add(logRatio);
 }
 
+void RunTimes::addRunOnSlowTarget(const LeasedTarget &target, Duration estimate, Duration forecast)
+{
+    if (estimate >= internal::minMeasurableTime && forecast >= internal::minMeasurableTime)
+        this->byTarget[target.name].add(std::log(toSeconds(forecast) / toSeconds(estimate)));
+}
+
 double RunTimes::slowness(const LeasedTarget &target) const
 {
     const auto kind = this->byKind.find(target.kind);
--- a/Hibiscus/src/Fleet/RunTimes.h
+++ b/Hibiscus/src/Fleet/RunTimes.h
@@ -16,6 +16,10 @@
     // Commands.
     /** \brief Adds a completed run on \a target. */
     void addRun(const LeasedTarget &target, Duration estimate, Duration runTime);
+    /** \brief Adds a run on \a target that did not complete, since the target is slow. Its kind is
+     * not, so it is not changed.
+     */
+    void addRunOnSlowTarget(const LeasedTarget &target, Duration estimate, Duration forecast);
     void remove(const TargetName &target) { this->byTarget.erase(target); }
 
     // Queries.
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -98,6 +98,8 @@
     run.stopAt = now;
     run.listedAt.reset();
     run.missingSince.reset();
+    run.startClockMs.reset();
+    run.forecast = {};
 }
 
 void TargetDriver::start(const RunRequest &request, TimePoint validUntil, TimePoint now,
@@ -155,6 +157,7 @@
         if (found->second.phase == Phase::Starting)
             found->second.phase = Phase::Running;
         found->second.confirmedAt = now;
+        found->second.startClockMs = response.clockMs;
         return;
     }
     // The start may still arrive: only a confirmed stop ensures that it has no effect.
@@ -224,6 +227,7 @@
         this->endRun(listed.run, internal::kindOf(listed.end), RunEndEvidence::ListedAsEnded, now,
                      out);
     }
+    this->addProgress(response);
     this->endUnlistedRuns(response, now, out);
     this->stopForeignRuns(response, now, out);
     this->endForeignRuns(response, now);
@@ -271,6 +275,12 @@
     return found == this->runs.end() ? std::nullopt : found->second.listedAt;
 }
 
+const RunForecast *TargetDriver::forecastOf(const RunName &run) const
+{
+    const auto found = this->runs.find(run);
+    return found == this->runs.end() ? nullptr : &found->second.forecast;
+}
+
 std::uint32_t TargetDriver::runCountOf(const std::string &job, std::uint32_t step) const
 {
     return static_cast<std::uint32_t>(std::ranges::count_if(
@@ -398,6 +408,30 @@
         this->extendAvoidance(this->options.avoidAfterFailures, now);
 }
 
+// A single job may be long by itself; its tasks are then slow on every target.
+void TargetDriver::recordSlowRun(const std::string &job, TimePoint now)
+{
+    if (job != std::exchange(this->lastSlowJob, job))
+        ++this->slowJobsInRow;
+    if (!this->isSlow())
+        return;
+    this->slownessAvoidance = std::clamp(
+        2 * this->slownessAvoidance, this->options.avoidAfterSlowRuns, this->options.maxAvoidance);
+    this->avoid(now + this->slownessAvoidance);
+}
+
+void TargetDriver::recordUsualRun()
+{
+    this->slowJobsInRow = 0;
+    this->lastSlowJob.clear();
+    this->slownessAvoidance = {};
+}
+
+void TargetDriver::recordStall(TimePoint now)
+{
+    this->avoid(now + this->options.avoidAfterSlowRuns);
+}
+
 // One lost order may be chance; a target that responds to none of several is treated as unhealthy.
 void TargetDriver::recordTimeout(TimePoint now)
 {
@@ -523,6 +557,21 @@
     return std::nullopt;
 }
 
+// The target's clock tells how long each run had gone on when the list was made.
+void TargetDriver::addProgress(const PollResponse &response)
+{
+    for (const auto &[name, percent] : response.progress) {
+        const auto found = this->runs.find(name);
+        if (found == this->runs.end() || !response.clockMs || !found->second.startClockMs)
+            continue;
+        const std::chrono::milliseconds elapsed(*response.clockMs - *found->second.startClockMs);
+        found->second.forecast.addProgress(elapsed, percent);
+        constexpr std::uint32_t fullProgress = 100;
+        if (percent > 0 && percent < fullProgress)
+            this->hasListedProgress = true;
+    }
+}
+
 void TargetDriver::stopForeignRuns(const PollResponse &response, TimePoint now, DriverOutbox &out)
 {
     for (const RunName &name : response.running) {
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hibiscus/src/Fleet/DrivenTarget.h"
+#include "Hibiscus/src/Fleet/RunForecast.h"
 #include "Hibiscus/src/Fleet/TargetOrder.h"
 
 #include <map>
@@ -66,6 +67,8 @@
     Duration maxAvoidance = 4s; ///< bounds the time until a recovered target is used again
     std::uint32_t failuresToAvoid = 2; ///< failed runs in a row, each of another job
     Duration avoidAfterFailures = 1s; ///< pause after them, doubled each time up to maxAvoidance
+    std::uint32_t slowJobsToAvoid = 2; ///< jobs in a row with slow runs; one may be long by itself
+    Duration avoidAfterSlowRuns = 1s; ///< pause after them, doubled each time up to maxAvoidance
     Duration insufficientCapacityPause = 30ms; ///< pause after a refusal for lack of capacity
 };
 
@@ -139,6 +142,14 @@
     void handlePollResponse(TimePoint sentAt, const PollResponse &response, TimePoint now,
                             DriverOutbox &out);
     void tick(TimePoint now, DriverOutbox &out);
+    /** \brief Counts a run of \a job that is slow against its expectation, and stops new work for a
+     * while if runs of several jobs in a row are.
+     */
+    void recordSlowRun(const std::string &job, TimePoint now);
+    /** \brief Records a run that goes at the usual pace. */
+    void recordUsualRun();
+    /** \brief Stops new work for a while, as a run here makes no progress. */
+    void recordStall(TimePoint now);
     /** \brief Counts a run that takes far too long. */
     void recordStraggler() { ++this->stragglersInRow; }
     /** \brief Stops new work until \a until. */
@@ -186,6 +197,14 @@
     bool hasRun(const RunName &run) const { return this->runs.contains(run); }
     /** \returns the send time of the last poll that listed \a run as running, if any. */
     std::optional<TimePoint> listedAt(const RunName &run) const;
+    /** \returns the forecast of \a run from its progress; nullptr if there is no such run. */
+    const RunForecast *forecastOf(const RunName &run) const;
+    /** \returns whether the target has listed progress of a run that was neither at its start nor
+     * at its end.
+     */
+    bool listsProgress() const { return this->hasListedProgress; }
+    /** \returns whether runs of several jobs in a row were slow here. */
+    bool isSlow() const { return this->slowJobsInRow >= this->options.slowJobsToAvoid; }
     /** \returns the number of stragglers in a row. */
     std::uint32_t stragglerCount() const { return this->stragglersInRow; }
     /** \returns the number of runs of a step on the target. */
@@ -203,6 +222,9 @@
         TimePoint unansweredAt; ///< time at which the start became Unanswered
         std::uint64_t startToken = 0;
         std::optional<TimePoint> listedAt; ///< send time of the last poll that listed it
+        /** \brief The target's clock in its response to the start, ms. */
+        std::optional<std::int64_t> startClockMs;
+        RunForecast forecast;
         /** \brief Arrival of the first list without it, after its start was confirmed. */
         std::optional<TimePoint> missingSince;
         bool isStopWanted = false;
@@ -264,6 +286,7 @@
         return since && *since + this->options.maxStopTime <= this->pollSentAt;
     }
     void endUnlistedRuns(const PollResponse &response, TimePoint now, DriverOutbox &out);
+    void addProgress(const PollResponse &response);
     /** \returns whether \a run, which the response to the current poll does not list, has ended,
      * and how.
      */
@@ -314,6 +337,10 @@
     std::uint32_t timeoutsInRow = 0;
     std::uint32_t stragglersInRow = 0;
     std::string lastFailedJob;
+    bool hasListedProgress = false;
+    std::uint32_t slowJobsInRow = 0;
+    std::string lastSlowJob;
+    Duration slownessAvoidance {}; ///< latest pause for slow runs
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/TargetOrder.h
+++ b/Hibiscus/src/Fleet/TargetOrder.h
@@ -3,6 +3,7 @@
 #include "Hibiscus/src/Fleet/LeasedTarget.h"
 #include "Hibiscus/src/Fleet/Run.h"
 
+#include <map>
 #include <optional>
 #include <variant>
 
@@ -109,6 +110,8 @@
     /** \brief Incarnation that responded; empty if the target does not tell. */
     std::optional<std::uint64_t> incarnation;
     std::vector<RunName> running;
+    /** \brief Share of their work that running runs have done, in percent, as far as listed. */
+    std::map<RunName, std::uint32_t> progress;
     std::vector<EndedRun> ended;
     /** \brief Whether every listed run could be read; if not, a run that is not listed may be
      * among those that could not.
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -48,6 +48,7 @@
     options.weight = record.weight;
     options.targetsAddress = record.targetsAddress;
     options.owner.driver.lease = context.profile.lease;
+    options.owner.usesRunForecasts = context.profile.scheduling.usesRunForecasts;
     constexpr Duration startMargin = 150ms; // for the way of a start, and for the drift of clocks
     constexpr Duration heartbeatMargin = 200ms; // heartbeats come approximately at their interval
     options.owner.driver.heartbeatLifetime = std::max(context.profile.drainTime - startMargin,
@@ -95,6 +96,26 @@
                { "contact_age_ms", std::to_string(toMilliseconds(attempt.end->contactAge)) } });
 }
 
+static void logForecast(const ForecastRecord &record)
+{
+    const auto milliseconds
+        = [](Duration duration) { return std::to_string(toMilliseconds(duration)); };
+    logEvent("run-forecast",
+             { { "verdict", toString(record.verdict) },
+               { "job", record.run.job },
+               { "step", std::to_string(record.run.step) },
+               { "task", std::to_string(record.run.index) },
+               { "attempt", std::to_string(record.run.attempt) },
+               { "target", record.target.str() },
+               { "is_target_slow", record.isTargetSlow ? "true" : "false" },
+               { "percent", std::to_string(record.percent) },
+               { "elapsed_ms", milliseconds(record.elapsed) },
+               { "list_age_ms", milliseconds(record.listAge) },
+               { "expected_ms", milliseconds(record.expectedRunTime) },
+               { "forecast_ms", milliseconds(record.forecastRunTime) },
+               { "until_deadline_ms", milliseconds(record.untilDeadline) } });
+}
+
 } // namespace internal
 
 GatewayProcess::GatewayProcess(const NodeContext &node)
@@ -366,6 +387,8 @@
                    { "end", toString(run.end.kind) } });
     for (const AttemptRecord &attempt : out.attempts)
         internal::logAttempt(attempt);
+    for (const ForecastRecord &forecast : out.forecasts)
+        internal::logForecast(forecast);
     for (const ForeignRun &run : out.foreignRuns)
         logEvent("foreign-run-found",
                  { { "job", run.run.job },
@@ -584,6 +607,14 @@
     count("hibiscus_runs_returned_total", "Waiting runs given back, since another owner had room.",
           owner.returned);
     count("hibiscus_runs_straggling_total", "Runs stopped for taking too long.", owner.stragglers);
+    count("hibiscus_runs_hopeless_total",
+          "Runs stopped, since their progress showed that they would miss their deadline.",
+          owner.hopeless);
+    count("hibiscus_runs_spared_total",
+          "Slow runs that went on, since they would not have ended earlier elsewhere.",
+          owner.spared);
+    count("hibiscus_targets_slow_total", "Times that a target was avoided for slow runs.",
+          owner.slowTargets);
     count("hibiscus_runs_stopped_total", "Runs stopped on request.", owner.stopped);
     count("hibiscus_runs_lost_total", "Runs lost with a target or its lease.", owner.lost);
     count("hibiscus_targets_adopted_total", "Targets taken over.", owner.adoptedTargets);
--- a/Hibiscus/src/Settings/NodeProfile.cpp
+++ b/Hibiscus/src/Settings/NodeProfile.cpp
@@ -47,6 +47,8 @@
     profile.heartbeat = milliseconds("heartbeat_ms", profile.heartbeat);
     profile.drainTime = milliseconds("drain_ms", profile.drainTime);
     profile.stopTimeout = fromSeconds(json.value("stop_bound_s", toSeconds(profile.stopTimeout)));
+    const Json scheduling = json.value("scheduling", Json::object());
+    profile.scheduling.usesRunForecasts = scheduling.value("run_forecasts", false);
     return profile;
 }
 
--- a/Hibiscus/src/Settings/NodeProfile.h
+++ b/Hibiscus/src/Settings/NodeProfile.h
@@ -6,6 +6,15 @@
 
 namespace Hibiscus {
 
+/** \brief Which decisions on runs are switched on. */
+struct SchedulingSettings
+{
+    /** \brief Whether runs are stopped by forecasts from the progress that targets list. */
+    bool usesRunForecasts = false;
+
+    auto operator<=>(const SchedulingSettings &other) const = default;
+};
+
 /** \brief The settings of one node that discovers the others, and needs no Deployment. */
 struct NodeProfile
 {
@@ -34,6 +43,7 @@
     Duration heartbeat = 1500ms; ///< interval between heartbeats of a target
     /** \brief Time in which a target may be given work after it was acknowledged that it leaves. */
     Duration drainTime = 2s;
+    SchedulingSettings scheduling;
 
     auto operator<=>(const NodeProfile &other) const = default;
 };
--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -11,6 +11,7 @@
 DEFINE_uint64(seeds, 2, "number of seeds for each load pattern");
 DEFINE_double(estimate_error, 0.4, "standard deviation of the logarithm of estimate / run time");
 DEFINE_bool(one_node, false, "uses one gateway that owns all targets");
+DEFINE_bool(forecasts, false, "stops runs by forecasts from their progress");
 DEFINE_string(pattern, "", "prefix of the names of the patterns to run; empty: all");
 
 namespace Hibiscus {
@@ -44,7 +45,12 @@
                          .slowFactor = 4,
                          .slowAt = 6s } },
              { .name = "slow-targets",
-               .load = { .kinds = kinds, .jobsPerSecond = 130, .slowTargetShare = 0.17 } } };
+               .load = { .kinds = kinds, .jobsPerSecond = 130, .slowTargetShare = 0.17 } },
+             { .name = "long-tasks",
+               .load = { .kinds = kinds,
+                         .jobsPerSecond = usualRate,
+                         .burstFactor = 1.3,
+                         .longTaskShare = 0.03 } } };
 }
 
 void runPattern(Pattern pattern, std::uint64_t seed)
@@ -57,12 +63,14 @@
         options.domains = { "a" };
         options.gatewaysPerDomain = 1;
     }
+    options.node.owner.usesRunForecasts = FLAGS_forecasts;
     Fake::FleetSimulation simulation(options);
     constexpr Duration startUpTime = 6s;
     simulation.run(startUpTime);
     const Fake::FleetLoadOutcome outcome = Fake::runLoad(simulation, pattern.load);
     std::cout << pattern.name << " seed " << seed << " credit " << outcome.earnedShare()
-              << " starts/task " << outcome.startsPerTask;
+              << " starts/task " << outcome.startsPerTask << " wasted "
+              << outcome.wastedWork / outcome.work;
     for (const auto &[route, kind] : outcome.kinds)
         std::cout << " | " << route << " credit " << kind.earnedShare() << " late "
                   << 1.0 * kind.late / kind.jobs << " served " << kind.servedShare() << " refused "
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -277,12 +277,29 @@
     ASSERT_EQ(poll.status, OrderStatus::Done);
     ASSERT_EQ(poll.running.size(), 1U);
     EXPECT_EQ(poll.running[0], (RunName { .job = "ab", .step = 1, .index = 17, .attempt = 2 }));
+    EXPECT_EQ(poll.progress.at(poll.running[0]), 41U);
     ASSERT_EQ(poll.ended.size(), 2U);
     EXPECT_EQ(poll.ended[0].end, TargetRunEnd::Completed);
     EXPECT_EQ(poll.ended[1].run.job, "odd");
     EXPECT_EQ(poll.ended[1].end, TargetRunEnd::LeaseExpired);
 }
 
+// A run counts as listed also if its progress could not be read.
+TEST(Platform, RunWithoutReadableProgressIsListed)
+{
+    for (const char *row :
+         { R"(["ab.0.0.0",1])", R"(["ab.0.0.0",1,"x","41"])", R"(["ab.0.0.0",1,"x",-1])",
+           R"(["ab.0.0.0",1,"x",101])", R"(["ab.0.0.0",1,"x",4.5])" }) {
+        const PollResponse poll = protocol.readPollResponse(
+            { .state = HttpCallState::Answered,
+              .status = 200,
+              .body = R"({"clock_ms":9,"ended_runs":[],"running":[)" + std::string(row) + "]}" });
+        EXPECT_EQ(poll.running.size(), 1U) << row;
+        EXPECT_TRUE(poll.progress.empty()) << row;
+        EXPECT_TRUE(poll.isComplete) << row;
+    }
+}
+
 // Guards against two runs of one task: after a status that the protocol does not name the order may
 // have been executed, so the task must not be given away before a stop is confirmed.
 TEST(Platform, StatusThatDoesNotExcludeExecutionIsNoRefusal)
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <fstream>
+
 using namespace Hibiscus;
 using Json = nlohmann::json;
 
@@ -76,4 +78,26 @@
     EXPECT_FALSE(readDeployment("/nowhere/settings.json").has_value());
 }
 
+// Decisions that a deployment's settings do not name are off, so it is served as before.
+TEST(Settings, SchedulingDecisionsAreOffUnlessSwitchedOn)
+{
+    const std::string path = testing::TempDir() + "scheduling-settings.json";
+    Json settings = { { "node", "n" },
+                      { "domain", "a" },
+                      { "ip", "10.0.0.1" },
+                      { "peer_address", "10.0.0.1:7000" },
+                      { "registry_seeds", { "10.0.0.2:7000" } } };
+    const auto read = [&] {
+        std::ofstream(path) << settings.dump();
+        return readNodeProfile(path);
+    };
+    EXPECT_EQ(read()->scheduling, SchedulingSettings {});
+    settings["scheduling"] = { { "run_forecasts", true } };
+    EXPECT_TRUE(read()->scheduling.usesRunForecasts);
+    settings["scheduling"] = { { "run_forecasts", "yes" } };
+    EXPECT_FALSE(read().has_value());
+    settings["scheduling"] = { { "run_forecast", true } };
+    EXPECT_FALSE(read().has_value());
+}
+
 } // namespace
--- a/test/support/FleetLoad.cpp
+++ b/test/support/FleetLoad.cpp
@@ -58,7 +58,9 @@
         = std::max(1L, std::lround(sampleLogNormal(randomEngine, kind.tasks, sizeSpread)));
     SentJob sent = { .route = kind.route };
     for (long i = 0; i < tasks; ++i) {
-        const Duration time = fromSeconds(sampleLogNormal(randomEngine, seconds, taskTimeSpread));
+        const bool isLong = std::bernoulli_distribution(load.longTaskShare)(randomEngine);
+        const Duration time = fromSeconds((isLong ? load.longTaskFactor : 1)
+                                          * sampleLogNormal(randomEngine, seconds, taskTimeSpread));
         job.taskTimes.push_back(time);
         sent.longest = std::max(sent.longest, time);
         sent.work += toSeconds(time);
@@ -195,6 +197,14 @@
         const bool isLargest = sent.work >= sizes[sizes.size() * 9 / 10];
         addJob(outcome.kinds[sent.route], sent, simulation, isLargest);
     }
+    for (const SentJob &sent : jobs) {
+        const Fake::FleetWork work = simulation.workOf(sent.id);
+        const auto answer = simulation.answers().find(sent.id);
+        const bool isServed = answer != simulation.answers().end()
+            && answer->second.status == TransientJobStatus::Completed;
+        outcome.work += work.completed + work.unfinished;
+        outcome.wastedWork += work.unfinished + (isServed ? 0 : work.completed);
+    }
     std::size_t tasks = 0;
     for (const SentJob &sent : jobs)
         tasks += simulation.taskCount(sent.id);
--- a/test/support/FleetLoad.h
+++ b/test/support/FleetLoad.h
@@ -29,6 +29,8 @@
     double slowTargetShare = 0; ///< share of the targets that are slow from slowAt on
     double slowFactor = 6;
     Duration slowAt = 3s;
+    double longTaskShare = 0; ///< share of the tasks that take longTaskFactor times as long
+    double longTaskFactor = 7;
     double estimateError = 0.4; ///< standard deviation of the logarithm of estimate over run time
     std::uint64_t seed = 1; ///< seed of the jobs, which do not depend on the simulation
 };
@@ -68,6 +70,8 @@
 {
     std::map<std::string, FleetKindOutcome> kinds;
     double startsPerTask = 0;
+    double wastedWork = 0; ///< core-seconds of runs that served no caller
+    double work = 0; ///< core-seconds of all runs
 
     double earnedShare() const;
 };
--- a/test/support/FleetSimulation.cpp
+++ b/test/support/FleetSimulation.cpp
@@ -450,12 +450,13 @@
     this->startedJobs.insert(order.run.job);
     ++this->startCount;
     const std::uint64_t number = this->nextRun++;
+    const double seconds
+        = toSeconds(this->taskTimes.at(order.run.job).at(order.run.index)) / target.speed;
     target.running[order.run] = { .eventNumber = number,
                                   .startedAt = this->now(),
+                                  .runTime = fromSeconds(seconds),
                                   .gateway = from.gateway->name,
                                   .isLate = from.isLate };
-    const double seconds
-        = toSeconds(this->taskTimes.at(order.run.job).at(order.run.index)) / target.speed;
     this->scheduler.after(fromSeconds(seconds), [this, &target, run = order.run, number] {
         this->expireLease(target);
         const auto found = target.running.find(run);
@@ -562,6 +563,13 @@
                       end == TargetRunEnd::Completed     ? "completed"
                           : end == TargetRunEnd::Stopped ? "stopped"
                                                          : "lease expired");
+    if (const auto found = target.running.find(run); found != target.running.end()) {
+        constexpr double cpuPerCore = 1000;
+        FleetWork &work = this->works[run.job];
+        (end == TargetRunEnd::Completed ? work.completed : work.unfinished)
+            += toSeconds(this->now() - found->second.startedAt)
+            * static_cast<double>(this->demands.at(run.job).cpu) / cpuPerCore;
+    }
     target.running.erase(run);
     std::uint64_t &endedAttempt = target.highestEndedAttempt[taskOf(run)];
     endedAttempt = std::max(endedAttempt, run.attempt);
@@ -632,9 +640,12 @@
             this->scheduler.after(2ms, [this, waiting] { this->respondOrWait(waiting); });
             return;
         }
-        for (const auto &[run, state] : target.running)
-            if (!state.isStopping)
-                response.running.push_back(run);
+        for (const auto &[run, state] : target.running) {
+            if (state.isStopping)
+                continue;
+            response.running.push_back(run);
+            response.progress[run] = this->progressOf(state);
+        }
         response.ended = target.ended;
     }
     if (waiting->isAnswered)
@@ -645,6 +656,20 @@
                            std::max(waiting->until - this->now(), Duration()) + pollSlack);
 }
 
+FleetWork FleetSimulation::workOf(const std::string &job) const
+{
+    const auto found = this->works.find(job);
+    return found == this->works.end() ? FleetWork() : found->second;
+}
+
+// Targets round the share of the work that is done down to a whole percentage.
+std::uint32_t FleetSimulation::progressOf(const FleetTarget::Run &run) const
+{
+    constexpr double fullProgress = 100;
+    const double share = toSeconds(this->now() - run.startedAt) / toSeconds(run.runTime);
+    return static_cast<std::uint32_t>(std::min(fullProgress * share, fullProgress));
+}
+
 void FleetSimulation::respondLater(const Sender &to, const PollOrder &order,
                                    const PollResponse &response, Duration delay)
 {
--- a/test/support/FleetSimulation.h
+++ b/test/support/FleetSimulation.h
@@ -106,6 +106,7 @@
     {
         std::uint64_t eventNumber = 0; ///< number of the event that ends the run
         TimePoint startedAt;
+        Duration runTime {};
         std::string gateway; ///< sender of the start
         bool isLate = false; ///< whether the start was executed late
         bool isStopping = false;
@@ -131,6 +132,13 @@
     std::map<std::string, PathLoss> pathLosses; ///< by gateway
 };
 
+/** \brief Work of the runs of a job, in core-seconds. */
+struct FleetWork
+{
+    double completed = 0;
+    double unfinished = 0; ///< of runs that were stopped or whose lease expired
+};
+
 /** \brief Messages that a gateway has sent to other gateways. */
 struct FleetTraffic
 {
@@ -201,6 +209,7 @@
     const FleetNode *gateway(const std::string &name) const;
     const FleetTarget &target(const std::string &name) const { return this->targets.at(name); }
     std::uint64_t starts() const { return this->startCount; }
+    FleetWork workOf(const std::string &job) const;
     const FleetTraffic &traffic(const std::string &gateway) const;
     std::size_t livePeerCount(const std::string &gateway) const;
     std::size_t taskCount(const std::string &job) const { return this->taskTimes.at(job).size(); }
@@ -269,6 +278,7 @@
     void respond(const Sender &to, const PollOrder &order, const PollResponse &response);
     void poll(const Sender &from, const PollOrder &order, const OrderFate &fate);
     void respondOrWait(const std::shared_ptr<WaitingPoll> &waiting);
+    std::uint32_t progressOf(const FleetTarget::Run &run) const;
     void respondLater(const Sender &to, const PollOrder &order, const PollResponse &response,
                       Duration delay);
     bool acceptsToken(FleetTarget &target, const OrderAddress &to) const;
@@ -317,6 +327,7 @@
     OwnerAssignment ownerAssignment { OwnerAssignmentOptions {} }; ///< of the registry node
     std::map<std::uint64_t, Caller> callers;
     std::map<std::string, std::vector<Duration>> taskTimes; ///< run times at speed 1, by job
+    std::map<std::string, FleetWork> works; ///< by job
     std::map<std::string, Capacity> demands; ///< of each task, by job
     std::map<std::string, FleetAnswer> receivedAnswers;
     std::set<std::string> startedJobs;
