--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -4,6 +4,7 @@
 #include "Hibiscus/src/Fleet/Fitness.h"
 #include "Hibiscus/src/Fleet/LeasedTarget.h"
 #include "Hibiscus/src/Fleet/Run.h"
+#include "Hibiscus/src/Fleet/TargetSpeed.h"
 
 #include <map>
 #include <optional>
@@ -88,12 +89,13 @@
     std::vector<RunName> wantedRuns; ///< all runs that the sender wants at the receiver
     std::vector<RunEnd> runEnds; ///< each is repeated until the receiver no longer wants the run
     std::vector<LeasedTarget> transferredTargets; ///< targets that the receiver owns from now on
+    std::vector<TargetSpeed> transferredSpeeds; ///< what the sender has learned of them
 
     auto operator<=>(const FleetMessage &other) const = default;
     HIBISCUS_FIELDS(from, incarnation, domain, weight, targetsAddress, sequence,
                     receiverIncarnation, acknowledgedSequence, isDraining, wantsReports,
                     requestsResponse, report, drivenTargets, runRequests, wantedRuns, runEnds,
-                    transferredTargets)
+                    transferredTargets, transferredSpeeds)
 };
 
 /** \brief Heartbeat of a target, forwarded to the entry node that should own it. */
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -226,6 +226,8 @@
         peer.acknowledgeEndsAt = now + internal::acknowledgeWithin;
     for (const LeasedTarget &target : message.transferredTargets)
         this->adoptTransferred(target, message.from, now);
+    for (const TargetSpeed &speed : message.transferredSpeeds)
+        this->targetOwner.adoptSpeed(speed);
 }
 
 void FleetNode::handleAcknowledgement(Peer &peer, const FleetMessage &message)
@@ -528,11 +530,14 @@
 void FleetNode::transferTargets(TimePoint now)
 {
     for (const LeasedTarget &target : this->targetOwner.takeReleasedTargets()) {
+        const auto speed = this->targetOwner.takeReleasedSpeed(target.name);
         const auto newOwner = this->preferredOwner(target.name, now);
         if (!newOwner || !this->isConfirmed(this->peers.at(*newOwner), now))
             continue;
         Peer &peer = this->peers.at(*newOwner);
         peer.transferredTargets.push_back(target);
+        if (speed)
+            peer.transferredSpeeds.push_back(*speed);
         peer.hasPendingMessage = true;
         this->recordState("handed-over", target, *newOwner, "sent");
         this->recordTransfer(target.name, *newOwner, now);
@@ -645,6 +650,7 @@
     if (const auto found = runsByPeer.wantedRuns.find(to); found != runsByPeer.wantedRuns.end())
         message.wantedRuns = found->second;
     message.transferredTargets = std::exchange(peer.transferredTargets, {});
+    message.transferredSpeeds = std::exchange(peer.transferredSpeeds, {});
     if (peer.incarnation != 0) {
         const Requester requester = { .node = to, .incarnation = peer.incarnation };
         message.runEnds = this->targetOwner.runEndsFor(requester);
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -226,6 +226,7 @@
         std::optional<TimePoint> acknowledgeEndsAt;
         std::vector<RunRequest> runRequests;
         std::vector<LeasedTarget> transferredTargets;
+        std::vector<TargetSpeed> transferredSpeeds;
     };
 
     /** \brief Transfer of a target to another owner. */
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -67,8 +67,26 @@
     return std::exchange(this->releasedTargets, {});
 }
 
+std::optional<TargetSpeed> FleetOwner::takeReleasedSpeed(const TargetName &target)
+{
+    const auto found = this->releasedSpeeds.extract(target);
+    return found.empty() ? std::nullopt : std::optional(found.mapped());
+}
+
+void FleetOwner::adoptSpeed(const TargetSpeed &speed)
+{
+    const auto found = this->drivers.find(speed.target);
+    if (found == this->drivers.end() || !this->options.usesRunForecasts)
+        return;
+    this->runTimes.adopt(speed);
+    if (speed.isSlow)
+        found->second.assumeSlow();
+}
+
 void FleetOwner::requestRun(const RunRequest &request, const Requester &requester, TimePoint now)
 {
+    if (this->options.packsTargets)
+        this->packingModels[request.service].addDemand(request.demand);
     HeldRun run;
     run.request = request;
     run.requester = requester;
@@ -485,58 +503,6 @@
     return isCurrent ? &found->second : nullptr;
 }
 
-// Selects the slowest target that still meets the objective, so that fast ones stay free for tasks
-// that need them; if none does, the fastest. Among equals it selects the one with the least free
-// capacity, so that large free blocks stay whole.
-TargetDriver *FleetOwner::selectTarget(const HeldRun &run, TimePoint validUntil, TimePoint now)
-{
-    TargetDriver *best = nullptr;
-    Duration bestTime {};
-    Fitness bestFitness = Fitness::Infeasible;
-    for (auto &[name, driver] : this->drivers) {
-        if (!this->canRunOn(driver, run, now) || !driver.isLeaseOverBy(validUntil))
-            continue;
-        const Duration time = this->runTimes.expectedRunTime(driver.target(), run.request.estimate);
-        const Fitness fitness = fitnessOf(run.bounds, time, now);
-        bool isBetter = best == nullptr;
-        if (best != nullptr && fitness != bestFitness)
-            isBetter = fitness > bestFitness;
-        else if (best != nullptr && time != bestTime)
-            isBetter = fitness == Fitness::InTime ? time > bestTime : time < bestTime;
-        else if (best != nullptr)
-            isBetter = driver.free().cpu < best->free().cpu;
-        if (!isBetter)
-            continue;
-        best = &driver;
-        bestTime = time;
-        bestFitness = fitness;
-    }
-    if (best != nullptr && bestFitness == Fitness::Infeasible
-        && this->shouldWaitForFasterTarget(run, now))
-        return nullptr;
-    return best;
-}
-
-// A run that would miss its deadline on the free targets waits while a busy target could still meet
-// it.
-bool FleetOwner::shouldWaitForFasterTarget(const HeldRun &run, TimePoint now) const
-{
-    return std::ranges::any_of(this->drivers, [&](const auto &item) {
-        const Duration time
-            = this->runTimes.expectedRunTime(item.second.target(), run.request.estimate);
-        return this->couldRunOn(item.second, run, now)
-            && fitnessOf(run.bounds, time, now) != Fitness::Infeasible;
-    });
-}
-
-bool FleetOwner::couldRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const
-{
-    const LeasedTarget &target = driver.target();
-    return target.service == run.request.service && driver.acceptsWork(now)
-        && target.capacity.covers(run.request.demand)
-        && satisfies(target.labels, run.request.requiredLabel);
-}
-
 void FleetOwner::stopStragglers(TimePoint now)
 {
     for (auto &[name, run] : this->runs) {
@@ -569,7 +535,9 @@
     const Duration bound = this->stragglerBound(
         this->runTimes.expectedRunTime(driver.target(), run.request.estimate));
     const auto listedAt = driver.listedAt(run.request.run);
-    if (this->options.usesRunForecasts && driver.listsProgress())
+    const RunForecast *forecast = driver.forecastOf(run.request.run);
+    if (this->options.usesRunForecasts && driver.listsProgress() && forecast != nullptr
+        && forecast->shortestRunTime())
         return false;
     return listedAt && *listedAt >= run.startedAt + bound
         && fitnessOf(run.bounds, this->minExpectedRunTime(run.request), now) != Fitness::Infeasible;
@@ -605,15 +573,6 @@
     return shortest;
 }
 
-bool FleetOwner::canRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const
-{
-    const LeasedTarget &target = driver.target();
-    const std::uint32_t limit = run.request.maxPerTarget;
-    return target.service == run.request.service && driver.free().covers(run.request.demand)
-        && satisfies(target.labels, run.request.requiredLabel) && driver.acceptsWork(now)
-        && (limit == 0 || driver.runCountOf(run.request.run.job, run.request.run.step) < limit);
-}
-
 // Two coordinators may have the same job, when its caller sent it again to another node: the run of
 // the first one has to end before.
 bool FleetOwner::isTaskRunning(const RunName &run) const
@@ -651,7 +610,7 @@
         if (reason == "fenced")
             ++this->counts.fencedTargets;
         if (reason == "released")
-            this->releasedTargets.push_back(driver.target());
+            this->recordReleased(driver);
         this->recordChange(driver, reason);
         this->runTimes.remove(item->first);
         this->endRunsAsUnknown(driver, now);
@@ -659,6 +618,17 @@
     }
 }
 
+void FleetOwner::recordReleased(const TargetDriver &driver)
+{
+    const TargetName &name = driver.target().name;
+    this->releasedTargets.push_back(driver.target());
+    if (!this->options.usesRunForecasts)
+        return;
+    TargetSpeed speed = this->runTimes.speedOf(name);
+    speed.isSlow = driver.isSlow();
+    this->releasedSpeeds[name] = speed;
+}
+
 // The next owner of the target stops its runs, but this node does not receive the results.
 void FleetOwner::endRunsAsUnknown(const TargetDriver &driver, TimePoint now)
 {
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -2,6 +2,7 @@
 
 #include "Hibiscus/src/Fleet/Fitness.h"
 #include "Hibiscus/src/Fleet/FleetMessage.h"
+#include "Hibiscus/src/Fleet/PackingModel.h"
 #include "Hibiscus/src/Fleet/RunAssessment.h"
 #include "Hibiscus/src/Fleet/RunTimes.h"
 #include "Hibiscus/src/Fleet/TargetDriver.h"
@@ -34,6 +35,10 @@
      * instead of by stragglerFactor.
      */
     bool usesRunForecasts = false;
+    /** \brief Whether a task goes, among targets that suit it about equally, where it leaves the
+     * least capacity that no usual task fits in.
+     */
+    bool packsTargets = false;
     /** \brief Time in the queue before a run may be returned to its coordinator: a few round trips,
      * so that runs do not follow capacity that is free only for a moment.
      */
@@ -81,6 +86,7 @@
     std::uint64_t adoptedTargets = 0; ///< targets taken over
     std::uint64_t stragglers = 0; ///< runs stopped for taking too long
     std::uint64_t hopeless = 0; ///< runs stopped, since they could not meet their deadline
+    std::uint64_t packed = 0; ///< starts for which packing chose another target
     std::uint64_t spared = 0; ///< runs that were slow, but forecast to end earliest where they were
     std::uint64_t slowTargets = 0; ///< times that a target was avoided for slow runs or a stall
     std::uint64_t fencedTargets = 0; ///< targets lost to another owner
@@ -169,6 +175,10 @@
     /** \brief Stops new work for \a target; takeReleasedTargets() returns it once it is empty. */
     void releaseTarget(const TargetName &target);
     std::vector<LeasedTarget> takeReleasedTargets();
+    /** \returns what was learned of a released target's speed, if its next owner should know it. */
+    std::optional<TargetSpeed> takeReleasedSpeed(const TargetName &target);
+    /** \brief Continues with what the former owner of an own target has learned. */
+    void adoptSpeed(const TargetSpeed &speed);
     void requestRun(const RunRequest &request, const Requester &requester, TimePoint now);
     /** \brief Cancels runs of \a requester that are not in \a wantedRuns. */
     void cancelUnwantedRuns(const Requester &requester, const std::set<RunName> &wantedRuns,
@@ -266,6 +276,11 @@
     std::uint64_t newToken(TimePoint now) const;
     void recordRestart(TargetDriver &driver, TimePoint now);
     TargetDriver *selectTarget(const HeldRun &run, TimePoint validUntil, TimePoint now);
+    /** \returns the target, as suitable as one with \a bestTime and \a bestFitness, where the task
+     * leaves the least waste.
+     */
+    TargetDriver *selectByPacking(const HeldRun &run, TimePoint validUntil, Duration bestTime,
+                                  Fitness bestFitness, TimePoint now);
     bool canRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
     /** \returns whether \a run can start on the target once it has room. */
     bool couldRunOn(const TargetDriver &driver, const HeldRun &run, TimePoint now) const;
@@ -289,13 +304,16 @@
     void extendWantedRuns(const LastContact &lastContact);
     Duration minExpectedRunTime(const RunRequest &request) const;
     void removeLostTargets(TimePoint now);
+    void recordReleased(const TargetDriver &driver);
     void endRunsAsUnknown(const TargetDriver &driver, TimePoint now);
 
     FleetOwnerOptions options;
     std::map<TargetName, TargetDriver> drivers;
     std::vector<LeasedTarget> releasedTargets;
+    std::map<TargetName, TargetSpeed> releasedSpeeds;
     Runs runs;
     RunTimes runTimes;
+    std::map<ServiceName, PackingModel> packingModels;
     DriverOutbox out;
     std::vector<TargetChange> changes;
     std::vector<AttemptRecord> attempts;
--- a/Hibiscus/src/Fleet/FleetOwnerForecast.cpp
+++ b/Hibiscus/src/Fleet/FleetOwnerForecast.cpp
@@ -30,9 +30,10 @@
     });
 }
 
+// A run that was slow remains so when its target's learned speed has changed in the meantime.
 void FleetOwner::recordPace(HeldRun &run, TargetDriver &driver, RunPace pace, TimePoint now)
 {
-    if (pace == RunPace::Unknown || pace == run.pace)
+    if (pace == RunPace::Unknown || pace == run.pace || run.pace == RunPace::Slow)
         return;
     run.pace = pace;
     if (pace == RunPace::Usual) {
@@ -47,7 +48,8 @@
 }
 
 // A run that is moved off a slow target may wait for a free one; a long task gains only where it
-// starts at once.
+// starts at once. A later attempt that seems to stall may be a task that is far longer than
+// estimated.
 AssessedRun FleetOwner::describeForAssessment(const HeldRun &run, const TargetDriver &driver,
                                               TimePoint now) const
 {
@@ -57,8 +59,9 @@
                              .forecast = *driver.forecastOf(run.request.run),
                              .expectedRunTime = this->runTimes.expectedRunTime(
                                  driver.target(), run.request.estimate) };
-    assessed.isTargetSlow
-        = driver.isSlow() || hasStalled(assessed.forecast, assessed.expectedRunTime);
+    const bool hasStalledHere
+        = run.request.run.attempt == 1 && hasStalled(assessed.forecast, assessed.expectedRunTime);
+    assessed.isTargetSlow = driver.isSlow() || hasStalledHere;
     for (const auto &[name, other] : this->drivers) {
         const bool isCandidate = &other != &driver
             && (assessed.isTargetSlow ? this->couldRunOn(other, run, now) && !other.isSlow()
--- a/Hibiscus/src/Fleet/RunAssessment.cpp
+++ b/Hibiscus/src/Fleet/RunAssessment.cpp
@@ -26,6 +26,8 @@
  * it, and the messages to another owner.
  */
 constexpr Duration restartTime = 120ms;
+/** \brief Time after the deadline in which coordinators still send answers. */
+constexpr Duration answerGracePeriod = 250ms;
 /** \brief Share of the forecast remaining time by which a run may end earlier than forecast. */
 constexpr double forecastError = 0.1;
 
@@ -100,7 +102,7 @@
     const Duration remaining = *run.forecast.shortestRunTime() - elapsed;
     const TimePoint earliestEnd = run.startedAt + elapsed
         + fromSeconds((1 - internal::forecastError) * toSeconds(remaining));
-    const bool canEndHere = earliestEnd <= run.bounds.deadlineAt;
+    const bool canEndHere = earliestEnd <= run.bounds.deadlineAt + internal::answerGracePeriod;
     const TimePoint endElsewhere
         = now + internal::restartTime + internal::cautiousTimeElsewhere(run);
     const bool canEndElsewhere
--- a/Hibiscus/src/Fleet/RunTimes.cpp
+++ b/Hibiscus/src/Fleet/RunTimes.cpp
@@ -40,6 +40,24 @@
         this->byTarget[target.name].add(std::log(toSeconds(forecast) / toSeconds(estimate)));
 }
 
+void RunTimes::adopt(const TargetSpeed &speed)
+{
+    if (speed.runCount > 0 && std::isfinite(speed.slowness) && speed.slowness > 0)
+        this->byTarget.try_emplace(
+            speed.target,
+            MeanLogRatio { .meanLogRatio = std::log(speed.slowness), .runCount = speed.runCount });
+}
+
+TargetSpeed RunTimes::speedOf(const TargetName &target) const
+{
+    const auto known = this->byTarget.find(target);
+    if (known == this->byTarget.end())
+        return { .target = target };
+    return { .target = target,
+             .slowness = std::exp(known->second.meanLogRatio),
+             .runCount = known->second.runCount };
+}
+
 double RunTimes::slowness(const LeasedTarget &target) const
 {
     const auto kind = this->byKind.find(target.kind);
--- a/Hibiscus/src/Fleet/RunTimes.h
+++ b/Hibiscus/src/Fleet/RunTimes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hibiscus/src/Fleet/LeasedTarget.h"
+#include "Hibiscus/src/Fleet/TargetSpeed.h"
 
 #include <map>
 
@@ -20,11 +21,15 @@
      * not, so it is not changed.
      */
     void addRunOnSlowTarget(const LeasedTarget &target, Duration estimate, Duration forecast);
+    /** \brief Continues with what a former owner has learned, unless runs of a target are known. */
+    void adopt(const TargetSpeed &speed);
     void remove(const TargetName &target) { this->byTarget.erase(target); }
 
     // Queries.
     /** \returns the expected ratio of run time to estimate on \a target. */
     double slowness(const LeasedTarget &target) const;
+    /** \returns what own runs on \a target have shown, without the mean of its kind. */
+    TargetSpeed speedOf(const TargetName &target) const;
     Duration expectedRunTime(const LeasedTarget &target, Duration estimate) const;
 
 private:
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -148,6 +148,10 @@
     void recordSlowRun(const std::string &job, TimePoint now);
     /** \brief Records a run that goes at the usual pace. */
     void recordUsualRun();
+    /** \brief Takes the target for slow, as its former owner did, until a run goes at the usual
+     * pace.
+     */
+    void assumeSlow() { this->slowJobsInRow = this->options.slowJobsToAvoid; }
     /** \brief Stops new work for a while, as a run here makes no progress. */
     void recordStall(TimePoint now);
     /** \brief Counts a run that takes far too long. */
@@ -318,6 +322,7 @@
     /** \brief Time since which the target rejects the orders of other owners. */
     std::optional<TimePoint> othersRejectedSince;
     bool areOtherStopsOver = false; ///< whether their last stops have ended, too
+    bool hasListedProgress = false;
     Capacity usedCapacity;
     std::uint64_t acknowledgedEnd = 0;
     bool isPolling = false;
@@ -336,9 +341,8 @@
     std::uint32_t failuresInRow = 0;
     std::uint32_t timeoutsInRow = 0;
     std::uint32_t stragglersInRow = 0;
-    std::string lastFailedJob;
-    bool hasListedProgress = false;
     std::uint32_t slowJobsInRow = 0;
+    std::string lastFailedJob;
     std::string lastSlowJob;
     Duration slownessAvoidance {}; ///< latest pause for slow runs
 };
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -49,6 +49,7 @@
     options.targetsAddress = record.targetsAddress;
     options.owner.driver.lease = context.profile.lease;
     options.owner.usesRunForecasts = context.profile.scheduling.usesRunForecasts;
+    options.owner.packsTargets = context.profile.scheduling.packsTargets;
     constexpr Duration startMargin = 150ms; // for the way of a start, and for the drift of clocks
     constexpr Duration heartbeatMargin = 200ms; // heartbeats come approximately at their interval
     options.owner.driver.heartbeatLifetime = std::max(context.profile.drainTime - startMargin,
@@ -613,6 +614,9 @@
     count("hibiscus_runs_spared_total",
           "Slow runs that went on, since they would not have ended earlier elsewhere.",
           owner.spared);
+    count("hibiscus_tasks_packed_total",
+          "Starts that leave less capacity unusable than on the otherwise best target.",
+          owner.packed);
     count("hibiscus_targets_slow_total", "Times that a target was avoided for slow runs.",
           owner.slowTargets);
     count("hibiscus_runs_stopped_total", "Runs stopped on request.", owner.stopped);
--- a/Hibiscus/src/Settings/NodeProfile.cpp
+++ b/Hibiscus/src/Settings/NodeProfile.cpp
@@ -49,6 +49,7 @@
     profile.stopTimeout = fromSeconds(json.value("stop_bound_s", toSeconds(profile.stopTimeout)));
     const Json scheduling = json.value("scheduling", Json::object());
     profile.scheduling.usesRunForecasts = scheduling.value("run_forecasts", false);
+    profile.scheduling.packsTargets = scheduling.value("packing", false);
     return profile;
 }
 
--- a/Hibiscus/src/Settings/NodeProfile.h
+++ b/Hibiscus/src/Settings/NodeProfile.h
@@ -11,6 +11,7 @@
 {
     /** \brief Whether runs are stopped by forecasts from the progress that targets list. */
     bool usesRunForecasts = false;
+    bool packsTargets = false; ///< whether tasks go where they leave the least room unusable
 
     auto operator<=>(const SchedulingSettings &other) const = default;
 };
--- a/Hibiscus/src/Settings/NodeProfileSchema.h
+++ b/Hibiscus/src/Settings/NodeProfileSchema.h
@@ -31,7 +31,10 @@
     "scheduling": {
       "type": "object",
       "additionalProperties": false,
-      "properties": { "run_forecasts": { "type": "boolean" } }
+      "properties": {
+        "run_forecasts": { "type": "boolean" },
+        "packing": { "type": "boolean" }
+      }
     }
   },
   "definitions": {
--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -12,6 +12,7 @@
 DEFINE_double(estimate_error, 0.4, "standard deviation of the logarithm of estimate / run time");
 DEFINE_bool(one_node, false, "uses one gateway that owns all targets");
 DEFINE_bool(forecasts, false, "stops runs by forecasts from their progress");
+DEFINE_bool(packing, false, "packs tasks by the gaps that they leave");
 DEFINE_string(pattern, "", "prefix of the names of the patterns to run; empty: all");
 
 namespace Hibiscus {
@@ -64,6 +65,7 @@
         options.gatewaysPerDomain = 1;
     }
     options.node.owner.usesRunForecasts = FLAGS_forecasts;
+    options.node.owner.packsTargets = FLAGS_packing;
     Fake::FleetSimulation simulation(options);
     constexpr Duration startUpTime = 6s;
     simulation.run(startUpTime);
--- a/test/RunTimesTest.cpp
+++ b/test/RunTimesTest.cpp
@@ -1,4 +1,5 @@
 #include <Hibiscus/Fleet>
+#include <cmath>
 #include <gtest/gtest.h>
 #include <random>
 
@@ -41,6 +42,32 @@
     }
 }
 
+// The next owner of a target would send it as much work as others until it has learned anew.
+TEST(RunTimes, NextOwnerOfATargetContinuesWithItsSpeed)
+{
+    std::mt19937_64 random(1);
+    RunTimes former;
+    RunTimes next;
+    const LeasedTarget slow = targetNamed("slow", "k");
+    const LeasedTarget usual = targetNamed("usual", "k");
+    addRuns(former, slow, 4, 60, random);
+    addRuns(next, usual, 1, 60, random);
+    EXPECT_LT(next.slowness(slow), 2);
+    next.adopt(former.speedOf(slow.name));
+    EXPECT_NEAR(next.slowness(slow), former.slowness(slow), 0.5);
+    next.adopt({ .target = usual.name, .slowness = 0, .runCount = 9 });
+    EXPECT_NEAR(next.slowness(usual), 1, 0.3) << "own runs come first";
+}
+
+TEST(RunTimes, UnusableSpeedOfAFormerOwnerIsIgnored)
+{
+    RunTimes times;
+    const LeasedTarget target = targetNamed("t", "k");
+    for (const double slowness : { 0.0, -1.0, double { NAN }, double { INFINITY } })
+        times.adopt({ .target = target.name, .slowness = slowness, .runCount = 9 });
+    EXPECT_EQ(times.slowness(target), 1);
+}
+
 TEST(RunTimes, NewTargetUsesMeanOfItsKind)
 {
     std::mt19937_64 random(5);
