--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -67,9 +67,8 @@
         std::cout << " | " << route << " credit " << kind.earnedShare() << " late "
                   << 1.0 * kind.late / kind.jobs << " served " << kind.servedShare() << " refused "
                   << 1.0 * kind.refused / kind.jobs << " falsely unfinished "
-                  << kind.falselyUnfinished << " held "
-                  << 1.0 * kind.unansweredForLong / kind.jobs << " largest "
-                  << kind.largestServedShare();
+                  << kind.falselyUnfinished << " held " << 1.0 * kind.unansweredForLong / kind.jobs
+                  << " largest " << kind.largestServedShare();
     std::cout << std::endl;
 }
 
