--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -16,6 +16,8 @@
  * coordinator of the same job.
  */
 constexpr std::uint64_t attemptIncrement = 16;
+/** \brief Weight of a run in the mean run time: that of the last hundred or so. */
+constexpr double meanRunTimeWeight = 0.01;
 
 static bool canEverRun(const OwnedTarget &target, const ServiceName &service, const JobStep &step)
 {
@@ -114,6 +116,8 @@
         return "never-fits";
     case OutcomeReason::Overloaded:
         return "overloaded";
+    case OutcomeReason::TooLong:
+        return "too-long";
     case OutcomeReason::Draining:
         return "draining";
     case OutcomeReason::TaskFailed:
@@ -158,12 +162,9 @@
         this->outcomes.push_back(outcome);
         return;
     }
-    if (const auto reason = this->refusalReason(job, policy, owners, now)) {
-        this->outcomes.push_back({ .job = job.id,
-                                   .callerTokens = { caller },
-                                   .status = TransientJobStatus::Refused,
-                                   .reason = *reason,
-                                   .retryAfter = this->retryAfter(policy, owners) });
+    if (auto refused = this->refusal(job, policy, owners, now)) {
+        refused->callerTokens = { caller };
+        this->outcomes.push_back(std::move(*refused));
         return;
     }
     Job added;
@@ -334,8 +335,18 @@
     this->removeFinishedJobs(now);
 }
 
-// Jobs past their objective last, then by priority and objective: the order in which owners start
-// runs, too.
+WaitingTask FleetCoordinator::describe(const Job &job) const
+{
+    Duration runTime {};
+    for (const JobStep &step : job.definition.steps)
+        runTime = std::max(runTime, this->expectedRunTime(job.policy, step));
+    return { .priority = job.policy.priority,
+             .expectedRunTime = runTime,
+             .objectiveAt = job.bounds.objectiveAt,
+             .isRepeated = job.hasRun };
+}
+
+// The order in which owners start runs, too.
 std::vector<RunAssignment> FleetCoordinator::assignTasks(std::vector<OwnerView> &owners,
                                                          TimePoint now)
 {
@@ -344,8 +355,7 @@
         if (!job.isFinished && !job.withdrawal)
             order.push_back(&job);
     std::ranges::sort(order, {}, [&](const Job *job) {
-        return std::tuple(job->bounds.objectiveAt < now, job->policy.priority,
-                          job->bounds.objectiveAt);
+        return positionOf(this->options.startRule, this->describe(*job), now);
     });
     std::vector<RunAssignment> assignments;
     for (Job *job : order) {
@@ -467,18 +477,25 @@
     return fromSeconds(policy.stretch * chain) + policy.slack;
 }
 
-std::optional<OutcomeReason> FleetCoordinator::refusalReason(const TransientJob &job,
-                                                             const RoutePolicy &policy,
-                                                             const std::vector<OwnerView> &owners,
-                                                             TimePoint now)
+std::optional<JobOutcome> FleetCoordinator::refusal(const TransientJob &job,
+                                                    const RoutePolicy &policy,
+                                                    const std::vector<OwnerView> &owners,
+                                                    TimePoint now)
 {
+    JobOutcome refused = { .job = job.id,
+                           .status = TransientJobStatus::Refused,
+                           .retryAfter = this->retryAfter(policy, owners) };
+    const auto refuseFor = [&](OutcomeReason reason) {
+        refused.reason = reason;
+        return std::optional(std::move(refused));
+    };
     std::optional<double> fastest;
     for (const OwnerView &owner : owners)
         for (const OwnedTarget &target : owner.report.targets)
             if (target.service == policy.service && target.acceptsWork)
                 fastest = std::min(fastest.value_or(target.slowness), target.slowness);
     if (!fastest)
-        return OutcomeReason::NoTargets;
+        return refuseFor(OutcomeReason::NoTargets);
     this->fastestTargets[policy.service] = *fastest;
     for (const JobStep &step : job.steps) {
         const auto canEverRun = [&](const OwnedTarget &target) {
@@ -488,10 +505,85 @@
             return std::ranges::any_of(owner.report.targets, canEverRun);
         });
         if (!fits)
-            return OutcomeReason::NeverFits;
+            return refuseFor(OutcomeReason::NeverFits);
+    }
+    if (!this->options.admission) {
+        const auto reason = this->overloadReason(job, policy, *fastest, owners, now);
+        return reason ? refuseFor(*reason) : std::nullopt;
+    }
+    refused.admission = this->decideAdmission(job, policy, *fastest, owners, now);
+    refused.retryAfter
+        = retryDelay(this->options.retryDelay, job.id, refused.admission->untilAdmission());
+    const Duration expected = refused.admission->expectedWait + this->timeToObjective(job, policy);
+    switch (refused.admission->verdict) {
+    case AdmissionVerdict::TooLong:
+        return refuseFor(OutcomeReason::TooLong);
+    case AdmissionVerdict::Overloaded:
+        return refuseFor(OutcomeReason::Overloaded);
+    case AdmissionVerdict::Admitted:
+        break;
     }
-    const Duration chain = fromSeconds(*fastest * toSeconds(this->criticalPath(job, policy)));
-    const Duration wait = queueDelay(policy, owners);
+    if (this->shutdownAt && now + expected > *this->shutdownAt)
+        return refuseFor(OutcomeReason::Draining);
+    return std::nullopt;
+}
+
+AdmissionDecision FleetCoordinator::decideAdmission(const TransientJob &job,
+                                                    const RoutePolicy &policy, double fastest,
+                                                    const std::vector<OwnerView> &owners,
+                                                    TimePoint now)
+{
+    const Duration chain = this->criticalPath(job, policy);
+    JobDemand demand = { .service = policy.service,
+                         .priority = policy.priority,
+                         .readyTasks = 0,
+                         .shortest = fromSeconds(fastest * toSeconds(chain)),
+                         .usual = chain,
+                         .untilObjective = this->timeToObjective(job, policy),
+                         .untilDeadline = policy.untilDeadline };
+    for (const JobStep &step : job.steps)
+        demand.readyTasks += step.dependsOn.empty() ? step.taskCount : 0;
+    return this->admission.decide(demand, this->forecastRoom(job, policy, owners, now), now);
+}
+
+// Each task of the job takes room on the targets that could run the first of its steps.
+RoomForecast FleetCoordinator::forecastRoom(const TransientJob &job, const RoutePolicy &policy,
+                                            const std::vector<OwnerView> &owners,
+                                            TimePoint now) const
+{
+    if (job.steps.empty())
+        return {};
+    const internal::TaskRequirements requirements
+        = { .service = policy.service,
+            .step = job.steps.front(),
+            .bounds = { .objectiveAt = now + this->timeToObjective(job, policy),
+                        .deadlineAt = now + policy.untilDeadline } };
+    RoomForecast room = { .queueAhead = queueDelay(policy, owners, true) };
+    for (const OwnerView &owner : owners) {
+        const internal::OwnerCapacity capacity = internal::capacityOf(owner, requirements, now);
+        const auto queue = owner.report.queues.find(policy.service);
+        const std::int64_t waiting
+            = queue == owner.report.queues.end() ? 0 : std::int64_t { queue->second.tasks };
+        room.freeTasks
+            += std::max<std::int64_t>(0, capacity.feasible - waiting - owner.startsSinceReport);
+        room.age = std::max(room.age, owner.reportAge);
+        for (const OwnedTarget &target : owner.report.targets)
+            if (target.acceptsWork
+                && internal::canEverRun(target, policy.service, requirements.step))
+                room.totalTasks += target.capacity.countFitting(requirements.step.demand);
+    }
+    const auto mean = this->meanRunTimes.find(policy.service);
+    room.meanRunTime = mean == this->meanRunTimes.end() ? this->criticalPath(job, policy)
+                                                        : fromSeconds(mean->second);
+    return room;
+}
+
+std::optional<OutcomeReason>
+FleetCoordinator::overloadReason(const TransientJob &job, const RoutePolicy &policy, double fastest,
+                                 const std::vector<OwnerView> &owners, TimePoint now)
+{
+    const Duration chain = fromSeconds(fastest * toSeconds(this->criticalPath(job, policy)));
+    const Duration wait = queueDelay(policy, owners, false);
     const Duration spare = this->timeToObjective(job, policy) - this->criticalPath(job, policy);
     const bool isCrowded = this->hasStandingQueue(policy.priority, wait, now)
         && toSeconds(wait) > this->options.maxQueueShare * toSeconds(spare);
@@ -517,14 +609,15 @@
 }
 
 Duration FleetCoordinator::queueDelay(const RoutePolicy &policy,
-                                      const std::vector<OwnerView> &owners)
+                                      const std::vector<OwnerView> &owners, bool isOfService)
 {
     double work = 0;
     double capacity = 0;
     for (const OwnerView &owner : owners) {
-        for (const auto &[priority, queued] : owner.report.queuedWork)
-            if (priority <= policy.priority)
-                work += static_cast<double>(queued);
+        for (const auto &[service, queue] : owner.report.queues)
+            for (const auto &[priority, queued] : queue.work)
+                if (priority <= policy.priority && (!isOfService || service == policy.service))
+                    work += static_cast<double>(queued);
         for (const OwnedTarget &target : owner.report.targets)
             if (target.service == policy.service && target.acceptsWork)
                 capacity += static_cast<double>(target.capacity.cpu) / target.slowness;
@@ -536,7 +629,7 @@
 Duration FleetCoordinator::retryAfter(const RoutePolicy &policy,
                                       const std::vector<OwnerView> &owners) const
 {
-    const Duration wait = this->options.minRetryAfter + queueDelay(policy, owners);
+    const Duration wait = this->options.minRetryAfter + queueDelay(policy, owners, false);
     return std::min(wait, this->options.maxRetryAfter);
 }
 
@@ -546,6 +639,9 @@
         this->estimates.clear();
     this->estimates[job.policy.route].addRun(job.definition.steps[end.run.step].estimate,
                                              end.runTime);
+    double &mean
+        = this->meanRunTimes.try_emplace(job.policy.service, toSeconds(end.runTime)).first->second;
+    mean += internal::meanRunTimeWeight * (toSeconds(end.runTime) - mean);
 }
 
 Duration FleetCoordinator::expectedRunTime(const RoutePolicy &policy, const JobStep &step) const
@@ -600,6 +696,9 @@
                            .retryAfter = this->options.minRetryAfter,
                            .elapsed = now - job.arrivedAt,
                            .requestedRuns = job.requestedRuns };
+    // The wait without room that it had is the best forecast of the next one.
+    if (this->options.admission)
+        outcome.retryAfter = retryDelay(this->options.retryDelay, outcome.job, outcome.elapsed);
     if (status == TransientJobStatus::Completed || status == TransientJobStatus::Failed)
         this->answeredJobs[job.definition.id] = { .outcome = outcome, .answeredAt = now };
     this->outcomes.push_back(std::move(outcome));
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -3,6 +3,7 @@
 #include "Hibiscus/src/Fleet/EstimateModel.h"
 #include "Hibiscus/src/Fleet/Fitness.h"
 #include "Hibiscus/src/Fleet/FleetMessage.h"
+#include <Hibiscus/Shortage>
 
 #include <map>
 #include <set>
@@ -40,6 +41,7 @@
     NoTargets, ///< no target of the service is known
     NeverFits, ///< a task demands more than any target offers
     Overloaded, ///< the job cannot be answered in time
+    TooLong, ///< the job takes longer than its deadline on any target
     Draining, ///< this node is stopping
     TaskFailed, ///< a task has failed too often
     DeadlineExceeded,
@@ -59,6 +61,7 @@
     Duration retryAfter {}; ///< delay after which the caller may send a refused job again
     Duration elapsed {};
     std::uint32_t requestedRuns = 0; ///< runs requested, over all tasks
+    std::optional<AdmissionDecision> admission; ///< decision by which the job was refused
 
     auto operator<=>(const JobOutcome &other) const = default;
 };
@@ -84,6 +87,7 @@
     Distance distance = Distance::OtherDomain;
     OwnerReport report;
     std::uint32_t startsSinceReport = 0; ///< runs requested since the report was made
+    Duration reportAge {}; ///< time since the owner was last heard
 
     auto operator<=>(const OwnerView &other) const = default;
 };
@@ -142,6 +146,10 @@
      */
     Duration standingQueueTime = 500ms;
     Duration emptyQueueDelay = 10ms;
+    StartRule startRule; ///< order in which waiting tasks are assigned
+    /** \brief If set, decides on whole jobs instead of the limits of queues above. */
+    std::optional<JobAdmissionOptions> admission;
+    RetryDelayOptions retryDelay; ///< of jobs that it refuses
 };
 
 /** \brief Coordinates the transient jobs of one entry node's callers: assigns tasks to owners and
@@ -150,7 +158,9 @@
 class FleetCoordinator
 {
 public:
-    explicit FleetCoordinator(const FleetCoordinatorOptions &options) : options(options) { }
+    explicit FleetCoordinator(const FleetCoordinatorOptions &options)
+        : options(options), admission(options.admission.value_or(JobAdmissionOptions {}))
+    { }
 
     // Commands.
     void submit(const TransientJob &job, const RoutePolicy &policy, std::uint64_t caller,
@@ -253,16 +263,31 @@
     /** \returns the expected wait for free capacity of new work with \a policy, from the owners'
      * queues of work that is as urgent or more.
      */
-    static Duration queueDelay(const RoutePolicy &policy, const std::vector<OwnerView> &owners);
+    static Duration queueDelay(const RoutePolicy &policy, const std::vector<OwnerView> &owners,
+                               bool isOfService);
     /** \returns whether the queues of work with \a priority, which now take \a wait, have not been
      * empty for a while.
      */
     bool hasStandingQueue(std::uint32_t priority, Duration wait, TimePoint now);
-    std::optional<OutcomeReason> refusalReason(const TransientJob &job, const RoutePolicy &policy,
-                                               const std::vector<OwnerView> &owners, TimePoint now);
+    std::optional<JobOutcome> refusal(const TransientJob &job, const RoutePolicy &policy,
+                                      const std::vector<OwnerView> &owners, TimePoint now);
+    std::optional<OutcomeReason> overloadReason(const TransientJob &job, const RoutePolicy &policy,
+                                                double fastest,
+                                                const std::vector<OwnerView> &owners,
+                                                TimePoint now);
     /** \returns the latency objective of a job, counted from its arrival. */
     Duration timeToObjective(const TransientJob &job, const RoutePolicy &policy) const;
     Duration retryAfter(const RoutePolicy &policy, const std::vector<OwnerView> &owners) const;
+    /** \brief Decides on a job that arrives, which takes \a fastest times its expected chain on the
+     * fastest target.
+     */
+    AdmissionDecision decideAdmission(const TransientJob &job, const RoutePolicy &policy,
+                                      double fastest, const std::vector<OwnerView> &owners,
+                                      TimePoint now);
+    /** \returns the room for the tasks of \a job that are ready at its arrival. */
+    RoomForecast forecastRoom(const TransientJob &job, const RoutePolicy &policy,
+                              const std::vector<OwnerView> &owners, TimePoint now) const;
+    WaitingTask describe(const Job &job) const;
     void recordRunTime(const Job &job, const RunEnd &end);
     Duration expectedRunTime(const RoutePolicy &policy, const JobStep &step) const;
     void unblockTasks(Job &job);
@@ -298,6 +323,8 @@
     std::map<RouteName, EstimateModel> estimates;
     std::map<std::uint32_t, TimePoint> queueStandsSince; ///< by priority
     std::map<ServiceName, double> fastestTargets; ///< slowness of the fastest known target
+    std::map<ServiceName, double> meanRunTimes; ///< of recent runs, in seconds
+    JobAdmission admission;
     std::set<NodeName> withdrawalOwners; ///< owners to be told of withdrawn runs
     std::vector<JobOutcome> outcomes;
     std::vector<UnsuccessfulRun> unsuccessfulRuns;
--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -41,16 +41,26 @@
                     acceptsWork, isReconciled)
 };
 
+/** \brief Tasks of a service that wait at an owner for free capacity. */
+struct ServiceQueue
+{
+    std::uint32_t tasks = 0;
+    /** \brief Their demand in thousandths of a core times seconds, by priority. */
+    std::map<std::uint32_t, std::int64_t> work;
+
+    auto operator<=>(const ServiceQueue &other) const = default;
+    HIBISCUS_FIELDS(tasks, work)
+};
+
 /** \brief Snapshot of an owner's targets and queue. */
 struct OwnerReport
 {
     std::vector<OwnedTarget> targets;
     std::uint32_t queued = 0; ///< tasks that wait at the owner for free capacity
-    /** \brief Their demand in thousandths of a core times seconds, by priority. */
-    std::map<std::uint32_t, std::int64_t> queuedWork;
+    std::map<ServiceName, ServiceQueue> queues; ///< those tasks by service
 
     auto operator<=>(const OwnerReport &other) const = default;
-    HIBISCUS_FIELDS(targets, queued, queuedWork)
+    HIBISCUS_FIELDS(targets, queued, queues)
 };
 
 /** \brief Deducts the demand of \a request in \a report from a target that can meet its deadline.
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -617,7 +617,10 @@
         const Peer &peer = this->peers.at(name);
         if (!this->isConfirmed(peer, now) || peer.isDraining)
             continue;
-        OwnerView view = { .node = name, .incarnation = peer.incarnation, .report = peer.report };
+        OwnerView view = { .node = name,
+                           .incarnation = peer.incarnation,
+                           .report = peer.report,
+                           .reportAge = now - peer.lastSeenAt };
         const bool isSameDomain = peer.domain == this->options.domain;
         view.distance
             = isSameDomain ? OwnerView::Distance::SameDomain : OwnerView::Distance::OtherDomain;
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -217,8 +217,6 @@
     }
 }
 
-// Runs past their objective come last, after those that can still meet it; then the higher priority
-// and the earlier objective come first.
 std::vector<FleetOwner::HeldRun *> FleetOwner::queuedRuns(TimePoint now)
 {
     std::vector<HeldRun *> queued;
@@ -226,8 +224,12 @@
         if (run.stage == Stage::Queued)
             queued.push_back(&run);
     std::ranges::sort(queued, {}, [&](const HeldRun *run) {
-        return std::tuple(run->bounds.objectiveAt < now, run->request.priority,
-                          run->bounds.objectiveAt);
+        return positionOf(this->options.startRule,
+                          { .priority = run->request.priority,
+                            .expectedRunTime = run->request.estimate,
+                            .objectiveAt = run->bounds.objectiveAt,
+                            .isRepeated = run->request.run.attempt > 1 },
+                          now);
     });
     return queued;
 }
@@ -295,7 +297,9 @@
         if (run.stage != Stage::Queued)
             continue;
         ++report.queued;
-        report.queuedWork[run.request.priority] += static_cast<std::int64_t>(
+        ServiceQueue &queue = report.queues[run.request.service];
+        ++queue.tasks;
+        queue.work[run.request.priority] += static_cast<std::int64_t>(
             static_cast<double>(run.request.demand.cpu) * toSeconds(run.request.estimate));
     }
     return report;
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -4,6 +4,7 @@
 #include "Hibiscus/src/Fleet/FleetMessage.h"
 #include "Hibiscus/src/Fleet/RunTimes.h"
 #include "Hibiscus/src/Fleet/TargetDriver.h"
+#include <Hibiscus/Shortage>
 
 #include <functional>
 #include <set>
@@ -14,6 +15,7 @@
 struct FleetOwnerOptions
 {
     TargetDriverOptions driver;
+    StartRule startRule; ///< order in which queued runs start
     /** \brief Lowest part of the owner's fencing tokens, below FencingToken::tagCount: owners that
      * take a target over in the same millisecond have different tokens.
      */
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -52,6 +52,11 @@
     constexpr Duration heartbeatMargin = 200ms; // heartbeats come approximately at their interval
     options.owner.driver.heartbeatLifetime = std::max(context.profile.drainTime - startMargin,
                                                       context.profile.heartbeat + heartbeatMargin);
+    if (context.profile.scheduling == SchedulingMode::WholeJobs) {
+        options.coordinator.admission = JobAdmissionOptions {};
+        options.coordinator.startRule = LatestStartOrder {};
+        options.owner.startRule = LatestStartOrder {};
+    }
     return options;
 }
 
@@ -449,8 +454,27 @@
         });
 }
 
+// One line a job, also if several callers wait for it.
+void GatewayProcess::recordAdmission(const JobOutcome &outcome)
+{
+    const AdmissionDecision &decision = *outcome.admission;
+    logEvent("job-refused",
+             { { "job", outcome.job },
+               { "reason", toString(outcome.reason) },
+               { "expected_wait_ms", std::to_string(toMilliseconds(decision.expectedWait)) },
+               { "allowed_wait_ms", std::to_string(toMilliseconds(decision.allowedWait)) },
+               { "free_tasks", std::to_string(decision.freeTasks) },
+               { "report_age_ms", std::to_string(toMilliseconds(decision.reportAge)) },
+               { "retry_after_ms", std::to_string(toMilliseconds(outcome.retryAfter)) } });
+    this->metrics.observeSeconds("hibiscus_refused_expected_wait_seconds",
+                                 "Expected wait of refused jobs for room, in seconds.",
+                                 toSeconds(decision.expectedWait));
+}
+
 void GatewayProcess::respond(const JobOutcome &outcome)
 {
+    if (outcome.admission)
+        this->recordAdmission(outcome);
     for (const std::uint64_t token : outcome.callerTokens) {
         const auto found = this->waitingCallers.find(token);
         if (found == this->waitingCallers.end())
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -39,6 +39,7 @@
     void send(const StartOrder &order);
     void send(const StopOrder &order);
     void send(const PollOrder &order);
+    void recordAdmission(const JobOutcome &outcome);
     void respond(const JobOutcome &outcome);
     void refuse(std::uint64_t token, int status, Duration retryAfter, const char *reason);
     void requestRules(TimePoint now);
--- a/Hibiscus/src/Settings/NodeProfile.cpp
+++ b/Hibiscus/src/Settings/NodeProfile.cpp
@@ -46,6 +46,8 @@
     profile.lease = milliseconds("lease_ms", profile.lease);
     profile.heartbeat = milliseconds("heartbeat_ms", profile.heartbeat);
     profile.drainTime = milliseconds("drain_ms", profile.drainTime);
+    if (json.contains("scheduling") && json.at("scheduling").at("mode") == "whole-jobs")
+        profile.scheduling = SchedulingMode::WholeJobs;
     profile.stopTimeout = fromSeconds(json.value("stop_bound_s", toSeconds(profile.stopTimeout)));
     return profile;
 }
--- a/Hibiscus/src/Settings/NodeProfile.h
+++ b/Hibiscus/src/Settings/NodeProfile.h
@@ -6,6 +6,12 @@
 
 namespace Hibiscus {
 
+/** \brief How gateways choose among transient jobs when targets have too little room for all. */
+enum class SchedulingMode : std::uint8_t {
+    Tasks, ///< by the queue before a job; tasks start by priority
+    WholeJobs ///< by the expected end of a whole job; see docs/design/choice-under-shortage.md
+};
+
 /** \brief The settings of one node that discovers the others, and needs no Deployment. */
 struct NodeProfile
 {
@@ -34,6 +40,7 @@
     Duration heartbeat = 1500ms; ///< interval between heartbeats of a target
     /** \brief Time in which a target may be given work after it was acknowledged that it leaves. */
     Duration drainTime = 2s;
+    SchedulingMode scheduling = SchedulingMode::Tasks; ///< gateways only
 
     auto operator<=>(const NodeProfile &other) const = default;
 };
--- a/Hibiscus/src/Settings/NodeProfileSchema.h
+++ b/Hibiscus/src/Settings/NodeProfileSchema.h
@@ -27,7 +27,13 @@
     "lease_ms": { "type": "number", "minimum": 1, "maximum": 86400000 },
     "stop_bound_s": { "type": "number", "minimum": 0, "maximum": 86400 },
     "heartbeat_ms": { "type": "number", "minimum": 1, "maximum": 86400000 },
-    "drain_ms": { "type": "number", "minimum": 0, "maximum": 86400000 }
+    "drain_ms": { "type": "number", "minimum": 0, "maximum": 86400000 },
+    "scheduling": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["mode"],
+      "properties": { "mode": { "enum": ["tasks", "whole-jobs"] } }
+    }
   },
   "definitions": {
     "address": {
--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -11,6 +11,8 @@
 DEFINE_uint64(seeds, 2, "number of seeds for each load pattern");
 DEFINE_double(estimate_error, 0.4, "standard deviation of the logarithm of estimate / run time");
 DEFINE_bool(one_node, false, "uses one gateway that owns all targets");
+DEFINE_bool(whole_jobs, false, "chooses among whole jobs under shortage");
+DEFINE_bool(grown, false, "uses a large site with small gateways; the load grows with it");
 DEFINE_string(pattern, "", "prefix of the names of the patterns to run; empty: all");
 
 namespace Hibiscus {
@@ -43,6 +45,13 @@
                          .slowTargetShare = 0.3,
                          .slowFactor = 4,
                          .slowAt = 6s } },
+             { .name = "bursts",
+               .load = { .kinds = kinds,
+                         .jobsPerSecond = usualRate,
+                         .burstFactor = 1.8,
+                         .burstAt = 1s,
+                         .burstSpan = 2s,
+                         .burstInterval = 3s } },
              { .name = "slow-targets",
                .load = { .kinds = kinds, .jobsPerSecond = 130, .slowTargetShare = 0.17 } } };
 }
@@ -51,7 +60,13 @@
 {
     pattern.load.seed = seed;
     pattern.load.estimateError = FLAGS_estimate_error;
-    Fake::FleetSimulationOptions options = Fake::filingSiteOptions(seed);
+    Fake::FleetSimulationOptions options
+        = FLAGS_grown ? Fake::grownSiteOptions(seed) : Fake::filingSiteOptions(seed);
+    constexpr double grownOverUsual = 351.0 / 48; // targets
+    if (FLAGS_grown)
+        pattern.load.jobsPerSecond *= grownOverUsual;
+    if (FLAGS_whole_jobs)
+        Fake::chooseWholeJobs(options);
     if (FLAGS_one_node) {
         options.targetsPerDomain *= static_cast<std::uint32_t>(options.domains.size());
         options.domains = { "a" };
@@ -67,9 +82,8 @@
         std::cout << " | " << route << " credit " << kind.earnedShare() << " late "
                   << 1.0 * kind.late / kind.jobs << " served " << kind.servedShare() << " refused "
                   << 1.0 * kind.refused / kind.jobs << " falsely unfinished "
-                  << kind.falselyUnfinished << " held "
-                  << 1.0 * kind.unansweredForLong / kind.jobs << " largest "
-                  << kind.largestServedShare();
+                  << kind.falselyUnfinished << " held " << 1.0 * kind.unansweredForLong / kind.jobs
+                  << " largest " << kind.largestServedShare();
     std::cout << std::endl;
 }
 
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -1,4 +1,5 @@
 #include <Hibiscus/Settings>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -40,6 +41,31 @@
     EXPECT_EQ(deployment->timing.targetLease, 2s);
 }
 
+TEST(Settings, UnknownSchedulingIsRefused)
+{
+    const Json valid = { { "node", "n" },
+                         { "domain", "a" },
+                         { "ip", "10.0.0.1" },
+                         { "peer_address", "10.0.0.1:7000" },
+                         { "registry_seeds", { "10.0.0.2:7000" } } };
+    const std::string path = testing::TempDir() + "scheduling-settings.json";
+    const auto modeOf = [&](const Json &scheduling) -> std::optional<SchedulingMode> {
+        Json json = valid;
+        if (!scheduling.is_null())
+            json["scheduling"] = scheduling;
+        std::ofstream(path) << json.dump();
+        const auto profile = readNodeProfile(path);
+        return profile ? std::optional(profile->scheduling) : std::nullopt;
+    };
+    EXPECT_EQ(modeOf(nullptr), SchedulingMode::Tasks);
+    EXPECT_EQ(modeOf({ { "mode", "tasks" } }), SchedulingMode::Tasks);
+    EXPECT_EQ(modeOf({ { "mode", "whole-jobs" } }), SchedulingMode::WholeJobs);
+    EXPECT_FALSE(modeOf({ { "mode", "by-size" } }));
+    EXPECT_FALSE(modeOf(Json::object()));
+    EXPECT_FALSE(modeOf({ { "mode", "tasks" }, { "share", 0.5 } }));
+    EXPECT_FALSE(modeOf("whole-jobs"));
+}
+
 TEST(Settings, ErrorsContainThePathInTheDocument)
 {
     struct Case
--- a/test/support/FleetLoad.cpp
+++ b/test/support/FleetLoad.cpp
@@ -167,6 +167,13 @@
     return options;
 }
 
+void chooseWholeJobs(FleetSimulationOptions &options)
+{
+    options.node.coordinator.admission = JobAdmissionOptions {};
+    options.node.coordinator.startRule = LatestStartOrder {};
+    options.node.owner.startRule = LatestStartOrder {};
+}
+
 FleetLoadOutcome runLoad(FleetSimulation &simulation, const FleetLoadOptions &load)
 {
     std::mt19937_64 randomEngine(load.seed);
@@ -175,7 +182,10 @@
     bool isSlowed = false;
     while (simulation.now() < begin + load.span) {
         const Duration elapsed = simulation.now() - begin;
-        const bool isBurst = elapsed >= load.burstAt && elapsed < load.burstAt + load.burstSpan;
+        Duration sinceBurst = elapsed - load.burstAt;
+        if (load.burstInterval > Duration() && sinceBurst >= Duration())
+            sinceBurst %= load.burstInterval;
+        const bool isBurst = sinceBurst >= Duration() && sinceBurst < load.burstSpan;
         std::exponential_distribution<double> interval(load.jobsPerSecond
                                                        * (isBurst ? load.burstFactor : 1));
         simulation.run(fromSeconds(interval(randomEngine)));
--- a/test/support/FleetLoad.h
+++ b/test/support/FleetLoad.h
@@ -26,6 +26,7 @@
     double burstFactor = 1; ///< factor on the load from burstAt for burstSpan
     Duration burstAt = 4s;
     Duration burstSpan = 4s;
+    Duration burstInterval {}; ///< if set, the burst is repeated after it
     double slowTargetShare = 0; ///< share of the targets that are slow from slowAt on
     double slowFactor = 6;
     Duration slowAt = 3s;
@@ -83,6 +84,9 @@
 /** \returns options for a large site: 39 gateways with small shares of a core and 351 targets. */
 FleetSimulationOptions grownSiteOptions(std::uint64_t seed);
 
+/** \brief Has the gateways choose among whole jobs under shortage. */
+void chooseWholeJobs(FleetSimulationOptions &options);
+
 /** \brief Runs \a load on \a simulation, which must have started up before.
  * \returns the results of all jobs.
  */
