Tests of processes with limits: a base class, and stand-ins that drop large specs

FleetCase has what tests with limited memory share; the 48 tests of limits_process_test.py are as they were. Stand-in targets forget the `data` of a spec, so that a test with wide jobs doesn't fill its own memory.

--- a/scripts/loopback_fleet.py
+++ b/scripts/loopback_fleet.py
@@ -117,7 +117,9 @@
         self.extend_lease(body["expires_ms"])
         if run_id <= self.newest_ended.get(task, 0):
             return 409, {"reason": "old"}
-        run = Run(task, run_id, json.loads(body["spec"]), self.name)
+        spec = json.loads(body["spec"])
+        spec.pop("data", None)  # may be large, and the run is kept
+        run = Run(task, run_id, spec, self.name)
         run.timer = asyncio.get_running_loop().call_later(
             run.spec["s"], self.end, (task, run_id), "done")
         self.running[task, run_id] = run
--- a/test/limits_process_test.py
+++ b/test/limits_process_test.py
@@ -198,18 +198,18 @@
          ("metrics", "registry", METRICS_PORT, "/metrics", "/metrics"))
 
 
-class Limits(unittest.TestCase):
-    """One crowd at one port of a gateway or a registry node; the tests are made below."""
+class FleetCase(unittest.TestCase):
+    """A few processes with limits of memory and descriptors, and their ordinary callers."""
 
     def setUp(self):
         self.loop = asyncio.new_event_loop()
         self.addCleanup(self.loop.close)
         self.jobs = 0
 
-    def start(self, settings):
+    def start(self, settings, gateways=1, targets=1):
         # Programs before these settings refuse them; the bounds stay the same.
         settings = {} if "WITHOUT_LIMITS" in os.environ else settings
-        self.fleet = Fleet(BINARIES, gateways=1, targets=1, domains=1, registries=1,
+        self.fleet = Fleet(BINARIES, gateways=gateways, targets=targets, domains=1, registries=1,
                            network=int(os.environ.get("NETWORK", "21")), settings=settings)
         self.addCleanup(lambda: self.loop.run_until_complete(self.fleet.stop()))
         self.loop.run_until_complete(self.fleet.start())
@@ -264,6 +264,10 @@
             await asyncio.sleep(0.1)
         return used
 
+
+class Limits(FleetCase):
+    """One crowd at one port of a gateway or a registry node; the tests are made below."""
+
     async def face(self, role, make_crowd, bound_mb, max_fds):
         start_mb = self.memory_mb(role, "VmRSS")
         crowd = Crowd(make_crowd())
