FleetCoordinator: limit the tasks of a job, and of all jobs in progress

Callers saw: a gateway answered nobody any more after four requests of some kilobytes. Cause: a body of 256 steps with 10,000 tasks each is valid. Each task has a state and is visited at each event, and the assignment of a job's tasks takes time with the square of their number. Evidence: test_millions_of_tasks (four such bodies, memory_mb 64) on: no ordinary job is answered within 30 s. Change: a job of more than 2,000 tasks is refused at once (503, too-many-tasks); so are further jobs while 10,000 tasks are in progress, of which jobs wider than the widest documented one (120) may take half, so that usual jobs get through. Why it works: memory and time are bounded by the number of tasks.

--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -112,6 +112,8 @@
         return "no-targets";
     case OutcomeReason::NeverFits:
         return "never-fits";
+    case OutcomeReason::TooManyTasks:
+        return "too-many-tasks";
     case OutcomeReason::Overloaded:
         return "overloaded";
     case OutcomeReason::Draining:
@@ -512,11 +514,35 @@
     return fromSeconds(policy.stretch * chain) + policy.slack;
 }
 
+std::size_t FleetCoordinator::taskCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, job] : this->jobs)
+        for (const auto &tasks : job.tasks)
+            count += tasks.size();
+    return count;
+}
+
+std::optional<OutcomeReason> FleetCoordinator::excessReason(const TransientJob &job) const
+{
+    std::size_t count = 0;
+    for (const JobStep &step : job.steps)
+        count += step.taskCount;
+    if (count > this->options.maxTasksPerJob)
+        return OutcomeReason::TooManyTasks;
+    const bool isWide = count > this->options.usualTasksPerJob;
+    const std::size_t limit = isWide ? this->options.maxTasks / 2 : this->options.maxTasks;
+    return this->taskCount() + count > limit ? std::optional(OutcomeReason::Overloaded)
+                                             : std::nullopt;
+}
+
 std::optional<OutcomeReason> FleetCoordinator::refusalReason(const TransientJob &job,
                                                              const RoutePolicy &policy,
                                                              const std::vector<OwnerView> &owners,
                                                              TimePoint now)
 {
+    if (const auto reason = this->excessReason(job))
+        return reason;
     std::optional<double> fastest;
     std::optional<double> fastestLater; // also of targets that pause for a while
     for (const OwnerView &owner : owners)
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -40,7 +40,8 @@
     None,
     NoTargets, ///< no target of the service is known
     NeverFits, ///< a task demands more than any target offers
-    Overloaded, ///< the job cannot be answered in time
+    TooManyTasks, ///< more tasks than a job may have
+    Overloaded, ///< the job cannot be answered in time, or too many tasks are in progress
     Draining, ///< this node is stopping
     TaskFailed, ///< a task has failed too often
     DeadlineExceeded,
@@ -147,6 +148,16 @@
      */
     Duration standingQueueTime = 500ms;
     Duration emptyQueueDelay = 10ms;
+    /** \brief Limit of the tasks of a job: many times those of the widest documented job. The time
+     * to assign the tasks of a job grows with their square.
+     */
+    std::size_t maxTasksPerJob = 2'000;
+    /** \brief Limit of the tasks of all jobs in progress; it bounds their memory. */
+    std::size_t maxTasks = 10'000;
+    /** \brief Wider jobs may take half of maxTasks only, so that they don't keep the others out:
+     * the width of the widest documented job.
+     */
+    std::size_t usualTasksPerJob = 120;
 };
 
 /** \brief Coordinates the transient jobs of one entry node's callers: assigns tasks to owners and
@@ -271,6 +282,10 @@
      * empty for a while.
      */
     bool hasStandingQueue(std::uint32_t priority, Duration wait, TimePoint now);
+    /** \returns the number of tasks of all jobs in progress. */
+    std::size_t taskCount() const;
+    /** \returns the reason to refuse \a job for the number of its tasks, if there is one. */
+    std::optional<OutcomeReason> excessReason(const TransientJob &job) const;
     std::optional<OutcomeReason> refusalReason(const TransientJob &job, const RoutePolicy &policy,
                                                const std::vector<OwnerView> &owners, TimePoint now);
     /** \returns the latency objective of a job, counted from its arrival. */
--- a/test/FleetCoordinatorTest.cpp
+++ b/test/FleetCoordinatorTest.cpp
@@ -249,4 +249,34 @@
     EXPECT_EQ(coordinator.assignTasks(owners, now).size(), 1U);
 }
 
+/** \brief Submits a job of \a tasks tasks. \returns the reason of its refusal, or none. */
+OutcomeReason submitTasks(FleetCoordinator &coordinator, std::uint64_t caller, std::uint32_t tasks)
+{
+    const JobStep step = { .taskCount = tasks, .demand = { .cpu = 1 }, .estimate = 10ms };
+    coordinator.submit({ .id = "j" + std::to_string(caller), .steps = { step } }, policy(), caller,
+                       { ownerWith("a", 1) }, TimePoint(1'800'000'000s));
+    const std::vector<JobOutcome> outcomes = coordinator.takeOutcomes();
+    return outcomes.empty() ? OutcomeReason::None : outcomes.front().reason;
+}
+
+TEST(FleetCoordinator, AJobOfTooManyTasksIsRefused)
+{
+    FleetCoordinator coordinator({ .maxTasksPerJob = 300 });
+    EXPECT_EQ(submitTasks(coordinator, 1, 301), OutcomeReason::TooManyTasks);
+    EXPECT_EQ(coordinator.jobCount(), 0U);
+    EXPECT_EQ(submitTasks(coordinator, 2, 300), OutcomeReason::None);
+}
+
+TEST(FleetCoordinator, WideJobsLeaveRoomForTheOthers)
+{
+    FleetCoordinator coordinator({ .maxTasks = 1'000 });
+    EXPECT_EQ(submitTasks(coordinator, 1, 500), OutcomeReason::None);
+    EXPECT_EQ(submitTasks(coordinator, 2, 200), OutcomeReason::Overloaded) << "a second wide job";
+    for (std::uint64_t caller = 3; caller < 7; ++caller)
+        EXPECT_EQ(submitTasks(coordinator, caller, 120), OutcomeReason::None);
+    EXPECT_EQ(submitTasks(coordinator, 7, 120), OutcomeReason::Overloaded);
+    coordinator.removeCaller(1, TimePoint(1'800'000'000s));
+    EXPECT_EQ(submitTasks(coordinator, 8, 120), OutcomeReason::None) << "once a job has ended";
+}
+
 } // namespace
--- /dev/null
+++ b/test/excess_process_test.py
@@ -0,0 +1,169 @@
+#!/usr/bin/env python3
+"""Tests whole gateways and registry nodes against input that costs far more than its size.
+
+Jobs with very many tasks or very large specs, heartbeats of targets that nobody has, ids of many
+kilobytes, targets that answer without an end, and crowds that use up every descriptor. Each test
+checks that the processes live, that their memory stays within their settings, and that ordinary
+requests are answered beside or afterwards; nothing is measured in time.
+Usage: excess_process_test.py BINARIES [TEST ...]
+With WITHOUT_LIMITS in the environment the settings are left out, for programs that don't know them.
+"""
+import asyncio
+import json
+import os
+import resource
+import socket
+import sys
+import threading
+import time
+import unittest
+
+from limits_process_test import (
+    CALLER_PORT, CONTROL_PORT, HOST, KEPT_MB, LARGE_CROWD_MB, MAX_FDS, MEMORY_MB, METRICS_PORT,
+    PATIENCE_S, PEER_PORT, PREFIX, READY_PORT, SMALLEST_VM, TARGETS_PORT, Client, Crowd, FleetCase,
+    head)
+from loopback_fleet import SERVICE, call, rules
+
+SMALL = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+FAILED_CALL = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError)
+# A caller that waits this long, so that no answer depends on the machine's speed.
+PATIENT_MS = 20_000
+
+
+def job(tasks, spec_bytes=0, cpu=100, phases=1):
+    """Returns the body of a job whose tasks take 10 ms each."""
+    spec = json.dumps({"s": 0.01, "data": "x" * spec_bytes})
+    phase = {"count": tasks, "cpu": cpu, "mem_mb": 1, "estimated_ms": 10}
+    return {"spec": spec, "best_effort": True, "phases": [phase] * phases}
+
+
+async def submit(ip, number, body, patience_s=PATIENCE_S):
+    """Returns the status of a submission whose caller waits long, or None."""
+    data = json.dumps(body).encode()
+    try:
+        reader, writer = await asyncio.open_connection(ip, CALLER_PORT)
+        try:
+            writer.write(head("POST", f"{PREFIX}{number:016x}", "content-type: application/json",
+                              f"deadline-ms: {PATIENT_MS}", f"content-length: {len(data)}") + data)
+            answer = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), patience_s)
+            return int(answer.split(b" ", 2)[1])
+        finally:
+            writer.close()
+    except FAILED_CALL:
+        return None
+
+
+def heartbeat(name, address, sequence=1):
+    """Returns a heartbeat; the target's domain is that of the processes."""
+    return {"service": SERVICE, "address": address, "zone": "d0", "version": "v1", "slots": 8,
+            "state": "ready", "cold_remaining_ms": 0, "labels": ["a", "r1"], "clock_ms": 1,
+            "capacity": {"cpu": 64000, "mem_mb": 262144, "gpu": 0}, "seq": sequence, "born": 1}
+
+
+def send_many(address, requests, clients=80):
+    """Sends requests over some connections at the same time, and reads what comes back."""
+    crowd = Crowd([Client(address, b"".join(requests[i::clients])) for i in range(min(clients, len(requests)))])
+    crowd.send()
+    crowd.leave()
+
+
+def send_in_turn(address, requests, clients=16):
+    """Sends requests over a connection each; some clients wait for one answer after the other."""
+    def send(own):
+        for one in own:
+            try:
+                with socket.create_connection(address, 5) as connection:
+                    connection.settimeout(5)
+                    connection.sendall(one)
+                    connection.recv(65536)
+            except OSError:
+                pass
+
+    threads = [threading.Thread(target=send, args=(requests[i::clients],)) for i in range(clients)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def request(method, path, body=b""):
+    return head(method, path, "content-type: application/json", f"content-length: {len(body)}") + body
+
+
+class EndlessTarget:
+    """A target whose every answer goes on without an end, as fast as it is read."""
+
+    def __init__(self, address, answer, piece):
+        self.answer, self.piece = answer, piece
+        self.listener = socket.create_server(address)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        try:
+            with connection:
+                connection.recv(65536)
+                connection.sendall(self.answer)
+                while True:
+                    connection.sendall(self.piece)
+        except OSError:
+            pass
+
+    def close(self):
+        try:
+            self.listener.shutdown(socket.SHUT_RDWR)  # ends accept()
+        except OSError:
+            pass
+        self.listener.close()
+
+
+class Excess(FleetCase):
+    """Requests and answers whose cost is bounded by nothing in their size."""
+
+    def check(self, bound_mb, kept=None):
+        """Checks the memory and the life of all processes."""
+        for name in self.fleet.names():
+            role = name.partition("-")[0]
+            peak_mb = self.memory_mb(role)
+            kept_mb = self.loop.run_until_complete(
+                self.wait_for_memory(role, kept[role] + KEPT_MB)) if kept else 0
+            print(f"  {self.id().rpartition('.')[2]}: {name}: peak {peak_mb:.0f} MB of {bound_mb}, "
+                  f"{kept_mb:.0f} MB after", flush=True)
+            self.assertLessEqual(peak_mb, bound_mb, f"peak of the memory of {name}, in MB")
+            if kept:
+                self.assertLessEqual(kept_mb, kept[role] + KEPT_MB, f"memory of {name} after, in MB")
+        self.assertEqual(self.fleet.ended_by_themselves(), {})
+
+    def memory_before(self):
+        return {role: self.memory_mb(role, "VmRSS") for role in ("gateway", "registry")}
+
+    def run_jobs(self, bodies, settings, bound_mb):
+        self.start(settings)
+
+        async def all_at_once():
+            statuses = await asyncio.gather(
+                *(submit(self.ip("gateway"), 1 << 32 | i, body) for i, body in enumerate(bodies)))
+            print(f"  {self.id().rpartition('.')[2]}: {sorted(map(str, statuses))}", flush=True)
+            await self.answer_ordinary_requests("after the jobs")
+
+        self.loop.run_until_complete(all_at_once())
+        self.check(bound_mb)
+
+    def test_millions_of_tasks(self):
+        self.run_jobs([job(10_000, phases=256, cpu=1)] * 4, SMALL, MEMORY_MB)
+
+    def test_many_jobs_of_many_tasks(self):
+        self.run_jobs([job(10_000, cpu=1)] * 64, SMALL, MEMORY_MB)
+
+
+if __name__ == "__main__":
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 16384)), hard))
+    unittest.main(argv=[sys.argv[0], *(f"Excess.{name}" for name in sys.argv[2:])], verbosity=2)
