Hold, transfer and write the spec of a wide job once, not once a task

Callers saw: a process far over its memory with eight jobs of 600 tasks whose spec has 240 kB. Cause: the spec was copied for each task: in the request to its owner, in the owner's run, in the start, in the call and in its bytes, and all starts of a job were written at once. Change: SharedText shares the memory of copies; a message has the specs of its requests by job. The timeout of a start counts from its sending, and grows with its size. Why it works: what is in progress is bounded, whatever the job. JobWithdrawal's message is made by hand and so has to contain the spec; its checks are the same.

--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -90,6 +90,7 @@
     /** \brief All targets of the sender, for a guardian; absent if nothing has changed. */
     std::optional<std::vector<DrivenTarget>> drivenTargets;
     std::vector<RunRequest> runRequests;
+    std::map<std::string, SharedText> specs; ///< those of runRequests, by job: it has one for all
     std::vector<RunName> wantedRuns; ///< all runs that the sender wants at the receiver
     std::vector<RunEnd> runEnds; ///< each is repeated until the receiver no longer wants the run
     std::vector<LeasedTarget> transferredTargets; ///< targets that the receiver owns from now on
@@ -102,8 +103,8 @@
     auto operator<=>(const FleetMessage &other) const = default;
     HIBISCUS_FIELDS(from, incarnation, domain, weight, targetsAddress, sequence,
                     receiverIncarnation, acknowledgedSequence, isDraining, wantsReports,
-                    requestsResponse, report, drivenTargets, runRequests, wantedRuns, runEnds,
-                    transferredTargets, withdrawnRuns, stoppingRuns, transferredSpeeds)
+                    requestsResponse, report, drivenTargets, runRequests, specs, wantedRuns,
+                    runEnds, transferredTargets, withdrawnRuns, stoppingRuns, transferredSpeeds)
 };
 
 /** \brief Heartbeat of a target, forwarded to the entry node that should own it. */
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -308,9 +308,11 @@
     const Requester requester = { .node = message.from, .incarnation = message.incarnation };
     const std::set<RunName> wantedRuns(message.wantedRuns.begin(), message.wantedRuns.end());
     this->targetOwner.cancelUnwantedRuns(requester, wantedRuns, now);
-    for (const RunRequest &request : message.runRequests) {
-        if (this->isDraining || !wantedRuns.contains(request.run))
+    for (RunRequest request : message.runRequests) {
+        const auto spec = message.specs.find(request.run.job);
+        if (this->isDraining || !wantedRuns.contains(request.run) || spec == message.specs.end())
             continue;
+        request.spec = spec->second;
         this->targetOwner.requestRun(request, requester, now);
     }
     if (!message.withdrawnRuns.empty())
@@ -753,6 +755,8 @@
             = { .version = this->targetsVersion, .sequence = message.sequence, .sentAt = now };
     }
     message.runRequests = std::exchange(peer.runRequests, {});
+    for (const RunRequest &request : message.runRequests)
+        message.specs[request.run.job] = request.spec;
     if (const auto found = runsByPeer.wantedRuns.find(to); found != runsByPeer.wantedRuns.end())
         message.wantedRuns = found->second;
     if (const auto found = runsByPeer.withdrawnRuns.find(to);
--- a/Hibiscus/src/Fleet/Run.h
+++ b/Hibiscus/src/Fleet/Run.h
@@ -30,7 +30,7 @@
 {
     RunName run;
     ServiceName service;
-    std::string spec;
+    SharedText spec; ///< in messages, it is in FleetMessage::specs
     Capacity demand;
     Duration estimate {}; ///< predicted run time on a target of average speed
     Duration untilObjective {}; ///< time left until the job misses its latency objective
@@ -40,7 +40,7 @@
     std::uint32_t maxPerTarget = 0;
 
     auto operator<=>(const RunRequest &other) const = default;
-    HIBISCUS_FIELDS(run, service, spec, demand, estimate, untilObjective, untilDeadline, priority,
+    HIBISCUS_FIELDS(run, service, demand, estimate, untilObjective, untilDeadline, priority,
                     requiredLabel, maxPerTarget)
 };
 
--- a/Hibiscus/src/Fleet/TargetOrder.h
+++ b/Hibiscus/src/Fleet/TargetOrder.h
@@ -26,7 +26,7 @@
 {
     OrderAddress to;
     RunName run;
-    std::string spec;
+    SharedText spec;
     std::int64_t leaseExpiryMs = 0; ///< on the target's clock, ms
 
     auto operator<=>(const StartOrder &other) const = default;
--- a/Hibiscus/src/Fleet/TransientJob.h
+++ b/Hibiscus/src/Fleet/TransientJob.h
@@ -23,7 +23,7 @@
 struct TransientJob
 {
     std::string id; ///< chosen by the caller
-    std::string spec; ///< passed to the target with each task, not interpreted
+    SharedText spec; ///< passed to the target with each task, not interpreted
     std::vector<JobStep> steps;
 
     auto operator<=>(const TransientJob &other) const = default;
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -16,6 +16,14 @@
  * task's objective.
  */
 constexpr Duration orderTimeout = 80ms;
+/** \brief Least rate at which a large start is expected to reach its target, in bytes per
+ * millisecond: a few of them share the link of a VM.
+ */
+constexpr std::size_t minStartBytesPerMillisecond = 1'000;
+/** \brief Limit of the timeout of a large start. Guardians can fence its target after it, long
+ * before the platform executes orders late.
+ */
+constexpr Duration maxStartTimeout = 500ms;
 /** \brief Added to the wait that a poll requests; their sum is the timeout of the poll. */
 constexpr Duration pollTimeoutMargin = 100ms;
 /** \brief Time after which the load balancer sends no new requests: it checks the readiness once a
@@ -59,6 +67,13 @@
     return options;
 }
 
+/** \returns the timeout of a start with a spec of \a bytes, counted from its sending. */
+static Duration startTimeout(std::size_t bytes)
+{
+    const std::chrono::milliseconds transfer(bytes / minStartBytesPerMillisecond);
+    return std::min<Duration>(orderTimeout + transfer, maxStartTimeout);
+}
+
 static const char *toString(TransientJobStatus status)
 {
     if (status == TransientJobStatus::Completed)
@@ -373,6 +388,8 @@
     reportLoad(this->loadMeter, this->loop, this->relay, this->metrics, now);
     this->relay.tick(now);
     this->client.failOverdueCalls(now);
+    for (const StartOrder &order : this->startQueue.takeExpired(now))
+        this->giveUp(order);
     this->node.tick(now);
     this->directory.removeExpired(now);
     if (const std::vector<NodeName> dueRegistries = this->directory.takeDueAnnouncements(now);
@@ -403,7 +420,8 @@
     if (out.raisedIncarnation)
         this->context.raiseIncarnation(*out.raisedIncarnation);
     for (const TargetOrder &order : out.orders)
-        std::visit([this](const auto &item) { this->send(item); }, order);
+        std::visit([this](const auto &item) { this->process(item); }, order);
+    this->sendStarts();
     for (const AddressedFleetMessage &item : out.messages)
         this->relay.send(item.to, item.message);
     for (const JobOutcome &outcome : out.outcomes)
@@ -430,25 +448,66 @@
         this->relay.send(peer, hold);
 }
 
-void GatewayProcess::send(const StartOrder &order)
+void GatewayProcess::process(const StartOrder &order)
+{
+    this->startQueue.add(order, this->loop.now());
+}
+
+// Nothing has to be stopped where the start was not sent. After a restart of the target its owner
+// expects the answer to the stop all the same.
+void GatewayProcess::process(const StopOrder &order)
+{
+    const auto start = this->startQueue.withdraw(order.to.target, order.run);
+    if (start && start->to.incarnation == order.to.incarnation)
+        this->giveUp(*start);
+    else
+        this->send(order);
+}
+
+void GatewayProcess::process(const PollOrder &order)
+{
+    this->send(order);
+}
+
+void GatewayProcess::sendStarts()
+{
+    for (const NumberedStart &start : this->startQueue.takeSendable())
+        this->send(start);
+}
+
+// The target would find that its lease has expired.
+void GatewayProcess::giveUp(const StartOrder &order)
+{
+    ++this->startsGivenUp;
+    this->node.handleStartResponse(order.to, order.run, { .status = OrderStatus::LeaseExpired },
+                                   this->loop.now());
+}
+
+void GatewayProcess::send(const NumberedStart &start)
 {
+    const StartOrder &order = start.order;
     HttpCall call = this->context.protocol.makeStartCall(order);
-    call.timeout = internal::orderTimeout;
-    this->client.send(call, [this, to = order.to, run = order.run](const HttpCallResult &result) {
-        const OrderResponse response = this->context.protocol.readOrderResponse(result);
-        if (response.status != OrderStatus::Done)
-            logEvent("start-not-done",
-                     { { "job", run.job },
-                       { "step", std::to_string(run.step) },
-                       { "task", std::to_string(run.index) },
-                       { "attempt", std::to_string(run.attempt) },
-                       { "target", to.target.str() },
-                       { "life", std::to_string(to.incarnation) },
-                       { "fencing_token", std::to_string(to.fencingToken) },
-                       { "status", std::to_string(result.status) },
-                       { "verdict", toString(response.status) } });
-        this->node.handleStartResponse(to, run, response, this->loop.now());
-    });
+    call.timeout = internal::startTimeout(order.spec.size());
+    this->client.send(call,
+                      [this, number = start.number, to = order.to,
+                       run = order.run](const HttpCallResult &result) {
+                          this->startQueue.finish(number);
+                                            const OrderResponse response
+                              = this->context.protocol.readOrderResponse(result);
+                          if (response.status != OrderStatus::Done)
+                              logEvent("start-not-done",
+                                       { { "job", run.job },
+                                         { "step", std::to_string(run.step) },
+                                         { "task", std::to_string(run.index) },
+                                         { "attempt", std::to_string(run.attempt) },
+                                         { "target", to.target.str() },
+                                         { "life", std::to_string(to.incarnation) },
+                                         { "fencing_token", std::to_string(to.fencingToken) },
+                                         { "status", std::to_string(result.status) },
+                                         { "verdict", toString(response.status) } });
+                          this->node.handleStartResponse(to, run, response, this->loop.now());
+                          this->sendStarts();
+                      });
 }
 
 void GatewayProcess::send(const StopOrder &order)
@@ -663,6 +722,10 @@
     count("hibiscus_runs_completed_total", "Runs completed.", owner.completed);
     count("hibiscus_runs_failed_total", "Runs failed.", owner.failed);
     count("hibiscus_runs_not_started_total", "Starts that targets refused.", owner.notStarted);
+    count("hibiscus_starts_given_up_total", "Starts that were not sent, as others took too long.",
+          this->startsGivenUp);
+    gauge("hibiscus_waiting_starts", "Starts that wait for others to be answered.",
+          this->startQueue.waitingCount());
     count("hibiscus_runs_returned_total", "Waiting runs given back, since another owner had room.",
           owner.returned);
     count("hibiscus_runs_evacuated_total",
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -41,7 +41,13 @@
     void onTick();
     void flushOutput();
     void announce(const JobHold &hold);
-    void send(const StartOrder &order);
+    void process(const StartOrder &order);
+    void process(const StopOrder &order);
+    void process(const PollOrder &order);
+    void sendStarts();
+    /** \brief Ends a start that was not sent. */
+    void giveUp(const StartOrder &order);
+    void send(const NumberedStart &start);
     void send(const StopOrder &order);
     void send(const PollOrder &order);
     void respond(const JobOutcome &outcome);
@@ -76,6 +82,8 @@
     std::map<std::uint64_t, WaitingCaller> waitingCallers;
     std::map<std::string, std::uint64_t> refusalCounts; ///< number of refused requests by reason
     CancelRounds cancelRounds { {} };
+    StartQueue startQueue { {} };
+    std::uint64_t startsGivenUp = 0;
     RefusalLog refusalLog;
     LineLimit refusalLines;
     LineLimit departureLines;
--- a/test/CodecTest.cpp
+++ b/test/CodecTest.cpp
@@ -63,4 +63,20 @@
     EXPECT_FALSE(decode<bool>(Bytes { 0, 1 })) << "not little-endian";
 }
 
+// The requests for a wide job would otherwise be larger than a batch.
+TEST(Codec, AMessageHasTheSpecOfAJobOnce)
+{
+    const SharedText spec(std::string(240'000, 'x'));
+    FleetMessage message;
+    for (std::uint32_t index = 0; index < 50; ++index)
+        message.runRequests.push_back({ .run = { .job = "j", .index = index }, .spec = spec });
+    message.specs["j"] = spec;
+    const Bytes bytes = encode(message);
+    EXPECT_LT(bytes.size(), 250'000U);
+    const auto decoded = decode<FleetMessage>(bytes);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->specs, message.specs);
+    EXPECT_EQ(decoded->runRequests.size(), 50U);
+}
+
 } // namespace
--- a/test/JobWithdrawalTest.cpp
+++ b/test/JobWithdrawalTest.cpp
@@ -154,6 +154,7 @@
     message.wantedRuns = { shared };
     message.runRequests
         = { { .run = shared, .service = ServiceName("s"), .untilDeadline = Duration(1s) } };
+    message.specs = { { "j", "spec" } };
     node.receive(message, now);
     message.from = NodeName("b");
     message.wantedRuns = { shared, lost };
--- a/test/excess_process_test.py
+++ b/test/excess_process_test.py
@@ -162,6 +162,9 @@
     def test_many_jobs_of_many_tasks(self):
         self.run_jobs([job(10_000, cpu=1)] * 64, SMALL, MEMORY_MB)
 
+    def test_wide_jobs_with_large_specs(self):
+        self.run_jobs([job(600, 240_000)] * 8, SMALLEST_VM, LARGE_CROWD_MB)
+
 
 if __name__ == "__main__":
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/test/fuzz/Decoders.cpp
+++ b/test/fuzz/Decoders.cpp
@@ -84,7 +84,8 @@
 {
     FleetMessage message = { .from = NodeName("10.0.0.1:7720"), .incarnation = 3, .sequence = 9 };
     message.report = OwnerReport { .targets = { { .name = TargetName("i-1") } }, .queued = 1 };
-    message.runRequests = { { .run = { .job = "j", .attempt = 1 }, .spec = "s" } };
+    message.runRequests = { { .run = { .job = "j", .attempt = 1 } } };
+    message.specs = { { "j", "s" } };
     message.wantedRuns = { { .job = "j", .attempt = 1 } };
     message.runEnds = { { .run = { .job = "k", .attempt = 2 } } };
     message.transferredTargets = { { .name = TargetName("i-2"), .labels = { "a", "r1" } } };
