TargetDriver: starts that time out together pause their target once

Callers saw: after a wide job with a large body the next ones got 504 after 1.5 s, or 503 with two live targets. Cause: each start without a response doubled the pause of its target, so ten starts of one job that timed out at the same moment paused it for 4 s: its tasks were not started again, and the next job found no target. Evidence: test_wide_jobs_in_calm (eight jobs of 50 tasks with 240 kB, one at a time, two targets) on: 200, 504, 503, 200, 200, 200, 200, 200. StartsThatTimeOutTogetherPauseTheTargetOnce. Change: during a pause nothing is started, so outcomes that arrive in it are of earlier starts, and don't extend it.

--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -401,9 +401,14 @@
     this->avoid(now + this->avoidance);
 }
 
+// Nothing is started during the pause, so outcomes that arrive in it are those of starts that were
+// sent before: together they are one observation.
 void TargetDriver::recordRefusal(TimePoint now)
 {
+    if (now < this->refusalPauseEndsAt)
+        return;
     this->extendAvoidance(this->options.avoidAfterRefusal, now);
+    this->refusalPauseEndsAt = now + this->avoidance;
 }
 
 // A faulty job fails on every target, so only failures of different jobs in a row indicate a faulty
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -342,6 +342,7 @@
     bool isDeparting = false; ///< the target has announced its shutdown
     TimePoint avoidUntil;
     Duration avoidance {};
+    TimePoint refusalPauseEndsAt; ///< end of the latest pause after refusals or timeouts
     std::uint32_t failuresInRow = 0;
     std::uint32_t timeoutsInRow = 0;
     std::uint32_t stragglersInRow = 0;
--- a/test/TargetDriverTest.cpp
+++ b/test/TargetDriverTest.cpp
@@ -638,4 +638,43 @@
     }
 }
 
+/** \brief Sends \a count starts at once, to none of which the target responds, and stops them. */
+void startUnansweredAtOnce(DriverFixture &fixture, std::uint32_t firstIndex, std::uint32_t count)
+{
+    std::vector<StartOrder> starts;
+    for (std::uint32_t index = firstIndex; index < firstIndex + count; ++index) {
+        RunRequest request = fixture.request;
+        request.run.index = index;
+        fixture.driver.start(request, fixture.now + 10s, fixture.now, fixture.out);
+        starts.push_back(fixture.last<StartOrder>());
+    }
+    fixture.advance(80ms);
+    for (const StartOrder &start : starts)
+        fixture.driver.handleStartResponse(start.run, start.to.fencingToken, {}, fixture.now,
+                                           fixture.out);
+    for (const StartOrder &start : starts)
+        fixture.driver.handleStopResponse(start.run, start.to.fencingToken,
+                                          { .status = OrderStatus::Done, .clockMs = 20 },
+                                          fixture.now);
+}
+
+// The starts of a wide job are sent together, and a short disturbance hits them together.
+TEST(TargetDriver, StartsThatTimeOutTogetherPauseTheTargetOnce)
+{
+    const TargetDriverOptions options;
+    DriverFixture fixture;
+    startUnansweredAtOnce(fixture, 1, 10);
+    EXPECT_FALSE(fixture.driver.acceptsWork(fixture.now));
+    fixture.advance(options.avoidAfterRefusal);
+    fixture.poll({ fixture.request.run });
+    EXPECT_TRUE(fixture.driver.acceptsWork(fixture.now));
+    startUnansweredAtOnce(fixture, 11, 2);
+    fixture.advance(options.avoidAfterRefusal);
+    fixture.poll({ fixture.request.run });
+    EXPECT_FALSE(fixture.driver.acceptsWork(fixture.now)) << "the pause is doubled each time";
+    fixture.advance(options.avoidAfterRefusal);
+    fixture.poll({ fixture.request.run });
+    EXPECT_TRUE(fixture.driver.acceptsWork(fixture.now));
+}
+
 } // namespace
--- a/test/excess_process_test.py
+++ b/test/excess_process_test.py
@@ -165,6 +165,21 @@
     def test_wide_jobs_with_large_specs(self):
         self.run_jobs([job(600, 240_000)] * 8, SMALLEST_VM, LARGE_CROWD_MB)
 
+    def test_wide_jobs_in_calm(self):
+        """Each is inside the limits, and alone: it is served, also after the one before."""
+        self.start(SMALLEST_VM, gateways=2, targets=2)
+
+        async def one_by_one():
+            statuses = []
+            for number in range(8):
+                statuses.append(await submit(self.ip("gateway"), 1 << 32 | number, job(50, 240_000)))
+                await asyncio.sleep(1)
+            print(f"  {self.id().rpartition('.')[2]}: {statuses}", flush=True)
+            self.assertEqual(statuses, [200] * 8)
+
+        self.loop.run_until_complete(one_by_one())
+        self.check(LARGE_CROWD_MB)
+
 
 if __name__ == "__main__":
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
