Gateway: ids longer than those of jobs are not kept when they are cancelled

Callers saw: a process far over its memory after 10,000 DELETE requests for ids of 15 kB. Cause: a cancelled id is remembered for 10 s, also if there is no such job, and its length was not limited. Evidence: test_cancelled_ids_of_many_kilobytes (memory_mb 64) on: peak 281 MB, 278 MB afterwards. Change: an id of more than 256 bytes, which no job can have, is answered with 410, and a POST to it with 400, at once.

--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -35,6 +35,10 @@
  * runs need it.
  */
 constexpr Duration finalAnswerMargin = 500ms;
+/** \brief Length of the longest id of a job. Ids are kept for a while after a request to cancel
+ * them, whether or not there is such a job.
+ */
+constexpr std::size_t maxJobIdBytes = 256;
 constexpr Duration quietPeriod = 400ms; ///< time without requests, before a drained gateway exits
 
 enum HttpStatus : int {
@@ -162,6 +166,14 @@
         return;
     }
     const std::string id = request.path.substr(route->prefix.size());
+    if (id.size() > internal::maxJobIdBytes) {
+        this->logRefusal(request, "no-id");
+        ++this->refusalCounts["no-id"];
+        this->callerServer.respond(request.token,
+                                   { .status = request.method == "POST" ? internal::StatusBadRequest
+                                                                        : internal::StatusGone });
+        return;
+    }
     if (request.method == "POST" && !id.empty()) {
         this->onSubmit(request, *route, id);
         return;
--- a/test/excess_process_test.py
+++ b/test/excess_process_test.py
@@ -180,6 +180,19 @@
         self.loop.run_until_complete(one_by_one())
         self.check(LARGE_CROWD_MB)
 
+    def test_cancelled_ids_of_many_kilobytes(self):
+        self.start(SMALL)
+        before = self.memory_before()
+        requests = [request("DELETE", f"{PREFIX}{i:08d}{'x' * 15_000}") for i in range(10_000)]
+
+        async def flood():
+            await asyncio.get_running_loop().run_in_executor(
+                None, send_in_turn, (self.ip("gateway"), CALLER_PORT), requests)
+            await self.answer_ordinary_requests("after the requests")
+
+        self.loop.run_until_complete(flood())
+        self.check(MEMORY_MB, before)
+
 
 if __name__ == "__main__":
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
