Heartbeats: labels beyond 64 are ignored

Callers saw: a process far over its memory after 200 heartbeats. Cause: a heartbeat may have 4 MB, and a gateway kept all labels in it with the target, and in its reports. LabelsBeyondTheLimitAreIgnored.

--- a/test/HostileInputTest.cpp
+++ b/test/HostileInputTest.cpp
@@ -225,6 +225,16 @@
     }
 }
 
+// Guards against a few heartbeats that fill the memory of a gateway, which keeps their labels.
+TEST(HostileInput, LabelsBeyondTheLimitAreIgnored)
+{
+    Json body = heartbeatBody();
+    body["labels"] = std::vector<std::string>(1'000, "a");
+    const ControlRequest request = readHeartbeat(body.dump());
+    ASSERT_TRUE(holds<TargetHeartbeat>(request));
+    EXPECT_EQ(std::get<TargetHeartbeat>(request).target.labels.size(), 64U);
+}
+
 // Guards against an owner that stops following a target for one row that another writer left.
 TEST(HostileInput, AnOddRowOfAPollResponseHidesNoOther)
 {
--- a/test/excess_process_test.py
+++ b/test/excess_process_test.py
@@ -180,6 +180,22 @@
         self.loop.run_until_complete(one_by_one())
         self.check(LARGE_CROWD_MB)
 
+    def test_heartbeats_with_very_many_labels(self):
+        self.start(SMALL)
+        requests = []
+        for i in range(200):
+            body = heartbeat(f"i-none-{i}", f"127.100.{i}.1:9") | {"labels": ["x" * 60] * 20_000}
+            requests.append(request("POST", f"/api/instances/i-none-{i}/heartbeat",
+                                    json.dumps(body).encode()))
+
+        async def flood():
+            await asyncio.get_running_loop().run_in_executor(
+                None, send_many, (self.ip("gateway"), TARGETS_PORT), requests, 8)
+            await self.answer_ordinary_requests("after the heartbeats")
+
+        self.loop.run_until_complete(flood())
+        self.check(MEMORY_MB)
+
     def test_cancelled_ids_of_many_kilobytes(self):
         self.start(SMALL)
         before = self.memory_before()
