HttpClient: limit the responses of targets

Callers saw: a gateway over its memory while targets answered without an end. Cause: a body was collected until the timeout of the call, headers likewise, whatever their size. Change: a call whose response has a body over 2 MB, headers over 64 KiB, or over 8 MB together with the others in progress is ended, logged, and counts as unanswered, as it may have been executed. RelayTest's ownAddress() moved to test/support.

--- a/Hibiscus/src/Net/HttpClient.cpp
+++ b/Hibiscus/src/Net/HttpClient.cpp
@@ -1,9 +1,15 @@
 #include "Hibiscus/src/Net/HttpClient.h"
 
+#include <utility>
+#include <vector>
+
 namespace Hibiscus {
 
 namespace internal {
 
+/** \brief Limit of the headers of a response; those of targets and nodes are a small part. */
+constexpr std::size_t maxHeadBytes = 65'536;
+
 static std::string serializeRequest(const HttpCall &call)
 {
     std::string bytes = call.method + " " + call.path + " HTTP/1.1\r\n";
@@ -69,9 +75,16 @@
         return;
     if (found->second->native != nullptr)
         h2o_http1client_cancel(found->second->native);
+    this->release(*found->second);
     this->exchanges.erase(found);
 }
 
+void HttpClient::tick(TimePoint now)
+{
+    this->failOverdueCalls(now);
+    this->failExcessiveHeads();
+}
+
 void HttpClient::failOverdueCalls(TimePoint now)
 {
     while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
@@ -87,6 +100,22 @@
     }
 }
 
+// h2o calls back only once all headers have arrived.
+void HttpClient::failExcessiveHeads()
+{
+    std::vector<Exchange *> excessive;
+    for (const auto &[number, exchange] : this->exchanges) {
+        const h2o_http1client_t *native = exchange->native;
+        if (!exchange->hasHead && native != nullptr && native->sock != nullptr
+            && native->sock->input->size > internal::maxHeadBytes)
+            excessive.push_back(exchange.get());
+    }
+    for (Exchange *exchange : excessive) {
+        h2o_http1client_cancel(exchange->native);
+        finish(exchange, HttpCallState::TooLarge);
+    }
+}
+
 bool HttpClient::wasSent(std::uint64_t number) const
 {
     const auto found = this->exchanges.find(number);
@@ -119,6 +148,7 @@
         finish(exchange, HttpCallState::Interrupted);
         return nullptr;
     }
+    exchange->hasHead = true;
     exchange->result.status = status;
     if (hasEnded) {
         finish(exchange, HttpCallState::Answered);
@@ -136,6 +166,11 @@
         return -1;
     }
     h2o_buffer_t *&input = client->sock->input;
+    if (!exchange->owner->acceptsBody(*exchange, input->size)) {
+        finish(exchange, HttpCallState::TooLarge);
+        return -1;
+    }
+    exchange->owner->openBodyBytes += input->size;
     exchange->result.body.append(input->bytes, input->size);
     h2o_buffer_consume(&input, input->size);
     if (hasEnded)
@@ -143,12 +178,26 @@
     return 0;
 }
 
+bool HttpClient::acceptsBody(const Exchange &exchange, std::size_t bytes) const
+{
+    return exchange.result.body.size() + bytes <= this->options.maxBodyBytes
+        && this->openBodyBytes + bytes <= this->options.maxOpenBodyBytes;
+}
+
+void HttpClient::release(const Exchange &exchange)
+{
+    this->openBodyBytes -= exchange.result.body.size();
+}
+
 // h2o frees its client when these callbacks return, so only the Exchange is destroyed here.
 void HttpClient::finish(Exchange *exchange, HttpCallState state)
 {
     HttpClient *owner = exchange->owner;
+    owner->release(*exchange);
     HttpCallResult result = std::move(exchange->result);
     result.state = state;
+    if (state == HttpCallState::TooLarge)
+        result.body = {};
     const ResultHandler onResult = std::move(exchange->onResult);
     owner->exchanges.erase(exchange->number);
     // The handler may start another call, so it runs outside of h2o's callback.
--- a/Hibiscus/src/Net/HttpClient.h
+++ b/Hibiscus/src/Net/HttpClient.h
@@ -10,7 +10,8 @@
 enum class HttpCallState : std::uint8_t {
     Answered, ///< a complete response arrived: HttpCallResult::status and body are set
     NotSent, ///< no connection: the server never received the call
-    Interrupted ///< sent, but no complete response arrived
+    Interrupted, ///< sent, but no complete response arrived
+    TooLarge ///< sent, but the response is over the limits of the client
 };
 
 /** \brief Result of an HTTP call. */
@@ -47,6 +48,8 @@
     {
         std::size_t connectionsPerServer = 64;
         Duration idleTimeout = 60s; ///< for a pooled connection, and for a call without a response
+        std::size_t maxBodyBytes = 24'000'000; ///< limit of the body of a response
+        std::size_t maxOpenBodyBytes = 96'000'000; ///< of all bodies that have arrived in part
     };
 
     HttpClient(EventLoop &loop, const Options &options);
@@ -61,8 +64,10 @@
     std::uint64_t send(const HttpCall &call, ResultHandler onResult);
     /** \brief Aborts a call in progress: closes its connection and reports no result. */
     void cancel(std::uint64_t number);
-    /** \brief Fails the calls whose timeout has expired; must be called every few milliseconds. */
-    void failOverdueCalls(TimePoint now);
+    /** \brief Fails the calls whose timeout has expired, or whose response has headers without an
+     * end; must be called every few milliseconds.
+     */
+    void tick(TimePoint now);
 
     // Queries.
     /** \returns whether the call \a number is in progress and has a connection. */
@@ -79,6 +84,7 @@
         ResultHandler onResult;
         h2o_http1client_t *native = nullptr;
         bool wasSent = false;
+        bool hasHead = false; ///< the headers of the response have arrived
     };
 
     static h2o_http1client_head_cb onConnect(h2o_http1client_t *client, const char *error,
@@ -91,6 +97,11 @@
     static int onBody(h2o_http1client_t *client, const char *error);
     static void finish(Exchange *exchange, HttpCallState state);
 
+    /** \returns whether \a bytes more of the response are within the limits. */
+    bool acceptsBody(const Exchange &exchange, std::size_t bytes) const;
+    void release(const Exchange &exchange);
+    void failOverdueCalls(TimePoint now);
+    void failExcessiveHeads();
     h2o_socketpool_t *poolFor(const Address &address);
 
     EventLoop &loop;
@@ -100,6 +111,7 @@
     h2o_multithread_receiver_t receiver;
     h2o_http1client_ctx_t context;
     std::map<Address, std::unique_ptr<h2o_socketpool_t>> pools;
+    std::size_t openBodyBytes = 0; ///< of the responses that have arrived in part
     std::map<std::uint64_t, std::unique_ptr<Exchange>> exchanges;
     std::multimap<TimePoint, std::uint64_t> deadlines;
     std::uint64_t nextNumber = 1;
--- a/Hibiscus/src/Net/HttpTransport.cpp
+++ b/Hibiscus/src/Net/HttpTransport.cpp
@@ -77,6 +77,7 @@
 
     void tick(TimePoint now)
     {
+        this->client.tick(now);
         this->server.closeExcessBodies();
         this->logRefusedBodies(now);
         std::vector<Address> overdue;
--- a/Hibiscus/src/Process/EntryProcess.cpp
+++ b/Hibiscus/src/Process/EntryProcess.cpp
@@ -432,7 +432,7 @@
     TaskReport report = { .attempt = attempt, .result = result.body };
     if (result.state == HttpCallState::NotSent)
         report.status = AttemptStatus::NotStarted;
-    else if (result.state == HttpCallState::Interrupted)
+    else if (result.state != HttpCallState::Answered)
         // The outcome is queried once an announcement of the target does not list the attempt.
         return;
     else if (result.status == 200)
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -24,6 +24,9 @@
  * before the platform executes orders late.
  */
 constexpr Duration maxStartTimeout = 500ms;
+/** \brief Limit of a target's response; many times the longest list of runs. */
+constexpr std::size_t maxResponseBytes = 2'000'000;
+constexpr std::size_t maxOpenResponseBytes = 8'000'000; ///< of all that have arrived in part
 /** \brief Added to the wait that a poll requests; their sum is the timeout of the poll. */
 constexpr Duration pollTimeoutMargin = 100ms;
 /** \brief Time after which the load balancer sends no new requests: it checks the readiness once a
@@ -122,7 +125,10 @@
                       .maxBodyBytes = HttpServer::smallBodyBytes,
                       .isNeverRefused = true },
                     [this](const HttpRequest &request) { this->onMetricsRequest(request); }),
-      client(this->loop, {}), metrics(node.profile.label), settingsWatcher(node.settingsPath)
+      client(this->loop,
+             { .maxBodyBytes = internal::maxResponseBytes,
+               .maxOpenBodyBytes = internal::maxOpenResponseBytes }),
+      metrics(node.profile.label), settingsWatcher(node.settingsPath)
 {
     this->loop.memory().setLimits(this->context.connectionLimits());
     this->directory.setSeeds(this->context.seeds());
@@ -399,7 +405,7 @@
     const TimePoint now = this->loop.now();
     reportLoad(this->loadMeter, this->loop, this->relay, this->metrics, now);
     this->relay.tick(now);
-    this->client.failOverdueCalls(now);
+    this->client.tick(now);
     for (const StartOrder &order : this->startQueue.takeExpired(now))
         this->giveUp(order);
     this->node.tick(now);
@@ -504,7 +510,8 @@
                       [this, number = start.number, to = order.to,
                        run = order.run](const HttpCallResult &result) {
                           this->startQueue.finish(number);
-                                            const OrderResponse response
+                          this->logExcess(to, result);
+                          const OrderResponse response
                               = this->context.protocol.readOrderResponse(result);
                           if (response.status != OrderStatus::Done)
                               logEvent("start-not-done",
@@ -528,6 +535,7 @@
     call.timeout = internal::orderTimeout;
     call.usesNewConnection = order.usesNewConnection;
     this->client.send(call, [this, to = order.to, run = order.run](const HttpCallResult &result) {
+        this->logExcess(to, result);
         const OrderResponse response = this->context.protocol.readOrderResponse(result);
         logEvent("stop-sent",
                  { { "job", run.job },
@@ -550,6 +558,7 @@
     call.usesNewConnection = order.usesNewConnection;
     this->client.send(
         call, [this, to = order.to, sentAt = order.sentAt](const HttpCallResult &result) {
+            this->logExcess(to, result);
             const PollResponse response = this->context.protocol.readPollResponse(result);
             if (!response.isComplete)
                 this->refusalLog.record(to.target.str(), "unreadable row in the list of runs",
@@ -558,6 +567,12 @@
         });
 }
 
+void GatewayProcess::logExcess(const OrderAddress &from, const HttpCallResult &result)
+{
+    if (result.state == HttpCallState::TooLarge)
+        this->refusalLog.record(from.target.str(), "response over the limits", this->loop.now());
+}
+
 void GatewayProcess::respond(const JobOutcome &outcome)
 {
     for (const std::uint64_t token : outcome.callerTokens) {
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -50,6 +50,8 @@
     void send(const NumberedStart &start);
     void send(const StopOrder &order);
     void send(const PollOrder &order);
+    /** \brief Logs a response that was over the limits of the client. */
+    void logExcess(const OrderAddress &from, const HttpCallResult &result);
     void respond(const JobOutcome &outcome);
     void refuse(std::uint64_t token, int status, Duration retryAfter, const char *reason);
     void requestRules(TimePoint now);
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -1,4 +1,5 @@
 #include "relay.grpc.pb.h"
+#include "test/support/OwnAddress.h"
 
 #include <Hibiscus/Net>
 #include <grpcpp/grpcpp.h>
@@ -165,16 +166,6 @@
     expectRareReconnects<SlowHttpNode>(makeHttpTransport);
 }
 
-/** \returns an address of the loopback network that only this process uses: tests run in parallel.
- */
-Address ownAddress(std::uint16_t port)
-{
-    const auto pid = static_cast<std::uint32_t>(::getpid());
-    const std::uint32_t second = 64 + (pid >> 8U) % 128;
-    return { .host = "127." + std::to_string(second) + "." + std::to_string(pid & 255U) + ".1",
-             .port = port };
-}
-
 /** \brief A pair of relays on one event loop. */
 class RelayPair
 {
--- a/test/excess_process_test.py
+++ b/test/excess_process_test.py
@@ -209,6 +209,33 @@
         self.loop.run_until_complete(flood())
         self.check(MEMORY_MB, before)
 
+    def run_endless_answers(self, answer, piece):
+        self.start(SMALL)
+        targets = []
+        for i in range(8):
+            address = (f"127.{int(os.environ.get('NETWORK', '21')) + 3}.0.{i + 1}", 28080)
+            targets.append(EndlessTarget(address, answer, piece))
+            self.addCleanup(targets[-1].close)
+
+        async def announce():
+            for sequence in range(1, 5):
+                for i, target in enumerate(targets):
+                    host, port = target.listener.getsockname()
+                    await call(self.ip("gateway"), TARGETS_PORT, "POST",
+                               f"/api/instances/i-endless-{i}/heartbeat",
+                               heartbeat(f"i-endless-{i}", f"{host}:{port}", sequence))
+                await asyncio.sleep(1)
+            await self.answer_ordinary_requests("beside the targets")
+
+        self.loop.run_until_complete(announce())
+        self.check(MEMORY_MB)
+
+    def test_targets_with_endless_bodies(self):
+        self.run_endless_answers(b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n", b" " * 1_000_000)
+
+    def test_targets_with_endless_headers(self):
+        self.run_endless_answers(b"HTTP/1.1 200 OK\r\nx-filler: ", b"x" * 1_000_000)
+
 
 if __name__ == "__main__":
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
