Targets that nobody has: limit those that have not responded

Callers saw: memory that goes with the number of invented names in heartbeats. Cause: a gateway kept a driver, a pool of connections with a timer, and a line in each report to its peers for every name for 3 s, the pool for good; a registry node remembered each assignment for good. What was freed stayed with the allocator. Change: of the targets that have not responded a gateway keeps 256, dropping the oldest, and tells nobody of them; a target that exists responds within a round trip. HttpClient keeps 1,024 pools, and disposes of unused ones; assignments expire. Free memory over 8 MB goes back to the system within 2 s. Lines on targets that may not exist are limited. TwoNodesThatTakeATargetOverAtOnceHaveDifferentTokens reads the token in the first poll, as there is no report yet.

--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -33,6 +33,11 @@
         this->recordRestart(driver, now);
         return;
     }
+    if (this->drivers.size() >= this->options.maxTargets) {
+        ++this->counts.droppedTargets;
+        return;
+    }
+    this->limitUnansweredTargets();
     const auto [added, isNew] = this->drivers.try_emplace(target.name, this->options.driver, target,
                                                           this->newToken(now), now);
     HIBISCUS_INVARIANT(isNew, "a target has one driver");
@@ -41,6 +46,34 @@
     added->second.tick(now, this->out);
 }
 
+// A target that exists responds within a round trip, so of those that haven't the oldest is the
+// least likely to exist.
+void FleetOwner::limitUnansweredTargets()
+{
+    std::size_t count = 0;
+    const TargetDriver *oldest = nullptr;
+    for (const auto &[name, driver] : this->drivers) {
+        if (driver.isKnownToExist())
+            continue;
+        ++count;
+        if (oldest == nullptr || driver.lastContactAt() < oldest->lastContactAt())
+            oldest = &driver;
+    }
+    if (count < this->options.maxUnansweredTargets)
+        return;
+    ++this->counts.droppedTargets;
+    this->recordChange(*oldest, "dropped");
+    const TargetName name = oldest->target().name;
+    this->forgetTarget(name);
+    this->drivers.erase(name);
+}
+
+void FleetOwner::forgetTarget(const TargetName &target)
+{
+    this->runTimes.remove(target);
+    this->evacuatedTargets.removeTarget(target);
+}
+
 std::uint64_t FleetOwner::newToken(TimePoint now) const
 {
     return FencingToken::at(now, this->options.tokenTag);
@@ -310,7 +343,9 @@
 OwnerReport FleetOwner::report(TimePoint now) const
 {
     OwnerReport report;
-    for (const auto &[name, driver] : this->drivers)
+    for (const auto &[name, driver] : this->drivers) {
+        if (!driver.isKnownToExist())
+            continue;
         report.targets.push_back(
             { .name = name,
               .incarnation = driver.target().incarnation,
@@ -324,6 +359,7 @@
               .isWithheld = driver.acceptsWork(now)
                   && this->evacuatedTargets.isEvacuated(driver.target().domain),
               .isReconciled = driver.isReconciled() });
+    }
     for (const auto &[name, run] : this->runs) {
         if (run.stage != Stage::Queued)
             continue;
@@ -386,7 +422,8 @@
 {
     std::vector<DrivenTarget> targets;
     for (const auto &[name, driver] : this->drivers)
-        targets.push_back(driver.describe(now));
+        if (driver.isKnownToExist())
+            targets.push_back(driver.describe(now));
     return targets;
 }
 
@@ -529,7 +566,8 @@
     this->changes.push_back({ .target = driver.target().name,
                               .incarnation = driver.target().incarnation,
                               .fencingToken = driver.fencingToken(),
-                              .change = std::move(change) });
+                              .change = std::move(change),
+                              .isKnownToExist = driver.isKnownToExist() });
 }
 
 void FleetOwner::recordAttempt(const HeldRun &run, const TargetDriver &driver,
@@ -661,8 +699,7 @@
         if (reason == "released")
             this->recordReleased(driver);
         this->recordChange(driver, reason);
-        this->runTimes.remove(item->first);
-        this->evacuatedTargets.removeTarget(item->first);
+        this->forgetTarget(item->first);
         this->endRunsAsUnknown(driver, now);
         item = this->drivers.erase(item);
     }
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -25,6 +25,15 @@
     Duration targetSilenceTimeout = 10s;
     /** \brief A target with heartbeats but no responses is removed after it. */
     Duration unreachableTimeout = 3s;
+    /** \brief Limit of the targets that have sent heartbeats but no response yet, which anybody can
+     * invent: more than start in the failure domain of a gateway within a round trip. The one that
+     * was taken over first is dropped for another.
+     */
+    std::size_t maxUnansweredTargets = 256;
+    /** \brief Limit of all targets of an owner: several times those of the largest documented
+     * system.
+     */
+    std::size_t maxTargets = 8'192;
     /** \brief Factor on the expected run time after which a run is stopped, to be started
      * elsewhere: its target has become slow or has stalled.
      */
@@ -90,6 +99,8 @@
     std::uint64_t stopped = 0;
     std::uint64_t lost = 0;
     std::uint64_t adoptedTargets = 0; ///< targets taken over
+    std::uint64_t droppedTargets
+        = 0; ///< targets dropped, or not taken over, as there were too many
     std::uint64_t stragglers = 0; ///< runs stopped for taking too long
     std::uint64_t hopeless = 0; ///< runs stopped, since they could not meet their deadline
     std::uint64_t packed = 0; ///< starts for which packing chose another target
@@ -106,6 +117,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t fencingToken = 0;
     std::string change; ///< such as "adopted", "settled", "fenced", "over", "released"
+    bool isKnownToExist = false; ///< whether the target has ever responded to this owner
 
     auto operator<=>(const TargetChange &other) const = default;
 };
@@ -301,6 +313,9 @@
     void recordAttempt(const HeldRun &run, const TargetDriver &driver,
                        const std::optional<ObservedRunEnd> &end, TimePoint now);
     TargetDriver *findDriver(const OrderAddress &from);
+    /** \brief Drops a target that may not exist if there are too many of these. */
+    void limitUnansweredTargets();
+    void forgetTarget(const TargetName &target);
     std::uint64_t newToken(TimePoint now) const;
     void recordRestart(TargetDriver &driver, TimePoint now);
     TargetDriver *selectTarget(const HeldRun &run, TimePoint validUntil, TimePoint now);
--- a/Hibiscus/src/Fleet/OwnerAssignment.cpp
+++ b/Hibiscus/src/Fleet/OwnerAssignment.cpp
@@ -6,11 +6,29 @@
 
 namespace Hibiscus {
 
+// Anybody can announce targets. A target whose assignments are forgotten may be assigned once more
+// to a gateway that it did not reach.
+void OwnerAssignment::limitAssignments(TimePoint now)
+{
+    const bool isFull = this->assignments.size() >= this->options.maxTargets;
+    if (!isFull && now < this->limitedAt + this->options.retryWindow)
+        return;
+    this->limitedAt = now;
+    std::erase_if(this->assignments, [&](const auto &item) {
+        return std::ranges::all_of(item.second, [&](const Assignment &assignment) {
+            return now >= assignment.assignedAt + this->options.retryWindow;
+        });
+    });
+    if (this->assignments.size() >= this->options.maxTargets)
+        this->assignments.clear();
+}
+
 std::optional<NodeRecord> OwnerAssignment::assign(const TargetName &target,
                                                   const DomainName &domain,
                                                   const std::vector<NodeRecord> &gateways,
                                                   TimePoint now)
 {
+    this->limitAssignments(now);
     std::vector<Assignment> &recent = this->assignments[target];
     std::erase_if(recent, [&](const Assignment &assignment) {
         return now >= assignment.assignedAt + this->options.retryWindow;
--- a/Hibiscus/src/Fleet/OwnerAssignment.h
+++ b/Hibiscus/src/Fleet/OwnerAssignment.h
@@ -14,6 +14,10 @@
      * heartbeat intervals.
      */
     Duration retryWindow = 8s;
+    /** \brief Limit of the targets whose assignments are remembered: many times those of the
+     * largest documented system.
+     */
+    std::size_t maxTargets = 16'384;
 };
 
 /** \brief Assigns gateways to targets that have no owner, on a registry node. */
@@ -29,6 +33,9 @@
     std::optional<NodeRecord> assign(const TargetName &target, const DomainName &domain,
                                      const std::vector<NodeRecord> &gateways, TimePoint now);
 
+    /** \returns the number of targets whose assignments are remembered. */
+    std::size_t rememberedTargets() const { return this->assignments.size(); }
+
 private:
     struct Assignment
     {
@@ -36,8 +43,12 @@
         TimePoint assignedAt;
     };
 
+    /** \brief Forgets old assignments, and all if there are still too many. */
+    void limitAssignments(TimePoint now);
+
     OwnerAssignmentOptions options;
     std::map<TargetName, std::vector<Assignment>> assignments;
+    TimePoint limitedAt;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -200,6 +200,13 @@
     TimePoint lastSeenAt() const { return std::max(this->heartbeatAt, this->lastResponseAt); }
     /** \returns the time of the last response, or of the take-over if there was none. */
     TimePoint lastContactAt() const { return std::max(this->takenOverAt, this->lastResponseAt); }
+    /** \returns whether the target has responded since its take-over, or may have a run. One that
+     * hasn't may not exist.
+     */
+    bool isKnownToExist() const
+    {
+        return this->lastResponseAt != TimePoint() || !this->runs.empty();
+    }
     std::size_t runCount() const { return this->runs.size(); }
     bool hasRun(const RunName &run) const { return this->runs.contains(run); }
     /** \returns the send time of the last poll that listed \a run as running, if any. */
--- a/Hibiscus/src/Net/EventLoop.cpp
+++ b/Hibiscus/src/Net/EventLoop.cpp
@@ -18,6 +18,21 @@
                                                 + std::chrono::nanoseconds(time.tv_nsec));
 }
 
+/** \brief Free memory that the allocator may keep: some hundreds of ordinary requests. */
+constexpr std::size_t maxKeptBytes = 8'000'000;
+/** \brief Interval of checks of the memory that the allocator keeps, whose cost grows with it. */
+constexpr Duration keptMemoryInterval = 2s;
+
+/** \returns the free memory that the allocator has not returned to the system. */
+static std::size_t keptMemory()
+{
+#ifdef __GLIBC__
+    return ::mallinfo2().fordblks;
+#else
+    return 0;
+#endif
+}
+
 /** \brief Returns free memory to the system: the allocator keeps what many connections freed. */
 static void releaseFreeMemory()
 {
@@ -69,7 +84,7 @@
             nextTickAt = now + interval;
             onTick();
             this->memoryBudget.tick(now);
-            if (this->memoryBudget.takeRelease(now))
+            if (this->memoryBudget.takeRelease(now) || this->keepsExcessMemory(now))
                 internal::releaseFreeMemory();
         }
         afterIteration();
@@ -79,6 +94,15 @@
     }
 }
 
+// What clients make the process do takes memory that no connection is charged with.
+bool EventLoop::keepsExcessMemory(TimePoint now)
+{
+    if (now < this->keptMemoryCheckedAt + internal::keptMemoryInterval)
+        return false;
+    this->keptMemoryCheckedAt = now;
+    return internal::keptMemory() > internal::maxKeptBytes;
+}
+
 std::int32_t EventLoop::waitMilliseconds(TimePoint nextTickAt)
 {
     {
--- a/Hibiscus/src/Net/EventLoop.h
+++ b/Hibiscus/src/Net/EventLoop.h
@@ -56,6 +56,8 @@
 
     static void onMessages(h2o_multithread_receiver_t *receiver, h2o_linklist_t *messages);
     void runPostedCallbacks();
+    /** \returns whether the allocator keeps much free memory; checks it each few seconds. */
+    bool keepsExcessMemory(TimePoint now);
     /** \returns the time to wait for events: until \a nextTickAt, or 0 if callbacks are posted. */
     std::int32_t waitMilliseconds(TimePoint nextTickAt);
 
@@ -69,6 +71,7 @@
     Duration startBootTime {};
     Duration latestTickDelay {};
     MemoryBudget memoryBudget;
+    TimePoint keptMemoryCheckedAt;
     bool isRunning = false;
 };
 
--- a/Hibiscus/src/Net/HttpClient.cpp
+++ b/Hibiscus/src/Net/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "Hibiscus/src/Net/HttpClient.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -9,6 +10,8 @@
 
 /** \brief Limit of the headers of a response; those of targets and nodes are a small part. */
 constexpr std::size_t maxHeadBytes = 65'536;
+/** \brief Interval of checks for unused pools. */
+constexpr Duration poolCheckInterval = 1s;
 
 static std::string serializeRequest(const HttpCall &call)
 {
@@ -24,6 +27,20 @@
 
 } // namespace internal
 
+HttpClient::Pool::Pool(EventLoop &loop, const Address &server, const Options &options)
+{
+    sockaddr_in address = server.native();
+    h2o_socketpool_init_by_address(&this->native, reinterpret_cast<sockaddr *>(&address),
+                                   sizeof(address), 0, options.connectionsPerServer);
+    h2o_socketpool_set_timeout(&this->native, loop.native(),
+                               static_cast<std::uint64_t>(toMilliseconds(options.idleTimeout)));
+}
+
+HttpClient::Pool::~Pool()
+{
+    h2o_socketpool_dispose(&this->native);
+}
+
 HttpClient::HttpClient(EventLoop &loop, const Options &options)
     : loop(loop), options(options), queue(h2o_multithread_create_queue(loop.native()))
 {
@@ -57,13 +74,15 @@
     if (call.timeout > Duration())
         this->deadlines.emplace(this->loop.now() + call.timeout, number);
     this->exchanges[number] = std::move(owned);
-    if (call.usesNewConnection) {
+    if (!call.usesNewConnection)
+        exchange->pool = this->poolFor(call.address);
+    if (!exchange->pool) {
         const h2o_iovec_t host = h2o_iovec_init(call.address.host.data(), call.address.host.size());
         h2o_http1client_connect(&exchange->native, exchange, &this->context, host,
                                 call.address.port, 0, onConnect);
     } else {
         h2o_http1client_connect_with_pool(&exchange->native, exchange, &this->context,
-                                          this->poolFor(call.address), onConnect);
+                                          &exchange->pool->native, onConnect);
     }
     return number;
 }
@@ -83,6 +102,7 @@
 {
     this->failOverdueCalls(now);
     this->failExcessiveHeads();
+    this->removeUnusedPools(now);
 }
 
 void HttpClient::failOverdueCalls(TimePoint now)
@@ -116,6 +136,28 @@
     }
 }
 
+// Each pool has a timer of its own, which the event loop visits in each iteration.
+void HttpClient::removeUnusedPools(TimePoint now)
+{
+    if (now < this->poolsCheckedAt + internal::poolCheckInterval)
+        return;
+    this->poolsCheckedAt = now;
+    std::erase_if(this->pools, [&](const auto &item) {
+        return !isInUse(item.second) && now >= item.second->usedAt + this->options.idleTimeout;
+    });
+}
+
+void HttpClient::removeOldestPool()
+{
+    auto oldest = this->pools.end();
+    for (auto item = this->pools.begin(); item != this->pools.end(); ++item)
+        if (!isInUse(item->second)
+            && (oldest == this->pools.end() || item->second->usedAt < oldest->second->usedAt))
+            oldest = item;
+    if (oldest != this->pools.end())
+        this->pools.erase(oldest);
+}
+
 bool HttpClient::wasSent(std::uint64_t number) const
 {
     const auto found = this->exchanges.find(number);
@@ -199,24 +241,27 @@
     if (state == HttpCallState::TooLarge)
         result.body = {};
     const ResultHandler onResult = std::move(exchange->onResult);
+    // h2o returns the connection to its pool after its callback.
+    const std::shared_ptr<Pool> pool = std::move(exchange->pool);
     owner->exchanges.erase(exchange->number);
     // The handler may start another call, so it runs outside of h2o's callback.
-    owner->loop.post([onResult, result] { onResult(result); });
-}
-
-h2o_socketpool_t *HttpClient::poolFor(const Address &address)
-{
-    std::unique_ptr<h2o_socketpool_t> &pool = this->pools[address];
-    if (pool)
-        return pool.get();
-    pool = std::make_unique<h2o_socketpool_t>();
-    sockaddr_in native = address.native();
-    h2o_socketpool_init_by_address(pool.get(), reinterpret_cast<sockaddr *>(&native),
-                                   sizeof(native), 0, this->options.connectionsPerServer);
-    h2o_socketpool_set_timeout(
-        pool.get(), this->loop.native(),
-        static_cast<std::uint64_t>(toMilliseconds(this->options.idleTimeout)));
-    return pool.get();
+    owner->loop.post([onResult, result, pool] { onResult(result); });
+}
+
+std::shared_ptr<HttpClient::Pool> HttpClient::poolFor(const Address &address)
+{
+    auto found = this->pools.find(address);
+    if (found == this->pools.end()) {
+        if (this->pools.size() >= this->options.maxServers)
+            this->removeOldestPool();
+        if (this->pools.size() >= this->options.maxServers)
+            return nullptr;
+        found = this->pools
+                    .emplace(address, std::make_shared<Pool>(this->loop, address, this->options))
+                    .first;
+    }
+    found->second->usedAt = this->loop.now();
+    return found->second;
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Net/HttpClient.h
+++ b/Hibiscus/src/Net/HttpClient.h
@@ -50,6 +50,10 @@
         Duration idleTimeout = 60s; ///< for a pooled connection, and for a call without a response
         std::size_t maxBodyBytes = 24'000'000; ///< limit of the body of a response
         std::size_t maxOpenBodyBytes = 96'000'000; ///< of all bodies that have arrived in part
+        /** \brief Limit of the servers with a pool. For another one the pool that has not been used
+         * for longest is removed; if all are in use, its connections are not kept.
+         */
+        std::size_t maxServers = 1'024;
     };
 
     HttpClient(EventLoop &loop, const Options &options);
@@ -65,15 +69,29 @@
     /** \brief Aborts a call in progress: closes its connection and reports no result. */
     void cancel(std::uint64_t number);
     /** \brief Fails the calls whose timeout has expired, or whose response has headers without an
-     * end; must be called every few milliseconds.
+     * end, and removes unused pools; must be called every few milliseconds.
      */
     void tick(TimePoint now);
 
     // Queries.
     /** \returns whether the call \a number is in progress and has a connection. */
     bool wasSent(std::uint64_t number) const;
+    /** \returns the number of servers with a pool of connections. */
+    std::size_t serverCount() const { return this->pools.size(); }
 
 private:
+    /** \brief Open connections to one server; calls in progress share it. */
+    struct Pool
+    {
+        Pool(EventLoop &loop, const Address &server, const Options &options);
+        ~Pool();
+        Pool(const Pool &) = delete;
+        Pool &operator=(const Pool &) = delete;
+
+        h2o_socketpool_t native = {};
+        TimePoint usedAt; ///< time of the latest call
+    };
+
     struct Exchange
     {
         HttpClient *owner = nullptr;
@@ -83,6 +101,7 @@
         HttpCallResult result;
         ResultHandler onResult;
         h2o_http1client_t *native = nullptr;
+        std::shared_ptr<Pool> pool; ///< null if the call uses a new connection
         bool wasSent = false;
         bool hasHead = false; ///< the headers of the response have arrived
     };
@@ -97,12 +116,18 @@
     static int onBody(h2o_http1client_t *client, const char *error);
     static void finish(Exchange *exchange, HttpCallState state);
 
+    /** \returns whether a call is in progress over \a pool. */
+    static bool isInUse(const std::shared_ptr<Pool> &pool) { return pool.use_count() > 1; }
     /** \returns whether \a bytes more of the response are within the limits. */
     bool acceptsBody(const Exchange &exchange, std::size_t bytes) const;
     void release(const Exchange &exchange);
     void failOverdueCalls(TimePoint now);
     void failExcessiveHeads();
-    h2o_socketpool_t *poolFor(const Address &address);
+    void removeUnusedPools(TimePoint now);
+    /** \returns the pool of a server, or null if there are too many. */
+    std::shared_ptr<Pool> poolFor(const Address &address);
+    /** \brief Removes the pool that has not been used for longest, unless all are in use. */
+    void removeOldestPool();
 
     EventLoop &loop;
     Options options;
@@ -110,8 +135,9 @@
     h2o_multithread_queue_t *queue;
     h2o_multithread_receiver_t receiver;
     h2o_http1client_ctx_t context;
-    std::map<Address, std::unique_ptr<h2o_socketpool_t>> pools;
+    std::map<Address, std::shared_ptr<Pool>> pools;
     std::size_t openBodyBytes = 0; ///< of the responses that have arrived in part
+    TimePoint poolsCheckedAt;
     std::map<std::uint64_t, std::unique_ptr<Exchange>> exchanges;
     std::multimap<TimePoint, std::uint64_t> deadlines;
     std::uint64_t nextNumber = 1;
--- a/Hibiscus/src/Process/FleetLog.cpp
+++ b/Hibiscus/src/Process/FleetLog.cpp
@@ -57,13 +57,19 @@
                { "until_deadline_ms", milliseconds(record.untilDeadline) } });
 }
 
-static void logTargets(const FleetOutbox &out)
+// Anybody can announce targets that don't exist, which costs a line for each.
+static void logTargets(const FleetOutbox &out, LineLimit &unansweredLines, TimePoint now)
 {
-    for (const TargetChange &change : out.targetChanges)
+    for (const TargetChange &change : out.targetChanges) {
+        if (!change.isKnownToExist && !unansweredLines.take(now))
+            continue;
+        const std::uint64_t omitted = change.isKnownToExist ? 0 : unansweredLines.takeOmitted();
         logEvent("target-" + change.change,
                  { { "target", change.target.str() },
                    { "life", std::to_string(change.incarnation) },
-                   { "fencing_token", std::to_string(change.fencingToken) } });
+                   { "fencing_token", std::to_string(change.fencingToken) },
+                   { "omitted", std::to_string(omitted) } });
+    }
     for (const TargetStateRecord &record : out.targetStates)
         logEvent("target-" + record.event,
                  { { "target", record.target.str() },
@@ -76,9 +82,9 @@
 
 } // namespace internal
 
-void logDecisions(const FleetOutbox &out)
+void logDecisions(const FleetOutbox &out, LineLimit &unansweredLines, TimePoint now)
 {
-    internal::logTargets(out);
+    internal::logTargets(out, unansweredLines, now);
     for (const UnsuccessfulRun &run : out.unsuccessfulRuns)
         logEvent("run-ended",
                  { { "job", run.end.run.job },
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -444,7 +444,7 @@
         this->relay.send(item.to, item.message);
     for (const JobOutcome &outcome : out.outcomes)
         this->respond(outcome);
-    logDecisions(out);
+    logDecisions(out, this->unansweredTargetLines, this->loop.now());
     for (const JobHold &hold : out.holds)
         this->announce(hold);
     for (const NodeName &peer : out.idlePeers)
@@ -773,6 +773,9 @@
     count("hibiscus_runs_stopped_total", "Runs stopped on request.", owner.stopped);
     count("hibiscus_runs_lost_total", "Runs lost with a target or its lease.", owner.lost);
     count("hibiscus_targets_adopted_total", "Targets taken over.", owner.adoptedTargets);
+    count("hibiscus_targets_dropped_total",
+          "Targets dropped, or not taken over, as too many had not responded.",
+          owner.droppedTargets);
     count("hibiscus_targets_fenced_total", "Targets lost to another owner.", owner.fencedTargets);
     count("hibiscus_targets_regained_total", "Targets kept after a guardian had fenced them.",
           owner.regainedTargets);
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -89,6 +89,7 @@
     RefusalLog refusalLog;
     LineLimit refusalLines;
     LineLimit departureLines;
+    LineLimit unansweredTargetLines;
     std::set<NodeName> refusedOffers; ///< nodes whose refused offer of rules was logged
     std::optional<Evacuations> evacuationsInForce;
     TimePoint stopRequestedAt;
--- a/Hibiscus/src/Process/RegistryProcess.cpp
+++ b/Hibiscus/src/Process/RegistryProcess.cpp
@@ -298,12 +298,14 @@
     }
     const auto owner = this->ownerAssignment.assign(heartbeat.target.name, heartbeat.target.domain,
                                                     liveGateways, now);
-    logEvent("target-assigned",
-             { { "target", heartbeat.target.name.str() },
-               { "life", std::to_string(heartbeat.target.incarnation) },
-               { "sequence", std::to_string(heartbeat.target.sequence) },
-               { "owner", owner ? owner->label : "" },
-               { "live_gateways", std::to_string(liveGateways.size()) } });
+    if (this->assignmentLines.take(now))
+        logEvent("target-assigned",
+                 { { "target", heartbeat.target.name.str() },
+                   { "life", std::to_string(heartbeat.target.incarnation) },
+                   { "sequence", std::to_string(heartbeat.target.sequence) },
+                   { "owner", owner ? owner->label : "" },
+                   { "live_gateways", std::to_string(liveGateways.size()) },
+                   { "omitted", std::to_string(this->assignmentLines.takeOmitted()) } });
     if (owner)
         this->relay.send(owner->node, heartbeat);
     this->http.respond(token,
--- a/Hibiscus/src/Process/RegistryProcess.h
+++ b/Hibiscus/src/Process/RegistryProcess.h
@@ -70,6 +70,7 @@
     LineLimit refusalLines;
     LineLimit evacuationLines;
     LineLimit departureLines;
+    LineLimit assignmentLines;
 };
 
 } // namespace Hibiscus
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -350,10 +350,66 @@
         target.name = TargetName("t");
         target.incarnation = 1;
         node.handleHeartbeat({ .target = target }, now);
-        return node.owner().report(now).targets.at(0).fencingToken;
+        return std::get<PollOrder>(node.flush(now).orders.at(0)).to.fencingToken;
     };
     EXPECT_NE(tokenOf("10.1.0.4:7100"), tokenOf("10.1.0.5:7100"));
     EXPECT_LT(tokenOf("10.1.0.4:7100"), 1ULL << 53U) << "not exact as a JSON number";
 }
 
+LeasedTarget targetNamed(const std::string &name)
+{
+    LeasedTarget target;
+    target.name = TargetName(name);
+    target.incarnation = 1;
+    target.service = ServiceName("s");
+    target.capacity = { .cpu = 64'000 };
+    target.sequence = 1;
+    return target;
+}
+
+// Anybody can send a heartbeat with an invented name.
+TEST(FleetOwner, TargetsThatNeverRespondDoNotTakeThePlaceOfOthers)
+{
+    OwnerFixture fixture;
+    const std::size_t limit = FleetOwnerOptions {}.maxUnansweredTargets;
+    for (std::size_t i = 0; i < 3 * limit; ++i) {
+        fixture.now += 1ms;
+        fixture.owner.updateTarget(targetNamed("none-" + std::to_string(i)), fixture.now);
+    }
+    EXPECT_EQ(fixture.owner.targetNames().size(), limit + 1);
+    EXPECT_TRUE(fixture.owner.ownsTarget(TargetName("t"))) << "it has responded";
+    EXPECT_FALSE(fixture.owner.ownsTarget(TargetName("none-0"))) << "the oldest is dropped first";
+    EXPECT_EQ(fixture.owner.counters().droppedTargets, 2 * limit);
+    EXPECT_EQ(fixture.owner.report(fixture.now).targets.size(), 1U);
+    EXPECT_EQ(fixture.owner.drivenTargets(fixture.now).size(), 1U);
+}
+
+TEST(FleetOwner, AFullOwnerTakesNoFurtherTarget)
+{
+    FleetOwner owner({ .maxTargets = 2 });
+    const TimePoint now(1'800'000'000s);
+    for (const char *name : { "a", "b", "c" })
+        owner.updateTarget(targetNamed(name), now);
+    EXPECT_EQ(owner.targetNames(), (std::vector { TargetName("a"), TargetName("b") }));
+}
+
+TEST(OwnerAssignment, RemembersABoundedNumberOfTargets)
+{
+    OwnerAssignment assignment({ .retryWindow = 8s, .maxTargets = 100 });
+    TimePoint now(1'800'000'000s);
+    const std::vector<NodeRecord> gateways
+        = { { .node = NodeName("a") }, { .node = NodeName("b") } };
+    const auto assign = [&](const std::string &name) {
+        return assignment.assign(TargetName(name), DomainName("d"), gateways, now);
+    };
+    for (int i = 0; i < 1'000; ++i) {
+        EXPECT_TRUE(assign("none-" + std::to_string(i)));
+        EXPECT_LE(assignment.rememberedTargets(), 100U);
+    }
+    now += 8s;
+    const auto first = assign("t");
+    EXPECT_EQ(assignment.rememberedTargets(), 1U) << "the others have not asked again";
+    EXPECT_NE(assign("t"), first) << "it did not reach the first one";
+}
+
 } // namespace
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -77,4 +77,24 @@
     }
 }
 
+// Anybody can name servers to the process, as the addresses of targets.
+TEST(HttpClient, PoolsOfServersThatAreNotInUseAreRemoved)
+{
+    ClientFixture fixture({ .maxServers = 10 });
+    ASSERT_TRUE(fixture.server.listen());
+    std::size_t notSent = 0;
+    for (int i = 0; i < 100; ++i)
+        fixture.client.send(
+            { .address = *Address::parse("127.0.1." + std::to_string(i + 1) + ":9") },
+            [&](const HttpCallResult &result) {
+                notSent += result.state == HttpCallState::NotSent ? 1 : 0;
+            });
+    fixture.run(1200ms);
+    EXPECT_EQ(notSent, 100U);
+    EXPECT_LE(fixture.client.serverCount(), 10U);
+    fixture.get(100);
+    fixture.run(1200ms);
+    EXPECT_EQ(fixture.results[100].state, HttpCallState::Answered);
+}
+
 } // namespace
--- a/test/excess_process_test.py
+++ b/test/excess_process_test.py
@@ -180,6 +180,29 @@
         self.loop.run_until_complete(one_by_one())
         self.check(LARGE_CROWD_MB)
 
+    def run_heartbeats(self, role, port):
+        self.start(SMALL)
+        before = self.memory_before()
+        # Nobody listens there.
+        bodies = [json.dumps(heartbeat(f"i-none-{i}", f"127.{i % 90 + 100}.{i // 90 % 200}.1:9")).encode()
+                  for i in range(40_000)]
+        requests = [request("POST", f"/api/instances/i-none-{i}/heartbeat", body)
+                    for i, body in enumerate(bodies)]
+
+        async def flood():
+            await asyncio.get_running_loop().run_in_executor(
+                None, send_many, (self.ip(role), port), requests)
+            await self.answer_ordinary_requests("after the heartbeats")
+
+        self.loop.run_until_complete(flood())
+        self.check(MEMORY_MB, before)
+
+    def test_targets_that_nobody_has_at_a_gateway(self):
+        self.run_heartbeats("gateway", TARGETS_PORT)
+
+    def test_targets_that_nobody_has_at_a_registry_node(self):
+        self.run_heartbeats("registry", CONTROL_PORT)
+
     def test_heartbeats_with_very_many_labels(self):
         self.start(SMALL)
         requests = []
