--- a/test/excess_process_test.py
+++ b/test/excess_process_test.py
@@ -259,6 +259,78 @@
     def test_targets_with_endless_headers(self):
         self.run_endless_answers(b"HTTP/1.1 200 OK\r\nx-filler: ", b"x" * 1_000_000)
 
+    def test_every_descriptor_in_use(self):
+        """Each process has no more descriptors than its settings say, and the crowds want more."""
+        self.start(SMALL)
+        for name in self.fleet.names():
+            resource.prlimit(self.fleet.process(name).pid, resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+        gateway, registry = self.ip("gateway"), self.ip("registry")
+        ports = [(gateway, port) for port in (CALLER_PORT, TARGETS_PORT, READY_PORT, PEER_PORT, METRICS_PORT)]
+        ports += [(registry, port) for port in (CONTROL_PORT, PEER_PORT, METRICS_PORT)]
+        crowd = Crowd([Client(address, b"") for address in ports for _ in range(MAX_FDS)])
+
+        async def crowded():
+            await asyncio.get_running_loop().run_in_executor(None, crowd.send)
+            await self.replace_rules(2)
+            await self.answer_ordinary_requests("beside the crowd")
+            crowd.leave()
+            await self.replace_rules(3)
+            await self.answer_ordinary_requests("after the crowd")
+
+        self.loop.run_until_complete(crowded())
+        self.check(MEMORY_MB)
+
+    async def replace_rules(self, version):
+        """Changes the configuration until the change is acknowledged and in force at the gateway."""
+        body = rules(version, 1500)
+        route = body["routes"][0]
+        body["routes"].append({**route, "name": "added", "path_prefix": f"/added-{version}/"})
+        deadline = time.monotonic() + PATIENCE_S
+        for what, ip, port, method, path, content in (
+                ("change", self.ip("registry"), CONTROL_PORT, "POST", "/api/config/replace", body),
+                ("added route", self.ip("gateway"), CALLER_PORT, "GET", f"/added-{version}/", None)):
+            while (status := await self.ask(ip, port, method, path, content)) != 200:
+                self.assertLess(time.monotonic(), deadline, f"{what}: {status}")
+                await asyncio.sleep(0.1)
+
+    def run_returning_crowd(self, start, filler):
+        """64 clients, each of which connects again as soon as its connection ends, for 5 s."""
+        self.start(SMALL)
+        before = self.memory_before()
+        address = (self.ip("gateway"), CALLER_PORT)
+        until = time.monotonic() + 5
+
+        def come_back():
+            while time.monotonic() < until:
+                try:
+                    with socket.create_connection(address, 5) as connection:
+                        connection.settimeout(1)
+                        connection.sendall(start)
+                        connection.sendall(filler)
+                        connection.recv(1)
+                except OSError:
+                    pass
+
+        async def crowded():
+            loop = asyncio.get_running_loop()
+            threads = [threading.Thread(target=come_back) for _ in range(64)]
+            for thread in threads:
+                thread.start()
+            await self.answer_ordinary_requests("beside the crowd")
+            for thread in threads:
+                await loop.run_in_executor(None, thread.join)
+            await self.answer_ordinary_requests("after the crowd")
+
+        self.loop.run_until_complete(crowded())
+        self.check(MEMORY_MB, before)
+
+    def test_a_crowd_that_comes_back(self):
+        path = PREFIX + "00000000000000aa"
+        self.run_returning_crowd(head("POST", path, "content-length: 250000"), b" " * 249_999)
+
+    def test_connections_that_are_closed_at_once(self):
+        self.run_returning_crowd(b"GARBAGE\r\n\r\n", b"")
+
 
 if __name__ == "__main__":
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
