Gateway: stops of a wide job wait for each other

Callers saw: a gateway with far more open descriptors than it may have when the callers of wide jobs leave. Cause: each run was stopped at once, over a connection of its own. Evidence: test_stops_of_many_tasks_at_once (two jobs of 2,000 tasks, max_fds 800, bound 600) on: 2,052 descriptors. Why it works: a target gets its next stop when it has answered one. Also: the times of this file's other tests are those of the route, as their comments now say; no bound is changed.

--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -439,6 +439,7 @@
         this->context.raiseIncarnation(*out.raisedIncarnation);
     for (const TargetOrder &order : out.orders)
         std::visit([this](const auto &item) { this->process(item); }, order);
+    this->sendStops();
     this->sendStarts();
     for (const AddressedFleetMessage &item : out.messages)
         this->relay.send(item.to, item.message);
@@ -479,7 +480,7 @@
     if (start && start->to.incarnation == order.to.incarnation)
         this->giveUp(*start);
     else
-        this->send(order);
+        this->stopQueue.add(order);
 }
 
 void GatewayProcess::process(const PollOrder &order)
@@ -487,6 +488,12 @@
     this->send(order);
 }
 
+void GatewayProcess::sendStops()
+{
+    for (const StopOrder &order : this->stopQueue.takeSendable())
+        this->send(order);
+}
+
 void GatewayProcess::sendStarts()
 {
     for (const NumberedStart &start : this->startQueue.takeSendable())
@@ -535,6 +542,7 @@
     call.timeout = internal::orderTimeout;
     call.usesNewConnection = order.usesNewConnection;
     this->client.send(call, [this, to = order.to, run = order.run](const HttpCallResult &result) {
+        this->stopQueue.finish(to.target);
         this->logExcess(to, result);
         const OrderResponse response = this->context.protocol.readOrderResponse(result);
         logEvent("stop-sent",
@@ -548,6 +556,7 @@
                    { "status", std::to_string(result.status) },
                    { "verdict", toString(response.status) } });
         this->node.handleStopResponse(to, run, response, this->loop.now());
+        this->sendStops();
     });
 }
 
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -44,6 +44,7 @@
     void process(const StartOrder &order);
     void process(const StopOrder &order);
     void process(const PollOrder &order);
+    void sendStops();
     void sendStarts();
     /** \brief Ends a start that was not sent. */
     void giveUp(const StartOrder &order);
@@ -85,6 +86,7 @@
     std::map<std::string, std::uint64_t> refusalCounts; ///< number of refused requests by reason
     CancelRounds cancelRounds { {} };
     StartQueue startQueue { {} };
+    StopQueue stopQueue { {} };
     std::uint64_t startsGivenUp = 0;
     RefusalLog refusalLog;
     LineLimit refusalLines;
--- a/test/excess_process_test.py
+++ b/test/excess_process_test.py
@@ -20,14 +20,14 @@
 
 from limits_process_test import (
     CALLER_PORT, CONTROL_PORT, HOST, KEPT_MB, LARGE_CROWD_MB, MAX_FDS, MEMORY_MB, METRICS_PORT,
-    PATIENCE_S, PEER_PORT, PREFIX, READY_PORT, SMALLEST_VM, TARGETS_PORT, Client, Crowd, FleetCase,
+    PATIENCE_S, PEER_PORT, PREFIX, READY_PORT, RESERVED_FDS, SMALLEST_VM, TARGETS_PORT, Client, Crowd, FleetCase,
     head)
 from loopback_fleet import SERVICE, call, rules
 
 SMALL = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
 FAILED_CALL = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError)
-# A caller that waits this long, so that no answer depends on the machine's speed.
-PATIENT_MS = 20_000
+# The timeout of the route where runs have to last.
+LONG_TIMEOUT_MS = 20_000
 
 
 def job(tasks, spec_bytes=0, cpu=100, phases=1):
@@ -38,13 +38,12 @@
 
 
 async def submit(ip, number, body, patience_s=PATIENCE_S):
-    """Returns the status of a submission whose caller waits long, or None."""
+    """Returns the status of a submission, or None."""
     data = json.dumps(body).encode()
     try:
         reader, writer = await asyncio.open_connection(ip, CALLER_PORT)
         try:
-            writer.write(head("POST", f"{PREFIX}{number:016x}", "content-type: application/json",
-                              f"deadline-ms: {PATIENT_MS}", f"content-length: {len(data)}") + data)
+            writer.write(request("POST", f"{PREFIX}{number:016x}", data))
             answer = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), patience_s)
             return int(answer.split(b" ", 2)[1])
         finally:
@@ -166,7 +165,8 @@
         self.run_jobs([job(600, 240_000)] * 8, SMALLEST_VM, LARGE_CROWD_MB)
 
     def test_wide_jobs_in_calm(self):
-        """Each is inside the limits, and alone: it is served, also after the one before."""
+        """Each is inside the limits, and alone: it is served within the timeout of its route, which
+        is many times what it takes, also after the one before."""
         self.start(SMALLEST_VM, gateways=2, targets=2)
 
         async def one_by_one():
@@ -180,6 +180,35 @@
         self.loop.run_until_complete(one_by_one())
         self.check(LARGE_CROWD_MB)
 
+    def test_stops_of_many_tasks_at_once(self):
+        """Callers of wide jobs leave; the descriptors are those that the process may open."""
+        self.start(SMALL, timeout_ms=LONG_TIMEOUT_MS)
+        phase = {"count": 2_000, "cpu": 1, "mem_mb": 1, "estimated_ms": 8_000}
+        body = {"spec": "{\"s\": 8}", "best_effort": True, "phases": [phase]}
+        data = json.dumps(body).encode()
+
+        async def leave():
+            crowd = Crowd([Client((self.ip("gateway"), CALLER_PORT),
+                                  request("POST", f"{PREFIX}{1 << 32 | i:016x}", data)) for i in range(2)])
+            await asyncio.get_running_loop().run_in_executor(None, crowd.send)
+            deadline = time.monotonic() + PATIENCE_S
+            while len(self.fleet.targets[0].running) < 1_000 and time.monotonic() < deadline:
+                await asyncio.sleep(0.01)
+            running = len(self.fleet.targets[0].running)
+            crowd.leave()
+            most, until = 0, time.monotonic() + 3
+            while time.monotonic() < until:
+                most = max(most, self.descriptors("gateway"))
+                await asyncio.sleep(0.002)
+            print(f"  {self.id().rpartition('.')[2]}: {running} running; up to {most} descriptors of "
+                  f"{MAX_FDS - RESERVED_FDS}", flush=True)
+            self.assertGreaterEqual(running, 1_000)
+            self.assertLessEqual(most, MAX_FDS - RESERVED_FDS, "descriptors")
+            await self.answer_ordinary_requests("after the jobs")
+
+        self.loop.run_until_complete(leave())
+        self.check(MEMORY_MB)
+
     def run_heartbeats(self, role, port):
         self.start(SMALL)
         before = self.memory_before()
--- a/test/limits_process_test.py
+++ b/test/limits_process_test.py
@@ -206,13 +206,13 @@
         self.addCleanup(self.loop.close)
         self.jobs = 0
 
-    def start(self, settings, gateways=1, targets=1):
+    def start(self, settings, gateways=1, targets=1, timeout_ms=1500):
         # Programs before these settings refuse them; the bounds stay the same.
         settings = {} if "WITHOUT_LIMITS" in os.environ else settings
         self.fleet = Fleet(BINARIES, gateways=gateways, targets=targets, domains=1, registries=1,
                            network=int(os.environ.get("NETWORK", "21")), settings=settings)
         self.addCleanup(lambda: self.loop.run_until_complete(self.fleet.stop()))
-        self.loop.run_until_complete(self.fleet.start())
+        self.loop.run_until_complete(self.fleet.start(timeout_ms))
         self.loop.run_until_complete(self.answer_ordinary_requests("before the crowd"))
 
     def ip(self, role):
