Targets that nobody has: limit their polls in flight

Cause: found with the kept logs: some 2,000 heartbeats of invented targets in one iteration of the loop. A target that was dropped for the next one had a poll, and so a connection, in flight. Change: only a target whose poll has failed is dropped; while all 128 have one in flight, no further target is taken over. HttpClient.TheLimitOfAllBodiesIsFreeAgainAfterEachCall failed once: its two calls ran at the same time, and either may be the one that is given up. It makes them one after the other now, and checks the same.

--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -33,11 +33,10 @@
         this->recordRestart(driver, now);
         return;
     }
-    if (this->drivers.size() >= this->options.maxTargets) {
+    if (!this->makeRoomForTarget()) {
         ++this->counts.droppedTargets;
         return;
     }
-    this->limitUnansweredTargets();
     const auto [added, isNew] = this->drivers.try_emplace(target.name, this->options.driver, target,
                                                           this->newToken(now), now);
     HIBISCUS_INVARIANT(isNew, "a target has one driver");
@@ -48,24 +47,30 @@
 
 // A target that exists responds within a round trip, so of those that haven't the oldest is the
 // least likely to exist.
-void FleetOwner::limitUnansweredTargets()
+bool FleetOwner::makeRoomForTarget()
 {
+    if (this->drivers.size() >= this->options.maxTargets)
+        return false;
     std::size_t count = 0;
     const TargetDriver *oldest = nullptr;
     for (const auto &[name, driver] : this->drivers) {
         if (driver.isKnownToExist())
             continue;
         ++count;
-        if (oldest == nullptr || driver.lastContactAt() < oldest->lastContactAt())
+        const bool isOlder = oldest == nullptr || driver.lastContactAt() < oldest->lastContactAt();
+        if (!driver.isPollInFlight() && isOlder)
             oldest = &driver;
     }
     if (count < this->options.maxUnansweredTargets)
-        return;
+        return true;
+    if (oldest == nullptr)
+        return false;
     ++this->counts.droppedTargets;
     this->recordChange(*oldest, "dropped");
     const TargetName name = oldest->target().name;
     this->forgetTarget(name);
     this->drivers.erase(name);
+    return true;
 }
 
 void FleetOwner::forgetTarget(const TargetName &target)
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -26,10 +26,11 @@
     /** \brief A target with heartbeats but no responses is removed after it. */
     Duration unreachableTimeout = 3s;
     /** \brief Limit of the targets that have sent heartbeats but no response yet, which anybody can
-     * invent: more than start in the failure domain of a gateway within a round trip. The one that
-     * was taken over first is dropped for another.
+     * invent: more than start in a failure domain within a round trip. For another target the first
+     * one whose poll has failed is dropped. A poll in flight takes a connection, so while all have
+     * one, no further target is taken over.
      */
-    std::size_t maxUnansweredTargets = 256;
+    std::size_t maxUnansweredTargets = 128;
     /** \brief Limit of all targets of an owner: several times those of the largest documented
      * system.
      */
@@ -313,8 +314,10 @@
     void recordAttempt(const HeldRun &run, const TargetDriver &driver,
                        const std::optional<ObservedRunEnd> &end, TimePoint now);
     TargetDriver *findDriver(const OrderAddress &from);
-    /** \brief Drops a target that may not exist if there are too many of these. */
-    void limitUnansweredTargets();
+    /** \brief Drops a target that may not exist if there are too many of these.
+     * \returns whether another one may be taken over.
+     */
+    bool makeRoomForTarget();
     void forgetTarget(const TargetName &target);
     std::uint64_t newToken(TimePoint now) const;
     void recordRestart(TargetDriver &driver, TimePoint now);
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -207,6 +207,7 @@
     {
         return this->lastResponseAt != TimePoint() || !this->runs.empty();
     }
+    bool isPollInFlight() const { return this->isPolling; }
     std::size_t runCount() const { return this->runs.size(); }
     bool hasRun(const RunName &run) const { return this->runs.contains(run); }
     /** \returns the send time of the last poll that listed \a run as running, if any. */
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -367,6 +367,34 @@
     return target;
 }
 
+/** \brief Has all polls that were sent fail. \returns their number. */
+std::size_t failPolls(OwnerFixture &fixture)
+{
+    std::size_t count = 0;
+    for (const TargetOrder &order : fixture.owner.takeOrders())
+        if (const auto *poll = std::get_if<PollOrder>(&order)) {
+            ++count;
+            fixture.owner.handlePollResponse(poll->to, poll->sentAt,
+                                             { .status = OrderStatus::NotSent }, fixture.now);
+        }
+    return count;
+}
+
+// Each poll takes a connection until it has failed, also after its target was dropped.
+TEST(FleetOwner, PollsOfTargetsThatNeverRespondAreLimited)
+{
+    OwnerFixture fixture;
+    const std::size_t limit = FleetOwnerOptions {}.maxUnansweredTargets;
+    fixture.owner.takeOrders(); // a poll of the target that has responded
+    for (std::size_t i = 0; i < 3 * limit; ++i)
+        fixture.owner.updateTarget(targetNamed("none-" + std::to_string(i)), fixture.now);
+    EXPECT_TRUE(fixture.owner.ownsTarget(TargetName("none-0")));
+    EXPECT_FALSE(fixture.owner.ownsTarget(TargetName("none-" + std::to_string(limit))));
+    EXPECT_EQ(failPolls(fixture), limit);
+    fixture.owner.updateTarget(targetNamed("later"), fixture.now);
+    EXPECT_TRUE(fixture.owner.ownsTarget(TargetName("later")));
+}
+
 // Anybody can send a heartbeat with an invented name.
 TEST(FleetOwner, TargetsThatNeverRespondDoNotTakeThePlaceOfOthers)
 {
@@ -375,6 +403,7 @@
     for (std::size_t i = 0; i < 3 * limit; ++i) {
         fixture.now += 1ms;
         fixture.owner.updateTarget(targetNamed("none-" + std::to_string(i)), fixture.now);
+        failPolls(fixture);
     }
     EXPECT_EQ(fixture.owner.targetNames().size(), limit + 1);
     EXPECT_TRUE(fixture.owner.ownsTarget(TargetName("t"))) << "it has responded";
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -69,9 +69,10 @@
     ClientFixture fixture({ .maxOpenBodyBytes = 1'000'000 });
     ASSERT_TRUE(fixture.server.listen());
     for (std::size_t size = 900'000; size < 900'005; ++size) {
-        fixture.get(size);
         fixture.get(1'100'000 + size);
         fixture.run(200ms);
+        fixture.get(size);
+        fixture.run(200ms);
         EXPECT_EQ(fixture.results[size].body.size(), size);
         EXPECT_EQ(fixture.results[1'100'000 + size].state, HttpCallState::TooLarge);
     }
