Connections: the system holds at most 256 KiB for each

Cause: h2o reads all that the system holds of a connection before it calls back, and only then can the MemoryBudget close anything. The system lets the receive buffer of a connection whose data is read quickly grow to tcp_rmem (33 MB here). Change: SO_RCVBUF on the listeners, which accepted connections inherit, and on the connections of the HttpClient. Ruled out: the documents made from the bodies (2 MB in use besides the buffers in each trace).

--- a/Hibiscus/src/Net/HttpClient.cpp
+++ b/Hibiscus/src/Net/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "Hibiscus/src/Net/HttpClient.h"
 
+#include "Hibiscus/src/Net/ReceiveBuffer.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -169,7 +171,7 @@
                                               int *methodIsHead)
 {
     auto *exchange = static_cast<Exchange *>(client->data);
-    if (error != nullptr) {
+    if (error != nullptr || internal::limitReceiveBuffer(h2o_socket_get_fd(client->sock))) {
         finish(exchange, HttpCallState::NotSent);
         return nullptr;
     }
--- a/Hibiscus/src/Net/HttpServer.cpp
+++ b/Hibiscus/src/Net/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "Hibiscus/src/Net/HttpServer.h"
 
+#include "Hibiscus/src/Net/ReceiveBuffer.h"
+
 #include <Hibiscus/Telemetry>
 
 #include <algorithm>
@@ -151,6 +153,7 @@
     const int enable = 1;
     const bool listening = socketFd >= 0
         && ::setsockopt(socketFd, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof(enable)) == 0
+        && !internal::limitReceiveBuffer(socketFd)
         && ::bind(socketFd, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0
         && ::listen(socketFd, internal::listenBacklog) == 0 && this->listenForDepartures();
     if (!listening) {
