Replication: log why the members are changed, or not yet

Cause: of an exchange of voters only "members" told, at each member: that it was made, and not why, and nothing of why it was not made yet.

Change: the replica names the cause of each change (MembershipChange) and what the exchange that it works on waits for (PendingExchange). Processes of replicas log, bounded, each step of it, announcements of stops, for how long the leader believes them, the time from a change to its commit, and the time from the announcement to the committed exchange. What is decided is as before; the timing of a stop is a class of its own (ReplicaShutdown), for tests.

--- a/Hibiscus/src/Process/ReplicaLifecycle.h
+++ b/Hibiscus/src/Process/ReplicaLifecycle.h
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "Hibiscus/src/Process/MembershipLog.h"
 #include "Hibiscus/src/Process/ReplicaDisk.h"
 
-#include <Hibiscus/Telemetry>
-
 namespace Hibiscus {
 
 /** \brief Steps that the processes of all replicas share: requesting to join the group, handing
@@ -26,35 +25,32 @@
             this->nextJoinAt = now + joinInterval;
             node.requestJoin(group, out);
         }
-        if (stopRequests() > 0 && !this->stopRequestedAt) {
-            logEvent("stopping");
+        if (stopRequests() > 0 && !this->shutdown.beginTime()) {
+            logEvent("stopping",
+                     { { "is_voter", isVoter(node.replica()) ? "yes" : "no" },
+                       { "awaits_successor", node.replica().mayHandOverVote() ? "yes" : "no" } });
             node.stepDown(now);
-            this->stopRequestedAt = now;
+            this->shutdown.begin(now);
         }
-        if (isDiskAvailable && this->stopRequestedAt && now >= this->nextLeaveAt) {
-            this->nextLeaveAt = now + leaveInterval;
+        if (isDiskAvailable && this->shutdown.takeAnnouncement(now))
             node.requestLeave(out);
-        }
         this->logRole(node.replica());
-        return stopRequests() > 1 || this->isStopDue(node.replica(), now);
+        this->membershipLog.update(node.replica(), now);
+        const bool isDue = stopRequests() > 1 || this->shutdown.isDue(node.replica(), now);
+        if (isDue)
+            logEvent("leaving-group",
+                     { { "is_voter", isVoter(node.replica()) ? "yes" : "no" },
+                       { "after_ms",
+                         std::to_string(toMilliseconds(now - *this->shutdown.beginTime())) } });
+        return isDue;
     }
 
 private:
     static constexpr Duration joinInterval = 500ms;
-    /** \brief Time after stepping down in which the others elect a leader and this member votes. */
-    static constexpr Duration leaderElectionTime = 1s;
-    static constexpr Duration leaveInterval = 100ms;
-    /** \brief Limit of the wait for a successor in the vote: two elections and the exchange, within
-     * the time that a process is given to stop.
-     */
-    static constexpr Duration voteHandoverTime = 3s;
 
-    bool isStopDue(const Replica &replica, TimePoint now) const
+    static bool isVoter(const Replica &replica)
     {
-        if (!this->stopRequestedAt)
-            return false;
-        const Duration limit = replica.mayHandOverVote() ? voteHandoverTime : leaderElectionTime;
-        return now >= *this->stopRequestedAt + limit;
+        return replica.membership().isVoter(replica.self());
     }
 
     void logRole(const Replica &replica)
@@ -70,31 +66,13 @@
                      { { "term", std::to_string(replica.term()) },
                        { "commit_index", std::to_string(replica.commitIndex()) } });
         this->wasReady = isReady;
-        if (replica.membership() != this->loggedMembership)
-            logEvent("members",
-                     { { "voters", membersWith(replica.membership(), MemberRole::Voter) },
-                       { "learners", membersWith(replica.membership(), MemberRole::Learner) },
-                       { "term", std::to_string(replica.term()) },
-                       { "last_index", std::to_string(replica.lastIndex()) } });
-        this->loggedMembership = replica.membership();
-    }
-
-    static std::string membersWith(const GroupMembership &membership, MemberRole role)
-    {
-        std::string names;
-        for (const Member &member : membership.members)
-            if (member.role == role)
-                names += (names.empty() ? "" : " ") + member.id.node.str() + "/"
-                    + std::to_string(member.id.incarnation);
-        return names;
     }
 
     TimePoint nextJoinAt;
-    TimePoint nextLeaveAt;
-    std::optional<TimePoint> stopRequestedAt;
+    ReplicaShutdown shutdown;
+    MembershipLog membershipLog;
     bool wasLeader = false;
     bool wasReady = false;
-    GroupMembership loggedMembership;
 };
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -529,11 +529,6 @@
     return reachable >= this->activeMembership.quorum();
 }
 
-bool Replica::isMembershipCommitted() const
-{
-    return this->membershipIndex <= this->committedIndex;
-}
-
 std::uint64_t Replica::quorumIndex() const
 {
     std::vector<std::uint64_t> indices;
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hibiscus/src/Replication/MembershipChange.h"
 #include "Hibiscus/src/Replication/ReplicaMessage.h"
 
 #include <map>
@@ -45,6 +46,15 @@
 /** \brief The Raft role of a replica in the current term. */
 enum class ReplicaRole : std::uint8_t { Follower, Candidate, Leader };
 
+/** \brief The announcements of a member that its process stops soon. */
+struct LeaveAnnouncement
+{
+    TimePoint firstAt; ///< the first of an uninterrupted series
+    TimePoint latestAt;
+
+    auto operator<=>(const LeaveAnnouncement &other) const = default;
+};
+
 /** \brief One member of a replicated log, after Raft: leader election with pre-vote, log
  * replication, snapshots, catch-up, and membership changes of one member at a time.
  *
@@ -114,6 +124,21 @@
     bool isMember() const { return this->activeMembership.contains(this->self()); }
     /** \returns whether a successor could take the vote of this member before it stops. */
     bool mayHandOverVote() const;
+    /** \returns the latest change that this replica made as the leader. */
+    const std::optional<MembershipChange> &latestChange() const { return this->madeChange; }
+    /** \returns whether the latest change that is in this replica's log is committed. */
+    bool isMembershipCommitted() const { return this->membershipIndex <= this->committedIndex; }
+    /** \returns on the leader the exchange of voters that it works on; nothing if there is none. */
+    std::optional<PendingExchange> pendingExchange(TimePoint now) const;
+    /** \returns the recent announcements of other members, believed or not. */
+    const std::map<MemberId, LeaveAnnouncement> &leaveAnnouncements() const
+    {
+        return this->leaveRequests;
+    }
+    /** \returns whether the member \a id has announced its stop and was not heard after it; on a
+     * member that is not the leader false, as it does not hear the others.
+     */
+    bool isLeaving(const MemberId &id, TimePoint now) const;
 
 private:
     /** \brief The leader's replication state of another member. */
@@ -179,18 +204,22 @@
     bool isUpToDate(std::uint64_t lastIndex, std::uint64_t lastTerm) const;
     bool isInContactWithQuorum(TimePoint now) const;
     /** \returns the next change of the members, if one is due. */
-    std::optional<GroupMembership> nextMembership(TimePoint now) const;
-    std::optional<GroupMembership> membershipAfterJoin(TimePoint now) const;
+    std::optional<MembershipChange> nextChange(TimePoint now) const;
+    std::optional<MembershipChange> changeAfterJoin(TimePoint now) const;
     /** \returns the change that makes \a learner a voter, or makes room for it, if it is up to date
      * and wanted.
      */
-    std::optional<GroupMembership> membershipAfterCatchUp(const MemberId &learner,
-                                                          TimePoint now) const;
+    std::optional<MembershipChange> changeAfterCatchUp(const MemberId &learner,
+                                                       TimePoint now) const;
     /** \returns the change that ends the replacement of a silent voter, whose successor votes. */
-    std::optional<GroupMembership> membershipWithoutSurplus(TimePoint now) const;
+    std::optional<MembershipChange> changeWithoutSurplus(TimePoint now) const;
+    /** \returns why \a learner can't be given a vote; \c None if it can. */
+    ExchangeObstacle obstacleOf(const MemberId &learner, TimePoint now) const;
+    /** \returns the voter whose vote should move to another member, with nothing but the cause. */
+    std::optional<PendingExchange> dueExchange(TimePoint now) const;
+    /** \returns another voter of the node of \a learner, which has lost its disk since. */
+    std::optional<MemberId> formerVoter(const MemberId &learner) const;
     bool isHeard(const MemberId &id, TimePoint now) const;
-    /** \returns whether the member \a id has announced its stop and was not heard after it. */
-    bool isLeaving(const MemberId &id, TimePoint now) const;
     /** \returns a voter that is leaving. */
     std::optional<MemberId> leavingVoter(TimePoint now) const;
     /** \returns a silent voter whose node is heard as another voter, which has replaced it. */
@@ -199,7 +228,6 @@
     bool mayRemoveVoter(const MemberId &id) const;
     /** \returns a member with \a role that was silent for longer than its timeout. */
     std::optional<MemberId> silentMember(MemberRole role, TimePoint now) const;
-    bool isMembershipCommitted() const;
     std::uint64_t quorumIndex() const;
     const LogEntry &entryAt(std::uint64_t index) const;
 
@@ -217,7 +245,8 @@
     std::set<MemberId> votes;
     std::map<MemberId, Progress> progress;
     std::map<MemberId, TimePoint> joinRequests;
-    std::map<MemberId, TimePoint> leaveRequests; ///< the latest; kept by followers, too
+    std::map<MemberId, LeaveAnnouncement> leaveRequests; ///< kept by followers, too
+    std::optional<MembershipChange> madeChange;
     std::vector<PendingRead> pendingReads;
     std::uint64_t round = 0;
     std::uint64_t termStartIndex = 0;
--- a/Hibiscus/src/Replication/ReplicaMembers.cpp
+++ b/Hibiscus/src/Replication/ReplicaMembers.cpp
@@ -40,9 +40,13 @@
 {
     if (!this->activeMembership.contains(from))
         return;
-    this->leaveRequests[from] = now;
+    LeaveAnnouncement &announcement
+        = this->leaveRequests.try_emplace(from, LeaveAnnouncement { now, now }).first->second;
+    if (now >= announcement.latestAt + this->options.electionTimeout)
+        announcement.firstAt = now;
+    announcement.latestAt = now;
     std::erase_if(this->leaveRequests, [&](const auto &item) {
-        return now >= item.second + this->options.leaveTimeout;
+        return now >= item.second.latestAt + this->options.leaveTimeout;
     });
     if (this->knownLeader != from)
         return;
@@ -59,35 +63,41 @@
 {
     if (!this->isLeaderReady() || !this->isMembershipCommitted())
         return;
-    const std::optional<GroupMembership> next = this->nextMembership(now);
+    std::optional<MembershipChange> next = this->nextChange(now);
     if (!next)
         return;
-    this->append(*next, out);
+    this->append(next->membership, out);
     this->adoptMembershipFromLog();
     this->trackMembers(now);
+    next->index = this->lastIndex();
+    this->madeChange = std::move(next);
     this->sendAppends(now, out);
     this->advanceCommit(out);
 }
 
-std::optional<GroupMembership> Replica::nextMembership(TimePoint now) const
+std::optional<MembershipChange> Replica::nextChange(TimePoint now) const
 {
-    if (auto joined = this->membershipAfterJoin(now))
+    if (auto joined = this->changeAfterJoin(now))
         return joined;
     if (const auto former = this->replacedVoter(now))
-        return this->activeMembership.without(*former);
-    if (auto reduced = this->membershipWithoutSurplus(now))
+        return MembershipChange { .membership = this->activeMembership.without(*former),
+                                  .cause = MembershipCause::DiskLost,
+                                  .member = *former };
+    if (auto reduced = this->changeWithoutSurplus(now))
         return reduced;
     for (const Member &member : this->activeMembership.members)
         if (member.role == MemberRole::Learner)
-            if (auto changed = this->membershipAfterCatchUp(member.id, now))
+            if (auto changed = this->changeAfterCatchUp(member.id, now))
                 return changed;
     const auto silent = this->silentMember(MemberRole::Learner, now);
     if (silent && this->options.desiredVoters > 0)
-        return this->activeMembership.without(*silent);
+        return MembershipChange { .membership = this->activeMembership.without(*silent),
+                                  .cause = MembershipCause::LearnerSilent,
+                                  .member = *silent };
     return std::nullopt;
 }
 
-std::optional<GroupMembership> Replica::membershipAfterJoin(TimePoint now) const
+std::optional<MembershipChange> Replica::changeAfterJoin(TimePoint now) const
 {
     for (const auto &[id, requestedAt] : this->joinRequests) {
         GroupMembership changed = this->activeMembership;
@@ -98,58 +108,97 @@
         const bool isRecent = now < requestedAt + 4 * this->options.electionTimeout;
         if (!isRecent || this->activeMembership.contains(id))
             continue;
-        return replacesLearner ? changed : changed.with({ .id = id, .role = MemberRole::Learner });
+        if (!replacesLearner)
+            changed = changed.with({ .id = id, .role = MemberRole::Learner });
+        return MembershipChange { .membership = std::move(changed),
+                                  .cause = MembershipCause::Joined,
+                                  .member = id };
     }
     return std::nullopt;
 }
 
-std::optional<GroupMembership> Replica::membershipAfterCatchUp(const MemberId &learner,
-                                                               TimePoint now) const
+ExchangeObstacle Replica::obstacleOf(const MemberId &learner, TimePoint now) const
 {
-    const Progress &learnerProgress = this->progress.at(learner);
-    const bool isPresent = this->isHeard(learner, now) && !this->isLeaving(learner, now);
-    if (!isPresent || learnerProgress.matchIndex < this->committedIndex)
+    if (!this->isHeard(learner, now))
+        return ExchangeObstacle::LearnerSilent;
+    if (this->isLeaving(learner, now))
+        return ExchangeObstacle::LearnerLeaving;
+    if (this->progress.at(learner).matchIndex < this->committedIndex)
+        return ExchangeObstacle::LearnerBehind;
+    return ExchangeObstacle::None;
+}
+
+std::optional<MembershipChange> Replica::changeAfterCatchUp(const MemberId &learner,
+                                                            TimePoint now) const
+{
+    if (this->obstacleOf(learner, now) != ExchangeObstacle::None)
         return std::nullopt;
-    for (const Member &previousVoter : this->activeMembership.members) {
-        const bool isSameNode
-            = previousVoter.id.node == learner.node && previousVoter.id != learner;
-        const bool isRemovable
-            = previousVoter.role == MemberRole::Voter && this->mayRemoveVoter(previousVoter.id);
-        if (isSameNode && isRemovable)
-            return this->activeMembership.without(previousVoter.id);
-    }
+    const auto former = this->formerVoter(learner);
+    if (former && this->mayRemoveVoter(*former))
+        return MembershipChange { .membership = this->activeMembership.without(*former),
+                                  .cause = MembershipCause::DiskLost,
+                                  .member = *former };
     const std::size_t desired = this->options.desiredVoters;
     const std::size_t voters = this->activeMembership.voterCount();
-    const bool replacesVoter = voters == desired
-        && (this->silentMember(MemberRole::Voter, now) || this->leavingVoter(now));
-    if (desired == 0 || voters < desired || replacesVoter)
-        return this->activeMembership.with({ .id = learner, .role = MemberRole::Voter });
+    MembershipChange promotion
+        = { .membership = this->activeMembership.with({ .id = learner, .role = MemberRole::Voter }),
+            .cause = MembershipCause::LearnerCaughtUp,
+            .member = learner };
+    if (desired == 0)
+        return promotion;
+    promotion.cause = MembershipCause::TooFewVoters;
+    if (voters < desired)
+        return promotion;
+    const bool hasSilentVoter = this->silentMember(MemberRole::Voter, now).has_value();
+    promotion.cause = hasSilentVoter ? MembershipCause::VoterSilent : MembershipCause::VoterLeaving;
+    if (voters == desired && (hasSilentVoter || this->leavingVoter(now)))
+        return promotion;
+    return std::nullopt;
+}
+
+std::optional<MemberId> Replica::formerVoter(const MemberId &learner) const
+{
+    for (const Member &member : this->activeMembership.members) {
+        const bool isSameNode = member.id.node == learner.node && member.id != learner;
+        if (isSameNode && member.role == MemberRole::Voter)
+            return member.id;
+    }
     return std::nullopt;
 }
 
 // A silent voter may come back with all that was acknowledged, while those that remain lose a disk.
 // So it is removed only once its successor votes.
-std::optional<GroupMembership> Replica::membershipWithoutSurplus(TimePoint now) const
+std::optional<MembershipChange> Replica::changeWithoutSurplus(TimePoint now) const
 {
     const std::size_t desired = this->options.desiredVoters;
     if (desired == 0 || this->activeMembership.voterCount() != desired + 1)
         return std::nullopt;
     if (const auto silent = this->silentMember(MemberRole::Voter, now))
-        return this->activeMembership.without(*silent);
-    if (const auto leaving = this->leavingVoter(now))
-        return this->activeMembership.with({ .id = *leaving, .role = MemberRole::Learner });
-    std::optional<MemberId> surplus;
-    for (const Member &member : this->activeMembership.members) {
-        if (member.role != MemberRole::Voter || member.id == this->self())
-            continue;
-        // A leader that was just elected takes all for present; only a reply tells.
-        if (!this->isHeard(member.id, now) || this->progress.at(member.id).acknowledgedRound == 0)
+        return MembershipChange { .membership = this->activeMembership.without(*silent),
+                                  .cause = MembershipCause::VoterSilent,
+                                  .member = *silent };
+    MembershipChange demotion = { .cause = MembershipCause::VoterLeaving };
+    if (const auto leaving = this->leavingVoter(now)) {
+        demotion.member = *leaving;
+    } else {
+        std::optional<MemberId> surplus;
+        for (const Member &member : this->activeMembership.members) {
+            if (member.role != MemberRole::Voter || member.id == this->self())
+                continue;
+            // A leader that was just elected takes all for present; only a reply tells.
+            const bool hasReplied = this->progress.at(member.id).acknowledgedRound > 0;
+            if (!hasReplied || !this->isHeard(member.id, now))
+                return std::nullopt;
+            surplus = member.id;
+        }
+        if (!surplus)
             return std::nullopt;
-        surplus = member.id;
+        demotion.member = *surplus;
+        demotion.cause = MembershipCause::TooManyVoters;
     }
-    if (!surplus)
-        return std::nullopt;
-    return this->activeMembership.with({ .id = *surplus, .role = MemberRole::Learner });
+    demotion.membership
+        = this->activeMembership.with({ .id = demotion.member, .role = MemberRole::Learner });
+    return demotion;
 }
 
 std::optional<MemberId> Replica::replacedVoter(TimePoint now) const
@@ -181,7 +230,7 @@
     const auto found = this->progress.find(id);
     if (request == this->leaveRequests.end() || found == this->progress.end())
         return false;
-    const TimePoint requestedAt = request->second;
+    const TimePoint requestedAt = request->second.latestAt;
     if (now >= requestedAt + this->options.leaveTimeout)
         return false;
     const Progress &memberProgress = found->second;
@@ -198,6 +247,65 @@
     return std::nullopt;
 }
 
+std::optional<PendingExchange> Replica::dueExchange(TimePoint now) const
+{
+    if (const auto leaving = this->leavingVoter(now))
+        return PendingExchange { .voter = *leaving, .cause = MembershipCause::VoterLeaving };
+    std::optional<MemberId> silent;
+    for (const Member &member : this->activeMembership.members) {
+        if (member.role == MemberRole::Learner) {
+            if (const auto former = this->formerVoter(member.id))
+                return PendingExchange { .voter = *former, .cause = MembershipCause::DiskLost };
+        } else if (!silent && !this->isHeard(member.id, now)) {
+            silent = member.id;
+        }
+    }
+    if (silent)
+        return PendingExchange { .voter = *silent, .cause = MembershipCause::VoterSilent };
+    return std::nullopt;
+}
+
+// Only for the log: nextChange() decides.
+std::optional<PendingExchange> Replica::pendingExchange(TimePoint now) const
+{
+    if (!this->isLeader() || this->options.desiredVoters == 0)
+        return std::nullopt;
+    std::optional<PendingExchange> exchange = this->dueExchange(now);
+    if (!exchange)
+        return std::nullopt;
+    exchange->obstacle = ExchangeObstacle::NoLearner;
+    for (const Member &member : this->activeMembership.members) {
+        if (member.role != MemberRole::Learner)
+            continue;
+        const bool isSuccessor = exchange->cause != MembershipCause::DiskLost
+            || member.id.node == exchange->voter.node;
+        const ExchangeObstacle obstacle = this->obstacleOf(member.id, now);
+        const bool isCloser = !exchange->learner || obstacle == ExchangeObstacle::None;
+        if (!isSuccessor || !isCloser)
+            continue;
+        const std::uint64_t held = this->progress.at(member.id).matchIndex;
+        exchange->learner = member.id;
+        exchange->obstacle = obstacle;
+        exchange->missingEntries = this->committedIndex - std::min(this->committedIndex, held);
+    }
+    const bool isTooEarly = exchange->cause == MembershipCause::VoterSilent
+        && !this->silentMember(MemberRole::Voter, now);
+    const bool isNeeded = exchange->cause == MembershipCause::DiskLost
+        && exchange->obstacle == ExchangeObstacle::None && !this->mayRemoveVoter(exchange->voter);
+    const bool isSuccessorVoter = this->activeMembership.voterCount() > this->options.desiredVoters;
+    if (!this->isLeaderReady())
+        exchange->obstacle = ExchangeObstacle::LeaderNotReady;
+    else if (!this->isMembershipCommitted())
+        exchange->obstacle = ExchangeObstacle::ChangeNotCommitted;
+    else if (isTooEarly)
+        exchange->obstacle = ExchangeObstacle::SilenceTooShort;
+    else if (isNeeded)
+        exchange->obstacle = ExchangeObstacle::VoterNeeded;
+    else if (isSuccessorVoter)
+        exchange->obstacle = ExchangeObstacle::None;
+    return exchange;
+}
+
 // Two members of one node have one disk, so the nodes of the voters are counted.
 bool Replica::mayRemoveVoter(const MemberId &id) const
 {
