--- a/scripts/loopback_fleet.py
+++ b/scripts/loopback_fleet.py
@@ -223,21 +223,22 @@
         self.tolerated_losses = registries // 2 if tolerated_losses is None else tolerated_losses
         self.registries = [f"127.{network}.0.{i + 1}" for i in range(registries)]
         self.gateways = [f"127.{network + 1}.{i // 200}.{i % 200 + 1}" for i in range(gateways)]
-        control = [f"{ip}:{CONTROL_PORT}" for ip in self.registries]
+        self.network = network
+        self.seeds = [f"{ip}:{CONTROL_PORT}" for ip in self.registries]
         self.targets = [StandInTarget(f"i-{i:05d}", f"d{i % domains}",
-                                      f"127.{network + 2}.{i // 200}.{i % 200 + 1}", control,
+                                      f"127.{network + 2}.{i // 200}.{i % 200 + 1}", self.seeds,
                                       services[i // domains % len(services)])
                         for i in range(targets)]
         self.processes, self.tasks = [], []
         self.places, self.lives, self.ending = {}, {}, set()
 
-    def start_process(self, role, number, ip):
+    def start_process(self, role, number, ip, is_first_start=True):
         folder = pathlib.Path(self.folder.name) / f"{role}-{number}"
         folder.mkdir()
         settings = {"node": f"{role}-{number}", "domain": f"d{number % self.domains}", "ip": ip,
                     "peer_address": f"{ip}:{PEER_PORT}", "metrics_address": f"{ip}:{METRICS_PORT}",
-                    "registry_seeds": [f"{r}:{CONTROL_PORT}" for r in self.registries],
-                    "tolerated_losses": self.tolerated_losses, "is_first_start": True,
+                    "registry_seeds": self.seeds,
+                    "tolerated_losses": self.tolerated_losses, "is_first_start": is_first_start,
                     "processor_share": 0.1, "lease_ms": LONGEST_LEASE_MS, "stop_bound_s": 6,
                     "heartbeat_ms": 1500} | self.settings
         if role == "gateway":
@@ -250,6 +251,17 @@
         self.places[name], self.lives[name] = len(self.processes), 1
         self.processes.append((role, self.launch(name, "log")))
 
+    def add_registry(self):
+        """Starts another registry node with an empty disk, and returns its name."""
+        number = len(self.names("registry"))
+        ip = f"127.{self.network}.0.{number + 1}"
+        self.start_process("registry", number, ip, is_first_start=False)
+        self.registries.append(ip)
+        return f"registry-{number}"
+
+    def registry_ip(self, name):
+        return f"127.{self.network}.0.{int(name.rpartition('-')[2]) + 1}"
+
     def launch(self, name, log_name):
         folder = pathlib.Path(self.folder.name) / name
         with open(folder / log_name, "wb") as log:
--- a/test/rules_process_test.py
+++ b/test/rules_process_test.py
@@ -450,14 +450,15 @@
         return [f"{failure}; logs: {path}" for failure in self.failures[:20]]
 
 
-class RulesAfterRestarts(unittest.TestCase):
-    def run_all(self, runs):
-        """Runs coroutines in loops of their own at the same time, and asserts that none returns failures."""
-        with concurrent.futures.ThreadPoolExecutor(len(runs)) as threads:
-            futures = {what: threads.submit(lambda r=run: asyncio.run(r())) for what, run in runs.items()}
-        failures = [f"{what}: {failure}" for what, future in futures.items() for failure in future.result()]
-        self.assertFalse(failures, "\n" + "\n".join(failures))
+def run_all(case, runs):
+    """Runs coroutines in loops of their own at the same time, and asserts that none returns failures."""
+    with concurrent.futures.ThreadPoolExecutor(len(runs)) as threads:
+        futures = {what: threads.submit(lambda r=run: asyncio.run(r())) for what, run in runs.items()}
+    failures = [f"{what}: {failure}" for what, future in futures.items() for failure in future.result()]
+    case.assertFalse(failures, "\n" + "\n".join(failures))
+
 
+class RulesAfterRestarts(unittest.TestCase):
     # Guards against gateways that take what a restarted registry node holds in its snapshot for the
     # last known rules, while an acknowledged version is in the logs behind it (issue 40).
     def test_an_acknowledged_route_is_kept_when_all_processes_are_killed(self):
@@ -467,14 +468,14 @@
                     "disks lost, nodes away": (2, False, 0),
                     "disks lost, nodes back, two stopped": (2, True, 2),
                     "disks lost, nodes away, two stopped": (2, False, 2)}
-        self.run_all({what: lambda n=NETWORK + 3 * i, v=variant: loss_of_power(BINARIES, n, *v)
-                      for i, (what, variant) in enumerate(variants.items())})
+        run_all(self, {what: lambda n=NETWORK + 3 * i, v=variant: loss_of_power(BINARIES, n, *v)
+                       for i, (what, variant) in enumerate(variants.items())})
 
     # Guards against answers by older versions in orders of kills, stops and losses that no directed
     # test has.
     def test_no_older_version_is_shown_in_a_soak(self):
-        self.run_all({f"seed {seed}": lambda n=NETWORK + 3 * i, s=seed: Soak(s, 18, n).run()
-                      for i, seed in enumerate((1, 2, 3))})
+        run_all(self, {f"seed {seed}": lambda n=NETWORK + 3 * i, s=seed: Soak(s, 18, n).run()
+                       for i, seed in enumerate((1, 2, 3))})
 
 
 if __name__ == "__main__":
