Gateways: a gateway that starts is told which jobs are held

Callers would see TWICE: a start at a target that is cut off is not answered, its owner tells all gateways to hold the job and is gone, or starts anew; the caller sends the job again to a gateway that has started since. It knows of no hold and starts the job, while the target may still execute the first start, up to 12 s late.

Cause: only the announcer of a hold repeated it, so the promise ended for new gateways with the gateway that had made it.

Change: a gateway sends the holds in force, whoever announced them, to each gateway that a node list names with a new incarnation (job-hold-forwarded). The hold stays its announcer's, who may withdraw it.

Evidence: found by reading, not seen in a run of processes. NodeThatStartsIsToldOfTheHoldsOfOthers fails without the guard. Open: a job that arrives before the new gateway is listed, and all gateways gone at once.

--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -379,6 +379,11 @@
     peer.listedAt = now;
     if (record.incarnation < peer.incarnation)
         return;
+    // The announcer may be gone by now, and then repeats nothing.
+    if (record.incarnation > peer.listedIncarnation)
+        for (JobHold &hold : this->jobHolds.activeHolds(now))
+            this->forwardedHolds.push_back({ .to = record.node, .hold = std::move(hold) });
+    peer.listedIncarnation = std::max(peer.listedIncarnation, record.incarnation);
     peer.domain = record.domain;
     peer.weight = record.weight;
     peer.targetsAddress = record.targetsAddress;
@@ -484,6 +489,7 @@
     for (JobOutcome &outcome : std::exchange(this->heldOutcomes, {}))
         out.outcomes.push_back(std::move(outcome));
     out.holds = std::exchange(this->announcedHolds, {});
+    out.forwardedHolds = std::exchange(this->forwardedHolds, {});
     out.targetChanges = this->targetOwner.takeChanges();
     out.targetStates = std::exchange(this->targetStates, {});
     out.unsuccessfulRuns = this->jobCoordinator.takeUnsuccessfulRuns();
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -90,6 +90,15 @@
     auto operator<=>(const TargetStateRecord &other) const = default;
 };
 
+/** \brief An announcement of a held job, for one peer. */
+struct AddressedJobHold
+{
+    NodeName to;
+    JobHold hold;
+
+    auto operator<=>(const AddressedJobHold &other) const = default;
+};
+
 /** \brief Output of a step of a FleetNode for its process. */
 struct FleetOutbox
 {
@@ -104,6 +113,7 @@
     std::vector<ForecastRecord> forecasts;
     std::vector<FenceRecord> fences;
     std::vector<JobHold> holds; ///< to be sent to all peers that may coordinate a job
+    std::vector<AddressedJobHold> forwardedHolds; ///< for peers that have just started
     std::vector<NodeName> removedPeers; ///< peers removed after a long silence
     std::vector<NodeName> idlePeers; ///< peers whose connection may be closed for now
     std::optional<std::uint64_t> raisedIncarnation; ///< incarnation from now on, if it has changed
@@ -222,6 +232,7 @@
     struct Peer
     {
         std::uint64_t incarnation = 0; ///< 0 until its first message
+        std::uint64_t listedIncarnation = 0; ///< that of the newest record of it; 0: none
         DomainName domain;
         std::uint32_t weight = 1;
         std::string targetsAddress;
@@ -360,6 +371,7 @@
     OwnerFence ownerFence;
     JobHolds jobHolds;
     std::vector<JobHold> announcedHolds; ///< for the next output
+    std::vector<AddressedJobHold> forwardedHolds; ///< for the next output
     std::vector<JobOutcome> heldOutcomes; ///< of jobs that must not be started, for the next output
     TimePoint holdsCheckedAt;
     TimePoint listReceivedAt; ///< time of the latest list of nodes
--- a/Hibiscus/src/Fleet/JobHolds.cpp
+++ b/Hibiscus/src/Fleet/JobHolds.cpp
@@ -66,6 +66,16 @@
         && std::ranges::any_of(found->second, [&](const auto &item) { return now < item.second; });
 }
 
+std::vector<JobHold> JobHolds::activeHolds(TimePoint now) const
+{
+    std::vector<JobHold> holds;
+    for (const auto &[job, untilByAnnouncer] : this->heldUntil)
+        for (const auto &[announcer, until] : untilByAnnouncer)
+            if (now < until)
+                holds.push_back({ .from = announcer, .job = job, .span = until - now });
+    return holds;
+}
+
 void JobHolds::removeExpired(TimePoint now)
 {
     for (auto item = this->heldUntil.begin(); item != this->heldUntil.end();) {
--- a/Hibiscus/src/Fleet/JobHolds.h
+++ b/Hibiscus/src/Fleet/JobHolds.h
@@ -76,6 +76,10 @@
     // Queries.
     bool isHeld(const std::string &job, TimePoint now) const;
     std::size_t size() const { return this->heldUntil.size(); }
+    /** \returns the announcements that are in force, by whichever node, for a node that has started
+     * since.
+     */
+    std::vector<JobHold> activeHolds(TimePoint now) const;
 
 private:
     void removeExpired(TimePoint now);
--- a/Hibiscus/src/Process/GatewayProcess.cpp
+++ b/Hibiscus/src/Process/GatewayProcess.cpp
@@ -448,6 +448,7 @@
     logDecisions(out, this->unansweredTargetLines, this->loop.now());
     for (const JobHold &hold : out.holds)
         this->announce(hold);
+    this->forward(out.forwardedHolds);
     for (const NodeName &peer : out.idlePeers)
         this->relay.disconnect(peer);
     for (const NodeName &peer : out.removedPeers) {
@@ -467,6 +468,20 @@
         this->relay.send(peer, hold);
 }
 
+void GatewayProcess::forward(const std::vector<AddressedJobHold> &holds)
+{
+    for (const AddressedJobHold &item : holds) {
+        this->relay.send(item.to, item.hold);
+        if (this->forwardedHoldLines.take(this->loop.now()))
+            logEvent("job-hold-forwarded",
+                     { { "job", item.hold.job },
+                       { "from", item.hold.from.str() },
+                       { "to", item.to.str() },
+                       { "span_ms", std::to_string(toMilliseconds(item.hold.span)) },
+                       { "omitted", std::to_string(this->forwardedHoldLines.takeOmitted()) } });
+    }
+}
+
 void GatewayProcess::process(const StartOrder &order)
 {
     this->startQueue.add(order, this->loop.now());
--- a/Hibiscus/src/Process/GatewayProcess.h
+++ b/Hibiscus/src/Process/GatewayProcess.h
@@ -41,6 +41,7 @@
     void onTick();
     void flushOutput();
     void announce(const JobHold &hold);
+    void forward(const std::vector<AddressedJobHold> &holds);
     void process(const StartOrder &order);
     void process(const StopOrder &order);
     void process(const PollOrder &order);
@@ -92,6 +93,7 @@
     LineLimit refusalLines;
     LineLimit departureLines;
     LineLimit unansweredTargetLines;
+    LineLimit forwardedHoldLines;
     std::set<NodeName> refusedOffers; ///< nodes whose refused offer of rules was logged
     std::optional<Evacuations> evacuationsInForce;
     TimePoint stopRequestedAt;
--- a/test/JobHoldsTest.cpp
+++ b/test/JobHoldsTest.cpp
@@ -82,6 +82,30 @@
     EXPECT_EQ(node.size(), 1U);
 }
 
+// Guards against two runs of a task: the node that has announced the hold is gone, and the job is
+// sent again to one that has started since.
+TEST(JobHolds, NodeThatStartsIsToldOfTheHoldsOfOthers)
+{
+    FleetNode node({ .self = NodeName("a"), .domain = DomainName("d") });
+    NodeRecord record
+        = { .node = NodeName("c"), .incarnation = 5, .domain = DomainName("d"), .weight = 1 };
+    node.updatePeer(record, startTime);
+    const JobHold hold = { .from = NodeName("b"), .job = "j", .span = 5s };
+    node.receive(hold, startTime);
+    node.updatePeer(record, startTime + 1s);
+    EXPECT_TRUE(node.flush(startTime + 1s).forwardedHolds.empty()) << "it has heard of it";
+    record.incarnation = 6;
+    node.updatePeer(record, startTime + 2s);
+    const std::vector<AddressedJobHold> forwarded = node.flush(startTime + 2s).forwardedHolds;
+    ASSERT_EQ(forwarded.size(), 1U);
+    EXPECT_EQ(forwarded[0].to, record.node);
+    EXPECT_EQ(forwarded[0].hold.from, hold.from);
+    EXPECT_EQ(forwarded[0].hold.span, 3s);
+    record.incarnation = 7;
+    node.updatePeer(record, startTime + 6s);
+    EXPECT_TRUE(node.flush(startTime + 6s).forwardedHolds.empty()) << "it is over";
+}
+
 TEST(JobHolds, HeldJobIsAnsweredAsUnfinishedAndNotStarted)
 {
     FleetNodeOptions options;
--- a/test/support/FleetSimulation.cpp
+++ b/test/support/FleetSimulation.cpp
@@ -230,6 +230,8 @@
         this->send(gateway, item);
     for (const JobHold &hold : out.holds)
         this->sendToAll(gateway, hold);
+    for (const AddressedJobHold &item : out.forwardedHolds)
+        this->send(gateway, item.to.str(), item.hold);
     for (const JobOutcome &outcome : out.outcomes) {
         bool isReceived = false;
         for (const std::uint64_t token : outcome.callerTokens) {
@@ -281,16 +283,20 @@
 
 void FleetSimulation::sendToAll(Gateway &from, const JobHold &hold)
 {
-    for (const auto &[name, gateway] : this->gateways) {
-        if (name == from.name || this->isDisconnected(from.name, name)
-            || this->isDrawn(this->options.lostMessageShare))
-            continue;
-        ++from.traffic.messages;
-        this->scheduler.after(this->delay(from.name, name), [this, &to = *gateway, hold] {
-            this->deliver(to, this->costOf(&FleetProcessor::perMessage),
-                          [hold](FleetNode &node, TimePoint now) { node.receive(hold, now); });
-        });
-    }
+    for (const auto &[name, gateway] : this->gateways)
+        if (name != from.name)
+            this->send(from, name, hold);
+}
+
+void FleetSimulation::send(Gateway &from, const std::string &to, const JobHold &hold)
+{
+    if (this->isDisconnected(from.name, to) || this->isDrawn(this->options.lostMessageShare))
+        return;
+    ++from.traffic.messages;
+    this->scheduler.after(this->delay(from.name, to), [this, to, hold] {
+        this->deliver(*this->gateways.at(to), this->costOf(&FleetProcessor::perMessage),
+                      [hold](FleetNode &node, TimePoint now) { node.receive(hold, now); });
+    });
 }
 
 FleetSimulation::OrderFate FleetSimulation::drawFate(const Gateway &from, const FleetTarget &target,
--- a/test/support/FleetSimulation.h
+++ b/test/support/FleetSimulation.h
@@ -249,6 +249,7 @@
     Duration costOf(Duration FleetProcessor::*item) const;
     void send(Gateway &from, const AddressedFleetMessage &item);
     void sendToAll(Gateway &from, const JobHold &hold);
+    void send(Gateway &from, const std::string &to, const JobHold &hold);
     /** \brief What happens to an order on its way, and to its response. */
     struct OrderFate
     {
