--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -135,8 +135,8 @@
     {
         return this->leaveRequests;
     }
-    /** \returns whether the member \a id has announced its stop and was not heard after it; on a
-     * member that is not the leader false, as it does not hear the others.
+    /** \returns whether the member \a id has announced its stop and was not heard after it. Only
+     * the leader hears the others.
      */
     bool isLeaving(const MemberId &id, TimePoint now) const;
 
@@ -179,7 +179,9 @@
     void adoptTerm(std::uint64_t term, TimePoint now, ReplicaOutbox &out);
     void followLeader(const MemberId &leader, TimePoint now);
     void recordSilences(const std::vector<MemberSilence> &silences, TimePoint now);
-    /** \brief Takes over, as a new leader, what is known of the silence of the other members. */
+    /** \brief Takes over, as a new leader, what its predecessor told of the silence of members, and
+     * when the predecessor was last heard.
+     */
     void adoptSilences();
     void becomeFollower(TimePoint now);
     void startElection(VoteKind kind, TimePoint now, ReplicaOutbox &out);
--- a/Hibiscus/src/Replication/ReplicaMembers.cpp
+++ b/Hibiscus/src/Replication/ReplicaMembers.cpp
@@ -327,7 +327,8 @@
 {
     this->silentMembers.clear();
     for (const MemberSilence &silence : silences)
-        this->silentMembers[silence.member] = now - silence.span;
+        this->silentMembers[silence.member]
+            = now - std::clamp<Duration>(silence.span, 0s, this->options.learnerSilenceTimeout);
 }
 
 // A member that was lost would otherwise keep its vote for the whole timeout after each election,
