MembershipLog: build without a warning of GCC 12 in release builds

Cause: -Wrestrict, an error here, for text put before a temporary string; only with the options of the deploy file, so the project's own build showed nothing.

--- a/Hibiscus/src/Process/MembershipLog.cpp
+++ b/Hibiscus/src/Process/MembershipLog.cpp
@@ -12,9 +12,13 @@
 static std::string membersWith(const GroupMembership &membership, MemberRole role)
 {
     std::string names;
-    for (const Member &member : membership.members)
-        if (member.role == role)
-            names += (names.empty() ? "" : " ") + nameOf(member.id);
+    for (const Member &member : membership.members) {
+        if (member.role != role)
+            continue;
+        if (!names.empty())
+            names += ' ';
+        names += nameOf(member.id);
+    }
     return names;
 }
 
