--- a/test/replacement_process_test.py
+++ b/test/replacement_process_test.py
@@ -7,13 +7,14 @@
 """
 import asyncio
 import json
+import os
 import sys
 import time
 import unittest
 
-import rules_process_test as rules_test
-from loopback_fleet import CONTROL_PORT, SERVICE, Fleet, call
+# Also puts the folder of loopback_fleet on the path.
 from rules_process_test import APPLY_S, FAILED_CALL, Connection, routes_body, run_all, send_change
+from loopback_fleet import CONTROL_PORT, SERVICE, Fleet, call
 
 BINARIES = sys.argv[1]
 # Words of the users: a machine counts as lost for this time after its start; a process may take this
@@ -141,7 +142,7 @@
         except AssertionError as failure:
             self.failures.append(str(failure))
         finally:
-            path = await self.fleet.stop(keep_folder=bool(self.failures) or "KEEP_LOGS" in rules_test.os.environ)
+            path = await self.fleet.stop(keep_folder=bool(self.failures) or "KEEP_LOGS" in os.environ)
         print(f"{len(self.failures)} failures {what} {path}", flush=True)
         return [f"{failure}; logs: {path}" for failure in self.failures]
 
