--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -343,29 +343,36 @@
         self.processes[name].wait()
 
     def log_of(self, name):
+        if name not in self.processes:
+            return ""
         return (pathlib.Path(self.folder.name) / f"{name}.log").read_text(errors="replace")
 
-    async def configure(self, version=1, service=SERVICE):
-        """Sends a configuration as the operator does: to any node, again until it is acknowledged."""
-        body = {"version": version,
+    def configuration(self, version):
+        return {"version": version,
                 "routes": [{"name": "r-1", "host": HOST, "path_prefix": PREFIX, "route_type": "non_idempotent",
                             "timeout_ms": self.timeout_ms, "target_latency_ms": 60, "priority": 0,
-                            "service": service, "max_attempts": 3, "stretch": 1.6}],
-                "services": [{"name": service, "health_path": "/health", "max_connections": 64,
+                            "service": SERVICE, "max_attempts": 3, "stretch": 1.6}],
+                "services": [{"name": SERVICE, "health_path": "/health", "max_connections": 64,
                               "protocol": "h1", "tls": False, "rejects_overload": True, "standby": False}],
                 "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
                            "idle_timeout_ms": 15000}}
+
+    async def configure(self, version=1):
+        """Sends a configuration as the operator does: to any node, again until it is acknowledged."""
         for attempt in range(60):
-            status, _ = await call(self.seeds[attempt % len(self.seeds)], "POST", "/api/config/replace", body)
+            status, _ = await call(self.seeds[attempt % len(self.seeds)], "POST", "/api/config/replace",
+                                   self.configuration(version))
             if status == 200:
                 self.record.add("configuration-acknowledged", version=version)
                 return
             await asyncio.sleep(0.3)
         raise CannotRun("the configuration was not acknowledged")
 
-    async def start(self):
+    async def start(self, without=()):
+        """Starts all nodes, but those that come later, and waits until they serve."""
         for name in self.nodes:
-            self.launch(name, is_first_start=True)
+            if name not in without:
+                self.launch(name, is_first_start=True)
         for worker in self.workers:
             await worker.listen()
             self.tasks.append(asyncio.ensure_future(worker.announce()))
