--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,60 +1,84 @@
-"""A start that its worker carries out late, after the task was started again elsewhere."""
+"""A core machine is removed without a signal, and another one loses its disk."""
 import asyncio
 import os
+import pathlib
+import shutil
 import sys
-import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
 import fleet3  # noqa: E402
 
-JOB = "5c0e7a21d94b36f8"
-TASK_S, DEADLINE_MS = 1.5, 6000
-CUT_S = 5.5  # SYSTEM.md's deployments: node_cut "servers" for 5.5 s
-LATE_S = 4.6  # PROTOCOL.md: "seconds later"; the bench's page of kinds: 2 to 12 s
+CATCH_UP_S, RECOVERY_S = 4.0, 12.0  # SYSTEM.md, bounds
+REMOVED_S = CATCH_UP_S + 0.5  # after the start of the successor
+DISK_LOST_S = REMOVED_S + 1.0
+BACK_S = 1.0
+WATCHED_S = 2 * RECOVERY_S
+SUCCESSOR = "registry-3"
 
 
-async def case(folder, trouble):
-    fleet = fleet3.Fleet(folder, timeout_ms=DEADLINE_MS)
-    loop, late = asyncio.get_running_loop(), []
-
-    def leave_unanswered(worker, body):
-        """The first order to start the job gets no answer and is carried out late; the worker is cut off."""
-        if late or body["task"].partition(".")[0] != JOB:
-            return False
-        late.append(worker)
-        fleet.record.add("start-left-unanswered", worker=worker.name, task=body["task"], run=body["run_id"])
-        # Its time counts from its arrival.
-        body["granted_ms"] = body["expires_ms"] - worker.clock()
-        worker.cut_until = time.monotonic() + CUT_S
-        fleet.record.add("cut-begins", worker=worker.name, seconds=CUT_S)
-        loop.call_later(CUT_S, fleet.record.add, "cut-ends")
-        loop.call_later(LATE_S, carry_out, worker, body)
-        return True
-
-    def carry_out(worker, body):
-        if body["fencing_token"] < worker.token:
-            fleet.record.add("late-start-rejected", worker=worker.name, reason="fence")
-            return
-        worker.token = body["fencing_token"]
-        body["expires_ms"] = worker.clock() + body["granted_ms"]
-        status, reply = worker.start(body)
-        fleet.record.add("late-start-carried-out", worker=worker.name, status=status, reply=reply)
+async def read(fleet):
+    """Reads the configuration at each node that runs; returns the versions that were answered."""
+    versions = []
+    for name, process in fleet.processes.items():
+        if name.startswith("registry") and process.poll() is None:
+            status, reply = await fleet3.call(f"{fleet.nodes[name][2]}:{fleet.control_port}", "GET",
+                                              "/api/config/get")
+            fleet.record.add("configuration-read", node=name, status=status, version=reply.get("version"))
+            if status == 200:
+                versions.append(reply["version"])
+    return versions
+
+
+async def replace(fleet, version):
+    """Sends a configuration until it is acknowledged; returns the node that did."""
+    names = [name for name, process in fleet.processes.items()
+             if name.startswith("registry") and process.poll() is None]
+    for attempt in range(40):
+        name = names[attempt % len(names)]
+        status, _ = await fleet3.call(f"{fleet.nodes[name][2]}:{fleet.control_port}", "POST",
+                                      "/api/config/replace", fleet.configuration(version))
+        if status == 200:
+            fleet.record.add("configuration-acknowledged", version=version, node=name)
+            return name
+        await asyncio.sleep(0.05)
+    raise fleet3.CannotRun("the change was not acknowledged")
 
+
+async def case(folder, trouble):
+    fleet = fleet3.Fleet(folder)
+    fleet.nodes[SUCCESSOR] = ("registry", fleet3.ZONES[0], f"{fleet.net}.0.4")
     try:
-        await fleet.start()
+        await fleet.start(without=[SUCCESSOR])
+        began = fleet.record.now()
+        fleet.launch(SUCCESSOR)
+        await asyncio.sleep(began + REMOVED_S - fleet.record.now())
+        # The node that acknowledges goes on; another one is removed.
+        leader = await replace(fleet, 2)
+        if trouble:
+            removed = next(name for name in ("registry-0", "registry-1", "registry-2") if name != leader)
+            fleet.kill(removed)
+            fleet.record.add("removed-for-good", node=removed)
+        await asyncio.sleep(began + DISK_LOST_S - fleet.record.now())
+        acknowledging = await replace(fleet, 3)
         if trouble:
-            for worker in fleet.workers:
-                worker.on_start = leave_unanswered
-        status, _ = await fleet.submit("gateway-0", JOB, [TASK_S], DEADLINE_MS)
-        await asyncio.sleep(1)
-        if not fleet.runs_of(JOB):
-            raise fleet3.CannotRun("the job was never started")
-        overlaps = fleet.overlaps(JOB)
-        for one, other, seconds in overlaps:
-            fleet.record.add("TWICE", first=one, second=other, overlap_s=f"{seconds:.3f}")
-            print(f"two runs of one task for {seconds:.3f} s: {one}; {other}")
-        return bool(overlaps) or (not trouble and status != 200)
+            fleet.kill(acknowledging)
+            data = pathlib.Path(fleet.settings_of(acknowledging, False)["data_folder"])
+            shutil.rmtree(data)
+            fleet.record.add("disk-lost", node=acknowledging)
+            await asyncio.sleep(BACK_S)
+            fleet.launch(acknowledging)
+        back = fleet.record.now()
+        versions = []
+        while fleet.record.now() < back + WATCHED_S and (not versions or fleet.record.now() < back + 2):
+            await asyncio.sleep(1)
+            versions = await read(fleet)
+        broken = not versions or min(versions) < 3
+        if broken:
+            fleet.record.add("CONFIG", watched_s=f"{fleet.record.now() - back:.1f}", read=versions)
+            print(f"version 3 was acknowledged; read {fleet.record.now() - back:.1f} s after all were back: "
+                  f"{versions or 'nothing'}")
+        return broken
     finally:
         fleet.stop()
 
