--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -73,7 +73,7 @@
         self.born, self.started_at = int(time.time() * 1000), time.monotonic()
         self.sequence, self.token, self.leased_until, self.lease_timer = 0, 0, 0, None
         self.running, self.newest_ended, self.ended, self.waiting = {}, {}, [], []
-        self.ended_count, self.polls, self.cut_until = 0, 0, 0.0
+        self.ended_count, self.polls, self.answered_polls, self.cut_until = 0, 0, 0, 0.0
         self.capacity = {"cpu": 64000, "mem_mb": 262144, "gpu": 0}
         self.on_start = None
 
@@ -86,10 +86,25 @@
     async def listen(self):
         self.server = await asyncio.start_server(self.serve, self.ip, self.fleet.worker_port)
 
+    def start_again(self, labels):
+        """Crashes and starts again under the same id and address, as a process that knows nothing."""
+        for key in list(self.running):
+            run = self.running.pop(key)
+            run.timer.cancel()
+            run.ended, run.how = self.fleet.record.now(), "crashed"
+        self.labels, self.born, self.started_at = labels, int(time.time() * 1000), time.monotonic()
+        self.sequence, self.token, self.leased_until = 0, 0, 0
+        self.newest_ended, self.ended, self.waiting, self.ended_count = {}, [], [], 0
+        self.fleet.record.add("worker-starts-again", worker=self.name, labels=labels)
+        self.announcing.cancel()
+        self.announcing = asyncio.ensure_future(self.announce())
+
     async def announce(self):
         """Sends heartbeats to the owner, or to the next node that serves control."""
         owner, nodes = "", itertools.cycle(random.sample(self.fleet.seeds, len(self.fleet.seeds)))
         while True:
+            if self.is_cut():
+                await asyncio.sleep(1)  # no response within a second: the next node is called
             if not self.is_cut():
                 self.sequence += 1
                 body = {"service": SERVICE, "address": self.address, "zone": self.zone, "version": "v1",
@@ -122,6 +137,7 @@
                                             self.cut_until - time.monotonic()))
                     return
                 write_response(writer, status, {"clock_ms": self.clock(), "born": self.born, **reply})
+                self.answered_polls += path == "/api/hold"
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError, ValueError):
             pass
         finally:
@@ -267,7 +283,7 @@
     """Gateways and registry nodes in three zones, with their workers."""
 
     def __init__(self, folder, gateways_a_zone=1, workers_a_zone=2, timeout_ms=1500):
-        self.record, self.runs, self.tasks, self.timeout_ms = Record(folder), [], [], timeout_ms
+        self.record, self.runs, self.timeout_ms = Record(folder), [], timeout_ms
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         commands = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self.commands = {role: commands[role]["run"].split() for role in ("gateway", "registry")}
@@ -375,7 +391,7 @@
                 self.launch(name, is_first_start=True)
         for worker in self.workers:
             await worker.listen()
-            self.tasks.append(asyncio.ensure_future(worker.announce()))
+            worker.announcing = asyncio.ensure_future(worker.announce())
         await self.configure()
         await self.until(lambda: all(worker.polls for worker in self.workers), "every worker has an owner", 30)
         for name in self.nodes:
@@ -407,11 +423,12 @@
                 (pathlib.Path(keep) / f"{name}.log").write_text(self.log_of(name))
         self.folder.cleanup()
 
-    async def submit(self, name, job, steps, deadline_ms, what="POST"):
+    async def submit(self, name, job, steps, deadline_ms, what="POST", label=""):
         """Sends a best-effort job; each step is the seconds of work of its one task."""
         body = {"spec": json.dumps({"s": steps[0]}), "best_effort": True,
                 "phases": [{"count": 1, "cpu": 8000, "mem_mb": 64, "estimated_ms": int(seconds * 1000),
-                            **({"depends_on": [i - 1]} if i else {})} for i, seconds in enumerate(steps)]}
+                            **({"depends_on": [i - 1]} if i else {}),
+                            **({"requirements": label} if label else {})} for i, seconds in enumerate(steps)]}
         self.record.add("client-sends", what=what, job=job, to=name)
         status, reply = await call(self.front(name), "POST", PREFIX + job, body,
                                    {"Deadline-Ms": deadline_ms}, deadline_ms / 1000)
