Replication: a lost disk is known, and a caught-up learner votes

A core machine was removed without a signal, after its successor had had its time to catch up; within 3 s another one lost its disk.

Cause: quorums count members that have ceased to count (the removed node until its silence is believed, the lost disk for ever) and leave out a learner that holds everything. docs/design/voter-exchange.md called this not covered.

Change: a learner that has caught up votes as the 2n+2nd. A node answers what is addressed to its former incarnation by the word that it has ended (JoinRequest::lostIncarnation, a field that earlier versions lack); of 2n+2 voters, one of which is known to be lost, n+1 of the others decide (QuorumRule). While voters change, the former ones must agree as well, and a second entry confirms the change on disk. Of the join requests of one node only the latest counts, as an earlier one brought a gone learner back.

--- a/Hibiscus/src/Core/Codec.h
+++ b/Hibiscus/src/Core/Codec.h
@@ -46,6 +46,19 @@
     }
 }
 
+/** \brief Reads or writes the last member of a message, which earlier versions do not have: where
+ * the input ends before it, it keeps its default.
+ */
+template<typename Archive, typename Value>
+void serializeAddedField(Archive &archive, Value &value)
+{
+    if constexpr (std::is_same_v<Archive, internal::BinaryReader>) {
+        if (archive.isAtEnd())
+            return;
+    }
+    archive(value);
+}
+
 } // namespace Hibiscus
 
 /** \brief Declares the members of a message for the codec. */
--- a/Hibiscus/src/Process/MembershipLog.cpp
+++ b/Hibiscus/src/Process/MembershipLog.cpp
@@ -39,6 +39,7 @@
 void MembershipLog::update(const Replica &replica, TimePoint now)
 {
     this->logAnnouncements(replica, now);
+    this->logLostVoters(replica, now);
     this->logExchange(replica, now);
     this->logChange(replica, now);
     this->logMembers(replica);
@@ -57,6 +58,18 @@
                { "last_index", std::to_string(replica.lastIndex()) } });
 }
 
+void MembershipLog::logLostVoters(const Replica &replica, TimePoint now)
+{
+    for (const MemberId &lost : replica.lostVoters())
+        if (!this->lostVoters.contains(lost) && this->lines.take(now))
+            logEvent("voter-disk-lost",
+                     { { "member", internal::nameOf(lost) },
+                       { "voters", std::to_string(replica.membership().voterCount()) },
+                       { "term", std::to_string(replica.term()) },
+                       { "omitted", std::to_string(this->lines.takeOmitted()) } });
+    this->lostVoters = replica.lostVoters();
+}
+
 void MembershipLog::logChange(const Replica &replica, TimePoint now)
 {
     const std::optional<MembershipChange> &change = replica.latestChange();
--- a/Hibiscus/src/Process/MembershipLog.h
+++ b/Hibiscus/src/Process/MembershipLog.h
@@ -23,6 +23,7 @@
     };
 
     void logMembers(const Replica &replica);
+    void logLostVoters(const Replica &replica, TimePoint now);
     void logChange(const Replica &replica, TimePoint now);
     void logCommit(const Replica &replica, TimePoint now);
     void logAnnouncements(const Replica &replica, TimePoint now);
@@ -32,6 +33,7 @@
     std::optional<MembershipChange> uncommittedChange;
     std::uint64_t loggedIndex = 0; ///< of the latest change that this replica made
     TimePoint changedAt;
+    std::set<MemberId> lostVoters;
     std::map<MemberId, LeaveAnnouncement> announcements;
     std::map<MemberId, TimePoint> believedSince; ///< on the leader, by leaving member
     std::optional<Exchange> exchange;
--- a/Hibiscus/src/Replication/Member.cpp
+++ b/Hibiscus/src/Replication/Member.cpp
@@ -21,6 +21,15 @@
         this->members, [](const Member &m) { return m.role == MemberRole::Voter; }));
 }
 
+std::set<MemberId> GroupMembership::voters() const
+{
+    std::set<MemberId> voters;
+    for (const Member &member : this->members)
+        if (member.role == MemberRole::Voter)
+            voters.insert(member.id);
+    return voters;
+}
+
 GroupMembership GroupMembership::with(const Member &member) const
 {
     GroupMembership changed = this->without(member.id);
--- a/Hibiscus/src/Replication/Member.h
+++ b/Hibiscus/src/Replication/Member.h
@@ -3,6 +3,7 @@
 #include <Hibiscus/Core>
 
 #include <cstdint>
+#include <set>
 #include <vector>
 
 namespace Hibiscus {
@@ -44,6 +45,7 @@
     bool contains(const MemberId &id) const;
     bool isVoter(const MemberId &id) const;
     std::size_t voterCount() const;
+    std::set<MemberId> voters() const;
     /** \returns the number of voters that form a quorum. */
     std::size_t quorum() const { return this->voterCount() / 2 + 1; }
     /** \returns a copy with \a member added, or with its role changed if it is there already. */
--- a/Hibiscus/src/Replication/MembershipChange.cpp
+++ b/Hibiscus/src/Replication/MembershipChange.cpp
@@ -15,8 +15,6 @@
         return "voter-silent";
     case MembershipCause::TooFewVoters:
         return "too-few-voters";
-    case MembershipCause::TooManyVoters:
-        return "too-many-voters";
     case MembershipCause::LearnerSilent:
         return "learner-silent";
     case MembershipCause::LearnerCaughtUp:
--- a/Hibiscus/src/Replication/MembershipChange.h
+++ b/Hibiscus/src/Replication/MembershipChange.h
@@ -13,9 +13,8 @@
     VoterLeaving, ///< a voter has announced its stop
     VoterSilent, ///< a voter was not heard for the silence timeout
     TooFewVoters, ///< the group has fewer voters than it should
-    TooManyVoters, ///< more voters than it should, none of which leaves or is silent
     LearnerSilent, ///< a learner was not heard for the silence timeout
-    LearnerCaughtUp ///< in a group without a limit of the voters
+    LearnerCaughtUp ///< the group has no limit of the voters, or none besides the desired ones
 };
 
 /** \brief Why a voter that leaves, is silent or has lost its disk still has its vote. */
--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -26,8 +26,12 @@
     // were lost with the disk.
     const bool isForThisIncarnation = envelope.receiverIncarnation == this->self().incarnation
         || std::holds_alternative<JoinRequest>(envelope.message);
-    if (envelope.to != this->self().node || !isForThisIncarnation)
+    if (envelope.to != this->self().node)
         return;
+    if (!isForThisIncarnation) {
+        this->reportLostDisk(envelope, out);
+        return;
+    }
     std::visit([&](const auto &message) { this->handle(message, envelope.from, now, out); },
                envelope.message);
 }
@@ -291,6 +295,24 @@
     this->resetElectionTimer(now);
 }
 
+// The sender knew of the former incarnation, and one node has one incarnation at a time, so the
+// former one has ended for good. An unsolicited message could be older than that incarnation.
+void Replica::reportLostDisk(const ReplicaEnvelope &envelope, ReplicaOutbox &out) const
+{
+    if (envelope.receiverIncarnation != 0)
+        this->send(envelope.from, JoinRequest { .lostIncarnation = envelope.receiverIncarnation },
+                   out.sendBeforeSync);
+}
+
+void Replica::recordLostVoter(const MemberId &id, TimePoint now, ReplicaOutbox &out)
+{
+    const bool isVoter = this->activeMembership.isVoter(id) || this->formerMembership.isVoter(id);
+    if (!isVoter || id == this->self() || !this->knownLostVoters.insert(id).second)
+        return;
+    if (this->replicaRole == ReplicaRole::Candidate)
+        this->countVotes(now, out);
+}
+
 void Replica::becomeFollower(TimePoint now)
 {
     this->replicaRole = ReplicaRole::Follower;
@@ -309,6 +331,7 @@
     this->votes = { this->self() };
     std::uint64_t requestTerm = this->term() + 1;
     if (kind == VoteKind::Vote) {
+        this->lostBeforeElection = this->knownLostVoters;
         this->durable.hardState = { .term = requestTerm, .votedFor = this->self() };
         out.writes.emplace_back(SaveHardState { .hardState = this->durable.hardState });
     }
@@ -316,19 +339,51 @@
                                   .term = requestTerm,
                                   .lastIndex = this->lastIndex(),
                                   .lastTerm = this->lastTerm() };
+    for (const MemberId &voter : this->otherVoters())
+        this->sendAfterSync(voter, request, out);
+    this->countVotes(now, out);
+}
+
+std::vector<MemberId> Replica::otherVoters() const
+{
+    std::vector<MemberId> voters;
     for (const Member &member : this->activeMembership.members)
         if (member.role == MemberRole::Voter && member.id != this->self())
-            this->sendAfterSync(member.id, request, out);
-    this->countVotes(now, out);
+            voters.push_back(member.id);
+    if (this->areVotersCommitted())
+        return voters;
+    for (const Member &member : this->formerMembership.members)
+        if (member.role == MemberRole::Voter && member.id != this->self()
+            && !this->activeMembership.isVoter(member.id))
+            voters.push_back(member.id);
+    return voters;
+}
+
+bool Replica::isQuorum(const std::set<MemberId> &members, const std::set<MemberId> &lost) const
+{
+    return QuorumRule { .membership = this->activeMembership,
+                        .formerMembership = this->formerMembership,
+                        .areVotersCommitted = this->areVotersCommitted(),
+                        .lostVoters = lost }
+        .isQuorum(members);
+}
+
+template<typename Matches>
+std::set<MemberId> Replica::selfAnd(const Matches &matches) const
+{
+    std::set<MemberId> members = { this->self() };
+    for (const auto &[id, memberProgress] : this->progress)
+        if (matches(memberProgress))
+            members.insert(id);
+    return members;
 }
 
 void Replica::countVotes(TimePoint now, ReplicaOutbox &out)
 {
-    const auto voteCount = std::ranges::count_if(
-        this->votes, [&](const MemberId &id) { return this->activeMembership.isVoter(id); });
-    if (static_cast<std::size_t>(voteCount) < this->activeMembership.quorum())
+    const bool isPreVote = this->electionKind == VoteKind::PreVote;
+    if (!this->isQuorum(this->votes, isPreVote ? this->knownLostVoters : this->lostBeforeElection))
         return;
-    if (this->electionKind == VoteKind::PreVote)
+    if (isPreVote)
         this->startElection(VoteKind::Vote, now, out);
     else
         this->becomeLeader(now, out);
@@ -446,14 +501,9 @@
     if (!this->isLeaderReady())
         return;
     std::erase_if(this->pendingReads, [&](const PendingRead &read) {
-        std::size_t acknowledged = 0;
-        for (const Member &member : this->activeMembership.members) {
-            const bool hasAcknowledged = member.id == this->self()
-                || this->progress.at(member.id).acknowledgedRound >= read.round;
-            if (member.role == MemberRole::Voter && hasAcknowledged)
-                ++acknowledged;
-        }
-        const bool confirmed = acknowledged >= this->activeMembership.quorum();
+        const bool confirmed = this->isQuorum(
+            this->selfAnd([&](const Progress &p) { return p.acknowledgedRound >= read.round; }),
+            this->lostBeforeElection);
         if (confirmed)
             out.confirmedReads.push_back(read.token);
         return confirmed;
@@ -463,13 +513,17 @@
 void Replica::adoptMembershipFromLog()
 {
     this->activeMembership = this->durable.snapshot.membership;
+    this->formerMembership = this->activeMembership;
     this->membershipIndex = this->durable.snapshot.index;
     for (const LogEntry &entry : this->durable.entries) {
         if (const auto *membership = std::get_if<GroupMembership>(&entry.body)) {
-            this->activeMembership = *membership;
+            this->formerMembership = std::exchange(this->activeMembership, *membership);
             this->membershipIndex = entry.index;
         }
     }
+    std::erase_if(this->knownLostVoters, [&](const MemberId &id) {
+        return !this->activeMembership.isVoter(id) && !this->formerMembership.isVoter(id);
+    });
 }
 
 void Replica::trackMembers(TimePoint now)
@@ -523,29 +577,24 @@
 
 bool Replica::isInContactWithQuorum(TimePoint now) const
 {
-    std::size_t reachable = 0;
-    for (const Member &member : this->activeMembership.members) {
-        if (member.role != MemberRole::Voter)
-            continue;
-        const bool isSelf = member.id == this->self();
-        const Duration timeout = 2 * this->options.electionTimeout;
-        if (isSelf || now < this->progress.at(member.id).lastSeenAt + timeout)
-            ++reachable;
-    }
-    return reachable >= this->activeMembership.quorum();
+    const Duration timeout = 2 * this->options.electionTimeout;
+    return this->isQuorum(
+        this->selfAnd([&](const Progress &p) { return now < p.lastSeenAt + timeout; }),
+        this->lostBeforeElection);
 }
 
 std::uint64_t Replica::quorumIndex() const
 {
-    std::vector<std::uint64_t> indices;
-    for (const Member &member : this->activeMembership.members) {
-        if (member.role != MemberRole::Voter)
-            continue;
-        const bool isSelf = member.id == this->self();
-        indices.push_back(isSelf ? this->lastIndex() : this->progress.at(member.id).matchIndex);
-    }
-    std::ranges::sort(indices, std::greater<> {});
-    return indices.at(this->activeMembership.quorum() - 1);
+    std::set<std::uint64_t, std::greater<>> indices = { this->lastIndex() };
+    for (const auto &[id, memberProgress] : this->progress)
+        indices.insert(memberProgress.matchIndex);
+    const auto isHeldByQuorum = [&](std::uint64_t index) {
+        return this->isQuorum(
+            this->selfAnd([&](const Progress &p) { return p.matchIndex >= index; }),
+            this->lostBeforeElection);
+    };
+    const auto highest = std::ranges::find_if(indices, isHeldByQuorum);
+    return highest == indices.end() ? this->committedIndex : *highest;
 }
 
 const LogEntry &Replica::entryAt(std::uint64_t index) const
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hibiscus/src/Replication/MembershipChange.h"
+#include "Hibiscus/src/Replication/QuorumRule.h"
 #include "Hibiscus/src/Replication/ReplicaMessage.h"
 
 #include <map>
@@ -17,10 +18,12 @@
     Duration electionTimeout = 400ms; ///< minimum; the maximum is twice this
     std::size_t entriesPerAppend = 256;
     /** \brief Number of voters that the group keeps when nodes are replaced by nodes with other
-     * names; members beyond it stay learners. With 0, each learner becomes a voter.
+     * names; an odd number. One learner that has caught up votes besides these, so that the group
+     * stands the loss of a voter that is removed without notice; the others stay learners. With 0,
+     * each learner becomes a voter.
      */
     std::size_t desiredVoters = 0;
-    Duration voterSilenceTimeout = 3s; ///< then a caught-up learner replaces the voter
+    Duration voterSilenceTimeout = 3s; ///< then a voter is removed, if desiredVoters remain
     Duration learnerSilenceTimeout = 15s; ///< then the learner is removed, if desiredVoters > 0
     /** \brief Time after a member's last LeaveRequest in which its vote is moved without waiting
      * for voterSilenceTimeout: the time that a successor may need to start and catch up.
@@ -58,6 +61,11 @@
 /** \brief One member of a replicated log, after Raft: leader election with pre-vote, log
  * replication, snapshots, catch-up, and membership changes of one member at a time.
  *
+ * A quorum is a majority of the voters. While a change of the members is not known to be committed,
+ * it is a majority of those before the change, too. A group of 2n+2 voters can do with n+1 if one
+ * of the others is known to have lost its disk, since that one takes part in no quorum any more.
+ * docs/PROOFS.md has the proof.
+ *
  * It does no input or output: messages, the time and the random seed are passed in, and messages to
  * send and writes to persist are returned in a ReplicaOutbox.
  *
@@ -135,6 +143,8 @@
     {
         return this->leaveRequests;
     }
+    /** \returns the voters that are known to have lost their disks. */
+    const std::set<MemberId> &lostVoters() const { return this->knownLostVoters; }
     /** \returns whether the member \a id has announced its stop and was not heard after it. Only
      * the leader hears the others.
      */
@@ -184,6 +194,11 @@
      */
     void adoptSilences();
     void becomeFollower(TimePoint now);
+    /** \brief Tells the sender of a message to a former incarnation of this node that the disk of
+     * that one is lost.
+     */
+    void reportLostDisk(const ReplicaEnvelope &envelope, ReplicaOutbox &out) const;
+    void recordLostVoter(const MemberId &id, TimePoint now, ReplicaOutbox &out);
     void startElection(VoteKind kind, TimePoint now, ReplicaOutbox &out);
     void countVotes(TimePoint now, ReplicaOutbox &out);
     void becomeLeader(TimePoint now, ReplicaOutbox &out);
@@ -199,6 +214,7 @@
     void updateCaughtUp(std::uint64_t leaderCommit);
     void confirmReads(ReplicaOutbox &out);
     void changeMembers(TimePoint now, ReplicaOutbox &out);
+    void confirmVoters(TimePoint now, ReplicaOutbox &out);
     void adoptMembershipFromLog();
     void trackMembers(TimePoint now);
     /** \returns the members that are not heard, for the followers. */
@@ -219,7 +235,9 @@
      */
     std::optional<MembershipChange> changeAfterCatchUp(const MemberId &learner,
                                                        TimePoint now) const;
-    /** \returns the change that ends the replacement of a silent voter, whose successor votes. */
+    /** \returns the removal of a voter that has lost its disk, if enough others vote. */
+    std::optional<MembershipChange> changeAfterLostDisk() const;
+    /** \returns the removal of a silent or leaving voter whose successor votes. */
     std::optional<MembershipChange> changeWithoutSurplus(TimePoint now) const;
     /** \returns why \a learner can't be given a vote; \c None if it can. */
     ExchangeObstacle obstacleOf(const MemberId &learner, TimePoint now) const;
@@ -236,6 +254,26 @@
     bool mayRemoveVoter(const MemberId &id) const;
     /** \returns a member with \a role that was silent for longer than its timeout. */
     std::optional<MemberId> silentMember(MemberRole role, TimePoint now) const;
+    /** \returns whether \a members form a quorum if the voters in \a lost have lost their disks.
+     */
+    bool isQuorum(const std::set<MemberId> &members, const std::set<MemberId> &lost) const;
+    /** \returns whether the present voters are known to be committed, by the commit index or since
+     * the log confirms them.
+     */
+    bool areVotersCommitted() const
+    {
+        return this->isMembershipCommitted() || this->areVotersConfirmed();
+    }
+    bool areVotersConfirmed() const
+    {
+        return this->activeMembership.voters() == this->formerMembership.voters();
+    }
+    /** \returns the other members whose votes count now. */
+    std::vector<MemberId> otherVoters() const;
+    /** \returns this member, and those others whose progress \a matches. */
+    template<typename Matches>
+    std::set<MemberId> selfAnd(const Matches &matches) const;
+    /** \returns the highest index up to which the logs of a quorum are known to match. */
     std::uint64_t quorumIndex() const;
     const LogEntry &entryAt(std::uint64_t index) const;
 
@@ -253,6 +291,11 @@
     TimePoint heartbeatDueAt;
     VoteKind electionKind = VoteKind::PreVote;
     std::set<MemberId> votes;
+    std::set<MemberId> knownLostVoters;
+    /** \brief Those that were known when this member asked for the votes of the current term: all
+     * votes and acknowledgements that it counts as candidate and leader are younger.
+     */
+    std::set<MemberId> lostBeforeElection;
     std::map<MemberId, Progress> progress;
     std::map<MemberId, TimePoint> joinRequests;
     std::map<MemberId, LeaveAnnouncement> leaveRequests; ///< kept by followers, too
@@ -261,6 +304,7 @@
     std::uint64_t round = 0;
     std::uint64_t termStartIndex = 0;
     GroupMembership activeMembership;
+    GroupMembership formerMembership; ///< the one before activeMembership
     std::uint64_t membershipIndex = 0;
 };
 
--- a/Hibiscus/src/Replication/ReplicaMembers.cpp
+++ b/Hibiscus/src/Replication/ReplicaMembers.cpp
@@ -28,10 +28,18 @@
         && this->activeMembership.members.size() > this->options.desiredVoters;
 }
 
-void Replica::handle(const JoinRequest &, const MemberId &from, TimePoint now, ReplicaOutbox &)
+void Replica::handle(const JoinRequest &request, const MemberId &from, TimePoint now,
+                     ReplicaOutbox &out)
 {
-    if (this->isLeader() && !this->activeMembership.contains(from))
-        this->joinRequests[from] = now;
+    if (request.lostIncarnation != 0 && request.lostIncarnation != from.incarnation)
+        this->recordLostVoter({ .node = from.node, .incarnation = request.lostIncarnation }, now,
+                              out);
+    if (!this->isLeader() || this->activeMembership.contains(from))
+        return;
+    // A node that has lost its disk again sends nothing as its former incarnation any more.
+    std::erase_if(this->joinRequests,
+                  [&](const auto &request) { return request.first.node == from.node; });
+    this->joinRequests[from] = now;
 }
 
 // Each member keeps the request, as the next leader may have to act on it. A leader that leaves has
@@ -63,6 +71,10 @@
 {
     if (!this->isLeaderReady() || !this->isMembershipCommitted())
         return;
+    if (!this->areVotersConfirmed()) {
+        this->confirmVoters(now, out);
+        return;
+    }
     std::optional<MembershipChange> next = this->nextChange(now);
     if (!next)
         return;
@@ -75,8 +87,20 @@
     this->advanceCommit(out);
 }
 
+// After a loss of power the commit index is that of the snapshot. An entry that repeats the
+// membership tells from the disk that it was committed.
+void Replica::confirmVoters(TimePoint now, ReplicaOutbox &out)
+{
+    this->append(GroupMembership(this->activeMembership), out);
+    this->adoptMembershipFromLog();
+    this->sendAppends(now, out);
+    this->advanceCommit(out);
+}
+
 std::optional<MembershipChange> Replica::nextChange(TimePoint now) const
 {
+    if (auto reduced = this->changeAfterLostDisk())
+        return reduced;
     if (auto joined = this->changeAfterJoin(now))
         return joined;
     if (const auto former = this->replacedVoter(now))
@@ -146,13 +170,31 @@
             .member = learner };
     if (desired == 0)
         return promotion;
-    promotion.cause = MembershipCause::TooFewVoters;
+    if (voters > desired)
+        return std::nullopt;
     if (voters < desired)
-        return promotion;
-    const bool hasSilentVoter = this->silentMember(MemberRole::Voter, now).has_value();
-    promotion.cause = hasSilentVoter ? MembershipCause::VoterSilent : MembershipCause::VoterLeaving;
-    if (voters == desired && (hasSilentVoter || this->leavingVoter(now)))
-        return promotion;
+        promotion.cause = MembershipCause::TooFewVoters;
+    else if (this->silentMember(MemberRole::Voter, now))
+        promotion.cause = MembershipCause::VoterSilent;
+    else if (this->leavingVoter(now))
+        promotion.cause = MembershipCause::VoterLeaving;
+    // Two voters of one node have one disk, and would make the quorum larger for nothing.
+    const bool isSpare = promotion.cause == MembershipCause::LearnerCaughtUp;
+    return isSpare && former ? std::nullopt : std::optional(std::move(promotion));
+}
+
+// The successor of a lost disk takes part as a learner at once, and the quorum becomes no larger
+// than what remains, so there is no reason to wait until it has caught up.
+std::optional<MembershipChange> Replica::changeAfterLostDisk() const
+{
+    const std::size_t desired = this->options.desiredVoters;
+    if (desired == 0 || this->activeMembership.voterCount() != desired + 1)
+        return std::nullopt;
+    for (const MemberId &lost : this->knownLostVoters)
+        if (this->activeMembership.isVoter(lost))
+            return MembershipChange { .membership = this->activeMembership.without(lost),
+                                      .cause = MembershipCause::DiskLost,
+                                      .member = lost };
     return std::nullopt;
 }
 
@@ -167,7 +209,8 @@
 }
 
 // A silent voter may come back with all that was acknowledged, while those that remain lose a disk.
-// So it is removed only once its successor votes.
+// So it is removed only once its successor votes. A surplus voter that neither leaves nor is silent
+// stays: another one may be removed at any moment without notice.
 std::optional<MembershipChange> Replica::changeWithoutSurplus(TimePoint now) const
 {
     const std::size_t desired = this->options.desiredVoters;
@@ -177,28 +220,13 @@
         return MembershipChange { .membership = this->activeMembership.without(*silent),
                                   .cause = MembershipCause::VoterSilent,
                                   .member = *silent };
-    MembershipChange demotion = { .cause = MembershipCause::VoterLeaving };
-    if (const auto leaving = this->leavingVoter(now)) {
-        demotion.member = *leaving;
-    } else {
-        std::optional<MemberId> surplus;
-        for (const Member &member : this->activeMembership.members) {
-            if (member.role != MemberRole::Voter || member.id == this->self())
-                continue;
-            // A leader that was just elected takes all for present; only a reply tells.
-            const bool hasReplied = this->progress.at(member.id).acknowledgedRound > 0;
-            if (!hasReplied || !this->isHeard(member.id, now))
-                return std::nullopt;
-            surplus = member.id;
-        }
-        if (!surplus)
-            return std::nullopt;
-        demotion.member = *surplus;
-        demotion.cause = MembershipCause::TooManyVoters;
-    }
-    demotion.membership
-        = this->activeMembership.with({ .id = demotion.member, .role = MemberRole::Learner });
-    return demotion;
+    const auto leaving = this->leavingVoter(now);
+    if (!leaving)
+        return std::nullopt;
+    return MembershipChange { .membership = this->activeMembership.with(
+                                  { .id = *leaving, .role = MemberRole::Learner }),
+                              .cause = MembershipCause::VoterLeaving,
+                              .member = *leaving };
 }
 
 std::optional<MemberId> Replica::replacedVoter(TimePoint now) const
--- a/Hibiscus/src/Replication/ReplicaMessage.h
+++ b/Hibiscus/src/Replication/ReplicaMessage.h
@@ -86,10 +86,17 @@
 /** \brief A request to be added to the group as a learner, from a replica with an empty disk. */
 struct JoinRequest
 {
+    /** \brief The former incarnation of the sender's node that a message of the receiver was
+     * addressed to, and whose disk is lost; 0 if the request is no reply to such a message.
+     */
+    std::uint64_t lostIncarnation = 0;
+
     auto operator<=>(const JoinRequest &) const = default;
     template<typename Archive>
-    void serialize(Archive &)
-    { }
+    void serialize(Archive &archive)
+    {
+        serializeAddedField(archive, this->lostIncarnation);
+    }
 };
 
 /** \brief A member's announcement that its process stops soon, repeated until it does. The leader
--- a/test/support/RulesSimulation.cpp
+++ b/test/support/RulesSimulation.cpp
@@ -213,6 +213,18 @@
     leaving.shutdown.begin(this->now());
 }
 
+void RulesSimulation::removeWithoutNotice(std::size_t machine, std::size_t spare)
+{
+    this->add(spare, 0s);
+    this->machines[spare].predecessor = machine;
+    do
+        this->run(10ms);
+    while (this->isPresent(machine)
+           && (this->isLost(this->machines[spare]) || this->isLost(this->machines[machine])));
+    if (this->isPresent(machine))
+        this->remove(this->machines[machine]);
+}
+
 void RulesSimulation::replaceLost(std::size_t machine, std::size_t spare, Duration delay)
 {
     this->remove(this->machines[machine]);
--- a/test/support/RulesSimulation.h
+++ b/test/support/RulesSimulation.h
@@ -77,6 +77,10 @@
      * is asked to stop, and does not come back.
      */
     void replace(std::size_t machine, std::size_t spare);
+    /** \brief The registry node \a spare starts, and this returns once it has had the time to catch
+     * up; \a machine is then gone at once and for good.
+     */
+    void removeWithoutNotice(std::size_t machine, std::size_t spare);
     /** \brief The registry node \a machine is gone at once and for good; \a spare starts after
      * \a delay.
      */
@@ -88,6 +92,7 @@
     std::size_t machineCount() const { return this->machines.size(); }
     std::size_t domainOf(std::size_t machine) const { return machine % domainCount; }
     bool isDomainCut(std::size_t domain) const { return this->now() < this->domains[domain].until; }
+    bool runs(std::size_t machine) const { return isRunning(this->machines[machine]); }
     bool isPresent(std::size_t machine) const { return this->machines[machine].isPresent; }
     /** \returns the number of registry nodes that are lost, or have not had the time to catch up.
      */
