--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -209,6 +209,7 @@
     if (!found->second.callerTokens.empty())
         return;
     this->leftJobs[found->first] = now;
+    this->recordAbandonedRuns(found->second);
     this->jobs.erase(found);
 }
 
@@ -293,8 +294,12 @@
         this->scheduleRetry(task, {}, now);
         break;
     case RunEndKind::Unknown:
+        task.hasBegun = true;
         this->markUncertain(job, end.run.step, task, this->options.lostOwnerTimeout, now);
         break;
+    case RunEndKind::StartPending:
+        this->finishJob(job, TransientJobStatus::Unfinished, OutcomeReason::StartUncertain, now);
+        break;
     }
     const auto isDone = [](const Task &t) { return t.stage == Stage::Done; };
     const bool isComplete = std::ranges::all_of(
@@ -320,6 +325,12 @@
     return isCurrent ? std::pair(&job, &task) : std::pair<Job *, Task *>();
 }
 
+void FleetCoordinator::handleBegun(const NodeName &owner, const RunName &run)
+{
+    if (const auto [job, task] = this->findAssigned(owner, run); task != nullptr)
+        task->hasBegun = true;
+}
+
 void FleetCoordinator::handleStopping(const NodeName &owner, const RunName &run, TimePoint now)
 {
     const auto [job, task] = this->findAssigned(owner, run);
@@ -352,7 +363,9 @@
             for (Task &task : job.tasks[step])
                 if (!job.isFinished && task.stage == Stage::Assigned && matches(task)) {
                     job.hasRun = true;
-                    this->markUncertain(job, step, task, this->options.livingOwnerTimeout, now);
+                    const Duration timeout = task.hasBegun ? this->options.livingOwnerTimeout
+                                                           : this->options.pendingStartTimeout;
+                    this->markUncertain(job, step, task, timeout, now);
                 }
 }
 
@@ -407,6 +420,7 @@
                 task.owner = owner->node;
                 task.ownerIncarnation = owner->incarnation;
                 task.assignedAt = now;
+                task.hasBegun = false;
                 ++owner->startsSinceReport;
                 const RunName run = {
                     .job = job->definition.id, .step = step, .index = index, .attempt = task.attempt
@@ -675,6 +689,7 @@
                                  TimePoint now)
 {
     job.isFinished = true;
+    this->recordAbandonedRuns(job);
     JobOutcome outcome = { .job = job.definition.id,
                            .callerTokens = job.callerTokens,
                            .status = status,
@@ -689,6 +704,22 @@
     this->outcomes.push_back(std::move(outcome));
 }
 
+// A task that waits for the run of a lost owner is abandoned like one that is assigned: the next
+// submission of its job must not be run before that wait is over.
+void FleetCoordinator::recordAbandonedRuns(const Job &job)
+{
+    RunName run = { .job = job.definition.id };
+    for (run.step = 0; run.step < job.tasks.size(); ++run.step)
+        for (run.index = 0; run.index < job.tasks[run.step].size(); ++run.index) {
+            const Task &task = job.tasks[run.step][run.index];
+            run.attempt = task.attempt;
+            const bool isThere = task.stage == Stage::Assigned || task.stage == Stage::Uncertain;
+            if (isThere && !task.hasBegun)
+                this->abandonedRuns.push_back(
+                    { .run = run, .owner = task.owner, .ownerIncarnation = task.ownerIncarnation });
+        }
+}
+
 // A job is refused only if certainly no task has run. A task that is still assigned may have
 // started: only its owner knows. So its runs are withdrawn, and the answer waits for the owners.
 void FleetCoordinator::abandonJob(Job &job, OutcomeReason reason, TimePoint now)
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -124,6 +124,10 @@
      * clock drift.
      */
     Duration livingOwnerTimeout = 1250ms;
+    /** \brief Time after which a run has certainly ended at an owner that is lost, and may have
+     * sent the start of the run just before, without an answer.
+     */
+    Duration pendingStartTimeout = maxStartLateness;
     /** \brief Time after the deadline in which an answer is still sent: callers may still read it.
      */
     Duration answerGracePeriod = 250ms;
@@ -160,6 +164,16 @@
     std::size_t usualTasksPerJob = 120;
 };
 
+/** \brief Run of a job that has ended, at an owner that has not confirmed its start. */
+struct AbandonedRun
+{
+    RunName run;
+    NodeName owner;
+    std::uint64_t ownerIncarnation = 0;
+
+    auto operator<=>(const AbandonedRun &other) const = default;
+};
+
 /** \brief Coordinates the transient jobs of one entry node's callers: assigns tasks to owners and
  * answers the jobs.
  */
@@ -180,6 +194,8 @@
     bool cancelJob(const std::string &job, TimePoint now);
     /** \brief Handles the end of a run that the current incarnation of \a owner reports. */
     void handleRunEnd(const NodeName &owner, const RunEnd &end, TimePoint now);
+    /** \brief Handles the report of \a owner that a target has confirmed the start of \a run. */
+    void handleBegun(const NodeName &owner, const RunName &run);
     /** \brief Handles the report of \a owner that a withdrawn run is on a target. */
     void handleStopping(const NodeName &owner, const RunName &run, TimePoint now);
     /** \brief Marks runs at other incarnations of \a owner as uncertain. It may still live, with a
@@ -197,6 +213,9 @@
     std::vector<RunAssignment> assignTasks(std::vector<OwnerView> &owners, TimePoint now);
     std::vector<JobOutcome> takeOutcomes() { return std::exchange(this->outcomes, {}); }
 
+    /** \returns the runs that ended jobs leave behind at other nodes than this one. */
+    std::vector<AbandonedRun> takeAbandonedRuns() { return std::exchange(this->abandonedRuns, {}); }
+
     std::vector<UnsuccessfulRun> takeUnsuccessfulRuns()
     {
         return std::exchange(this->unsuccessfulRuns, {});
@@ -232,6 +251,7 @@
         std::uint32_t failures = 0;
         NodeName owner;
         std::uint64_t ownerIncarnation = 0;
+        bool hasBegun = false; ///< whether a target has confirmed the start of the present attempt
         TimePoint readyAt; ///< earliest time of the next assignment
         TimePoint assignedAt;
         Duration forecast {}; ///< run time by the progress of its last run; 0 if there is none
@@ -302,6 +322,8 @@
      */
     template<typename Matches>
     void disownRuns(const Matches &matches, TimePoint now);
+    /** \brief Records the runs of \a job whose starts may still be executed. */
+    void recordAbandonedRuns(const Job &job);
     /** \brief Has \a task wait for \a timeout, in which its run ends, or gives its job up. */
     void markUncertain(Job &job, std::uint32_t step, Task &task, Duration timeout, TimePoint now);
     void finishJob(Job &job, TransientJobStatus status, OutcomeReason reason, TimePoint now);
@@ -331,6 +353,7 @@
     std::map<ServiceName, double> fastestTargets;
     std::set<NodeName> withdrawalOwners; ///< owners to be told of withdrawn runs
     std::vector<JobOutcome> outcomes;
+    std::vector<AbandonedRun> abandonedRuns;
     std::vector<UnsuccessfulRun> unsuccessfulRuns;
     std::optional<TimePoint> shutdownAt; ///< end of this node, once it is draining
 };
--- a/Hibiscus/src/Fleet/FleetMessage.h
+++ b/Hibiscus/src/Fleet/FleetMessage.h
@@ -99,12 +99,22 @@
     /** \brief Runs of the receiver that may have started, and that the sender is stopping. */
     std::vector<RunName> stoppingRuns;
     std::vector<TargetSpeed> transferredSpeeds; ///< what the sender has learned of them
+    /** \brief Runs of the receiver whose starts the sender's targets have confirmed. */
+    std::vector<RunName> begunRuns;
 
     auto operator<=>(const FleetMessage &other) const = default;
-    HIBISCUS_FIELDS(from, incarnation, domain, weight, targetsAddress, sequence,
-                    receiverIncarnation, acknowledgedSequence, isDraining, wantsReports,
-                    requestsResponse, report, drivenTargets, runRequests, specs, wantedRuns,
-                    runEnds, transferredTargets, withdrawnRuns, stoppingRuns, transferredSpeeds)
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->incarnation, this->domain, this->weight, this->targetsAddress,
+                this->sequence, this->receiverIncarnation, this->acknowledgedSequence,
+                this->isDraining, this->wantsReports, this->requestsResponse, this->report,
+                this->drivenTargets, this->runRequests, this->specs, this->wantedRuns,
+                this->runEnds, this->transferredTargets, this->withdrawnRuns, this->stoppingRuns,
+                this->transferredSpeeds);
+        serializeAddedField(archive, this->begunRuns);
+    }
 };
 
 /** \brief Heartbeat of a target, forwarded to the entry node that should own it. */
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -29,6 +29,8 @@
  * which callers send a job again.
  */
 constexpr Duration holdInterval = 50ms;
+/** \brief Time in which an owner that is back in touch announces the starts that are uncertain. */
+constexpr Duration ownAnnouncementTime = 1s;
 /** \brief Interval of the selection of peers. */
 constexpr Duration selectionInterval = 100ms;
 /** \brief Time for which run ends are collected before they are reported: some round trips. */
@@ -250,6 +252,8 @@
     this->handleAcknowledgement(peer, message);
     if (message.receiverIncarnation == this->currentIncarnation || message.receiverIncarnation == 0)
         this->handleWantedRuns(peer, message, now);
+    for (const RunName &run : message.begunRuns)
+        this->jobCoordinator.handleBegun(message.from, run);
     for (const RunEnd &end : message.runEnds)
         this->jobCoordinator.handleRunEnd(message.from, end, now);
     for (const RunName &run : message.stoppingRuns)
@@ -424,6 +428,8 @@
         this->targetOwner.cancelRunsOfNode(name, now);
     }
     this->targetOwner.tick([&](const Requester &r) { return this->lastContact(r, now); }, now);
+    this->targetOwner.endPendingStarts(
+        [&](const TargetName &t, std::uint64_t token) { return this->hasFenced(t, token); }, now);
     this->transferTargets(now);
     this->fenceLostOwners(now);
     this->announceHolds(now);
@@ -434,12 +440,57 @@
     if (now < this->holdsCheckedAt + internal::holdInterval)
         return;
     this->holdsCheckedAt = now;
-    const auto hasSettled = [&](const TargetName &t) { return this->targetOwner.hasSettled(t); };
-    for (JobHold &hold :
-         this->jobHolds.update(this->targetOwner.uncertainStarts(now), hasSettled, now))
+    this->holdAbandonedJobs(now);
+    const auto isVoid = [&](const UncertainStart &start) { return this->isVoid(start, now); };
+    for (JobHold &hold : this->jobHolds.update(this->targetOwner.uncertainStarts(now), isVoid, now))
         this->announcedHolds.push_back(std::move(hold));
 }
 
+// An owner in touch ends the runs that its peers want no more, and announces those whose starts may
+// still be executed. For one that is out of touch, their coordinator has to assume that.
+void FleetNode::holdAbandonedJobs(TimePoint now)
+{
+    for (const AbandonedRun &run : this->jobCoordinator.takeAbandonedRuns()) {
+        const bool isOwn = run.owner == this->options.self;
+        if (isOwn || this->isInTouchSince(run.owner, run.ownerIncarnation, TimePoint(), now))
+            continue;
+        this->jobHolds.add({ .run = run.run,
+                             .unansweredAt = now,
+                             .owner = run.owner,
+                             .ownerIncarnation = run.ownerIncarnation });
+    }
+}
+
+bool FleetNode::isInTouchSince(const NodeName &node, std::uint64_t incarnation, TimePoint since,
+                               TimePoint now) const
+{
+    const auto found = this->peers.find(node);
+    return found != this->peers.end() && found->second.incarnation == incarnation
+        && this->isConfirmed(found->second, now) && found->second.confirmedAt > since;
+}
+
+// An owner that was out of touch announces by itself what it finds uncertain, a little later.
+bool FleetNode::isVoid(const UncertainStart &start, TimePoint now) const
+{
+    if (!start.owner.str().empty())
+        return this->isInTouchSince(start.owner, start.ownerIncarnation,
+                                    start.unansweredAt + internal::ownAnnouncementTime, now);
+    return this->targetOwner.hasSettled(start.target)
+        || this->hasFenced(start.target, start.fencingToken);
+}
+
+// Each report is of a time at which its sender's token was accepted, which can't be undone.
+bool FleetNode::hasFenced(const TargetName &target, std::uint64_t token) const
+{
+    if (this->targetOwner.hasFenced(target, token))
+        return true;
+    return std::ranges::any_of(this->peers, [&](const auto &peer) {
+        return std::ranges::any_of(peer.second.report.targets, [&](const OwnedTarget &t) {
+            return t.name == target && t.isReconciled && t.fencingToken > token;
+        });
+    });
+}
+
 void FleetNode::guard(const FleetMessage &message, TimePoint now)
 {
     this->ownerFence.handleContact(message.from, message.incarnation);
@@ -774,6 +825,7 @@
         const Requester requester = { .node = to, .incarnation = peer.incarnation };
         message.runEnds = this->targetOwner.runEndsFor(requester);
         message.stoppingRuns = this->targetOwner.stoppingRunsFor(requester);
+        message.begunRuns = this->targetOwner.begunRunsFor(requester);
         this->targetOwner.markEndsReported(requester);
         const std::vector<RunEnd> lost = std::exchange(this->unknownRuns[to], {});
         message.runEnds.insert(message.runEnds.end(), lost.begin(), lost.end());
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -183,7 +183,8 @@
         }
         run.isWanted = run.isWanted && isWanted;
         this->cancelRun(run, now);
-        const bool isDone = !run.isWanted && run.stage != Stage::OnTarget;
+        const bool isDone
+            = !run.isWanted && (run.stage == Stage::Queued || run.stage == Stage::Ended);
         item = isDone ? this->runs.erase(item) : ++item;
     }
 }
@@ -195,6 +196,8 @@
         run.end = RunEndKind::NotStarted;
         run.endedAt = now;
     }
+    if (run.stage == Stage::StartPending)
+        run.isStopping = true;
     if (run.stage != Stage::OnTarget || run.isStopping)
         return;
     run.isStopping = true;
@@ -445,12 +448,25 @@
 {
     std::vector<RunName> stopping;
     for (const auto &[name, run] : this->runs)
-        if (run.stage == Stage::OnTarget && run.isStopping && run.isWanted
-            && run.requester == requester)
+        if ((run.stage == Stage::OnTarget || run.stage == Stage::StartPending) && run.isStopping
+            && run.isWanted && run.requester == requester)
             stopping.push_back(name);
     return stopping;
 }
 
+std::vector<RunName> FleetOwner::begunRunsFor(const Requester &requester) const
+{
+    std::vector<RunName> begun;
+    for (const auto &[name, run] : this->runs) {
+        if (run.stage != Stage::OnTarget || run.requester != requester)
+            continue;
+        const auto driver = this->drivers.find(run.target);
+        if (driver != this->drivers.end() && driver->second.hasBegun(name))
+            begun.push_back(name);
+    }
+    return begun;
+}
+
 bool FleetOwner::holdsRun(const RunName &run, const Requester &requester) const
 {
     const auto found = this->runs.find(run);
@@ -561,6 +577,7 @@
         break;
     case RunEndKind::Lost:
     case RunEndKind::Unknown:
+    case RunEndKind::StartPending:
         ++this->counts.lost;
         break;
     }
@@ -674,7 +691,7 @@
     for (auto item = this->runs.lower_bound(first); item != this->runs.end(); ++item) {
         if (!item->first.isSameTask(run))
             return false;
-        if (item->second.stage == Stage::OnTarget)
+        if (item->second.stage == Stage::OnTarget || item->second.stage == Stage::StartPending)
             return true;
     }
     return false;
@@ -705,7 +722,7 @@
             this->recordReleased(driver);
         this->recordChange(driver, reason);
         this->forgetTarget(item->first);
-        this->endRunsAsUnknown(driver, now);
+        this->endRunsOfRemovedTarget(driver, now);
         item = this->drivers.erase(item);
     }
 }
@@ -721,26 +738,73 @@
     this->releasedSpeeds[name] = speed;
 }
 
-// The next owner of the target stops its runs, but this node does not receive the results.
-void FleetOwner::endRunsAsUnknown(const TargetDriver &driver, TimePoint now)
+// The next owner of the target stops its runs, but this node does not receive the results. A start
+// that the target may execute later is no run yet: neither its lease nor the next owner ends it
+// before it begins, so its task is not given back.
+void FleetOwner::endRunsOfRemovedTarget(const TargetDriver &driver, TimePoint now)
 {
     for (auto item = this->runs.begin(); item != this->runs.end();) {
         HeldRun &run = item->second;
-        const bool isThere = run.stage == Stage::OnTarget && run.target == driver.target().name;
-        if (isThere) {
-            this->recordAttempt(run, driver,
-                                ObservedRunEnd { .run = run.request.run,
-                                                 .kind = RunEndKind::Unknown,
-                                                 .evidence = RunEndEvidence::TargetRemoved,
-                                                 .contactAge = now - driver.lastContactAt() },
-                                now);
-            this->countRunEnd(RunEndKind::Unknown);
-            run.stage = Stage::Ended;
-            run.end = RunEndKind::Unknown;
-            run.endedAt = now;
+        if (run.stage != Stage::OnTarget || run.target != driver.target().name) {
+            ++item;
+            continue;
+        }
+        const std::optional<std::uint64_t> startToken = driver.pendingStart(item->first);
+        const RunEndKind kind = startToken ? RunEndKind::StartPending : RunEndKind::Unknown;
+        this->recordAttempt(run, driver,
+                            ObservedRunEnd { .run = run.request.run,
+                                             .kind = kind,
+                                             .evidence = RunEndEvidence::TargetRemoved,
+                                             .contactAge = now - driver.lastContactAt() },
+                            now);
+        if (startToken) {
+            run.stage = Stage::StartPending;
+            run.targetIncarnation = driver.target().incarnation;
+            run.startToken = *startToken;
+            run.startExpiresAt = now + maxStartLateness;
+            ++item;
+            continue;
         }
-        item = isThere && !run.isWanted ? this->runs.erase(item) : ++item;
+        this->countRunEnd(kind);
+        run.stage = Stage::Ended;
+        run.end = kind;
+        run.endedAt = now;
+        item = run.isWanted ? ++item : this->runs.erase(item);
+    }
+}
+
+void FleetOwner::endPendingStarts(const HasFenced &hasFenced, TimePoint now)
+{
+    for (auto item = this->runs.begin(); item != this->runs.end();) {
+        HeldRun &run = item->second;
+        const bool isPending = run.stage == Stage::StartPending;
+        const TimePoint latestStart = run.bounds.deadlineAt - this->minExpectedRunTime(run.request);
+        if (isPending && hasFenced(run.target, run.startToken))
+            this->endPendingStart(run, RunEndKind::Lost, RunEndEvidence::TargetFenced, now);
+        else if (isPending && now >= run.startExpiresAt)
+            this->endPendingStart(run, RunEndKind::Lost, RunEndEvidence::StartExpired, now);
+        else if (isPending && run.isWanted && now > latestStart)
+            this->endPendingStart(run, RunEndKind::StartPending, RunEndEvidence::TargetRemoved,
+                                  now);
+        item = run.stage == Stage::Ended && !run.isWanted ? this->runs.erase(item) : ++item;
     }
 }
 
+void FleetOwner::endPendingStart(HeldRun &run, RunEndKind kind, RunEndEvidence evidence,
+                                 TimePoint now)
+{
+    this->attempts.push_back(
+        { .run = run.request.run,
+          .target = run.target,
+          .incarnation = run.targetIncarnation,
+          .fencingToken = run.startToken,
+          .requester = run.requester.node,
+          .end = ObservedRunEnd { .run = run.request.run, .kind = kind, .evidence = evidence },
+          .sinceStart = now - run.startedAt });
+    this->countRunEnd(kind);
+    run.stage = Stage::Ended;
+    run.end = kind;
+    run.endedAt = now;
+}
+
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -217,6 +217,14 @@
                             const OrderResponse &response, TimePoint now);
     void handlePollResponse(const OrderAddress &from, TimePoint sentAt,
                             const PollResponse &response, TimePoint now);
+    /** \brief Returns whether a target has certainly accepted a higher fencing token than the given
+     * one, and so rejects starts with that.
+     */
+    using HasFenced = std::function<bool(const TargetName &, std::uint64_t)>;
+    /** \brief Ends runs whose starts were pending when their targets were removed, once these can
+     * have no effect any more, or their jobs can't wait any longer.
+     */
+    void endPendingStarts(const HasFenced &hasFenced, TimePoint now);
     /** \brief Renews leases, removes lost targets and starts queued runs. */
     void tick(const LastContact &lastContact, TimePoint now);
     /** \brief Starts queued runs for which there is free capacity. */
@@ -251,8 +259,10 @@
     std::map<Requester, RequesterState> requesters() const;
     /** \returns the run ends that \a requester has not acknowledged. */
     std::vector<RunEnd> runEndsFor(const Requester &requester) const;
-    /** \returns the cancelled runs of \a requester that are on targets still. */
+    /** \returns the cancelled runs of \a requester that are on targets still, or may yet begin. */
     std::vector<RunName> stoppingRunsFor(const Requester &requester) const;
+    /** \returns the runs of \a requester that are on targets and have certainly begun. */
+    std::vector<RunName> begunRunsFor(const Requester &requester) const;
     bool holdsRun(const RunName &run, const Requester &requester) const;
     /** \returns the end of \a run, which a requester wants but this owner does not hold for it. */
     RunEnd endOfUnknownRun(const RunName &run) const;
@@ -265,6 +275,11 @@
         const auto found = this->drivers.find(target);
         return found != this->drivers.end() && found->second.isReconciled();
     }
+    /** \returns whether \a target has done so with a higher fencing token than \a token. */
+    bool hasFenced(const TargetName &target, std::uint64_t token) const
+    {
+        return this->hasSettled(target) && this->drivers.at(target).fencingToken() > token;
+    }
     std::vector<TargetName> targetNames() const;
     const LeasedTarget *findTarget(const TargetName &target) const;
     std::size_t queuedRunCount() const;
@@ -272,7 +287,12 @@
     const FleetOwnerCounters &counters() const { return this->counts; }
 
 private:
-    enum class Stage : std::uint8_t { Queued, OnTarget, Ended };
+    enum class Stage : std::uint8_t {
+        Queued,
+        OnTarget,
+        StartPending, ///< the target was removed, but may still execute the start
+        Ended
+    };
 
     struct HeldRun
     {
@@ -294,6 +314,9 @@
         RunPace pace = RunPace::Unknown; ///< latest pace by its progress
         RunVerdict verdict = RunVerdict::Continue;
         bool isSpared = false; ///< whether it was counted as spared
+        std::uint64_t targetIncarnation = 0;
+        std::uint64_t startToken = 0; ///< of a pending start
+        TimePoint startExpiresAt; ///< time after which a pending start has no effect
         Duration forecastRunTime {}; ///< forecast, normalized, if it was stopped by its progress
     };
 
@@ -313,6 +336,8 @@
     void recordChange(const TargetDriver &driver, std::string change);
     void recordAttempt(const HeldRun &run, const TargetDriver &driver,
                        const std::optional<ObservedRunEnd> &end, TimePoint now);
+    /** \brief Ends a run whose start was pending. */
+    void endPendingStart(HeldRun &run, RunEndKind kind, RunEndEvidence evidence, TimePoint now);
     TargetDriver *findDriver(const OrderAddress &from);
     /** \brief Drops a target that may not exist if there are too many of these.
      * \returns whether another one may be taken over.
@@ -365,7 +390,10 @@
     Duration minExpectedRunTime(const RunRequest &request) const;
     void removeLostTargets(TimePoint now);
     void recordReleased(const TargetDriver &driver);
-    void endRunsAsUnknown(const TargetDriver &driver, TimePoint now);
+    /** \brief Ends the runs on a target that this node owns no longer, except for those whose
+     * starts may still be executed.
+     */
+    void endRunsOfRemovedTarget(const TargetDriver &driver, TimePoint now);
 
     FleetOwnerOptions options;
     std::map<TargetName, TargetDriver> drivers;
--- a/Hibiscus/src/Fleet/JobHolds.cpp
+++ b/Hibiscus/src/Fleet/JobHolds.cpp
@@ -1,16 +1,17 @@
 #include "Hibiscus/src/Fleet/JobHolds.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Hibiscus {
 
 std::vector<JobHold> JobHolds::update(const std::vector<UncertainStart> &uncertain,
-                                      const std::function<bool(const TargetName &)> &hasSettled,
+                                      const std::function<bool(const UncertainStart &)> &isVoid,
                                       TimePoint now)
 {
     this->removeExpired(now);
     std::set<RunName> present;
-    std::set<std::string> changedJobs;
+    std::set<std::string> changedJobs = std::exchange(this->addedJobs, {});
     for (const UncertainStart &start : uncertain) {
         present.insert(start.run);
         if (this->starts.try_emplace(start.run, start).second)
@@ -18,7 +19,7 @@
     }
     std::erase_if(this->starts, [&](const auto &item) {
         const UncertainStart &start = item.second;
-        const bool isCertain = !present.contains(start.run) && hasSettled(start.target);
+        const bool isCertain = !present.contains(start.run) && isVoid(start);
         const bool isOver = now >= start.unansweredAt + this->options.maxLateness;
         if (isCertain || isOver)
             changedJobs.insert(start.run.job);
@@ -42,6 +43,13 @@
     return changes;
 }
 
+void JobHolds::add(const UncertainStart &start)
+{
+    if (this->starts.size() < this->options.maxHolds
+        && this->starts.try_emplace(start.run, start).second)
+        this->addedJobs.insert(start.run.job);
+}
+
 void JobHolds::receive(const JobHold &hold, TimePoint now)
 {
     if (hold.span <= Duration()) {
--- a/Hibiscus/src/Fleet/JobHolds.h
+++ b/Hibiscus/src/Fleet/JobHolds.h
@@ -23,13 +23,17 @@
 };
 
 /** \brief A start that its target may still execute: it was not answered, and the target has
- * neither confirmed a stop of the run nor accepted a higher token since.
+ * neither confirmed a stop of the run nor accepted a higher token since. Or one of which only its
+ * owner knows, which is out of touch.
  */
 struct UncertainStart
 {
     RunName run;
-    TargetName target;
+    TargetName target; ///< empty if \a owner is set
+    std::uint64_t fencingToken = 0;
     TimePoint unansweredAt;
+    NodeName owner; ///< empty unless another node's
+    std::uint64_t ownerIncarnation = 0;
 
     auto operator<=>(const UncertainStart &other) const = default;
 };
@@ -37,10 +41,7 @@
 /** \brief Timing and limits of JobHolds. */
 struct JobHoldsOptions
 {
-    /** \brief Time after which an order is not executed any more, and what it started has ended:
-     * the platform executes orders up to 12 s late, and grants leases of 1 s.
-     */
-    Duration maxLateness = 13s;
+    Duration maxLateness = maxStartLateness; ///< a hold ends that long after the start
     /** \brief Interval of repeated announcements, for lost ones and for nodes that start meanwhile;
      * shorter than the time after which callers send a job again.
      */
@@ -62,14 +63,16 @@
         : options(options), self(self) { }
 
     // Commands.
-    /** \brief Compares the starts that are uncertain now with those before. \a hasSettled tells
-     * whether this node drives a target that has accepted its orders. Otherwise it knows no more of
-     * the start there: it has given the target up, or just taken it over again.
-     * \returns what is to be announced to the other entry nodes.
+    /** \brief Compares the starts that are uncertain now with those before. \a isVoid tells whether
+     * a start that is not uncertain any more can certainly have no effect. Otherwise this node
+     * knows no more of it: it has given the target up, or just taken it over again. \returns what
+     * is to be announced to the other entry nodes.
      */
     std::vector<JobHold> update(const std::vector<UncertainStart> &uncertain,
-                                const std::function<bool(const TargetName &)> &hasSettled,
+                                const std::function<bool(const UncertainStart &)> &isVoid,
                                 TimePoint now);
+    /** \brief Holds the job of \a start, which no update() mentions, from the next one on. */
+    void add(const UncertainStart &start);
     /** \brief Records the announcement of another node. */
     void receive(const JobHold &hold, TimePoint now);
 
@@ -87,6 +90,7 @@
     JobHoldsOptions options;
     NodeName self;
     std::map<RunName, UncertainStart> starts; ///< of this node
+    std::set<std::string> addedJobs; ///< since the last update()
     TimePoint announcedAt; ///< time of the last announcement of all of them
     std::map<std::string, std::map<NodeName, TimePoint>> heldUntil; ///< by job and announcer
 };
--- a/Hibiscus/src/Fleet/Run.cpp
+++ b/Hibiscus/src/Fleet/Run.cpp
@@ -23,6 +23,8 @@
         return "lost";
     case RunEndKind::Hopeless:
         return "hopeless";
+    case RunEndKind::StartPending:
+        return "start-pending";
     case RunEndKind::Unknown:
         break;
     }
@@ -42,6 +44,10 @@
         return "stop-confirmed";
     case RunEndEvidence::TargetEnded:
         return "target-ended";
+    case RunEndEvidence::TargetFenced:
+        return "target-fenced";
+    case RunEndEvidence::StartExpired:
+        return "start-expired";
     case RunEndEvidence::TargetRemoved:
         break;
     }
--- a/Hibiscus/src/Fleet/Run.h
+++ b/Hibiscus/src/Fleet/Run.h
@@ -44,6 +44,11 @@
                     requiredLabel, maxPerTarget)
 };
 
+/** \brief Time after which a start that was not answered has no effect any more: platforms execute
+ * orders up to 12 s late, and the lease that the run then gets ends within 1 s.
+ */
+constexpr Duration maxStartLateness = 13s;
+
 /** \brief End state of a run. */
 enum class RunEndKind : std::uint8_t {
     Completed,
@@ -57,8 +62,15 @@
     Superseded,
     Stopped, ///< on request
     Lost, ///< the target ended it: the lease expired, or the target restarted
-    Unknown, ///< the owner lost the target: the run may still go on
-    Hopeless ///< stopped, since its progress showed that it could not meet its deadline
+    /** \brief The owner lost the target after the run had begun: it may go on until its lease ends,
+     * but can't begin any more.
+     */
+    Unknown,
+    Hopeless, ///< stopped, since its progress showed that it could not meet its deadline
+    /** \brief The owner lost the target, which may still execute the start, for longer than the job
+     * can wait.
+     */
+    StartPending
 };
 
 /** \returns the name of \a kind for logs. */
@@ -71,7 +83,9 @@
     NotListed, ///< a poll response listed it neither as running nor as ended
     StopConfirmed, ///< the target confirmed its stop and did not list it afterwards
     TargetEnded, ///< its target has restarted, or has announced its shutdown
-    TargetRemoved ///< this node no longer owns its target
+    TargetRemoved, ///< this node no longer owns its target
+    TargetFenced, ///< its target has accepted a higher fencing token than that of the start
+    StartExpired ///< the target has not executed the start for maxStartLateness
 };
 
 /** \returns the name of \a evidence for logs. */
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -236,7 +236,9 @@
 
 void TargetDriver::tick(TimePoint now, DriverOutbox &out)
 {
-    if (this->isDeparting && now >= this->leasedUntil)
+    const bool mayStartRun = std::ranges::any_of(
+        this->runs, [&](const auto &r) { return this->isStartPending(r.second); });
+    if (this->isDeparting && now >= this->leasedUntil && !mayStartRun)
         this->ended = true;
     if (this->ended)
         this->endAllRuns(now, out);
@@ -296,10 +298,23 @@
     return { .address = address, .isFenceWanted = isFenceWanted };
 }
 
+bool TargetDriver::isStartPending(const Run &run) const
+{
+    return run.phase != Phase::Running && !run.stopConfirmedAt
+        && run.startToken >= this->acceptedToken;
+}
+
+std::optional<std::uint64_t> TargetDriver::pendingStart(const RunName &run) const
+{
+    const auto found = this->runs.find(run);
+    const bool isPending
+        = found != this->runs.end() && !this->fenced && this->isStartPending(found->second);
+    return isPending ? std::optional(found->second.startToken) : std::nullopt;
+}
+
 bool TargetDriver::isUncertain(const Run &run, TimePoint now) const
 {
-    return run.phase == Phase::Unanswered && !run.stopConfirmedAt
-        && run.startToken >= this->acceptedToken
+    return run.phase == Phase::Unanswered && this->isStartPending(run)
         && now >= run.unansweredAt + this->options.fenceDelay;
 }
 
@@ -308,8 +323,10 @@
     std::vector<UncertainStart> starts;
     for (const auto &[name, run] : this->runs)
         if (this->isUncertain(run, now))
-            starts.push_back(
-                { .run = name, .target = this->heartbeat.name, .unansweredAt = run.unansweredAt });
+            starts.push_back({ .run = name,
+                               .target = this->heartbeat.name,
+                               .fencingToken = run.startToken,
+                               .unansweredAt = run.unansweredAt });
     return starts;
 }
 
@@ -466,11 +483,16 @@
 }
 
 // Orders without a response may be executed seconds later; a late poll would renew the lease of a
-// run that nobody wants any more. A start in flight must not be fenced, so the token waits for it;
-// a stop is sent again.
+// run that nobody wants any more. A start without a response is fenced by the next poll, since the
+// target may be cut off before a later one. A start in flight must not be fenced, so the token
+// waits for it; a stop is sent again.
 void TargetDriver::raiseToken(TimePoint now)
 {
-    const bool isDue = now >= this->tokenRaisedAt + this->options.tokenInterval;
+    const bool isDue = now >= this->tokenRaisedAt + this->options.tokenInterval
+        || std::ranges::any_of(this->runs, [&](const auto &r) {
+                           return r.second.phase == Phase::Unanswered
+                               && r.second.startToken >= this->orderToken();
+                       });
     if (!isDue || !this->hasOnlyOwnRuns() || this->hasStartInFlight())
         return;
     this->tokenRaisedAt = now;
@@ -566,9 +588,9 @@
         return ObservedRunEnd { .run = name,
                                 .kind = RunEndKind::Stopped,
                                 .evidence = RunEndEvidence::StopConfirmed };
-    // The lease was not renewed beyond the validity of the run. Its start, if the target executes
-    // it later, has a lower token than this poll or a guardian's.
-    const bool hasExpired = run.validUntil <= this->pollSentAt;
+    // The lease was not renewed beyond the validity of the run. A start that is executed later is
+    // rejected only if its token is lower than that of this poll.
+    const bool hasExpired = run.validUntil <= this->pollSentAt && !this->isStartPending(run);
     if (hasExpired || (!run.isStopWanted && this->isOver(run.missingSince)))
         return ObservedRunEnd { .run = name,
                                 .kind = RunEndKind::Lost,
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -210,6 +210,17 @@
     bool isPollInFlight() const { return this->isPolling; }
     std::size_t runCount() const { return this->runs.size(); }
     bool hasRun(const RunName &run) const { return this->runs.contains(run); }
+    /** \returns whether the target has confirmed the start of \a run. */
+    bool hasBegun(const RunName &run) const
+    {
+        const auto found = this->runs.find(run);
+        return found != this->runs.end() && found->second.phase == Phase::Running;
+    }
+    /** \returns the fencing token of the start of \a run if the target may still execute it: the
+     * start was not answered, the target has confirmed no stop of the run and accepted no higher
+     * token since.
+     */
+    std::optional<std::uint64_t> pendingStart(const RunName &run) const;
     /** \returns the send time of the last poll that listed \a run as running, if any. */
     std::optional<TimePoint> listedAt(const RunName &run) const;
     /** \returns the forecast of \a run from its progress; nullptr if there is no such run. */
@@ -249,6 +260,7 @@
         std::optional<TimePoint> stopConfirmedAt;
     };
 
+    bool isStartPending(const Run &run) const;
     bool isUncertain(const Run &run, TimePoint now) const;
     std::uint64_t orderToken() const;
     OrderAddress address() const;
--- a/test/FleetCoordinatorTest.cpp
+++ b/test/FleetCoordinatorTest.cpp
@@ -220,6 +220,7 @@
     FleetCoordinator coordinator({});
     std::vector<OwnerView> owners = { ownerWith("o", 1) };
     ASSERT_EQ(assignPatientJob(coordinator, owners, now), 1U);
+    coordinator.handleBegun(NodeName("o"), { .job = "j", .attempt = 1 });
     coordinator.disownRemoteRuns(NodeName("o"), now);
     EXPECT_EQ(coordinator.wantedRunsAt(NodeName("o")).size(), 1U) << "its own runs go on";
     coordinator.disownRemoteRuns(NodeName("self"), now);
@@ -239,6 +240,7 @@
     FleetCoordinator coordinator({});
     std::vector<OwnerView> owners = { ownerWith("o", 1) };
     ASSERT_EQ(assignPatientJob(coordinator, owners, now), 1U);
+    coordinator.handleBegun(NodeName("o"), { .job = "j", .attempt = 1 });
     coordinator.updateIncarnation(NodeName("o"), 2, now);
     constexpr double slowClock = 0.98;
     const Duration longestRun
@@ -279,4 +281,56 @@
     EXPECT_EQ(submitTasks(coordinator, 8, 120), OutcomeReason::None) << "once a job has ended";
 }
 
+// Guards against two runs of a task: its owner is lost, and had sent a start that its target
+// executes later than any run of that owner can go on.
+TEST(FleetCoordinator, TaskOfALostOwnerWaitsUntilItsStartCanHaveNoEffect)
+{
+    for (const bool hasBegun : { false, true }) {
+        TimePoint now(1'800'000'000s);
+        std::vector<OwnerView> owners = { ownerWith("a", 1) };
+        FleetCoordinator coordinator({});
+        const JobStep step = { .demand = { .cpu = 27'000, .memory = 64 }, .estimate = 60ms };
+        RoutePolicy patient = policy();
+        patient.untilDeadline = 30s;
+        coordinator.submit({ .id = "j", .steps = { step } }, patient, 1, owners, now);
+        const RunName run = coordinator.assignTasks(owners, now).at(0).request.run;
+        if (hasBegun)
+            coordinator.handleBegun(NodeName("a"), run);
+        coordinator.updateIncarnation(NodeName("a"), 2, now);
+        const Duration needed
+            = hasBegun ? FleetCoordinatorOptions {}.livingOwnerTimeout : Duration(maxStartLateness);
+        now += needed - 1ms;
+        coordinator.tick(now);
+        EXPECT_TRUE(coordinator.assignTasks(owners, now).empty());
+        now += 1ms;
+        coordinator.tick(now);
+        EXPECT_EQ(coordinator.assignTasks(owners, now).size(), 1U);
+        EXPECT_TRUE(coordinator.takeAbandonedRuns().empty());
+    }
+}
+
+// A job that can't wait for the start is answered at once, as one that may have run, and what it
+// leaves behind is known.
+TEST(FleetCoordinator, JobThatCannotWaitForAPendingStartIsUnfinished)
+{
+    const TimePoint now(1'800'000'000s);
+    for (const bool isOwnerLost : { false, true }) {
+        std::vector<OwnerView> owners = { ownerWith("a", 1) };
+        FleetCoordinator coordinator({});
+        ASSERT_EQ(assignPatientJob(coordinator, owners, now), 1U);
+        const RunName run = { .job = "j", .attempt = 1 };
+        if (isOwnerLost)
+            coordinator.updateIncarnation(NodeName("a"), 2, now);
+        else
+            coordinator.handleRunEnd(NodeName("a"), { run, RunEndKind::StartPending }, now);
+        const std::vector<JobOutcome> outcomes = coordinator.takeOutcomes();
+        ASSERT_EQ(outcomes.size(), 1U);
+        EXPECT_EQ(outcomes[0].status, TransientJobStatus::Unfinished);
+        const std::vector<AbandonedRun> abandoned = coordinator.takeAbandonedRuns();
+        ASSERT_EQ(abandoned.size(), 1U);
+        EXPECT_EQ(abandoned[0].run, run);
+        EXPECT_EQ(abandoned[0].owner, NodeName("a"));
+    }
+}
+
 } // namespace
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -36,6 +36,8 @@
         for (const TargetOrder &order : this->owner.takeOrders())
             if (const auto *poll = std::get_if<PollOrder>(&order))
                 polls.push_back(*poll);
+            else if (const auto *start = std::get_if<StartOrder>(&order))
+                this->unansweredStart = *start;
         for (const PollOrder &poll : polls)
             this->owner.handlePollResponse(
                 poll.to, poll.sentAt,
@@ -46,7 +48,7 @@
 
     /** \brief Requests an attempt at a task, whose requester wanted it \a contactAge ago. */
     void requestRun(std::uint64_t attempt, const Requester &requester, std::uint32_t index = 0,
-                    Duration contactAge = {})
+                    Duration contactAge = {}, Duration untilDeadline = 1s)
     {
         RunRequest request;
         request.run = { .job = "j", .index = index, .attempt = attempt };
@@ -54,14 +56,43 @@
         request.demand = { .cpu = 27'000 };
         request.estimate = 100ms;
         request.untilObjective = 1s;
-        request.untilDeadline = 1s;
+        request.untilDeadline = untilDeadline;
         this->owner.requestRun(request, requester, this->now);
         this->owner.startQueuedRuns(
             [&](const Requester &) { return std::optional(this->now - contactAge); }, this->now);
     }
 
+    /** \brief Responds with \a status to the starts that were ordered, and to polls by lists
+     * without runs.
+     */
+    void answerStarts(OrderStatus status)
+    {
+        for (const TargetOrder &order : this->owner.takeOrders()) {
+            if (const auto *start = std::get_if<StartOrder>(&order))
+                this->owner.handleStartResponse(start->to, start->run,
+                                                { .status = status, .clockMs = 10 }, this->now);
+            if (const auto *poll = std::get_if<PollOrder>(&order))
+                this->owner.handlePollResponse(poll->to, poll->sentAt,
+                                               { .status = OrderStatus::Done, .clockMs = 10 },
+                                               this->now);
+        }
+    }
+
+    /** \brief Lets \a span pass, in which the target sends heartbeats, but responds to nothing. */
+    void passWithoutResponses(Duration span, bool isFenced = false)
+    {
+        for (const TimePoint end = this->now + span; this->now < end; this->now += 50ms) {
+            this->sendHeartbeat();
+            this->owner.tick([](const Requester &) { return std::nullopt; }, this->now);
+            this->owner.endPendingStarts(
+                [&](const TargetName &, std::uint64_t) { return isFenced; }, this->now);
+            this->owner.takeOrders();
+        }
+    }
+
     TimePoint now { 1'800'000'000s };
     std::uint64_t sequence = 0;
+    std::optional<StartOrder> unansweredStart; ///< the latest that answerPolls() has left
     FleetOwner owner { {} };
     Requester first { .node = NodeName("a"), .incarnation = 1 };
     Requester second { .node = NodeName("b"), .incarnation = 1 };
@@ -130,6 +161,12 @@
     }
     ASSERT_TRUE(latest);
     EXPECT_LE(*latest, 10 + toMilliseconds(FleetOwnerOptions {}.maxOrphanTime));
+    EXPECT_EQ(fixture.owner.runningRunCount(), 1U) << "its start may still be executed";
+    fixture.owner.handleStartResponse(fixture.unansweredStart->to, fixture.unansweredStart->run,
+                                      { .status = OrderStatus::Unanswered }, fixture.now);
+    fixture.answerPolls();
+    fixture.now += 100ms;
+    fixture.answerPolls();
     EXPECT_EQ(fixture.owner.runningRunCount(), 0U) << "the lists do not contain it";
 }
 
@@ -170,6 +207,64 @@
     EXPECT_TRUE(fixture.owner.report(fixture.now).targets.at(0).acceptsWork);
 }
 
+// Guards against two runs of a task: its target is given up, the task starts elsewhere, and the
+// target executes a start that it left unanswered (review/12).
+TEST(FleetOwner, RunWhoseStartIsPendingIsNotGivenBackWithItsTarget)
+{
+    OwnerFixture fixture;
+    fixture.requestRun(1, fixture.first, 0, {}, 30s);
+    fixture.answerStarts(OrderStatus::Unanswered);
+    const TimePoint sentAt = fixture.now;
+    fixture.passWithoutResponses(12s);
+    EXPECT_TRUE(fixture.owner.runEndsFor(fixture.first).empty());
+    EXPECT_TRUE(fixture.owner.begunRunsFor(fixture.first).empty());
+    fixture.requestRun(2, fixture.second, 0, {}, 30s);
+    EXPECT_EQ(fixture.owner.queuedRunCount(), 1U) << "an attempt for another coordinator waits";
+    fixture.passWithoutResponses(sentAt + maxStartLateness + 4s - fixture.now);
+    ASSERT_EQ(fixture.owner.runEndsFor(fixture.first).size(), 1U);
+    EXPECT_EQ(fixture.owner.runEndsFor(fixture.first)[0].kind, RunEndKind::Lost);
+}
+
+TEST(FleetOwner, RunThatHasBegunIsGivenBackWithItsTarget)
+{
+    OwnerFixture fixture;
+    fixture.requestRun(1, fixture.first, 0, {}, 30s);
+    fixture.answerStarts(OrderStatus::Done);
+    EXPECT_EQ(fixture.owner.begunRunsFor(fixture.first).size(), 1U);
+    fixture.passWithoutResponses(4s);
+    ASSERT_EQ(fixture.owner.runEndsFor(fixture.first).size(), 1U);
+    EXPECT_EQ(fixture.owner.runEndsFor(fixture.first)[0].kind, RunEndKind::Unknown);
+}
+
+// A task waits no longer than its start can take effect.
+TEST(FleetOwner, RunWhoseStartIsPendingIsGivenBackOnceItsTargetIsFenced)
+{
+    OwnerFixture fixture;
+    fixture.requestRun(1, fixture.first, 0, {}, 30s);
+    fixture.answerStarts(OrderStatus::Unanswered);
+    fixture.passWithoutResponses(5s);
+    ASSERT_TRUE(fixture.owner.runEndsFor(fixture.first).empty());
+    fixture.passWithoutResponses(50ms, true);
+    ASSERT_EQ(fixture.owner.runEndsFor(fixture.first).size(), 1U);
+    EXPECT_EQ(fixture.owner.runEndsFor(fixture.first)[0].kind, RunEndKind::Lost);
+}
+
+// Guards against a caller that waits though its job can't end in time any more, and against a job
+// that counts as never run.
+TEST(FleetOwner, RunWhoseStartIsPendingIsReportedWhenItsJobCannotWaitOrIsGivenUp)
+{
+    OwnerFixture fixture;
+    fixture.requestRun(1, fixture.first, 0, {}, 6s);
+    fixture.answerStarts(OrderStatus::Unanswered);
+    fixture.passWithoutResponses(5s);
+    fixture.owner.withdrawRuns(fixture.first, { { .job = "j", .attempt = 1 } }, fixture.now);
+    EXPECT_EQ(fixture.owner.stoppingRunsFor(fixture.first).size(), 1U);
+    ASSERT_TRUE(fixture.owner.runEndsFor(fixture.first).empty());
+    fixture.passWithoutResponses(1s);
+    ASSERT_EQ(fixture.owner.runEndsFor(fixture.first).size(), 1U);
+    EXPECT_EQ(fixture.owner.runEndsFor(fixture.first)[0].kind, RunEndKind::StartPending);
+}
+
 /** \brief Gateway with one peer in its failure domain, of which it has heard. */
 class GatewayFixture
 {
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -583,7 +583,11 @@
     Mixed, ///< all of the above, which stay first
     CallerReset, ///< the connections of a gateway's callers break, and they send their jobs again
     ClockStep, ///< gateways restart on clocks that were set back or ahead
-    Everything ///< CallerReset, ClockStep and the kinds of Mixed
+    Everything, ///< CallerReset, ClockStep and the kinds of Mixed
+    /** \brief Targets are cut off while starts are on their way to them, and jobs have the time for
+     * further attempts. Gateways stop as planned, too.
+     */
+    CutOff
 };
 
 /** \brief Number of kinds that TargetFault::Mixed draws from. */
@@ -593,13 +597,15 @@
     = { TargetFault::Restart,     TargetFault::Departure,       TargetFault::LateStart,
         TargetFault::LateStop,    TargetFault::LatePoll,        TargetFault::LossyPath,
         TargetFault::OneWayPath,  TargetFault::ErrorAfterStart, TargetFault::Mixed,
-        TargetFault::CallerReset, TargetFault::ClockStep,       TargetFault::Everything };
+        TargetFault::CallerReset, TargetFault::ClockStep,       TargetFault::Everything,
+        TargetFault::CutOff };
 
 std::string toString(TargetFault fault)
 {
-    constexpr std::array names = { "Restart",  "Departure",   "LateStart",  "LateStop",
-                                   "LatePoll", "LossyPath",   "OneWayPath", "ErrorAfterStart",
-                                   "Mixed",    "CallerReset", "ClockStep",  "Everything" };
+    constexpr std::array names
+        = { "Restart",   "Departure",  "LateStart",       "LateStop", "LatePoll",
+            "LossyPath", "OneWayPath", "ErrorAfterStart", "Mixed",    "CallerReset",
+            "ClockStep", "Everything", "CutOff" };
     return names.at(static_cast<std::size_t>(fault));
 }
 
@@ -653,7 +659,7 @@
         options.slowClockShare = 0.3;
         const double lateShare = this->share() < 0.5 ? 0.02 : 0.4;
         const double lateStopShare = this->share() < 0.5 ? 0.1 : 0.7;
-        if (this->includes(TargetFault::LateStart))
+        if (this->includes(TargetFault::LateStart) || this->fault() == TargetFault::CutOff)
             options.lateOrders.startShare = lateShare;
         if (this->includes(TargetFault::LateStop))
             options.lateOrders.stopShare = lateStopShare;
@@ -661,6 +667,8 @@
             options.lateOrders.pollShare = lateShare;
         options.lateOrders.reachesNextIncarnation = this->share() < 0.3;
         options.lateOrders.grantsFromArrival = this->share() < 0.3;
+        if (this->fault() == TargetFault::CutOff)
+            options.lateOrders.grantsFromArrival = true;
     }
 
     /** \brief Jobs that outlast the time after which their caller sends them again. */
@@ -671,8 +679,9 @@
         for (Duration elapsed {}; elapsed < end; elapsed += interval) {
             std::uniform_int_distribution<std::uint32_t> tasks(1, 2);
             const auto taskTime = this->share() < 0.7 ? this->span(40, 400) : this->span(600, 3000);
+            const int longestWaitMs = this->fault() == TargetFault::CutOff ? 18'000 : 5000;
             simulation.submit(this->pick(simulation.gatewayNames()), tasks(this->random), taskTime,
-                              2 * taskTime + this->span(1500, 5000));
+                              2 * taskTime + this->span(1500, longestWaitMs));
             simulation.run(interval);
         }
     }
@@ -732,6 +741,9 @@
                 this->disturbTarget(simulation, TargetFault::ClockStep);
             this->disturbTarget(simulation, this->anyFault());
             break;
+        case TargetFault::CutOff:
+            this->cutTargetsOff(simulation);
+            break;
         case TargetFault::LateStart:
         case TargetFault::LateStop:
         case TargetFault::LatePoll:
@@ -741,6 +753,20 @@
             simulation.heal();
     }
 
+    /** \brief Cuts some targets off, and often has a gateway stop and start again meanwhile. */
+    void cutTargetsOff(FleetSimulation &simulation)
+    {
+        for (const std::string &target : simulation.targetNames())
+            if (this->share() < 0.3)
+                simulation.cutOff(target, this->span(500, 9000));
+        if (this->share() < 0.5)
+            return;
+        const std::string gateway = this->pick(simulation.gatewayNames());
+        simulation.drain(gateway);
+        simulation.run(this->span(300, 6000));
+        simulation.kill(gateway, this->span(100, 2000));
+    }
+
     TargetFault anyFault()
     {
         return targetFaults.at(
--- a/test/JobHoldsTest.cpp
+++ b/test/JobHoldsTest.cpp
@@ -9,12 +9,12 @@
 const UncertainStart start
     = { .run = { .job = "j", .attempt = 1 }, .target = TargetName("t"), .unansweredAt = startTime };
 
-bool ownsAll(const TargetName &)
+bool ownsAll(const UncertainStart &)
 {
     return true;
 }
 
-bool ownsNone(const TargetName &)
+bool ownsNone(const UncertainStart &)
 {
     return false;
 }
@@ -121,4 +121,70 @@
     EXPECT_EQ(node.coordinator().jobCount(), 0U);
 }
 
+// Guards against two runs of a task: only an owner that is out of touch knows whether it has sent a
+// start, and the job is sent again after its deadline.
+TEST(JobHolds, JobThatEndedWithARunAtALostOwnerIsHeldEverywhere)
+{
+    constexpr std::uint64_t nodeIncarnation = 3;
+    TimePoint now = startTime;
+    FleetNode node(
+        { .self = NodeName("a"), .incarnation = nodeIncarnation, .domain = DomainName("d") });
+    FleetMessage report = { .from = NodeName("b"), .incarnation = 1, .domain = DomainName("d") };
+    OwnedTarget target = { .name = TargetName("t"), .service = ServiceName("s") };
+    target.capacity = { .cpu = 64'000 };
+    target.free = target.capacity;
+    target.acceptsWork = true;
+    report.report = OwnerReport { .targets = { target } };
+    node.updatePeer({ .node = report.from, .incarnation = 1, .domain = report.domain, .weight = 1 },
+                    now);
+    std::uint64_t lastSent = 0;
+    const auto exchange = [&] {
+        report.receiverIncarnation = nodeIncarnation;
+        report.acknowledgedSequence = lastSent;
+        ++report.sequence;
+        node.receive(report, now);
+        node.tick(now);
+        for (const AddressedFleetMessage &item : node.flush(now).messages)
+            lastSent = item.message.sequence;
+        now += 50ms;
+    };
+    for (int i = 0; i < 10; ++i)
+        exchange();
+    const JobStep step = { .demand = { .cpu = 27'000 }, .estimate = 60ms };
+    node.submit({ .id = "j", .steps = { step } },
+                { .service = ServiceName("s"), .untilDeadline = 1500ms }, 7, now);
+    exchange();
+    ASSERT_EQ(node.coordinator().ownersOf("j").size(), 1U);
+    std::vector<JobHold> holds;
+    for (const TimePoint end = now + 3s; now < end; now += 50ms) {
+        node.tick(now);
+        for (const JobHold &hold : node.flush(now).holds)
+            holds.push_back(hold);
+    }
+    ASSERT_EQ(node.coordinator().jobCount(), 0U);
+    ASSERT_FALSE(holds.empty());
+    EXPECT_EQ(holds[0].job, "j");
+    node.submit({ .id = "j", .steps = { step } },
+                { .service = ServiceName("s"), .untilDeadline = 1500ms }, 8, now);
+    const std::vector<JobOutcome> outcomes = node.flush(now).outcomes;
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_EQ(outcomes[0].reason, OutcomeReason::StartUncertain);
+    // The owner is back in touch, and announces by itself what it finds uncertain.
+    bool isReleased = false;
+    for (int i = 0; i < 60; ++i) {
+        report.receiverIncarnation = nodeIncarnation;
+        report.acknowledgedSequence = lastSent;
+        ++report.sequence;
+        node.receive(report, now);
+        node.tick(now);
+        const FleetOutbox out = node.flush(now);
+        for (const AddressedFleetMessage &item : out.messages)
+            lastSent = item.message.sequence;
+        for (const JobHold &hold : out.holds)
+            isReleased = isReleased || hold.span == Duration();
+        now += 50ms;
+    }
+    EXPECT_TRUE(isReleased);
+}
+
 } // namespace
--- a/test/support/FleetSimulation.cpp
+++ b/test/support/FleetSimulation.cpp
@@ -308,7 +308,7 @@
         return { .isAnswered = false,
                  .lateness = std::chrono::milliseconds(lateness(this->random)) };
     }
-    if (target.unreachableGateways.contains(from.name))
+    if (target.unreachableGateways.contains(from.name) || this->now() < target.cutUntil)
         return { .arrives = false, .isAnswered = false };
     const auto loss = target.pathLosses.find(from.name);
     if (loss == target.pathLosses.end())
@@ -765,7 +765,7 @@
 {
     const auto found = this->gateways.find(gateway);
     return found != this->gateways.end() && found->second->node && !found->second->isFrozen
-        && !target.unreachableGateways.contains(gateway);
+        && !target.unreachableGateways.contains(gateway) && this->now() >= target.cutUntil;
 }
 
 void FleetSimulation::sendHeartbeat(const std::string &name)
@@ -1074,6 +1074,12 @@
         this->disconnectedPairs.insert(std::minmax(one, other));
 }
 
+void FleetSimulation::cutOff(const std::string &target, Duration span)
+{
+    this->recordTrace(target, " is cut off for ", toMilliseconds(span), " ms");
+    this->targets.at(target).cutUntil = this->now() + span;
+}
+
 void FleetSimulation::heal()
 {
     this->disconnectedPairs.clear();
@@ -1143,6 +1149,7 @@
     started.clockRate = target.clockRate;
     started.answeredWithErrorShare = target.answeredWithErrorShare;
     started.unreachableGateways = target.unreachableGateways;
+    started.cutUntil = target.cutUntil;
     started.pathLosses = target.pathLosses;
     target = started;
     this->recordTrace(describe(target), " starts");
--- a/test/support/FleetSimulation.h
+++ b/test/support/FleetSimulation.h
@@ -128,6 +128,7 @@
     std::optional<TimePoint> departureAcknowledgedAt; ///< of its announcement that it leaves
     TimePoint silentUntil; ///< it sends no heartbeats until then
     TimePoint coldUntil; ///< its heartbeats say so
+    TimePoint cutUntil; ///< no gateway can reach it until then, nor it any gateway
     double answeredWithErrorShare = 0; ///< share of executed starts that it answers with an error
     std::set<std::string> unreachableGateways; ///< gateways that cannot reach it
     std::map<std::string, PathLoss> pathLosses; ///< by gateway
@@ -200,6 +201,8 @@
      */
     void restart(const std::string &target, Duration downFor, Duration heartbeatDelay);
     void depart(const std::string &target, const Departure &departure);
+    /** \brief Cuts \a target off from all gateways for \a span; it runs on. */
+    void cutOff(const std::string &target, Duration span);
     void disturbPath(const std::string &gateway, const std::string &target, const PathLoss &loss);
     void setAnsweredWithErrorShare(const std::string &target, double share);
     /** \brief Sets the fate of the orders that are sent from now on. */
