Fleet, Replication: no work for runs and indices that need none

The wait of a pending start was computed for every run at each tick, with a look at every target; now for pending ones only. Indices that are committed need no quorum any more.

--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -777,13 +777,16 @@
 {
     for (auto item = this->runs.begin(); item != this->runs.end();) {
         HeldRun &run = item->second;
-        const bool isPending = run.stage == Stage::StartPending;
-        const TimePoint latestStart = run.bounds.deadlineAt - this->minExpectedRunTime(run.request);
-        if (isPending && hasFenced(run.target, run.startToken))
+        if (run.stage != Stage::StartPending) {
+            ++item;
+            continue;
+        }
+        if (hasFenced(run.target, run.startToken))
             this->endPendingStart(run, RunEndKind::Lost, RunEndEvidence::TargetFenced, now);
-        else if (isPending && now >= run.startExpiresAt)
+        else if (now >= run.startExpiresAt)
             this->endPendingStart(run, RunEndKind::Lost, RunEndEvidence::StartExpired, now);
-        else if (isPending && run.isWanted && now > latestStart)
+        else if (run.isWanted
+                 && now + this->minExpectedRunTime(run.request) > run.bounds.deadlineAt)
             this->endPendingStart(run, RunEndKind::StartPending, RunEndEvidence::TargetRemoved,
                                   now);
         item = run.stage == Stage::Ended && !run.isWanted ? this->runs.erase(item) : ++item;
--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -588,6 +588,7 @@
     std::set<std::uint64_t, std::greater<>> indices = { this->lastIndex() };
     for (const auto &[id, memberProgress] : this->progress)
         indices.insert(memberProgress.matchIndex);
+    std::erase_if(indices, [&](std::uint64_t index) { return index <= this->committedIndex; });
     const auto isHeldByQuorum = [&](std::uint64_t index) {
         return this->isQuorum(
             this->selfAnd([&](const Progress &p) { return p.matchIndex >= index; }),
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -214,6 +214,7 @@
     void updateCaughtUp(std::uint64_t leaderCommit);
     void confirmReads(ReplicaOutbox &out);
     void changeMembers(TimePoint now, ReplicaOutbox &out);
+    /** \brief Appends an entry that repeats the membership, which is committed. */
     void confirmVoters(TimePoint now, ReplicaOutbox &out);
     void adoptMembershipFromLog();
     void trackMembers(TimePoint now);
@@ -273,7 +274,9 @@
     /** \returns this member, and those others whose progress \a matches. */
     template<typename Matches>
     std::set<MemberId> selfAnd(const Matches &matches) const;
-    /** \returns the highest index up to which the logs of a quorum are known to match. */
+    /** \returns the highest index up to which the logs of a quorum are known to match, and no less
+     * than the commit index.
+     */
     std::uint64_t quorumIndex() const;
     const LogEntry &entryAt(std::uint64_t index) const;
 
