--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -447,12 +447,17 @@
 }
 
 // An owner in touch ends the runs that its peers want no more, and announces those whose starts may
-// still be executed. For one that is out of touch, their coordinator has to assume that.
+// still be executed. For one that is lost, their coordinator has to assume that; but not since this
+// node was stalled itself, after which it has heard nobody.
 void FleetNode::holdAbandonedJobs(TimePoint now)
 {
     for (const AbandonedRun &run : this->jobCoordinator.takeAbandonedRuns()) {
-        const bool isOwn = run.owner == this->options.self;
-        if (isOwn || this->isInTouchSince(run.owner, run.ownerIncarnation, TimePoint(), now))
+        const auto found = this->peers.find(run.owner);
+        const bool isHeard = found != this->peers.end()
+            && found->second.incarnation == run.ownerIncarnation
+            && now
+                < std::max(found->second.lastSeenAt, this->lastStallAt) + this->options.linkTimeout;
+        if (isHeard || run.owner == this->options.self)
             continue;
         this->jobHolds.add({ .run = run.run,
                              .unansweredAt = now,
