--- a/Hibiscus/src/Replication/Member.h
+++ b/Hibiscus/src/Replication/Member.h
@@ -46,8 +46,6 @@
     bool isVoter(const MemberId &id) const;
     std::size_t voterCount() const;
     std::set<MemberId> voters() const;
-    /** \returns the number of voters that form a quorum. */
-    std::size_t quorum() const { return this->voterCount() / 2 + 1; }
     /** \returns a copy with \a member added, or with its role changed if it is there already. */
     GroupMembership with(const Member &member) const;
     /** \returns a copy without the member \a id. */
--- a/Hibiscus/src/Replication/MembershipChange.h
+++ b/Hibiscus/src/Replication/MembershipChange.h
@@ -14,7 +14,8 @@
     VoterSilent, ///< a voter was not heard for the silence timeout
     TooFewVoters, ///< the group has fewer voters than it should
     LearnerSilent, ///< a learner was not heard for the silence timeout
-    LearnerCaughtUp ///< the group has no limit of the voters, or none besides the desired ones
+    LearnerCaughtUp ///< the group has no limit of the voters, or none votes besides the desired
+                    ///< ones
 };
 
 /** \brief Why a voter that leaves, is silent or has lost its disk still has its vote. */
--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -344,18 +344,12 @@
     this->countVotes(now, out);
 }
 
-std::vector<MemberId> Replica::otherVoters() const
+std::set<MemberId> Replica::otherVoters() const
 {
-    std::vector<MemberId> voters;
-    for (const Member &member : this->activeMembership.members)
-        if (member.role == MemberRole::Voter && member.id != this->self())
-            voters.push_back(member.id);
-    if (this->areVotersCommitted())
-        return voters;
-    for (const Member &member : this->formerMembership.members)
-        if (member.role == MemberRole::Voter && member.id != this->self()
-            && !this->activeMembership.isVoter(member.id))
-            voters.push_back(member.id);
+    std::set<MemberId> voters = this->activeMembership.voters();
+    if (!this->areVotersCommitted())
+        voters.merge(this->formerMembership.voters());
+    voters.erase(this->self());
     return voters;
 }
 
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -214,8 +214,7 @@
     void updateCaughtUp(std::uint64_t leaderCommit);
     void confirmReads(ReplicaOutbox &out);
     void changeMembers(TimePoint now, ReplicaOutbox &out);
-    /** \brief Appends an entry that repeats the membership, which is committed. */
-    void confirmVoters(TimePoint now, ReplicaOutbox &out);
+    void appendMembership(GroupMembership membership, TimePoint now, ReplicaOutbox &out);
     void adoptMembershipFromLog();
     void trackMembers(TimePoint now);
     /** \returns the members that are not heard, for the followers. */
@@ -270,7 +269,7 @@
         return this->activeMembership.voters() == this->formerMembership.voters();
     }
     /** \returns the other members whose votes count now. */
-    std::vector<MemberId> otherVoters() const;
+    std::set<MemberId> otherVoters() const;
     /** \returns this member, and those others whose progress \a matches. */
     template<typename Matches>
     std::set<MemberId> selfAnd(const Matches &matches) const;
--- a/Hibiscus/src/Replication/ReplicaMembers.cpp
+++ b/Hibiscus/src/Replication/ReplicaMembers.cpp
@@ -38,7 +38,7 @@
         return;
     // A node that has lost its disk again sends nothing as its former incarnation any more.
     std::erase_if(this->joinRequests,
-                  [&](const auto &request) { return request.first.node == from.node; });
+                  [&](const auto &item) { return item.first.node == from.node; });
     this->joinRequests[from] = now;
 }
 
@@ -71,28 +71,25 @@
 {
     if (!this->isLeaderReady() || !this->isMembershipCommitted())
         return;
+    // After a loss of power the commit index is that of the snapshot. An entry that repeats the
+    // membership tells from the disk that it was committed.
     if (!this->areVotersConfirmed()) {
-        this->confirmVoters(now, out);
+        this->appendMembership(this->activeMembership, now, out);
         return;
     }
     std::optional<MembershipChange> next = this->nextChange(now);
     if (!next)
         return;
-    this->append(next->membership, out);
-    this->adoptMembershipFromLog();
-    this->trackMembers(now);
-    next->index = this->lastIndex();
+    this->appendMembership(next->membership, now, out);
+    next->index = this->membershipIndex;
     this->madeChange = std::move(next);
-    this->sendAppends(now, out);
-    this->advanceCommit(out);
 }
 
-// After a loss of power the commit index is that of the snapshot. An entry that repeats the
-// membership tells from the disk that it was committed.
-void Replica::confirmVoters(TimePoint now, ReplicaOutbox &out)
+void Replica::appendMembership(GroupMembership membership, TimePoint now, ReplicaOutbox &out)
 {
-    this->append(GroupMembership(this->activeMembership), out);
+    this->append(std::move(membership), out);
     this->adoptMembershipFromLog();
+    this->trackMembers(now);
     this->sendAppends(now, out);
     this->advanceCommit(out);
 }
