--- a/Hibiscus/src/Fleet/FleetCoordinator.cpp
+++ b/Hibiscus/src/Fleet/FleetCoordinator.cpp
@@ -433,21 +433,27 @@
     return assignments;
 }
 
+template<typename Visit>
+void FleetCoordinator::forEachTask(const Job &job, const Visit &visit)
+{
+    RunName run = { .job = job.definition.id };
+    for (run.step = 0; run.step < job.tasks.size(); ++run.step)
+        for (run.index = 0; run.index < job.tasks[run.step].size(); ++run.index) {
+            const Task &task = job.tasks[run.step][run.index];
+            run.attempt = task.attempt;
+            visit(run, task);
+        }
+}
+
 template<typename Visit>
 void FleetCoordinator::forEachAssignedTask(const Visit &visit) const
 {
-    for (const auto &[id, job] : this->jobs) {
-        if (job.isFinished)
-            continue;
-        RunName run = { .job = id };
-        for (run.step = 0; run.step < job.tasks.size(); ++run.step)
-            for (run.index = 0; run.index < job.tasks[run.step].size(); ++run.index) {
-                const Task &task = job.tasks[run.step][run.index];
-                run.attempt = task.attempt;
+    for (const auto &[id, job] : this->jobs)
+        if (!job.isFinished)
+            forEachTask(job, [&](const RunName &run, const Task &task) {
                 if (task.stage == Stage::Assigned)
                     visit(run, task.owner);
-            }
-    }
+            });
 }
 
 std::vector<RunName> FleetCoordinator::wantedRunsAt(const NodeName &owner) const
@@ -708,16 +714,12 @@
 // submission of its job must not be run before that wait is over.
 void FleetCoordinator::recordAbandonedRuns(const Job &job)
 {
-    RunName run = { .job = job.definition.id };
-    for (run.step = 0; run.step < job.tasks.size(); ++run.step)
-        for (run.index = 0; run.index < job.tasks[run.step].size(); ++run.index) {
-            const Task &task = job.tasks[run.step][run.index];
-            run.attempt = task.attempt;
-            const bool isThere = task.stage == Stage::Assigned || task.stage == Stage::Uncertain;
-            if (isThere && !task.hasBegun)
-                this->abandonedRuns.push_back(
-                    { .run = run, .owner = task.owner, .ownerIncarnation = task.ownerIncarnation });
-        }
+    forEachTask(job, [&](const RunName &run, const Task &task) {
+        const bool isThere = task.stage == Stage::Assigned || task.stage == Stage::Uncertain;
+        if (isThere && !task.hasBegun)
+            this->abandonedRuns.push_back(
+                { .run = run, .owner = task.owner, .ownerIncarnation = task.ownerIncarnation });
+    });
 }
 
 // A job is refused only if certainly no task has run. A task that is still assigned may have
--- a/Hibiscus/src/Fleet/FleetCoordinator.h
+++ b/Hibiscus/src/Fleet/FleetCoordinator.h
@@ -213,7 +213,7 @@
     std::vector<RunAssignment> assignTasks(std::vector<OwnerView> &owners, TimePoint now);
     std::vector<JobOutcome> takeOutcomes() { return std::exchange(this->outcomes, {}); }
 
-    /** \returns the runs that ended jobs leave behind at other nodes than this one. */
+    /** \returns the runs that ended jobs leave behind, at whichever node. */
     std::vector<AbandonedRun> takeAbandonedRuns() { return std::exchange(this->abandonedRuns, {}); }
 
     std::vector<UnsuccessfulRun> takeUnsuccessfulRuns()
@@ -287,6 +287,9 @@
 
     using Jobs = std::map<std::string, Job>;
 
+    /** \brief Calls \a visit with the present run of each task of \a job, and with the task. */
+    template<typename Visit>
+    static void forEachTask(const Job &job, const Visit &visit);
     /** \brief Calls \a visit with the run and the owner of each assigned task. */
     template<typename Visit>
     void forEachAssignedTask(const Visit &visit) const;
--- a/Hibiscus/src/Fleet/FleetNode.cpp
+++ b/Hibiscus/src/Fleet/FleetNode.cpp
@@ -447,16 +447,14 @@
 }
 
 // An owner in touch ends the runs that its peers want no more, and announces those whose starts may
-// still be executed. For one that is lost, their coordinator has to assume that; but not since this
-// node was stalled itself, after which it has heard nobody.
+// still be executed. For one that is lost, their coordinator has to assume that. A stall of this
+// node is no loss of the others, of which it has heard nothing meanwhile.
 void FleetNode::holdAbandonedJobs(TimePoint now)
 {
     for (const AbandonedRun &run : this->jobCoordinator.takeAbandonedRuns()) {
-        const auto found = this->peers.find(run.owner);
-        const bool isHeard = found != this->peers.end()
-            && found->second.incarnation == run.ownerIncarnation
-            && now
-                < std::max(found->second.lastSeenAt, this->lastStallAt) + this->options.linkTimeout;
+        const Peer *owner = this->findPeer(run.owner, run.ownerIncarnation);
+        const bool isHeard = owner != nullptr
+            && now < std::max(owner->lastSeenAt, this->lastStallAt) + this->options.linkTimeout;
         if (isHeard || run.owner == this->options.self)
             continue;
         this->jobHolds.add({ .run = run.run,
@@ -466,20 +464,21 @@
     }
 }
 
-bool FleetNode::isInTouchSince(const NodeName &node, std::uint64_t incarnation, TimePoint since,
-                               TimePoint now) const
+const FleetNode::Peer *FleetNode::findPeer(const NodeName &node, std::uint64_t incarnation) const
 {
     const auto found = this->peers.find(node);
-    return found != this->peers.end() && found->second.incarnation == incarnation
-        && this->isConfirmed(found->second, now) && found->second.confirmedAt > since;
+    const bool isCurrent = found != this->peers.end() && found->second.incarnation == incarnation;
+    return isCurrent ? &found->second : nullptr;
 }
 
 // An owner that was out of touch announces by itself what it finds uncertain, a little later.
 bool FleetNode::isVoid(const UncertainStart &start, TimePoint now) const
 {
-    if (!start.owner.str().empty())
-        return this->isInTouchSince(start.owner, start.ownerIncarnation,
-                                    start.unansweredAt + internal::ownAnnouncementTime, now);
+    if (!start.owner.isEmpty()) {
+        const Peer *owner = this->findPeer(start.owner, start.ownerIncarnation);
+        return owner != nullptr && this->isConfirmed(*owner, now)
+            && owner->confirmedAt > start.unansweredAt + internal::ownAnnouncementTime;
+    }
     return this->targetOwner.hasSettled(start.target)
         || this->hasFenced(start.target, start.fencingToken);
 }
@@ -626,11 +625,9 @@
 {
     if (requester.node == this->options.self)
         return now;
-    const auto found = this->peers.find(requester.node);
-    const bool isAlive = found != this->peers.end()
-        && found->second.incarnation == requester.incarnation
-        && this->isConfirmed(found->second, now);
-    return isAlive ? std::optional(found->second.confirmedAt) : std::nullopt;
+    const Peer *peer = this->findPeer(requester.node, requester.incarnation);
+    const bool isAlive = peer != nullptr && this->isConfirmed(*peer, now);
+    return isAlive ? std::optional(peer->confirmedAt) : std::nullopt;
 }
 
 void FleetNode::assignTasks(TimePoint now)
--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -352,13 +352,10 @@
     void guard(const FleetMessage &message, TimePoint now);
     void fenceLostOwners(TimePoint now);
     /** \brief Announces the jobs whose starts may still be executed. \sa JobHolds */
-    /** \brief Holds the jobs that have ended with runs at owners that are out of touch. */
+    /** \brief Holds the jobs that have ended with runs at owners that are lost. */
     void holdAbandonedJobs(TimePoint now);
-    /** \returns whether \a incarnation of \a node is in touch, and has received a message that this
-     * node sent after \a since.
-     */
-    bool isInTouchSince(const NodeName &node, std::uint64_t incarnation, TimePoint since,
-                        TimePoint now) const;
+    /** \returns the peer \a node if \a incarnation is its present one, else nullptr. */
+    const Peer *findPeer(const NodeName &node, std::uint64_t incarnation) const;
     /** \returns whether \a start, which is not known as uncertain any more, has no effect. */
     bool isVoid(const UncertainStart &start, TimePoint now) const;
     /** \returns whether \a target has accepted a higher fencing token than \a token from this node
--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -183,8 +183,7 @@
         }
         run.isWanted = run.isWanted && isWanted;
         this->cancelRun(run, now);
-        const bool isDone
-            = !run.isWanted && (run.stage == Stage::Queued || run.stage == Stage::Ended);
+        const bool isDone = !run.isWanted && !run.mayRun();
         item = isDone ? this->runs.erase(item) : ++item;
     }
 }
@@ -192,9 +191,7 @@
 void FleetOwner::cancelRun(HeldRun &run, TimePoint now)
 {
     if (run.stage == Stage::Queued) {
-        run.stage = Stage::Ended;
-        run.end = RunEndKind::NotStarted;
-        run.endedAt = now;
+        endRun(run, RunEndKind::NotStarted, now);
     }
     if (run.stage == Stage::StartPending)
         run.isStopping = true;
@@ -330,15 +327,15 @@
         if (now < run->queuedAt + this->options.returnDelay
             || !reserveCapacity(run->request, run->bounds))
             continue;
-        this->returnRun(*run, now);
+        endRun(*run, RunEndKind::Returned, now);
         ++this->counts.returned;
     }
 }
 
-void FleetOwner::returnRun(HeldRun &run, TimePoint now)
+void FleetOwner::endRun(HeldRun &run, RunEndKind kind, TimePoint now)
 {
     run.stage = Stage::Ended;
-    run.end = RunEndKind::Returned;
+    run.end = kind;
     run.endedAt = now;
 }
 
@@ -448,8 +445,7 @@
 {
     std::vector<RunName> stopping;
     for (const auto &[name, run] : this->runs)
-        if ((run.stage == Stage::OnTarget || run.stage == Stage::StartPending) && run.isStopping
-            && run.isWanted && run.requester == requester)
+        if (run.mayRun() && run.isStopping && run.isWanted && run.requester == requester)
             stopping.push_back(name);
     return stopping;
 }
@@ -544,13 +540,11 @@
         }
         if (end.kind != RunEndKind::Completed && driver != this->drivers.end())
             this->recordAttempt(run, driver->second, end, now);
-        run.stage = Stage::Ended;
-        run.end = end.kind;
-        if (end.kind == RunEndKind::Stopped && run.verdict == RunVerdict::GiveUp)
-            run.end = RunEndKind::Hopeless;
+        const bool isHopeless
+            = end.kind == RunEndKind::Stopped && run.verdict == RunVerdict::GiveUp;
+        endRun(run, isHopeless ? RunEndKind::Hopeless : end.kind, now);
         if (end.kind == RunEndKind::Stopped)
             run.normalizedRunTime = run.forecastRunTime;
-        run.endedAt = now;
         if (!run.isWanted)
             this->runs.erase(found);
     }
@@ -594,11 +588,21 @@
 
 void FleetOwner::recordAttempt(const HeldRun &run, const TargetDriver &driver,
                                const std::optional<ObservedRunEnd> &end, TimePoint now)
+{
+    this->recordAttempt(run,
+                        { .target = driver.target().name,
+                          .incarnation = driver.target().incarnation,
+                          .fencingToken = driver.fencingToken() },
+                        end, now);
+}
+
+void FleetOwner::recordAttempt(const HeldRun &run, const OrderAddress &target,
+                               const std::optional<ObservedRunEnd> &end, TimePoint now)
 {
     this->attempts.push_back({ .run = run.request.run,
-                               .target = driver.target().name,
-                               .incarnation = driver.target().incarnation,
-                               .fencingToken = driver.fencingToken(),
+                               .target = target.target,
+                               .incarnation = target.incarnation,
+                               .fencingToken = target.fencingToken,
                                .requester = run.requester.node,
                                .end = end,
                                .sinceStart = now - run.startedAt });
@@ -660,9 +664,7 @@
             continue;
         if (now + this->minExpectedRunTime(run.request) <= run.bounds.deadlineAt)
             continue;
-        run.stage = Stage::Ended;
-        run.end = RunEndKind::TooLate;
-        run.endedAt = now;
+        endRun(run, RunEndKind::TooLate, now);
         ++this->counts.notStarted;
     }
 }
@@ -691,7 +693,7 @@
     for (auto item = this->runs.lower_bound(first); item != this->runs.end(); ++item) {
         if (!item->first.isSameTask(run))
             return false;
-        if (item->second.stage == Stage::OnTarget || item->second.stage == Stage::StartPending)
+        if (item->second.mayRun())
             return true;
     }
     return false;
@@ -766,9 +768,7 @@
             continue;
         }
         this->countRunEnd(kind);
-        run.stage = Stage::Ended;
-        run.end = kind;
-        run.endedAt = now;
+        endRun(run, kind, now);
         item = run.isWanted ? ++item : this->runs.erase(item);
     }
 }
@@ -796,18 +796,14 @@
 void FleetOwner::endPendingStart(HeldRun &run, RunEndKind kind, RunEndEvidence evidence,
                                  TimePoint now)
 {
-    this->attempts.push_back(
-        { .run = run.request.run,
-          .target = run.target,
+    this->recordAttempt(
+        run,
+        { .target = run.target,
           .incarnation = run.targetIncarnation,
-          .fencingToken = run.startToken,
-          .requester = run.requester.node,
-          .end = ObservedRunEnd { .run = run.request.run, .kind = kind, .evidence = evidence },
-          .sinceStart = now - run.startedAt });
+          .fencingToken = run.startToken },
+        ObservedRunEnd { .run = run.request.run, .kind = kind, .evidence = evidence }, now);
     this->countRunEnd(kind);
-    run.stage = Stage::Ended;
-    run.end = kind;
-    run.endedAt = now;
+    endRun(run, kind, now);
 }
 
 } // namespace Hibiscus
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -318,6 +318,12 @@
         std::uint64_t startToken = 0; ///< of a pending start
         TimePoint startExpiresAt; ///< time after which a pending start has no effect
         Duration forecastRunTime {}; ///< forecast, normalized, if it was stopped by its progress
+
+        /** \returns whether it may be on its target, or get there yet. */
+        bool mayRun() const
+        {
+            return this->stage == Stage::OnTarget || this->stage == Stage::StartPending;
+        }
     };
 
     using Runs = std::map<RunName, HeldRun>;
@@ -336,6 +342,8 @@
     void recordChange(const TargetDriver &driver, std::string change);
     void recordAttempt(const HeldRun &run, const TargetDriver &driver,
                        const std::optional<ObservedRunEnd> &end, TimePoint now);
+    void recordAttempt(const HeldRun &run, const OrderAddress &target,
+                       const std::optional<ObservedRunEnd> &end, TimePoint now);
     /** \brief Ends a run whose start was pending. */
     void endPendingStart(HeldRun &run, RunEndKind kind, RunEndEvidence evidence, TimePoint now);
     TargetDriver *findDriver(const OrderAddress &from);
@@ -368,7 +376,7 @@
      */
     bool hasOnlyEvacuatedTargets(const HeldRun &run) const;
     void returnEvacuatedRuns(TimePoint now);
-    void returnRun(HeldRun &run, TimePoint now);
+    static void endRun(HeldRun &run, RunEndKind kind, TimePoint now);
     bool isTaskRunning(const RunName &run) const;
     bool shouldWaitForFasterTarget(const HeldRun &run, TimePoint now) const;
     void stopStragglers(TimePoint now);
--- a/Hibiscus/src/Fleet/FleetOwnerEvacuation.cpp
+++ b/Hibiscus/src/Fleet/FleetOwnerEvacuation.cpp
@@ -18,7 +18,7 @@
             && !this->isTaskRunning(name);
         if (!isReturned)
             continue;
-        this->returnRun(run, now);
+        endRun(run, RunEndKind::Returned, now);
         ++this->counts.evacuated;
     }
 }
--- a/Hibiscus/src/Fleet/JobHolds.h
+++ b/Hibiscus/src/Fleet/JobHolds.h
@@ -65,8 +65,8 @@
     // Commands.
     /** \brief Compares the starts that are uncertain now with those before. \a isVoid tells whether
      * a start that is not uncertain any more can certainly have no effect. Otherwise this node
-     * knows no more of it: it has given the target up, or just taken it over again. \returns what
-     * is to be announced to the other entry nodes.
+     * knows no more of it: it has given the target up, or just taken it over again.
+     * \returns what is to be announced to the other entry nodes.
      */
     std::vector<JobHold> update(const std::vector<UncertainStart> &uncertain,
                                 const std::function<bool(const UncertainStart &)> &isVoid,
--- a/Hibiscus/src/Fleet/TargetDriver.cpp
+++ b/Hibiscus/src/Fleet/TargetDriver.cpp
@@ -236,9 +236,7 @@
 
 void TargetDriver::tick(TimePoint now, DriverOutbox &out)
 {
-    const bool mayStartRun = std::ranges::any_of(
-        this->runs, [&](const auto &r) { return this->isStartPending(r.second); });
-    if (this->isDeparting && now >= this->leasedUntil && !mayStartRun)
+    if (this->isDeparting && now >= this->leasedUntil && !this->hasPendingStart())
         this->ended = true;
     if (this->ended)
         this->endAllRuns(now, out);
@@ -304,6 +302,12 @@
         && run.startToken >= this->acceptedToken;
 }
 
+bool TargetDriver::hasPendingStart() const
+{
+    return std::ranges::any_of(this->runs,
+                               [&](const auto &r) { return this->isStartPending(r.second); });
+}
+
 std::optional<std::uint64_t> TargetDriver::pendingStart(const RunName &run) const
 {
     const auto found = this->runs.find(run);
--- a/Hibiscus/src/Fleet/TargetDriver.h
+++ b/Hibiscus/src/Fleet/TargetDriver.h
@@ -261,6 +261,7 @@
     };
 
     bool isStartPending(const Run &run) const;
+    bool hasPendingStart() const;
     bool isUncertain(const Run &run, TimePoint now) const;
     std::uint64_t orderToken() const;
     OrderAddress address() const;
