Tests: one search for overlapping runs of whole processes

gateway_process_test.py had it, pending_start_process_test.py wrote it again; it is in loopback_fleet.py now. The search of QuorumRuleTest loses a parameter that nothing read.

--- a/scripts/loopback_fleet.py
+++ b/scripts/loopback_fleet.py
@@ -3,6 +3,7 @@
 Shared by bench/gateway_cost.py and by the tests of whole processes. All addresses are in 127.0.0.0/8.
 """
 import asyncio
+import collections
 import json
 import os
 import pathlib
@@ -31,6 +32,16 @@
         return f"{self.task}#{self.run_id} on {self.target}, {self.began:.3f} to {self.ended} ({self.cause})"
 
 
+def overlaps(runs):
+    """Returns the pairs of runs of one task that went on at the same time."""
+    by_task = collections.defaultdict(list)
+    for run in sorted(runs, key=lambda r: r.began):
+        by_task[run.task].append(run)
+    return [(first, second) for of_task in by_task.values()
+            for i, first in enumerate(of_task) for second in of_task[i + 1:]
+            if first.ended is None or second.began < first.ended]
+
+
 class StandInTarget:
     """A target as PROTOCOL.md describes it: it ends each run after the seconds `s` of its spec.
 
--- a/test/QuorumRuleTest.cpp
+++ b/test/QuorumRuleTest.cpp
@@ -175,7 +175,7 @@
             if (const std::uint8_t term = state.members[member].term;
                 state.terms[term].leader == member) {
                 this->append(state, member, term);
-                this->commit(state, member, term);
+                this->commit(state, term);
             }
         }
     }
@@ -299,7 +299,7 @@
         this->visit(next);
     }
 
-    void commit(const GroupState &state, std::size_t, std::uint8_t term)
+    void commit(const GroupState &state, std::uint8_t term)
     {
         const TermState &leading = state.terms[term];
         const auto entry = static_cast<std::uint8_t>(leading.committed + 1);
@@ -356,7 +356,7 @@
         return { found[0], found[1] };
     }
 
-    Position membershipPosition(const GroupState &state, Position last) const
+    static Position membershipPosition(const GroupState &state, Position last)
     {
         while (last.term > 0 && last.entry <= 1)
             last = state.terms[last.term].parent;
@@ -378,7 +378,7 @@
                       MemberMask evidence)
     {
         const auto [voters, former] = this->membershipsAt(state, last);
-        const bool mayKnowCommit = isCommitted(state, this->membershipPosition(state, last));
+        const bool mayKnowCommit = isCommitted(state, membershipPosition(state, last));
         const bool isKnown = this->options.defect == Defect::OneMembership || voters == former;
         return this->isQuorum(voters, former, isKnown || mayKnowCommit, members, evidence)
             || (!isKnown && this->isQuorum(voters, former, false, members, evidence));
--- a/test/gateway_process_test.py
+++ b/test/gateway_process_test.py
@@ -7,7 +7,6 @@
 time, except for the caller's 1.3 s.
 """
 import asyncio
-import collections
 import json
 import os
 import signal
@@ -20,7 +19,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "scripts"))
 from loopback_fleet import (  # noqa: E402
-    CALLER_PORT, CONTROL_PORT, HOST, METRICS_PORT, PREFIX, SERVICE, Fleet, call)
+    CALLER_PORT, CONTROL_PORT, HOST, METRICS_PORT, PREFIX, SERVICE, Fleet, call, overlaps)
 
 BINARIES = os.path.abspath(sys.argv[1])
 
@@ -229,12 +228,7 @@
 
     def overlaps(self, job):
         """Returns the pairs of runs of one task that went on at the same time."""
-        by_task = collections.defaultdict(list)
-        for run in sorted(self.runs(job), key=lambda r: r.began):
-            by_task[run.task].append(run)
-        return [(first, second) for runs in by_task.values()
-                for i, first in enumerate(runs) for second in runs[i + 1:]
-                if first.ended is None or second.began < first.ended]
+        return overlaps(self.runs(job))
 
     def leave_while_running(self, leave, label=""):
         """Lets a caller leave by `leave` while its run goes on at the target with `label`."""
--- a/test/pending_start_process_test.py
+++ b/test/pending_start_process_test.py
@@ -6,7 +6,6 @@
 Usage: pending_start_process_test.py BINARIES [TEST ...]
 """
 import asyncio
-import collections
 import json
 import os
 import sys
@@ -14,7 +13,7 @@
 import unittest
 
 from rules_process_test import run_all  # also puts the folder of loopback_fleet on the path
-from loopback_fleet import CALLER_PORT, HOST, PREFIX, Fleet, StandInTarget
+from loopback_fleet import CALLER_PORT, HOST, PREFIX, Fleet, StandInTarget, overlaps
 
 BINARIES = os.path.abspath(sys.argv[1])
 # Words of the users: a caller without a response sends its job again after this time.
@@ -101,14 +100,6 @@
             gateway += 1
             await asyncio.sleep(RESEND_S)
 
-    def overlaps(self):
-        by_task = collections.defaultdict(list)
-        for run in sorted((run for target in self.fleet.targets for run in target.history), key=lambda r: r.began):
-            by_task[run.task].append(run)
-        return [f"two runs of one task for {min(one.ended or time.monotonic(), other.ended or time.monotonic()) - other.began:.2f} s: {one}; {other}"
-                for runs in by_task.values() for i, one in enumerate(runs) for other in runs[i + 1:]
-                if one.ended is None or other.began < one.ended]
-
     async def run(self):
         failures = []
         try:
@@ -123,9 +114,10 @@
                 await self.trouble(self.fleet)
             await submission
             await asyncio.sleep(max(0, self.taken_at + LATE_S + TASK_S + 0.5 - time.monotonic()))
-            if not any(target.history for target in self.fleet.targets):
+            runs = [run for target in self.fleet.targets for run in target.history]
+            if not runs:
                 failures.append("nothing was run")
-            failures += self.overlaps()
+            failures += [f"two runs of one task at a time: {one}; {other}" for one, other in overlaps(runs)]
         finally:
             path = await self.fleet.stop(keep_folder=bool(failures))
         print(f"{len(failures)} failures, responses {self.responses} {path}", flush=True)
