Replication: a member is shown as replaced once that is confirmed

Cause: since a member that has only the entry that changes the voters needs those before the change, too, until the entry that repeats it. /status showed the voters by the first of the two, for some 20 ms too early. Ruled out: that the next leader lacked the entry (its log has it), and the evidence of the lost disk (its voter was removed before).

Change: /status and hibiscus_replica_voters go by confirmedMembership(), the latest membership whose repeating entry is committed. A majority has it then, so one of those that are left when a minority is lost goes by it alone.

--- a/Hibiscus/src/Process/ReplicaStatus.cpp
+++ b/Hibiscus/src/Process/ReplicaStatus.cpp
@@ -32,7 +32,7 @@
     json["commit"] = replica.commitIndex();
     json["leader"] = replica.leader() ? replica.leader()->node.str() : "";
     json["members"] = nlohmann::ordered_json::array();
-    for (const Member &member : replica.membership().members)
+    for (const Member &member : replica.confirmedMembership().members)
         json["members"].push_back({ { "node", member.id.node.str() },
                                     { "incarnation", member.id.incarnation },
                                     { "voter", member.role == MemberRole::Voter } });
@@ -67,8 +67,9 @@
                      static_cast<double>(replica.commitIndex()));
     metrics.setGauge("hibiscus_replica_log_entries", "Entries behind the last snapshot.",
                      static_cast<double>(replica.logSize()));
-    metrics.setGauge("hibiscus_replica_voters", "Members with a vote.",
-                     static_cast<double>(replica.membership().voterCount()));
+    metrics.setGauge("hibiscus_replica_voters",
+                     "Members with a vote, by the latest change that is finished.",
+                     static_cast<double>(replica.confirmedMembership().voterCount()));
     metrics.setCounter("hibiscus_replica_syncs_total", "Syncs of the log.",
                        static_cast<double>(syncs));
 }
--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -16,6 +16,8 @@
     : options(options), durable(std::move(durable)), random(seed)
 {
     this->committedIndex = this->durable.snapshot.index;
+    this->committedMembers = this->durable.snapshot.membership;
+    this->confirmedMembers = this->committedMembers;
     this->adoptMembershipFromLog();
     this->resetElectionTimer(now);
 }
@@ -237,6 +239,8 @@
         out.writes.emplace_back(SaveSnapshot { .snapshot = request.snapshot });
         applyWrite(out.writes.back(), this->durable);
         this->committedIndex = request.snapshot.index;
+        this->committedMembers = request.snapshot.membership;
+        this->confirmedMembers = this->committedMembers;
         this->adoptMembershipFromLog();
         out.committedEntries.clear();
         out.restoredSnapshot = request.snapshot;
@@ -477,10 +481,22 @@
 {
     while (this->committedIndex < index) {
         ++this->committedIndex;
-        out.committedEntries.push_back(this->entryAt(this->committedIndex));
+        const LogEntry &entry = this->entryAt(this->committedIndex);
+        if (const auto *membership = std::get_if<GroupMembership>(&entry.body))
+            this->recordCommitted(*membership);
+        out.committedEntries.push_back(entry);
     }
 }
 
+// A leader that has only the entry that changes the voters can't tell that it is committed, and
+// needs those from before the change, too, until it has the entry that repeats it.
+void Replica::recordCommitted(const GroupMembership &membership)
+{
+    if (membership.voters() == this->committedMembers.voters())
+        this->confirmedMembers = membership;
+    this->committedMembers = membership;
+}
+
 // A leader has all entries that were committed before its election, but knows that they are
 // committed only once an entry of its own term is.
 void Replica::updateCaughtUp(std::uint64_t leaderCommit)
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -123,6 +123,10 @@
     const MemberId &self() const { return this->durable.self; }
     const std::optional<MemberId> &leader() const { return this->knownLeader; }
     const GroupMembership &membership() const { return this->activeMembership; }
+    /** \returns the latest membership by which alone the next leader counts quorums, whichever
+     * minority of its voters is lost. While a change is under way it is the one before the change.
+     */
+    const GroupMembership &confirmedMembership() const { return this->confirmedMembers; }
     /** \returns the number of nodes, learners among them, on whose disks the log is known to be up
      * to \a index; on a member that is not the leader only its own is known. Members that are
      * leaving do not count, since their disks may be gone with them.
@@ -208,6 +212,7 @@
     void sendAppend(const MemberId &to, TimePoint now, ReplicaOutbox &out);
     void advanceCommit(ReplicaOutbox &out);
     void commitUpTo(std::uint64_t index, ReplicaOutbox &out);
+    void recordCommitted(const GroupMembership &membership);
     /** \brief Records whether all that the leader of this term had committed, \a leaderCommit, is
      * committed here.
      */
@@ -307,6 +312,8 @@
     std::uint64_t termStartIndex = 0;
     GroupMembership activeMembership;
     GroupMembership formerMembership; ///< the one before activeMembership
+    GroupMembership committedMembers; ///< the latest that is committed
+    GroupMembership confirmedMembers;
     std::uint64_t membershipIndex = 0;
 };
 
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -85,13 +85,13 @@
         except (OSError, ValueError):
             return None
 
-    def wait(self, description, condition, timeout=30):
+    def wait(self, description, condition, timeout=30, interval=0.05):
         """Waits until the condition holds; at the timeout raises TimeoutError(description)."""
         end = time.monotonic() + timeout
         while time.monotonic() < end:
             if condition():
                 return
-            time.sleep(0.05)
+            time.sleep(interval)
         raise TimeoutError(description)
 
     def is_ready(self, name):
--- a/test/VoterExchangeTest.cpp
+++ b/test/VoterExchangeTest.cpp
@@ -19,9 +19,13 @@
 {
 public:
     ExchangeGroup(std::size_t voters, std::size_t spares)
+        : ExchangeGroup(voters, spares, { .desiredVoters = voters })
+    { }
+
+    ExchangeGroup(std::size_t voters, std::size_t spares, const ReplicaOptions &options)
         : ReplicaGroup({ namesOfMembers.begin(),
                          namesOfMembers.begin() + static_cast<std::ptrdiff_t>(voters) },
-                       { .desiredVoters = voters })
+                       options)
     {
         this->leader();
         this->run(1s);
@@ -275,6 +279,35 @@
             }
 }
 
+// Guards against a member that is reported as replaced while the group still ends when as many
+// disks are lost as it stands.
+TEST(VoterExchange, DisksMayBeLostOnceALostMemberIsReportedAsReplaced)
+{
+    for (const std::size_t voters : { 3U, 5U, 7U })
+        for (const bool isLeader : { false, true })
+            for (const bool keepsVoters : { false, true }) {
+                ExchangeGroup group(voters, 0, { .desiredVoters = keepsVoters ? voters : 0 });
+                ASSERT_TRUE(group.commits(1s));
+                const NodeName lost = group.anyVoter(isLeader);
+                group.loseDisk(lost);
+                const MemberId successor = group.replicas.at(lost).self();
+                const TimePoint end = group.now + 10s;
+                const auto isReplaced = [&] {
+                    const GroupMembership &members = group.leader().confirmedMembership();
+                    return members.isVoter(successor) && members.voterCount() == voters;
+                };
+                while (!isReplaced() && group.now < end)
+                    group.step();
+                const std::string what = std::to_string(voters) + " voters, "
+                    + (isLeader ? "the leader, " : "")
+                    + (keepsVoters ? "a desired number" : "any number");
+                ASSERT_TRUE(isReplaced()) << what;
+                for (std::size_t i = 0; i < voters / 2; ++i)
+                    group.silent.insert(group.newestVoter());
+                EXPECT_TRUE(group.commits(5s)) << what;
+            }
+}
+
 // Guards against a group that takes a voter for lost by a message that is older than the voter.
 TEST(VoterExchange, RequestToJoinIsNoEvidenceOfALostDiskByItself)
 {
--- a/test/process_test.py
+++ b/test/process_test.py
@@ -154,7 +154,7 @@
             voters = [m for m in members if m["voter"]]
             return len(voters) == 3 and any(
                 m["node"] == lost and m["incarnation"] != 1 for m in voters)
-        self.deployment.wait("vote of the new member", is_replaced)
+        self.deployment.wait("vote of the new member", is_replaced, interval=0.001)
         self.deployment.kill(leader)
         outcomes = self.finish_load(caller)
         self.assertEqual(set(outcomes), {"jobs", "complete"}, outcomes)
