Replication: a member that stops stays until its vote is certainly moved

What callers could see: the control group takes no change any more, when a member is stopped as planned, its vote moves 1 s after the announcement or later, and as many members as the group stands are lost right then.

Cause: the process ended as soon as its log had the entry that takes its vote. The next leader needs the voters from before that entry, too, until it has the one that confirms it.

A doc comment of FleetNode was on the wrong function.

--- a/Hibiscus/src/Fleet/FleetNode.h
+++ b/Hibiscus/src/Fleet/FleetNode.h
@@ -351,7 +351,6 @@
     /** \brief Records what \a message says of its sender's targets, if this node guards them. */
     void guard(const FleetMessage &message, TimePoint now);
     void fenceLostOwners(TimePoint now);
-    /** \brief Announces the jobs whose starts may still be executed. \sa JobHolds */
     /** \brief Holds the jobs that have ended with runs at owners that are lost. */
     void holdAbandonedJobs(TimePoint now);
     /** \returns the peer \a node if \a incarnation is its present one, else nullptr. */
@@ -362,6 +361,7 @@
      * or one whose reports it gets, and has no run of another owner left.
      */
     bool hasFenced(const TargetName &target, std::uint64_t token) const;
+    /** \brief Announces the jobs whose starts may still be executed. \sa JobHolds */
     void announceHolds(TimePoint now);
     FleetMessage composeMessage(const NodeName &to, Peer &peer, const RunsByPeer &runsByPeer,
                                 TimePoint now);
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -134,7 +134,9 @@
     std::size_t copiesOf(std::uint64_t index, TimePoint now) const;
     const std::vector<LogEntry> &entries() const { return this->durable.entries; }
     bool isMember() const { return this->activeMembership.contains(this->self()); }
-    /** \returns whether a successor could take the vote of this member before it stops. */
+    /** \returns whether a successor could take the vote of this member before it stops, or has
+     * taken it by a change that is not confirmed yet.
+     */
     bool mayHandOverVote() const;
     /** \returns the latest change that this replica made as the leader. */
     const std::optional<MembershipChange> &latestChange() const { return this->madeChange; }
--- a/Hibiscus/src/Replication/ReplicaMembers.cpp
+++ b/Hibiscus/src/Replication/ReplicaMembers.cpp
@@ -22,9 +22,12 @@
             this->send(member.id, LeaveRequest {}, out.sendBeforeSync);
 }
 
+// Until the change is confirmed the next leader needs the voters from before it, too.
 bool Replica::mayHandOverVote() const
 {
-    return this->options.desiredVoters > 0 && this->activeMembership.isVoter(this->self())
+    const bool mayHaveVote = this->activeMembership.isVoter(this->self())
+        || this->confirmedMembers.isVoter(this->self());
+    return this->options.desiredVoters > 0 && mayHaveVote
         && this->activeMembership.members.size() > this->options.desiredVoters;
 }
 
--- a/test/VoterExchangeTest.cpp
+++ b/test/VoterExchangeTest.cpp
@@ -124,6 +124,40 @@
         }
 }
 
+// Guards against a process that ends while the next leader still needs its vote: the group would
+// end if as many members as it stands were lost right then.
+TEST(VoterExchange, MemberThatIsAskedToStopStaysUntilTheExchangeIsConfirmed)
+{
+    for (const std::size_t voters : { 3U, 5U, 7U })
+        for (const bool isLeader : { false, true })
+            for (Duration delay = 0ms; delay <= 2s; delay += 100ms) {
+                ExchangeGroup group(voters, 2);
+                // Of two spare nodes that are silent the one with a vote is removed.
+                group.silent = { NodeName("spare-1"), NodeName("spare-2") };
+                group.run(group.options.voterSilenceTimeout + 1s);
+                ASSERT_EQ(group.leader().membership().voterCount(), voters);
+                ASSERT_EQ(group.leader().membership().members.size(), voters + 1);
+                const NodeName leaver = group.anyVoter(isLeader);
+                ReplicaShutdown shutdown;
+                shutdown.begin(group.now);
+                group.replicas.at(leaver).stepDown(group.now);
+                group.leaving = { leaver };
+                const TimePoint backAt = group.now + delay;
+                while (!shutdown.isDue(group.replicas.at(leaver), group.now)) {
+                    if (group.now >= backAt)
+                        group.silent.clear();
+                    group.step();
+                }
+                group.leaving.clear();
+                group.silent.insert(leaver);
+                for (std::size_t i = 0; i < voters / 2; ++i)
+                    group.silent.insert(group.newestVoter());
+                EXPECT_TRUE(group.commits(5s))
+                    << voters << " voters, " << (isLeader ? "the leader, " : "")
+                    << toMilliseconds(delay) << " ms";
+            }
+}
+
 // Guards against a vote that stays with a member that has gone, because nobody but its successor's
 // predecessor was told, or the successor came after it had gone.
 TEST(VoterExchange, VoteIsMovedOnceASuccessorOfAGoneMemberHasCaughtUp)
