--- a/Hibiscus/src/Fleet/FleetOwner.cpp
+++ b/Hibiscus/src/Fleet/FleetOwner.cpp
@@ -190,9 +190,8 @@
 
 void FleetOwner::cancelRun(HeldRun &run, TimePoint now)
 {
-    if (run.stage == Stage::Queued) {
+    if (run.stage == Stage::Queued)
         endRun(run, RunEndKind::NotStarted, now);
-    }
     if (run.stage == Stage::StartPending)
         run.isStopping = true;
     if (run.stage != Stage::OnTarget || run.isStopping)
@@ -761,8 +760,9 @@
                             now);
         if (startToken) {
             run.stage = Stage::StartPending;
-            run.targetIncarnation = driver.target().incarnation;
-            run.startToken = *startToken;
+            run.pendingStart = { .target = run.target,
+                                 .incarnation = driver.target().incarnation,
+                                 .fencingToken = *startToken };
             run.startExpiresAt = now + maxStartLateness;
             ++item;
             continue;
@@ -781,7 +781,7 @@
             ++item;
             continue;
         }
-        if (hasFenced(run.target, run.startToken))
+        if (hasFenced(run.target, run.pendingStart.fencingToken))
             this->endPendingStart(run, RunEndKind::Lost, RunEndEvidence::TargetFenced, now);
         else if (now >= run.startExpiresAt)
             this->endPendingStart(run, RunEndKind::Lost, RunEndEvidence::StartExpired, now);
@@ -797,10 +797,7 @@
                                  TimePoint now)
 {
     this->recordAttempt(
-        run,
-        { .target = run.target,
-          .incarnation = run.targetIncarnation,
-          .fencingToken = run.startToken },
+        run, run.pendingStart,
         ObservedRunEnd { .run = run.request.run, .kind = kind, .evidence = evidence }, now);
     this->countRunEnd(kind);
     endRun(run, kind, now);
--- a/Hibiscus/src/Fleet/FleetOwner.h
+++ b/Hibiscus/src/Fleet/FleetOwner.h
@@ -314,8 +314,7 @@
         RunPace pace = RunPace::Unknown; ///< latest pace by its progress
         RunVerdict verdict = RunVerdict::Continue;
         bool isSpared = false; ///< whether it was counted as spared
-        std::uint64_t targetIncarnation = 0;
-        std::uint64_t startToken = 0; ///< of a pending start
+        OrderAddress pendingStart; ///< address of a start that may still be executed
         TimePoint startExpiresAt; ///< time after which a pending start has no effect
         Duration forecastRunTime {}; ///< forecast, normalized, if it was stopped by its progress
 
--- a/Hibiscus/src/Replication/Replica.cpp
+++ b/Hibiscus/src/Replication/Replica.cpp
@@ -16,9 +16,7 @@
     : options(options), durable(std::move(durable)), random(seed)
 {
     this->committedIndex = this->durable.snapshot.index;
-    this->committedMembers = this->durable.snapshot.membership;
-    this->confirmedMembers = this->committedMembers;
-    this->adoptMembershipFromLog();
+    this->adoptSnapshotMembership();
     this->resetElectionTimer(now);
 }
 
@@ -239,9 +237,7 @@
         out.writes.emplace_back(SaveSnapshot { .snapshot = request.snapshot });
         applyWrite(out.writes.back(), this->durable);
         this->committedIndex = request.snapshot.index;
-        this->committedMembers = request.snapshot.membership;
-        this->confirmedMembers = this->committedMembers;
-        this->adoptMembershipFromLog();
+        this->adoptSnapshotMembership();
         out.committedEntries.clear();
         out.restoredSnapshot = request.snapshot;
     }
@@ -520,6 +516,13 @@
     });
 }
 
+void Replica::adoptSnapshotMembership()
+{
+    this->committedMembers = this->durable.snapshot.membership;
+    this->confirmedMembers = this->committedMembers;
+    this->adoptMembershipFromLog();
+}
+
 void Replica::adoptMembershipFromLog()
 {
     this->activeMembership = this->durable.snapshot.membership;
--- a/Hibiscus/src/Replication/Replica.h
+++ b/Hibiscus/src/Replication/Replica.h
@@ -222,6 +222,8 @@
     void confirmReads(ReplicaOutbox &out);
     void changeMembers(TimePoint now, ReplicaOutbox &out);
     void appendMembership(GroupMembership membership, TimePoint now, ReplicaOutbox &out);
+    /** \brief Goes by the members in the snapshot, and in the log behind it. */
+    void adoptSnapshotMembership();
     void adoptMembershipFromLog();
     void trackMembers(TimePoint now);
     /** \returns the members that are not heard, for the followers. */
