--- a/scripts/loopback_fleet.py
+++ b/scripts/loopback_fleet.py
@@ -186,13 +186,13 @@
         return {"running": [[t, r, "", 0] for t, r in self.running], "ended_runs": self.ended[:500]}
 
 
-async def call(host, port, method, path, body, headers=""):
+async def call(host, port, method, path, body, headers="", timeout=5):
     reader, writer = await asyncio.wait_for(asyncio.open_connection(host, port), 2)
     data = json.dumps(body).encode()
     writer.write(f"{method} {path} HTTP/1.1\r\nhost: {HOST}\r\ncontent-type: application/json\r\n"
                  f"connection: close\r\n{headers}content-length: {len(data)}\r\n\r\n".encode() + data)
     try:
-        answer = await asyncio.wait_for(reader.read(), 5)
+        answer = await asyncio.wait_for(reader.read(), timeout)
     finally:
         writer.close()
     status = int(answer.split(b" ", 2)[1])
--- a/test/FleetOwnerTest.cpp
+++ b/test/FleetOwnerTest.cpp
@@ -78,6 +78,15 @@
         }
     }
 
+    /** \brief Starts a run of a job that may wait for \a untilDeadline; the target responds with
+     * \a status.
+     */
+    void startRun(Duration untilDeadline, OrderStatus status)
+    {
+        this->requestRun(1, this->first, 0, {}, untilDeadline);
+        this->answerStarts(status);
+    }
+
     /** \brief Lets \a span pass, in which the target sends heartbeats, but responds to nothing. */
     void passWithoutResponses(Duration span, bool isFenced = false)
     {
@@ -212,8 +221,7 @@
 TEST(FleetOwner, RunWhoseStartIsPendingIsNotGivenBackWithItsTarget)
 {
     OwnerFixture fixture;
-    fixture.requestRun(1, fixture.first, 0, {}, 30s);
-    fixture.answerStarts(OrderStatus::Unanswered);
+    fixture.startRun(30s, OrderStatus::Unanswered);
     const TimePoint sentAt = fixture.now;
     fixture.passWithoutResponses(12s);
     EXPECT_TRUE(fixture.owner.runEndsFor(fixture.first).empty());
@@ -228,8 +236,7 @@
 TEST(FleetOwner, RunThatHasBegunIsGivenBackWithItsTarget)
 {
     OwnerFixture fixture;
-    fixture.requestRun(1, fixture.first, 0, {}, 30s);
-    fixture.answerStarts(OrderStatus::Done);
+    fixture.startRun(30s, OrderStatus::Done);
     EXPECT_EQ(fixture.owner.begunRunsFor(fixture.first).size(), 1U);
     fixture.passWithoutResponses(4s);
     ASSERT_EQ(fixture.owner.runEndsFor(fixture.first).size(), 1U);
@@ -240,8 +247,7 @@
 TEST(FleetOwner, RunWhoseStartIsPendingIsGivenBackOnceItsTargetIsFenced)
 {
     OwnerFixture fixture;
-    fixture.requestRun(1, fixture.first, 0, {}, 30s);
-    fixture.answerStarts(OrderStatus::Unanswered);
+    fixture.startRun(30s, OrderStatus::Unanswered);
     fixture.passWithoutResponses(5s);
     ASSERT_TRUE(fixture.owner.runEndsFor(fixture.first).empty());
     fixture.passWithoutResponses(50ms, true);
@@ -254,8 +260,7 @@
 TEST(FleetOwner, RunWhoseStartIsPendingIsReportedWhenItsJobCannotWaitOrIsGivenUp)
 {
     OwnerFixture fixture;
-    fixture.requestRun(1, fixture.first, 0, {}, 6s);
-    fixture.answerStarts(OrderStatus::Unanswered);
+    fixture.startRun(6s, OrderStatus::Unanswered);
     fixture.passWithoutResponses(5s);
     fixture.owner.withdrawRuns(fixture.first, { { .job = "j", .attempt = 1 } }, fixture.now);
     EXPECT_EQ(fixture.owner.stoppingRunsFor(fixture.first).size(), 1U);
--- a/test/JobHoldsTest.cpp
+++ b/test/JobHoldsTest.cpp
@@ -144,9 +144,11 @@
         ++report.sequence;
         node.receive(report, now);
         node.tick(now);
-        for (const AddressedFleetMessage &item : node.flush(now).messages)
+        FleetOutbox out = node.flush(now);
+        for (const AddressedFleetMessage &item : out.messages)
             lastSent = item.message.sequence;
         now += 50ms;
+        return out;
     };
     for (int i = 0; i < 10; ++i)
         exchange();
@@ -171,19 +173,9 @@
     EXPECT_EQ(outcomes[0].reason, OutcomeReason::StartUncertain);
     // The owner is back in touch, and announces by itself what it finds uncertain.
     bool isReleased = false;
-    for (int i = 0; i < 60; ++i) {
-        report.receiverIncarnation = nodeIncarnation;
-        report.acknowledgedSequence = lastSent;
-        ++report.sequence;
-        node.receive(report, now);
-        node.tick(now);
-        const FleetOutbox out = node.flush(now);
-        for (const AddressedFleetMessage &item : out.messages)
-            lastSent = item.message.sequence;
-        for (const JobHold &hold : out.holds)
+    for (int i = 0; i < 60; ++i)
+        for (const JobHold &hold : exchange().holds)
             isReleased = isReleased || hold.span == Duration();
-        now += 50ms;
-    }
     EXPECT_TRUE(isReleased);
 }
 
--- a/test/VoterExchangeTest.cpp
+++ b/test/VoterExchangeTest.cpp
@@ -12,6 +12,11 @@
 /** \brief Time that a process is given to stop after it is asked to. */
 constexpr Duration stopTime = 1s;
 
+std::string describe(std::size_t voters, bool isLeader)
+{
+    return std::to_string(voters) + (isLeader ? " voters, the leader" : " voters");
+}
+
 const std::vector<const char *> namesOfMembers = { "a", "b", "c", "d", "e", "f", "g" };
 
 /** \brief A group with as many voters as desired, and spare nodes that have joined as learners. */
@@ -110,8 +115,7 @@
             ExchangeGroup group(voters, 1);
             const NodeName leaver = group.anyVoter(isLeader);
             group.stop(leaver, stopTime);
-            const std::string what
-                = std::to_string(voters) + (isLeader ? " voters, the leader" : " voters");
+            const std::string what = describe(voters, isLeader);
             // The rest of the voters, its successor among them, stands the loss of the largest
             // minority of them.
             const GroupMembership membership = group.leader().membership();
@@ -153,8 +157,7 @@
                 for (std::size_t i = 0; i < voters / 2; ++i)
                     group.silent.insert(group.newestVoter());
                 EXPECT_TRUE(group.commits(5s))
-                    << voters << " voters, " << (isLeader ? "the leader, " : "")
-                    << toMilliseconds(delay) << " ms";
+                    << describe(voters, isLeader) << ", " << toMilliseconds(delay) << " ms";
             }
 }
 
@@ -300,9 +303,8 @@
                 const std::uint64_t committed = group.newestCommit();
                 for (std::size_t i = 0; i < voters / 2; ++i)
                     group.loseDisk(group.newestVoter());
-                const std::string what = std::to_string(voters) + " voters, "
-                    + (isLeader ? "the leader, " : "") + std::to_string(toMilliseconds(gap))
-                    + " ms";
+                const std::string what = describe(voters, isLeader) + ", "
+                    + std::to_string(toMilliseconds(gap)) + " ms";
                 EXPECT_TRUE(group.commits(5s)) << what;
                 EXPECT_GT(group.newestCommit(), committed) << what;
                 // It stands the next losses, too, once these count no longer.
@@ -332,9 +334,8 @@
                 };
                 while (!isReplaced() && group.now < end)
                     group.step();
-                const std::string what = std::to_string(voters) + " voters, "
-                    + (isLeader ? "the leader, " : "")
-                    + (keepsVoters ? "a desired number" : "any number");
+                const std::string what = describe(voters, isLeader)
+                    + (keepsVoters ? ", a desired number" : ", any number");
                 ASSERT_TRUE(isReplaced()) << what;
                 for (std::size_t i = 0; i < voters / 2; ++i)
                     group.silent.insert(group.newestVoter());
--- a/test/pending_start_process_test.py
+++ b/test/pending_start_process_test.py
@@ -13,7 +13,7 @@
 import unittest
 
 from rules_process_test import run_all  # also puts the folder of loopback_fleet on the path
-from loopback_fleet import CALLER_PORT, HOST, PREFIX, Fleet, StandInTarget, overlaps
+from loopback_fleet import CALLER_PORT, PREFIX, Fleet, StandInTarget, call, overlaps
 
 BINARIES = os.path.abspath(sys.argv[1])
 # Words of the users: a caller without a response sends its job again after this time.
@@ -78,23 +78,17 @@
 
     async def submit(self, gateway):
         """Sends the job, and again as a caller does; returns when it is answered otherwise or late."""
-        body = json.dumps({"spec": json.dumps({"s": TASK_S}), "best_effort": True,
-                           "phases": [{"count": self.task_count, "cpu": 500, "mem_mb": 64,
-                                       "estimated_ms": int(1000 * TASK_S),
-                                       **({"requirements": self.label} if self.label else {})}]}).encode()
+        job = {"spec": json.dumps({"s": TASK_S}), "best_effort": True,
+               "phases": [{"count": self.task_count, "cpu": 500, "mem_mb": 64,
+                           "estimated_ms": int(1000 * TASK_S),
+                           **({"requirements": self.label} if self.label else {})}]}
         began, status = time.monotonic(), None
         while time.monotonic() < began + 12 and status != 200:
             ip = self.fleet.gateways[gateway % len(self.fleet.gateways)]
             try:
-                reader, writer = await asyncio.open_connection(ip, CALLER_PORT)
-                writer.write((f"POST {PREFIX}00000000000000aa HTTP/1.1\r\nhost: {HOST}\r\n"
-                              "content-type: application/json\r\nconnection: close\r\n"
-                              f"deadline-ms: {self.deadline_ms}\r\ncontent-length: {len(body)}\r\n\r\n").encode()
-                             + body)
-                answer = await asyncio.wait_for(reader.read(), self.deadline_ms / 1000 + 2)
-                status = int(answer.split(b" ", 2)[1]) if answer else None
-                writer.close()
-            except (OSError, asyncio.TimeoutError):
+                status, _ = await call(ip, CALLER_PORT, "POST", f"{PREFIX}00000000000000aa", job,
+                                       f"deadline-ms: {self.deadline_ms}\r\n", self.deadline_ms / 1000 + 2)
+            except (OSError, asyncio.TimeoutError, ValueError, IndexError):
                 status = None
             self.responses.append((round(time.monotonic() - began, 2), status))
             gateway += 1
